--- /dev/null
+++ b/Source/Core/Common/HttpCall.cpp
@@ -0,0 +1,62 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Common/HttpCall.h"
+
+namespace yardhill::common
+{
+namespace
+{
+// What cpprest's exceptions say when no byte can have been sent.
+bool never_connected(const web::http::http_exception& error)
+{
+  const std::string what = error.what();
+  return what.find("Failed to connect") != std::string::npos ||
+         what.find("Failed to resolve") != std::string::npos ||
+         error.error_code() == std::errc::connection_refused;
+}
+
+call_result result_of(const pplx::task<call_result>& finished)
+{
+  try
+  {
+    return finished.get();
+  }
+  catch (const web::http::http_exception& error)
+  {
+    return {never_connected(error) ? call_end::unsent : call_end::unclear, 0, error.what()};
+  }
+  catch (const std::exception& error)
+  {
+    return {call_end::unclear, 0, error.what()};
+  }
+}
+} // namespace
+
+web::http::client::http_client_config client_config(std::chrono::milliseconds timeout)
+{
+  web::http::client::http_client_config config;
+  config.set_timeout(timeout);
+  return config;
+}
+
+void call_http(web::http::client::http_client& client, const web::http::method& method,
+               const std::string& path, const std::string& body, const call_done& done)
+{
+  web::http::http_request request(method);
+  request.set_request_uri(web::uri(path));
+  if (!body.empty())
+    request.set_body(body, "application/json");
+  client.request(request)
+      .then(
+          [](web::http::http_response response)
+          {
+            const int status = response.status_code();
+            return response.extract_utf8string(true).then(
+                [status](const std::string& text) {
+                  return call_result{call_end::answered, status, text};
+                });
+          })
+      .then([done](const pplx::task<call_result>& finished) { done(result_of(finished)); });
+}
+} // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Common/InstanceSettings.h
@@ -0,0 +1,54 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The settings of one instance: who it is, where it listens, whom it knows, its limits.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/Ids.h"
+#include "Common/Options.h"
+#include "Common/Problem.h"
+
+namespace yardhill::common
+{
+struct endpoint
+{
+  std::string address; // an IP number
+  std::uint16_t port = 0;
+
+  bool operator==(const endpoint&) const = default;
+};
+
+std::string to_text(const endpoint& where);
+
+struct peer_setting
+{
+  std::string name;
+  zone_id zone;
+  endpoint where;
+};
+
+struct instance_settings
+{
+  std::string name;
+  zone_id zone;
+  endpoint http;
+  endpoint peer;
+  std::string platform; // base URL of the table service and the instance list
+  std::vector<peer_setting> peers;
+  std::size_t threads = 2;            // of the HTTP library
+  std::size_t most_body = 1U << 20U;  // bytes of a caller's request
+  std::size_t most_connections = 512; // of callers
+  std::string log_level = "info";
+  core_options core;
+};
+
+// Checks the whole text and notes every mistake. None if there is any.
+std::optional<instance_settings>
+parse_instance_settings(const std::string& text, const std::string& file, problem_list& problems);
+} // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Common/Metrics.h
@@ -0,0 +1,103 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Counters and histograms of one instance, and their text exposition.
+//
+// The core counts on its own thread; a scrape may come from another, so counters are atomic and
+// histograms are copied under a lock.
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "Common/Reason.h"
+#include "Common/Time.h"
+
+namespace yardhill::common
+{
+enum class counter
+{
+  requests,
+  answers,
+  tasks_accepted,
+  tasks_done,
+  tasks_failed,
+  attempts_started,
+  preemptions,
+  takeovers,
+  handovers,
+  owner_lost,
+  store_reads,
+  store_writes,
+  store_rows_written,
+  store_bytes,
+  peer_messages,
+  peer_bytes,
+  bad_frames,
+  late_answers,
+  worker_calls,
+  circuits_opened,
+  config_changes,
+  count
+};
+
+enum class timing
+{
+  waiting_interactive,
+  waiting_service,
+  waiting_gang,
+  waiting_batch,
+  decision,
+  store_latency,
+  count
+};
+
+enum class gauge
+{
+  queued,
+  active,
+  retained,
+  partitions_owned,
+  workers_usable,
+  config_version,
+  pending_requests,
+  count
+};
+
+class metrics
+{
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  void add(counter which, std::uint64_t amount = 1);
+  void add(refusal_reason why);
+  void add(retry_reason why);
+  void set(gauge which, std::uint64_t value);
+  void record(timing which, duration value);
+
+  std::uint64_t value(counter which) const;
+  std::uint64_t value(refusal_reason why) const;
+  std::uint64_t value(retry_reason why) const;
+  // The smallest bucket bound that `quantile` (0 to 1) of the recorded values do not exceed.
+  duration quantile(timing which, double quantile) const;
+
+  // The usual text exposition, one family per kind, times in seconds.
+  std::string exposition() const;
+
+private:
+  struct histograms;
+
+  std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::count)> m_counters{};
+  std::array<std::atomic<std::uint64_t>, k_refusal_reasons> m_refusals{};
+  std::array<std::atomic<std::uint64_t>, k_retry_reasons> m_retries{};
+  std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(gauge::count)> m_gauges{};
+  std::unique_ptr<histograms> m_histograms;
+};
+} // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Common/PeerMessages.h
@@ -0,0 +1,78 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What instances say to each other. The Peer folder puts these into frames.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Ids.h"
+#include "Common/Task.h"
+
+namespace yardhill::common
+{
+struct owned_partition
+{
+  partition_id partition;
+  term_number term = 0;
+};
+
+// Sent to every linked peer each heartbeat period; a peer not heard from for a while counts as cut.
+struct heartbeat
+{
+  std::uint64_t config_version = 0;
+  bool leaving = false;
+  std::vector<owned_partition> owned;
+};
+
+enum class request_purpose
+{
+  submit,
+  status,
+  cancel,
+  count
+};
+
+// A caller's request on its way to the task's home. The number is the sender's own.
+struct forward_request
+{
+  std::uint64_t number = 0;
+  std::uint32_t hops = 0;
+  request_purpose purpose = request_purpose::submit;
+  bool fresh = true; // false: this id may have reached a home before
+  task_spec spec;    // only the id counts for status and cancel
+};
+
+struct forward_answer
+{
+  std::uint64_t number = 0;
+  bool not_owner = false;    // ask elsewhere
+  bool may_have_run = false; // with not_owner: the sender owned it before and may have started it
+  instance_id owner;         // with not_owner: whom the sender believes to own it
+  answer reply;
+};
+
+struct config_push
+{
+  std::uint64_t version = 0;
+  std::string document;
+};
+
+struct config_pull
+{
+};
+
+// The sender has stopped placing on the partition; the receiver takes it at a higher term.
+struct handover
+{
+  partition_id partition;
+  term_number term = 0;
+};
+
+using peer_message =
+    std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover>;
+} // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Common/Reason.h
@@ -0,0 +1,67 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The closed lists of why a request is refused and why something is tried again. Each has one
+// counter per entry; the table in Reason.cpp does not compile when an entry lacks its name.
+
+#include <cstddef>
+#include <string_view>
+
+namespace yardhill::common
+{
+enum class refusal_reason
+{
+  none,
+  malformed_request,
+  request_too_large,
+  unknown_workload,
+  unknown_task,
+  zone_not_served,
+  never_fits,
+  queue_full,
+  deadline_too_near,
+  deadline_passed,
+  quota_exceeded,
+  no_owner,
+  owner_unreachable,
+  records_incomplete,
+  store_unavailable,
+  instance_stopping,
+  cancelled_by_caller,
+  start_refused,
+  attempts_exhausted,
+  run_unclear,
+  config_conflict,
+  config_invalid,
+  key_reused_differently,
+  count
+};
+
+enum class retry_reason
+{
+  forward_lost,
+  forward_not_owner,
+  start_refused,
+  start_unclear,
+  worker_lost,
+  attempt_failed,
+  preempted,
+  store_unavailable,
+  store_conflict,
+  claim_failed,
+  link_reconnect,
+  gang_member_lost,
+  count
+};
+
+inline constexpr std::size_t k_refusal_reasons = static_cast<std::size_t>(refusal_reason::count);
+inline constexpr std::size_t k_retry_reasons = static_cast<std::size_t>(retry_reason::count);
+
+// The reason's name as it stands in answers, logs and counters.
+std::string_view to_text(refusal_reason reason);
+std::string_view to_text(retry_reason reason);
+// The reason of that name; `none` for an unknown one (a newer peer's).
+refusal_reason refusal_reason_from(std::string_view name);
+} // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Decision/SchedulerOutput.h
@@ -0,0 +1,60 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What a partition's scheduler wants done. The instance adds terms and tickets and sends it.
+
+#include <string_view>
+#include <vector>
+
+#include "Common/StoredTask.h"
+#include "Common/WorkerMessages.h"
+#include "Decision/TaskRecord.h"
+
+namespace yardhill::decision
+{
+struct worker_start
+{
+  worker_id worker;
+  start_order order;
+};
+
+struct worker_stop
+{
+  worker_id worker;
+  attempt_id attempt;
+  bool checkpoint = false;
+};
+
+struct caller_reply
+{
+  reply_address to;
+  answer value;
+  bool moved = false; // nothing was decided: ask the partition's new owner
+};
+
+// A worker's ended attempt whose record is safe, so that the worker may forget it.
+struct worker_acknowledgement
+{
+  worker_id worker;
+  std::uint64_t sequence = 0;
+};
+
+// What happened to a task, for the log.
+struct task_note
+{
+  task_id task;
+  std::string_view step;
+  std::string detail;
+};
+
+struct scheduler_output
+{
+  std::vector<worker_start> starts;
+  std::vector<worker_stop> stops;
+  std::vector<caller_reply> replies;
+  std::vector<record_write> writes;
+  std::vector<task_note> notes;
+};
+} // namespace yardhill::decision
--- /dev/null
+++ b/Source/Core/Decision/WaitingQueue.cpp
@@ -0,0 +1,40 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Decision/WaitingQueue.h"
+
+#include <numeric>
+
+namespace yardhill::decision
+{
+void waiting_queue::insert(task_record& task)
+{
+  line& own = of_kind(task.spec.kind)[task.spec.team];
+  own.emplace(std::pair{task.queue_key, task.sequence}, &task);
+  ++m_sizes.at(static_cast<std::size_t>(task.spec.kind));
+}
+
+void waiting_queue::remove(const task_record& task)
+{
+  team_lines& lines = of_kind(task.spec.kind);
+  const auto own = lines.find(task.spec.team);
+  if (own == lines.end())
+    return;
+  m_sizes.at(static_cast<std::size_t>(task.spec.kind)) -=
+      own->second.erase({task.queue_key, task.sequence});
+  if (own->second.empty())
+    lines.erase(own);
+}
+
+void waiting_queue::clear()
+{
+  for (team_lines& lines : m_kinds)
+    lines.clear();
+  m_sizes.fill(0);
+}
+
+std::size_t waiting_queue::size() const
+{
+  return std::accumulate(m_sizes.begin(), m_sizes.end(), std::size_t{0});
+}
+} // namespace yardhill::decision
--- /dev/null
+++ b/Source/Core/Decision/WorkerLedger.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What the owner of a partition has granted on one worker.
+
+#include <string>
+
+#include "Common/CellConfig.h"
+#include "Common/Resources.h"
+#include "Decision/WorkerCircuit.h"
+
+namespace yardhill::decision
+{
+using namespace common;
+
+class worker_ledger
+{
+public:
+  worker_ledger(const worker_config& config, const scheduling_options& options);
+
+  const worker_id& id() const { return m_config.id; }
+  const rack_id& rack() const { return m_config.rack; }
+  const std::string& boot() const { return m_boot; }
+  const resources& capacity() const { return m_capacity; }
+  const resources& granted() const { return m_granted; }
+  // What a new grant may take; negative in every dimension while the worker takes nothing.
+  const resources& room() const { return m_room; }
+  bool usable() const { return m_usable; } // it answers
+  bool placeable() const { return m_usable && !m_leaving && !m_drained; }
+  bool leaving() const { return m_leaving; }
+  worker_circuit& circuit() { return m_circuit; }
+  const worker_circuit& circuit() const { return m_circuit; }
+
+  void set_config(const worker_config& config);
+  void set_usable(bool usable, bool leaving, const std::string& boot);
+  void set_leaving();
+  // By an operator, until told otherwise.
+  void set_drained(bool drained);
+  // Measured use lags behind, so it can only ever take room away, never give any.
+  void set_measured(const resources& used);
+  void grant(const resources& demand);
+  void release(const resources& demand);
+  // Puts the circuit's state into room(); to be called when time passes or the circuit changes.
+  void refresh(time_point now);
+
+private:
+  void update_room();
+
+  worker_config m_config;
+  resources m_capacity;
+  resources m_granted;
+  resources m_measured;
+  resources m_room;
+  std::string m_boot;
+  bool m_usable = false;
+  bool m_leaving = false;
+  bool m_drained = false;
+  bool m_blocked = false; // by its circuit
+  worker_circuit m_circuit;
+};
+} // namespace yardhill::decision
--- /dev/null
+++ b/Source/Core/Instance/InstanceCore.cpp
@@ -0,0 +1,358 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Instance/InstanceCore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yardhill::instance
+{
+namespace
+{
+// Peers of other zones get one heartbeat in this many.
+constexpr std::uint32_t k_far_beats = 4;
+} // namespace
+
+instance_core::instance_core(const instance_identity& identity, const core_options& options,
+                             const decision::placement_policy& policy, metrics& counts,
+                             time_point /*now*/)
+    : m_identity(identity),
+      m_options(options),
+      m_policy(policy),
+      m_metrics(counts),
+      m_config(m_options.ownership, counts),
+      m_peers(identity.id, identity.zone, m_options.ownership),
+      m_router(identity.id, identity.zone, m_options.routing, counts, m_peers, m_homes)
+{
+}
+
+std::vector<command> instance_core::step(const event& what, time_point now)
+{
+  std::visit([this, now](const auto& each) { handle(each, now); }, what);
+  advance(now);
+  return std::exchange(m_commands, {});
+}
+
+void instance_core::handle(const caller_request& request, time_point now)
+{
+  m_router.from_caller(request, m_config.cell(), now);
+}
+
+void instance_core::handle(const apply_request& request, time_point now)
+{
+  m_config.apply(request, now);
+}
+
+void instance_core::handle(const peer_linked& link, time_point now)
+{
+  m_peers.linked(link.peer, link.zone, now);
+  m_commands.emplace_back(send_to_peer{link.peer, own_heartbeat()});
+}
+
+void instance_core::handle(const peer_unlinked& link, time_point now)
+{
+  m_metrics.add(retry_reason::link_reconnect);
+  m_peers.unlinked(link.peer);
+  m_router.peer_lost(link.peer, now);
+}
+
+void instance_core::handle(const peer_received& received, time_point now)
+{
+  std::visit([&](const auto& message) { receive(received.peer, message, now); }, received.message);
+}
+
+void instance_core::handle(const claim_returned& returned, time_point now)
+{
+  if (partition_home* home = home_of_worker(returned.worker))
+    home->claim_came_back(returned, now);
+}
+
+void instance_core::handle(const start_returned& returned, time_point now)
+{
+  if (partition_home* home = home_of_worker(returned.worker))
+    home->start_came_back(returned, now);
+}
+
+void instance_core::handle(const store_returned& returned, time_point now)
+{
+  const auto found = m_calls.find(returned.call);
+  if (found == m_calls.end())
+    return;
+  const call_owner owner = found->second;
+  m_calls.erase(found);
+  const auto home = m_homes.find(owner.partition);
+  if (const auto* read = std::get_if<store_read_result>(&returned.result))
+  {
+    if (owner.config)
+      m_config.read_answered(*read, now);
+    else if (home != m_homes.end())
+      home->second.read_answered(*read, now);
+    return;
+  }
+  const auto& write = std::get<store_write_result>(returned.result);
+  if (owner.config)
+    m_config.write_answered(write, now);
+  else if (home != m_homes.end())
+    home->second.write_answered(write, now);
+}
+
+void instance_core::handle(const stop_asked& /*asked*/, time_point now)
+{
+  if (std::exchange(m_stopping, true))
+    return;
+  m_router.stop();
+  for (auto& [id, home] : m_homes)
+    home.begin_stop();
+  m_next_beat = now; // the peers learn at once
+}
+
+void instance_core::handle(const timer_passed& /*passed*/, time_point /*now*/) {}
+
+void instance_core::receive(const instance_id& peer, const heartbeat& message, time_point now)
+{
+  if (!m_peers.heard(peer, message, now))
+    return;
+  for (const owned_partition& owned : message.owned)
+  {
+    const auto home = m_homes.find(owned.partition);
+    if (home != m_homes.end())
+      home->second.owner_heard(peer, owned.term, now);
+  }
+  if (message.config_version > m_config.version())
+    m_commands.emplace_back(send_to_peer{peer, config_pull{}});
+}
+
+void instance_core::receive(const instance_id& peer, const forward_request& message, time_point now)
+{
+  m_router.from_peer(peer, message, m_config.cell(), now);
+}
+
+void instance_core::receive(const instance_id& peer, const forward_answer& message, time_point now)
+{
+  m_router.peer_answered(peer, message, now);
+}
+
+void instance_core::receive(const instance_id& /*peer*/, const config_push& message,
+                            time_point /*now*/)
+{
+  m_config.offered(message.version, message.document);
+}
+
+void instance_core::receive(const instance_id& peer, const config_pull& /*message*/,
+                            time_point /*now*/)
+{
+  if (m_config.version() > 0)
+    m_commands.emplace_back(
+        send_to_peer{peer, config_push{m_config.version(), m_config.document()}});
+}
+
+void instance_core::receive(const instance_id& /*peer*/, const handover& message, time_point now)
+{
+  const auto home = m_homes.find(message.partition);
+  if (home == m_homes.end() || m_stopping)
+    return;
+  m_metrics.add(counter::handovers);
+  home->second.handed_over(message.term, now);
+}
+
+void instance_core::advance(time_point now)
+{
+  carry_config(now);
+  bool more = true;
+  while (more)
+  {
+    m_router.advance(now);
+    more = carry_homes(now);
+  }
+  for (command& each : m_router.take_commands())
+    m_commands.push_back(std::move(each));
+  if (now >= m_next_beat)
+    send_heartbeats(now);
+  if (m_stopping)
+    carry_stop(now);
+  set_gauges();
+}
+
+void instance_core::carry_config(time_point now)
+{
+  m_config.advance(now);
+  config_output out = m_config.take_output();
+  if (out.call)
+    call_store({true, {}}, std::move(*out.call));
+  for (answer_apply& answered : out.answers)
+    m_commands.emplace_back(std::move(answered));
+  if (!out.changed)
+    return;
+  m_commands.emplace_back(
+      log_event{log_level::info,
+                "config",
+                {},
+                {},
+                0,
+                "version " + std::to_string(m_config.version()) + " is in force"});
+  configure_homes(now);
+  if (!out.applied_here)
+    return;
+  for (const auto& [peer, entry] : m_peers.all())
+    m_commands.emplace_back(
+        send_to_peer{peer, config_push{m_config.version(), m_config.document()}});
+}
+
+void instance_core::configure_homes(time_point now)
+{
+  const zone_config* zone = m_config.cell().find_zone(m_identity.zone);
+  if (zone == nullptr)
+    return;
+  for (std::uint32_t index = 0; index < zone->partitions; ++index)
+  {
+    const partition_id partition{zone->id, index};
+    m_homes.try_emplace(partition, partition, m_identity.id, m_options, m_policy, m_metrics, now);
+  }
+  m_worker_homes.clear();
+  for (const worker_config& worker : zone->workers)
+    m_worker_homes[worker.id] = {zone->id, worker.partition};
+  for (auto& [partition, home] : m_homes)
+  {
+    home.configure(m_config.cell(), now);
+    if (m_stopping)
+      home.begin_stop();
+  }
+}
+
+bool instance_core::carry_homes(time_point now)
+{
+  bool any_reply = false;
+  for (auto& [partition, home] : m_homes)
+  {
+    home.set_rank(m_peers.rank_of_self(partition, now));
+    home.advance(now);
+    home_output out = home.take_output();
+    for (command& each : out.commands)
+      m_commands.push_back(std::move(each));
+    if (out.store_call)
+      call_store({false, partition}, std::move(*out.store_call));
+    for (const decision::caller_reply& reply : out.replies)
+      m_router.home_replied(reply, now);
+    any_reply = any_reply || !out.replies.empty();
+    if (out.gained)
+      m_next_beat = now; // those who wait for an owner learn at once
+  }
+  return any_reply;
+}
+
+void instance_core::call_store(const call_owner& owner, ownership::store_call request)
+{
+  const std::uint64_t number = m_next_call++;
+  m_calls[number] = owner;
+  m_commands.emplace_back(instance::call_store{number, std::move(request)});
+}
+
+heartbeat instance_core::own_heartbeat() const
+{
+  heartbeat beat;
+  beat.config_version = m_config.version();
+  beat.leaving = m_stopping;
+  for (const auto& [partition, home] : m_homes)
+  {
+    if (home.owns())
+      beat.owned.push_back({partition, home.term()});
+  }
+  return beat;
+}
+
+void instance_core::send_heartbeats(time_point now)
+{
+  m_next_beat = now + m_options.ownership.heartbeat_period;
+  const bool far = m_beats++ % k_far_beats == 0;
+  const heartbeat beat = own_heartbeat();
+  for (const auto& [peer, entry] : m_peers.all())
+  {
+    if (far || m_peers.in_own_zone(entry))
+      m_commands.emplace_back(send_to_peer{peer, beat});
+  }
+}
+
+// Hands each partition to the peer that is first in line, then waits for what callers still await.
+void instance_core::carry_stop(time_point now)
+{
+  bool owns_any = false;
+  for (auto& [partition, home] : m_homes)
+  {
+    if (!home.owns())
+      continue;
+    const std::optional<instance_id> successor = m_peers.successor(partition, now);
+    if (!home.ready_to_hand_over())
+    {
+      owns_any = true;
+      continue;
+    }
+    if (!successor && !home.scheduler().idle())
+    {
+      owns_any = true; // alone in its zone: finish what runs
+      continue;
+    }
+    const term_number term = home.term();
+    home.give_up(now);
+    if (successor)
+      m_commands.emplace_back(send_to_peer{*successor, handover{partition, term}});
+    m_next_beat = now;
+  }
+  carry_homes(now);
+  m_router.advance(now);
+  for (command& each : m_router.take_commands())
+    m_commands.push_back(std::move(each));
+  if (owns_any || m_router.pending() > 0 || m_stop_told)
+    return;
+  m_stop_told = true;
+  m_commands.emplace_back(stop_complete{});
+}
+
+partition_home* instance_core::home_of_worker(const worker_id& worker)
+{
+  const auto partition = m_worker_homes.find(worker);
+  if (partition == m_worker_homes.end())
+    return nullptr;
+  const auto home = m_homes.find(partition->second);
+  return home == m_homes.end() ? nullptr : &home->second;
+}
+
+bool instance_core::ready(time_point now) const
+{
+  if (m_config.version() == 0 || m_stopping)
+    return false;
+  return std::ranges::all_of(
+      m_homes, [&](const auto& entry)
+      { return entry.second.owns() || m_peers.owner_of(entry.first, now).has_value(); });
+}
+
+void instance_core::set_gauges()
+{
+  std::uint64_t queued = 0;
+  std::uint64_t active = 0;
+  std::uint64_t owned = 0;
+  std::uint64_t usable = 0;
+  for (const auto& [partition, home] : m_homes)
+  {
+    if (!home.owns())
+      continue;
+    ++owned;
+    queued += home.scheduler().queued();
+    active += home.scheduler().active();
+    usable += home.standing().claimed_workers();
+  }
+  m_metrics.set(gauge::queued, queued);
+  m_metrics.set(gauge::active, active);
+  m_metrics.set(gauge::partitions_owned, owned);
+  m_metrics.set(gauge::workers_usable, usable);
+  m_metrics.set(gauge::pending_requests, m_router.pending());
+}
+
+time_point instance_core::next_timer() const
+{
+  time_point next = std::min({m_next_beat, m_config.next_timer(), m_router.next_timer()});
+  for (const auto& [partition, home] : m_homes)
+    next = std::min(next, home.next_timer());
+  return next;
+}
+} // namespace yardhill::instance
--- /dev/null
+++ b/Source/Core/Instance/InstanceEvents.h
@@ -0,0 +1,106 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What the shells around the instance's core tell it.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Ids.h"
+#include "Common/PeerMessages.h"
+#include "Common/StoreMessages.h"
+#include "Common/Task.h"
+#include "Common/Time.h"
+#include "Common/WorkerMessages.h"
+
+namespace yardhill::instance
+{
+using namespace common;
+
+// A caller of this instance. The number is the gateway's and comes back with the answer.
+struct caller_request
+{
+  std::uint64_t number = 0;
+  request_purpose purpose = request_purpose::submit;
+  workload_id workload;
+  std::string key; // empty: one is minted (submit only)
+  std::string payload;
+  std::optional<duration> deadline;
+  std::optional<bool> repeatable; // may only tighten what the workload says
+  bool waits = true;
+};
+
+// An operator applies a whole configuration made from version `base`.
+struct apply_request
+{
+  std::uint64_t number = 0;
+  std::uint64_t base = 0;
+  std::string apply_id; // the operator's, new for each apply
+  std::string document;
+};
+
+// The connections to and from a peer stand, or at least one of them broke.
+struct peer_linked
+{
+  instance_id peer;
+  zone_id zone;
+};
+
+struct peer_unlinked
+{
+  instance_id peer;
+};
+
+struct peer_received
+{
+  instance_id peer;
+  peer_message message;
+};
+
+struct claim_returned
+{
+  worker_id worker;
+  claim_request request;
+  std::optional<claim_answer> answer; // none: no answer came
+  time_point sent_at;
+};
+
+enum class send_result
+{
+  answered,
+  unsent, // certainly never left this process
+  unclear
+};
+
+struct start_returned
+{
+  worker_id worker;
+  std::vector<attempt_id> attempts;
+  send_result result = send_result::unclear;
+  start_answer answer; // with `answered`
+};
+
+struct store_returned
+{
+  std::uint64_t call = 0;
+  std::variant<store_read_result, store_write_result> result;
+};
+
+// SIGTERM: a planned stop.
+struct stop_asked
+{
+};
+
+struct timer_passed
+{
+};
+
+using event =
+    std::variant<caller_request, apply_request, peer_linked, peer_unlinked, peer_received,
+                 claim_returned, start_returned, store_returned, stop_asked, timer_passed>;
+} // namespace yardhill::instance
--- /dev/null
+++ b/Source/Core/Instance/PeerBook.cpp
@@ -0,0 +1,118 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Instance/PeerBook.h"
+
+#include <utility>
+
+#include "Common/Hash.h"
+
+namespace yardhill::instance
+{
+namespace
+{
+constexpr int k_far_factor = 4;
+
+std::uint64_t score(const partition_id& partition, const instance_id& candidate)
+{
+  return stable_hash(candidate.value, stable_hash(to_text(partition)));
+}
+} // namespace
+
+peer_book::peer_book(instance_id self, zone_id zone, const ownership_options& options)
+    : m_self(std::move(self)), m_zone(std::move(zone)), m_options(options)
+{
+}
+
+void peer_book::linked(const instance_id& peer, const zone_id& zone, time_point now)
+{
+  peer_entry& entry = m_peers[peer];
+  entry.zone = zone;
+  entry.last_heard = now;
+}
+
+void peer_book::unlinked(const instance_id& peer)
+{
+  m_peers.erase(peer);
+}
+
+bool peer_book::heard(const instance_id& peer, const heartbeat& beat, time_point now)
+{
+  const auto found = m_peers.find(peer);
+  if (found == m_peers.end())
+    return false;
+  found->second.last_heard = now;
+  found->second.latest = beat;
+  return true;
+}
+
+duration peer_book::silence_allowed(const peer_entry& peer) const
+{
+  return in_own_zone(peer) ? m_options.peer_silence : m_options.peer_silence * k_far_factor;
+}
+
+bool peer_book::alive(const instance_id& peer, time_point now) const
+{
+  const auto found = m_peers.find(peer);
+  return found != m_peers.end() && now - found->second.last_heard <= silence_allowed(found->second);
+}
+
+std::optional<instance_id> peer_book::owner_of(const partition_id& partition, time_point now) const
+{
+  std::optional<instance_id> owner;
+  term_number highest = 0;
+  for (const auto& [id, peer] : m_peers)
+  {
+    if (!alive(id, now))
+      continue;
+    for (const owned_partition& owned : peer.latest.owned)
+    {
+      if (owned.partition == partition && owned.term >= highest)
+      {
+        highest = owned.term;
+        owner = id;
+      }
+    }
+  }
+  return owner;
+}
+
+std::optional<instance_id> peer_book::any_of(const zone_id& zone, std::uint64_t seed,
+                                             time_point now) const
+{
+  std::vector<instance_id> candidates;
+  for (const auto& [id, peer] : m_peers)
+  {
+    if (peer.zone == zone && alive(id, now) && !peer.latest.leaving)
+      candidates.push_back(id);
+  }
+  if (candidates.empty())
+    return std::nullopt;
+  return candidates[seed % candidates.size()];
+}
+
+std::size_t peer_book::rank_of_self(const partition_id& partition, time_point now) const
+{
+  const std::uint64_t own = score(partition, m_self);
+  std::size_t rank = 0;
+  for (const auto& [id, peer] : m_peers)
+  {
+    if (in_own_zone(peer) && alive(id, now) && !peer.latest.leaving && score(partition, id) > own)
+      ++rank;
+  }
+  return rank;
+}
+
+std::optional<instance_id> peer_book::successor(const partition_id& partition, time_point now) const
+{
+  std::optional<instance_id> best;
+  for (const auto& [id, peer] : m_peers)
+  {
+    if (!in_own_zone(peer) || !alive(id, now) || peer.latest.leaving)
+      continue;
+    if (!best || score(partition, id) > score(partition, *best))
+      best = id;
+  }
+  return best;
+}
+} // namespace yardhill::instance
--- /dev/null
+++ b/Source/Core/Instance/RequestRouter.cpp
@@ -0,0 +1,408 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Instance/RequestRouter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/Hash.h"
+
+namespace yardhill::instance
+{
+namespace
+{
+constexpr duration k_soon = std::chrono::milliseconds{50};
+// How long after a task's deadline its home may take to say so.
+constexpr duration k_deadline_grace = std::chrono::seconds{2};
+} // namespace
+
+request_router::request_router(instance_id self, zone_id zone, const routing_options& options,
+                               metrics& counts, const peer_book& peers, home_map& homes)
+    : m_self(std::move(self)),
+      m_zone(std::move(zone)),
+      m_options(options),
+      m_metrics(counts),
+      m_peers(peers),
+      m_homes(homes)
+{
+}
+
+std::string request_router::mint_key()
+{
+  return m_zone.value + k_minted_mark + m_self.value + "-" + std::to_string(++m_minted);
+}
+
+bool request_router::fill_spec(const caller_request& request, const cell_config& cell,
+                               task_spec& spec, answer& refusal)
+{
+  const workload_config* workload = cell.find_workload(request.workload);
+  if (workload == nullptr)
+  {
+    refusal = refuse({}, refusal_reason::unknown_workload,
+                     "no workload \"" + request.workload.value + "\" is declared", "accept",
+                     cell.version == 0 ? m_options.come_back : duration{0});
+    return false;
+  }
+  if (request.purpose == request_purpose::submit && workload->kind == task_kind::service)
+  {
+    refusal =
+        refuse({}, refusal_reason::malformed_request,
+               "a service runs by its declaration and takes no requests", "accept", duration{0});
+    return false;
+  }
+  spec = task_of(*workload);
+  spec.keyed = !request.key.empty();
+  const bool local = workload->zones.empty() ||
+                     std::ranges::find(workload->zones, m_zone) != workload->zones.end();
+  std::string key = request.key;
+  if (!spec.keyed)
+    key = mint_key();
+  // A minted id is homed where it was minted if the workload may run there.
+  if (!spec.keyed && !local)
+    key.replace(0, m_zone.value.size(), workload->zones.front().value);
+  spec.id = make_task_id(workload->id, key);
+  spec.payload = request.payload;
+  spec.waits = request.waits;
+  if (request.deadline)
+    spec.deadline = *request.deadline;
+  if (request.repeatable)
+    spec.repeatable = spec.repeatable && *request.repeatable;
+  return true;
+}
+
+void request_router::from_caller(const caller_request& request, const cell_config& cell,
+                                 time_point now)
+{
+  m_metrics.add(counter::requests);
+  pending_request made;
+  made.purpose = request.purpose;
+  made.from_number = request.number;
+  answer refusal;
+  bool refused = !fill_spec(request, cell, made.spec, refusal);
+  if (!refused && m_stopping)
+  {
+    refusal = refuse(made.spec.id, refusal_reason::instance_stopping,
+                     "this instance is stopping; ask another", "accept", m_options.come_back);
+    refused = true;
+  }
+  if (!refused && m_pending.size() >= m_options.most_pending)
+  {
+    refusal = refuse(made.spec.id, refusal_reason::queue_full,
+                     "too many requests are under way here", "accept", m_options.come_back);
+    refused = true;
+  }
+  if (refused)
+  {
+    send_answer(made, refusal);
+    return;
+  }
+  made.fresh = !made.spec.keyed && request.purpose == request_purpose::submit;
+  add(std::move(made), cell, now);
+}
+
+void request_router::from_peer(const instance_id& peer, const forward_request& request,
+                               const cell_config& cell, time_point now)
+{
+  pending_request made;
+  made.purpose = request.purpose;
+  made.spec = request.spec;
+  made.from_peer = peer;
+  made.from_number = request.number;
+  made.hops = request.hops;
+  made.fresh = request.fresh;
+  add(std::move(made), cell, now);
+}
+
+void request_router::add(pending_request request, const cell_config& cell, time_point now)
+{
+  const workload_config* workload = cell.find_workload(workload_of(request.spec.id));
+  const zone_config* zone =
+      workload != nullptr ? cell.find_zone(home_zone(request.spec.id, *workload, cell)) : nullptr;
+  if (zone == nullptr)
+  {
+    send_answer(request, refuse(request.spec.id, refusal_reason::zone_not_served,
+                                "the configuration here names no home for it", "route",
+                                m_options.come_back));
+    return;
+  }
+  request.home = home_partition(request.spec.id, *zone);
+  request.arrived = now;
+  const bool has_deadline = request.spec.deadline > duration{0};
+  request.due =
+      now + (has_deadline ? std::min(request.spec.deadline + k_deadline_grace, m_options.wait_limit)
+                          : m_options.wait_limit);
+  const std::uint64_t number = m_next_number++;
+  m_timers.emplace(request.due, number);
+  m_pending.emplace(number, std::move(request));
+  route(number, now);
+}
+
+std::optional<instance_id> request_router::next_hop(const pending_request& request,
+                                                    time_point now) const
+{
+  if (request.hops >= m_options.most_hops)
+    return std::nullopt;
+  if (std::optional<instance_id> owner = m_peers.owner_of(request.home, now))
+    return owner;
+  if (request.home.zone == m_zone)
+    return std::nullopt;
+  return m_peers.any_of(request.home.zone, stable_hash(request.spec.id.value) + request.tries, now);
+}
+
+void request_router::route(std::uint64_t number, time_point now)
+{
+  pending_request& request = m_pending.at(number);
+  const auto home = m_homes.find(request.home);
+  if (home != m_homes.end() && home->second.owns())
+  {
+    give_to_home(number, request, home->second, now);
+    return;
+  }
+  const std::optional<instance_id> hop = next_hop(request, now);
+  if (hop && *hop != request.from_peer)
+  {
+    give_to_peer(number, request, *hop);
+    return;
+  }
+  if (!request.from_peer.empty())
+  {
+    pass_back_not_owner(number, request.may_be_known);
+    return;
+  }
+  if (now >= request.arrived + m_options.owner_patience)
+  {
+    give_up(number, now);
+    return;
+  }
+  park(number, request, k_soon, now);
+}
+
+void request_router::give_to_home(std::uint64_t number, pending_request& request,
+                                  partition_home& home, time_point now)
+{
+  request.where = place::at_home;
+  const decision::reply_address address{{}, number};
+  const bool fresh = request.fresh;
+  switch (request.purpose)
+  {
+  case request_purpose::submit:
+    home.submit(request.spec, fresh, address, now);
+    return;
+  case request_purpose::cancel:
+    home.cancel(request.spec.id, address, now);
+    return;
+  case request_purpose::status:
+  case request_purpose::count:
+    home.status(request.spec.id, address);
+    return;
+  }
+}
+
+void request_router::give_to_peer(std::uint64_t number, pending_request& request,
+                                  const instance_id& peer)
+{
+  request.where = place::at_peer;
+  request.at = peer;
+  m_commands.emplace_back(
+      send_to_peer{peer, forward_request{number, request.hops + 1, request.purpose, request.fresh,
+                                         request.spec}});
+}
+
+void request_router::park(std::uint64_t number, pending_request& request, duration delay,
+                          time_point now)
+{
+  request.where = place::parked;
+  request.at = instance_id{};
+  m_timers.erase({request.next_try, number});
+  request.next_try = now + delay;
+  m_timers.emplace(request.next_try, number);
+}
+
+request_router::pending_map::iterator request_router::erase(pending_map::iterator entry)
+{
+  m_timers.erase({entry->second.due, entry->first});
+  m_timers.erase({entry->second.next_try, entry->first});
+  return m_pending.erase(entry);
+}
+
+void request_router::give_up(std::uint64_t number, time_point /*now*/)
+{
+  const pending_request& request = m_pending.at(number);
+  const bool known_nowhere = !request.may_be_known && request.fresh;
+  if (known_nowhere)
+    finish(number, refuse(request.spec.id, refusal_reason::no_owner,
+                          "nobody owns " + to_text(request.home) + " at present", "route",
+                          m_options.come_back));
+  else
+    finish(number, unclear(request.spec.id, refusal_reason::owner_unreachable,
+                           "the home " + to_text(request.home) + " cannot be reached", "route",
+                           m_options.come_back));
+}
+
+void request_router::home_replied(const decision::caller_reply& reply, time_point now)
+{
+  const auto found = m_pending.find(reply.to.number);
+  if (found == m_pending.end())
+  {
+    m_metrics.add(counter::late_answers);
+    return;
+  }
+  if (!reply.moved)
+  {
+    finish(found->first, reply.value);
+    return;
+  }
+  pending_request& request = found->second;
+  request.fresh = false;
+  request.may_be_known = true;
+  if (!request.from_peer.empty())
+  {
+    pass_back_not_owner(found->first, true);
+    return;
+  }
+  request.arrived = now; // the new owner is given its time
+  park(found->first, request, duration{0}, now);
+}
+
+void request_router::peer_answered(const instance_id& peer, const forward_answer& reply,
+                                   time_point now)
+{
+  const auto found = m_pending.find(reply.number);
+  const bool expected =
+      found != m_pending.end() && found->second.where == place::at_peer && found->second.at == peer;
+  if (!expected)
+  {
+    m_metrics.add(counter::late_answers);
+    return;
+  }
+  if (!reply.not_owner)
+  {
+    finish(found->first, reply.reply);
+    return;
+  }
+  pending_request& request = found->second;
+  m_metrics.add(retry_reason::forward_not_owner);
+  if (reply.may_have_run)
+  {
+    request.fresh = false;
+    request.may_be_known = true;
+  }
+  if (!request.from_peer.empty())
+  {
+    pass_back_not_owner(found->first, request.may_be_known);
+    return;
+  }
+  ++request.tries;
+  park(found->first, request, k_soon, now);
+}
+
+void request_router::peer_lost(const instance_id& peer, time_point now)
+{
+  std::vector<std::uint64_t> orphans;
+  for (auto entry = m_pending.begin(); entry != m_pending.end();)
+  {
+    pending_request& request = entry->second;
+    if (request.from_peer == peer)
+    {
+      entry = erase(entry); // its entry asks again, here or elsewhere
+      continue;
+    }
+    if (request.where == place::at_peer && request.at == peer)
+      orphans.push_back(entry->first);
+    ++entry;
+  }
+  for (const std::uint64_t number : orphans)
+  {
+    pending_request& request = m_pending.at(number);
+    m_metrics.add(retry_reason::forward_lost);
+    request.fresh = false;
+    request.may_be_known = true;
+    if (!request.from_peer.empty())
+    {
+      pass_back_not_owner(number, true);
+      continue;
+    }
+    request.arrived = now;
+    ++request.tries;
+    park(number, request, k_soon, now);
+  }
+}
+
+void request_router::pass_back_not_owner(std::uint64_t number, bool may_have_run)
+{
+  const pending_request& request = m_pending.at(number);
+  forward_answer reply;
+  reply.number = request.from_number;
+  reply.not_owner = true;
+  reply.may_have_run = may_have_run;
+  m_commands.emplace_back(send_to_peer{request.from_peer, std::move(reply)});
+  erase(m_pending.find(number));
+}
+
+void request_router::finish(std::uint64_t number, const answer& value)
+{
+  const auto found = m_pending.find(number);
+  send_answer(found->second, value);
+  erase(found);
+}
+
+void request_router::send_answer(const pending_request& request, const answer& value)
+{
+  if (!request.from_peer.empty())
+  {
+    forward_answer reply;
+    reply.number = request.from_number;
+    reply.reply = value;
+    m_commands.emplace_back(send_to_peer{request.from_peer, std::move(reply)});
+    return;
+  }
+  count(value);
+  m_commands.emplace_back(answer_caller{request.from_number, value});
+}
+
+void request_router::count(const answer& value)
+{
+  m_metrics.add(counter::answers);
+  if (value.reason != refusal_reason::none)
+    m_metrics.add(value.reason);
+}
+
+void request_router::advance(time_point now)
+{
+  while (!m_timers.empty() && m_timers.begin()->first <= now)
+  {
+    const std::uint64_t number = m_timers.begin()->second;
+    m_timers.erase(m_timers.begin());
+    const auto found = m_pending.find(number);
+    if (found == m_pending.end())
+      continue;
+    pending_request& request = found->second;
+    if (now >= request.due)
+    {
+      finish(number,
+             unclear(request.spec.id, refusal_reason::owner_unreachable,
+                     "no answer came in time; ask for its status", "route", m_options.come_back));
+      continue;
+    }
+    if (request.where == place::parked && now >= request.next_try)
+      route(number, now);
+  }
+}
+
+time_point request_router::next_timer() const
+{
+  return m_timers.empty() ? k_never : m_timers.begin()->first;
+}
+
+std::vector<command> request_router::take_commands()
+{
+  return std::exchange(m_commands, {});
+}
+
+std::size_t request_router::pending_of_callers() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+      m_pending, [](const auto& entry) { return entry.second.from_peer.empty(); }));
+}
+} // namespace yardhill::instance
--- /dev/null
+++ b/Source/Core/Ownership/PartitionOwnership.cpp
@@ -0,0 +1,451 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Ownership/PartitionOwnership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EnumNames.h"
+
+namespace yardhill::ownership
+{
+namespace
+{
+constexpr auto k_phase_names =
+    std::to_array<std::string_view>({"following", "probing", "taking", "claiming", "owning"});
+
+// Candidates try one after the other, so that the second finds the first one's claims.
+constexpr duration k_rank_step = std::chrono::milliseconds{400};
+// Without word from a majority of workers a living owner is not pushed aside before this.
+constexpr duration k_minority_patience = std::chrono::seconds{10};
+constexpr duration k_first_look = std::chrono::milliseconds{300};
+// How long claims of a new term may take to reach a majority before the owner goes on without.
+constexpr duration k_claiming_time = std::chrono::seconds{3};
+constexpr duration k_taking_time = std::chrono::seconds{3};
+} // namespace
+
+std::string_view to_text(ownership_phase phase)
+{
+  return name_of(k_phase_names, phase);
+}
+
+partition_ownership::partition_ownership(partition_id partition, instance_id self,
+                                         const ownership_options& options, metrics& counts,
+                                         time_point now)
+    : m_partition(std::move(partition)),
+      m_self(std::move(self)),
+      m_options(options),
+      m_metrics(counts),
+      m_last_heard(now - options.owner_silence + k_first_look)
+{
+}
+
+void partition_ownership::configure(const std::vector<worker_id>& workers)
+{
+  std::erase_if(m_links, [&workers](const auto& entry)
+                { return std::ranges::find(workers, entry.first) == workers.end(); });
+  for (const worker_id& worker : workers)
+    m_links.try_emplace(worker);
+}
+
+void partition_ownership::learn(const instance_id& owner, term_number term)
+{
+  if (term <= m_known_term)
+    return;
+  m_known_term = term;
+  m_known_owner = owner;
+}
+
+void partition_ownership::owner_heard(const instance_id& owner, term_number term, time_point now)
+{
+  if (term < m_known_term || owner == m_self)
+    return;
+  learn(owner, term);
+  m_last_heard = now;
+  if (m_phase == ownership_phase::probing)
+    m_phase = ownership_phase::following;
+  const bool ours_is_over =
+      term > m_term && (m_phase == ownership_phase::owning || m_phase == ownership_phase::claiming);
+  if (ours_is_over)
+    step_down(now);
+}
+
+void partition_ownership::term_seen(const instance_id& owner, term_number term)
+{
+  if (owner != m_self)
+    learn(owner, term);
+}
+
+void partition_ownership::handed_over(term_number term, time_point now)
+{
+  const bool busy = m_phase == ownership_phase::owning || m_phase == ownership_phase::claiming;
+  if (term < m_known_term || !m_candidate || busy)
+    return;
+  begin_taking(term + 1, now);
+  m_offered = true;
+}
+
+void partition_ownership::begin_probing(time_point now)
+{
+  m_phase = ownership_phase::probing;
+  m_phase_ends = now + m_options.probe_time;
+  for (auto& [worker, link] : m_links)
+  {
+    link.probe_answered = false;
+    send_probe(worker, link);
+  }
+}
+
+void partition_ownership::send_probe(const worker_id& worker, worker_link& link)
+{
+  if (link.outstanding)
+    return;
+  link.outstanding = true;
+  claim_request request;
+  request.partition = m_partition;
+  request.owner = m_self;
+  m_output.claims.push_back({worker, request});
+}
+
+void partition_ownership::probe_answered(worker_link& link, const claim_answer& news)
+{
+  link.probe_answered = true;
+  link.probe_term = news.term;
+  link.probe_owner = news.owner;
+  link.probe_age = news.owner_age;
+}
+
+void partition_ownership::end_probing(time_point now)
+{
+  std::size_t answered = 0;
+  std::size_t alive = 0;
+  term_number highest = m_known_term;
+  for (const auto& [worker, link] : m_links)
+  {
+    if (!link.probe_answered)
+      continue;
+    ++answered;
+    highest = std::max(highest, link.probe_term);
+    if (link.probe_owner != m_self && link.probe_term >= m_known_term && link.probe_term > 0 &&
+        link.probe_age <= m_options.owner_silence)
+      ++alive;
+  }
+  m_phase = ownership_phase::following;
+  const bool owner_lives = alive * 2 > m_links.size();
+  const bool majority = answered * 2 > m_links.size();
+  if (owner_lives || !m_candidate)
+  {
+    m_last_heard = now;
+    m_first_silence = time_point{};
+    return;
+  }
+  if (!majority && m_first_silence == time_point{})
+    m_first_silence = now;
+  if (!majority && now < m_first_silence + k_minority_patience)
+  {
+    m_last_heard = now - m_options.owner_silence + m_options.claim_retry;
+    return;
+  }
+  begin_taking(highest + 1, now);
+}
+
+void partition_ownership::begin_taking(term_number term, time_point now)
+{
+  m_phase = ownership_phase::taking;
+  m_phase_ends = now + k_taking_time;
+  m_offered = false;
+  m_term = term;
+  m_output.wanted_term = term;
+}
+
+void partition_ownership::term_allotted(term_number term, time_point now)
+{
+  if (m_phase != ownership_phase::taking && m_phase != ownership_phase::owning)
+    return;
+  begin_claiming(term, now);
+  m_allotted = true;
+}
+
+void partition_ownership::term_conflict(const instance_id& owner, term_number term, time_point now)
+{
+  learn(owner, term);
+  if (m_phase != ownership_phase::taking)
+    return;
+  m_phase = ownership_phase::following;
+  m_last_heard = now;
+}
+
+void partition_ownership::term_unavailable(time_point now)
+{
+  if (m_phase != ownership_phase::taking)
+    return;
+  const auto answered =
+      std::ranges::count_if(m_links, [](const auto& entry) { return entry.second.probe_answered; });
+  // Without the table only a majority of workers can allot a term.
+  if (m_offered || static_cast<std::size_t>(answered) * 2 > m_links.size())
+  {
+    begin_claiming(m_term, now);
+    return;
+  }
+  m_phase = ownership_phase::following;
+  m_last_heard = now;
+}
+
+void partition_ownership::begin_claiming(term_number term, time_point now)
+{
+  const bool was_owner = m_phase == ownership_phase::owning;
+  m_term = term;
+  learn(m_self, term);
+  m_first_silence = time_point{};
+  m_foreign_until = now + m_options.longest_foreign_run();
+  if (was_owner)
+    return; // a higher term for what is owned already: the next claims carry it
+  m_phase = ownership_phase::claiming;
+  m_allotted = false;
+  m_phase_ends = now + k_claiming_time;
+  m_waiting_reports.clear();
+  m_all_claimed_told = false;
+  for (auto& [worker, link] : m_links)
+  {
+    const bool outstanding = link.outstanding;
+    link = worker_link{};
+    link.outstanding = outstanding; // a probe on its way; its answer lets the claim follow
+    if (!outstanding)
+      send_claim(worker, link, now);
+  }
+}
+
+void partition_ownership::send_claim(const worker_id& worker, worker_link& link, time_point now)
+{
+  link.outstanding = true;
+  link.next_claim = now;
+  claim_request request;
+  request.partition = m_partition;
+  request.term = m_term;
+  request.owner = m_self;
+  request.acknowledged = link.settled;
+  request.acknowledged_boot = link.boot;
+  request.ticket = link.ticket;
+  request.void_tickets = std::exchange(link.void_next, false);
+  request.wait = link.claimed && !request.void_tickets ? m_options.claim_wait : duration{0};
+  m_output.claims.push_back({worker, request});
+}
+
+void partition_ownership::claim_answered(const worker_id& worker, const claim_request& request,
+                                         const claim_answer& news, time_point sent_at,
+                                         time_point now)
+{
+  const auto found = m_links.find(worker);
+  if (found == m_links.end())
+    return;
+  worker_link& link = found->second;
+  link.outstanding = false;
+  if (request.term == 0)
+    probe_answered(link, news);
+  const bool holds = m_phase == ownership_phase::claiming || m_phase == ownership_phase::owning;
+  if (!holds)
+  {
+    learn(news.owner, news.term);
+    return;
+  }
+  if (request.term != m_term)
+  {
+    send_claim(worker, link, now); // a probe or an earlier term's claim came back late
+    return;
+  }
+  if (!news.accepted)
+  {
+    claim_refused(news, now);
+    return;
+  }
+  link.claimed = true;
+  link.lost = false;
+  link.confirmed_sent = sent_at;
+  link.answered_at = now;
+  link.boot = news.boot;
+  link.ticket = news.ticket;
+  std::vector<worker_report>& reports = owns() ? m_output.reports : m_waiting_reports;
+  reports.push_back({worker, news, request.void_tickets});
+  if (m_phase == ownership_phase::claiming && has_majority(now))
+    become_owner();
+  if (!m_all_claimed_told && claimed_workers() == m_links.size() && owns())
+  {
+    m_all_claimed_told = true;
+    m_output.every_worker_claimed = true;
+  }
+  link.next_claim = now;
+}
+
+void partition_ownership::become_owner()
+{
+  m_phase = ownership_phase::owning;
+  m_output.became_owner = true;
+  m_output.reports = std::exchange(m_waiting_reports, {});
+  m_metrics.add(counter::takeovers);
+}
+
+void partition_ownership::claim_refused(const claim_answer& news, time_point now)
+{
+  learn(news.owner, news.term);
+  m_known_term = std::max(m_known_term, news.term);
+  step_down(now);
+}
+
+void partition_ownership::claim_failed(const worker_id& worker, const claim_request& request,
+                                       time_point now)
+{
+  const auto found = m_links.find(worker);
+  if (found == m_links.end())
+    return;
+  worker_link& link = found->second;
+  link.outstanding = false;
+  link.next_claim = now + m_options.claim_retry;
+  if (request.term == 0)
+    return;
+  m_metrics.add(retry_reason::claim_failed);
+  if (!owns() || link.lost || !link.claimed)
+    return;
+  link.lost = true;
+  m_output.lost_workers.push_back({worker, link.answered_at + m_options.longest_own_run()});
+}
+
+void partition_ownership::void_tickets(const worker_id& worker)
+{
+  const auto found = m_links.find(worker);
+  if (found != m_links.end())
+    found->second.void_next = true;
+}
+
+void partition_ownership::set_settled(const worker_id& worker, std::uint64_t sequence)
+{
+  const auto found = m_links.find(worker);
+  if (found != m_links.end())
+    found->second.settled = sequence;
+}
+
+void partition_ownership::renounce(time_point now)
+{
+  if (m_phase == ownership_phase::following)
+    return;
+  m_candidate = false;
+  step_down(now);
+}
+
+void partition_ownership::step_down(time_point now)
+{
+  if (owns())
+  {
+    m_output.lost = true;
+    m_metrics.add(counter::owner_lost);
+  }
+  m_phase = ownership_phase::following;
+  m_last_heard = now;
+  m_output.claims.clear();
+  m_output.reports.clear();
+  m_waiting_reports.clear();
+  m_output.became_owner = false;
+}
+
+duration partition_ownership::silence_allowed() const
+{
+  return m_options.owner_silence + k_rank_step * static_cast<duration::rep>(m_rank);
+}
+
+void partition_ownership::advance(time_point now)
+{
+  if (m_links.empty())
+    return;
+  switch (m_phase)
+  {
+  case ownership_phase::following:
+    if (m_candidate && now >= m_last_heard + silence_allowed())
+      begin_probing(now);
+    break;
+  case ownership_phase::probing:
+  {
+    const bool all =
+        std::ranges::all_of(m_links, [](const auto& entry) { return entry.second.probe_answered; });
+    if (all || now >= m_phase_ends)
+      end_probing(now);
+    break;
+  }
+  case ownership_phase::taking:
+    if (now >= m_phase_ends)
+      term_unavailable(now);
+    break;
+  case ownership_phase::claiming:
+    // With the table's word alone, what only this owner knows can run on the workers held.
+    if (now >= m_phase_ends && m_allotted)
+      become_owner();
+    else if (now >= m_phase_ends)
+      step_down(now);
+    break;
+  case ownership_phase::owning:
+    break;
+  }
+  if (m_phase != ownership_phase::claiming && m_phase != ownership_phase::owning)
+    return;
+  for (auto& [worker, link] : m_links)
+  {
+    if (!link.outstanding && now >= link.next_claim)
+      send_claim(worker, link, now);
+  }
+}
+
+time_point partition_ownership::next_timer() const
+{
+  switch (m_phase)
+  {
+  case ownership_phase::following:
+    return m_candidate ? m_last_heard + silence_allowed() : k_never;
+  case ownership_phase::probing:
+  case ownership_phase::taking:
+    return m_phase_ends;
+  case ownership_phase::claiming:
+  case ownership_phase::owning:
+    break;
+  }
+  time_point next = m_phase == ownership_phase::claiming ? m_phase_ends : k_never;
+  for (const auto& [worker, link] : m_links)
+  {
+    if (!link.outstanding)
+      next = std::min(next, link.next_claim);
+  }
+  return next;
+}
+
+ownership_output partition_ownership::take_output()
+{
+  return std::exchange(m_output, {});
+}
+
+bool partition_ownership::has_majority(time_point now) const
+{
+  const auto confirmed =
+      std::ranges::count_if(m_links,
+                            [&](const auto& entry) {
+                              return entry.second.claimed &&
+                                     now - entry.second.confirmed_sent <= m_options.confirm_window;
+                            });
+  return static_cast<std::size_t>(confirmed) * 2 > m_links.size();
+}
+
+std::optional<partition_ownership::start_permit>
+partition_ownership::permit_for(const worker_id& worker, time_point now) const
+{
+  const auto found = m_links.find(worker);
+  if (found == m_links.end() || !owns())
+    return std::nullopt;
+  const worker_link& link = found->second;
+  if (!link.claimed || link.lost || now - link.answered_at > m_options.ticket_life)
+    return std::nullopt;
+  return start_permit{link.boot, link.ticket};
+}
+
+std::size_t partition_ownership::claimed_workers() const
+{
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_links, [](const auto& entry) { return entry.second.claimed; }));
+}
+} // namespace yardhill::ownership
--- /dev/null
+++ b/Source/Core/Peer/PeerMesh.cpp
@@ -0,0 +1,391 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Peer/PeerMesh.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+namespace yardhill::peer
+{
+namespace
+{
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::chrono::milliseconds k_redial_first{100};
+constexpr std::chrono::milliseconds k_redial_most{1000};
+// What may wait to be sent to one peer; a peer that takes less is cut off and asked again later.
+constexpr std::size_t k_most_unsent_bytes = 4U << 20U;
+
+// One connection: reads frames, writes frames, closes once.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+  using frame_handler = std::function<void(const std::shared_ptr<connection>&, frame)>;
+  using close_handler = std::function<void(const std::shared_ptr<connection>&, const std::string&)>;
+
+  connection(tcp::socket socket, frame_handler on_frame, close_handler on_close)
+      : m_socket(std::move(socket)),
+        m_on_frame(std::move(on_frame)),
+        m_on_close(std::move(on_close))
+  {
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void start() { read_length(); }
+
+  void send(std::string bytes)
+  {
+    if (m_closed)
+      return;
+    m_unsent_bytes += bytes.size();
+    if (m_unsent.size() > 1 && m_unsent_bytes > k_most_unsent_bytes)
+    {
+      close("takes its messages too slowly");
+      return;
+    }
+    m_unsent.push_back(std::move(bytes));
+    if (m_unsent.size() == 1)
+      write_next();
+  }
+
+  void close(const std::string& why)
+  {
+    if (std::exchange(m_closed, true))
+      return;
+    error_code ignored;
+    m_socket.close(ignored);
+    m_on_close(shared_from_this(), why);
+  }
+
+  bool drained() const { return m_unsent.empty(); }
+
+  instance_id peer; // known after its hello
+
+private:
+  void read_length()
+  {
+    asio::async_read(m_socket, asio::buffer(m_length),
+                     [self = shared_from_this()](const error_code& error, std::size_t)
+                     {
+                       if (error)
+                         self->close(error.message());
+                       else
+                         self->read_body();
+                     });
+  }
+
+  void read_body()
+  {
+    const std::optional<std::uint32_t> length = frame_length(m_length);
+    if (!length)
+    {
+      close("bad frame: length out of bounds");
+      return;
+    }
+    m_body.resize(k_length_bytes + *length);
+    std::ranges::copy(m_length, m_body.begin());
+    asio::async_read(m_socket, asio::buffer(m_body) + k_length_bytes,
+                     [self = shared_from_this()](const error_code& error, std::size_t)
+                     {
+                       if (error)
+                         self->close(error.message());
+                       else
+                         self->take_frame();
+                     });
+  }
+
+  void take_frame()
+  {
+    std::optional<frame> taken = decode(m_body);
+    if (!taken)
+    {
+      close("bad frame: not a valid message");
+      return;
+    }
+    constexpr std::size_t kept_bytes = 64U << 10U;
+    if (m_body.capacity() > kept_bytes)
+      std::vector<std::uint8_t>().swap(m_body);
+    m_on_frame(shared_from_this(), std::move(*taken));
+    if (!m_closed)
+      read_length();
+  }
+
+  void write_next()
+  {
+    asio::async_write(m_socket, asio::buffer(m_unsent.front()),
+                      [self = shared_from_this()](const error_code& error, std::size_t)
+                      {
+                        if (error)
+                        {
+                          self->close(error.message());
+                          return;
+                        }
+                        self->m_unsent_bytes -= self->m_unsent.front().size();
+                        self->m_unsent.pop_front();
+                        if (!self->m_unsent.empty())
+                          self->write_next();
+                      });
+  }
+
+  tcp::socket m_socket;
+  frame_handler m_on_frame;
+  close_handler m_on_close;
+  std::array<std::uint8_t, k_length_bytes> m_length{};
+  std::vector<std::uint8_t> m_body;
+  std::deque<std::string> m_unsent;
+  std::size_t m_unsent_bytes = 0;
+  bool m_closed = false;
+};
+} // namespace
+
+class peer_mesh::implementation
+{
+public:
+  implementation(hello self, mesh_events events, metrics& counts)
+      : m_self(std::move(self)),
+        m_events(std::move(events)),
+        m_metrics(counts),
+        m_acceptor(m_context, tcp::endpoint(asio::ip::make_address(m_self.address), m_self.port))
+  {
+    accept_next();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+
+  ~implementation()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  void dial(const endpoint& where)
+  {
+    asio::post(m_context, [this, where] { start_dialling(where); });
+  }
+
+  void send(const instance_id& to, std::string bytes)
+  {
+    asio::post(m_context,
+               [this, to, bytes = std::move(bytes)]() mutable
+               {
+                 const auto found = m_outgoing.find(to);
+                 if (found == m_outgoing.end())
+                   return;
+                 m_metrics.add(counter::peer_messages);
+                 m_metrics.add(counter::peer_bytes, bytes.size());
+                 found->second->send(std::move(bytes));
+               });
+  }
+
+  void close(duration patience)
+  {
+    const auto until = std::chrono::steady_clock::now() + patience;
+    std::atomic<bool> drained = false;
+    while (!drained && std::chrono::steady_clock::now() < until)
+    {
+      asio::post(m_context,
+                 [this, &drained]
+                 {
+                   bool all = true;
+                   for (const auto& [peer, link] : m_outgoing)
+                     all = all && link->drained();
+                   drained = all;
+                 });
+      std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    m_context.stop();
+  }
+
+private:
+  struct dialled
+  {
+    endpoint where;
+    std::unique_ptr<asio::steady_timer> timer;
+    std::chrono::milliseconds delay = k_redial_first;
+  };
+
+  void accept_next()
+  {
+    m_acceptor.async_accept(
+        [this](const error_code& error, tcp::socket socket)
+        {
+          if (!error)
+            accepted(std::move(socket));
+          accept_next();
+        });
+  }
+
+  void accepted(tcp::socket socket)
+  {
+    const auto link = std::make_shared<connection>(
+        std::move(socket),
+        [this](const auto& from, frame received) { incoming_frame(from, std::move(received)); },
+        [this](const auto& from, const std::string& why) { incoming_closed(from, why); });
+    link->start();
+  }
+
+  void incoming_frame(const std::shared_ptr<connection>& link, frame received)
+  {
+    if (const auto* greeting = std::get_if<hello>(&received))
+    {
+      if (greeting->protocol != k_protocol_version)
+      {
+        link->close("bad hello: speaks protocol " + std::to_string(greeting->protocol));
+        return;
+      }
+      link->peer = greeting->instance;
+      link->send(encode(m_self));
+      start_dialling({greeting->address, greeting->port});
+      return;
+    }
+    if (link->peer.empty())
+    {
+      link->close("bad hello: sent something else first");
+      return;
+    }
+    m_events.received(link->peer, std::move(std::get<peer_message>(received)));
+  }
+
+  void incoming_closed(const std::shared_ptr<connection>& link, const std::string& why)
+  {
+    complain(link->peer, why);
+    const auto outgoing = m_outgoing.find(link->peer);
+    if (outgoing == m_outgoing.end())
+      return;
+    // Answers may have been lost on it: start afresh on both.
+    outgoing->second->close("its other connection broke");
+  }
+
+  void start_dialling(const endpoint& where)
+  {
+    if (where == endpoint{m_self.address, m_self.port})
+      return;
+    const auto [entry, added] = m_dialled.try_emplace(to_text(where));
+    if (!added)
+      return;
+    entry->second.where = where;
+    entry->second.timer = std::make_unique<asio::steady_timer>(m_context);
+    connect(entry->second);
+  }
+
+  void connect(dialled& target)
+  {
+    error_code error;
+    const auto address = asio::ip::make_address(target.where.address, error);
+    if (error)
+      return;
+    const auto socket = std::make_shared<tcp::socket>(m_context);
+    socket->async_connect(tcp::endpoint(address, target.where.port),
+                          [this, &target, socket](const error_code& failed)
+                          {
+                            if (failed)
+                              redial(target);
+                            else
+                              connected(target, std::move(*socket));
+                          });
+  }
+
+  void connected(dialled& target, tcp::socket socket)
+  {
+    const auto link = std::make_shared<connection>(
+        std::move(socket),
+        [this, &target](const auto& from, frame received)
+        { outgoing_frame(target, from, received); },
+        [this, &target](const auto& from, const std::string& why)
+        { outgoing_closed(target, from, why); });
+    link->start();
+    link->send(encode(m_self));
+  }
+
+  // The other side only ever says hello on a connection that it accepted.
+  void outgoing_frame(dialled& target, const std::shared_ptr<connection>& link,
+                      const frame& received)
+  {
+    const auto* greeting = std::get_if<hello>(&received);
+    if (greeting == nullptr || greeting->protocol != k_protocol_version || !link->peer.empty())
+    {
+      link->close("bad hello");
+      return;
+    }
+    target.delay = k_redial_first;
+    link->peer = greeting->instance;
+    m_outgoing[link->peer] = link;
+    m_events.linked(link->peer, greeting->zone);
+  }
+
+  void outgoing_closed(dialled& target, const std::shared_ptr<connection>& link,
+                       const std::string& why)
+  {
+    complain(link->peer, why);
+    const auto found = m_outgoing.find(link->peer);
+    if (found != m_outgoing.end() && found->second == link)
+    {
+      m_outgoing.erase(found);
+      m_events.unlinked(link->peer);
+    }
+    redial(target);
+  }
+
+  void redial(dialled& target)
+  {
+    target.timer->expires_after(target.delay);
+    target.delay = std::min(target.delay * 2, k_redial_most);
+    target.timer->async_wait(
+        [this, &target](const error_code& error)
+        {
+          if (!error)
+            connect(target);
+        });
+  }
+
+  void complain(const instance_id& peer, const std::string& why)
+  {
+    if (why.rfind("bad ", 0) == 0)
+      m_metrics.add(counter::bad_frames);
+    m_events.complained(peer.value, why);
+  }
+
+  hello m_self;
+  mesh_events m_events;
+  metrics& m_metrics;
+  asio::io_context m_context;
+  tcp::acceptor m_acceptor;
+  std::map<std::string, dialled> m_dialled;
+  std::map<instance_id, std::shared_ptr<connection>> m_outgoing;
+  std::thread m_thread;
+};
+
+peer_mesh::peer_mesh(const hello& self, mesh_events events, metrics& counts)
+    : m_implementation(std::make_unique<implementation>(self, std::move(events), counts))
+{
+}
+
+peer_mesh::~peer_mesh() = default;
+
+void peer_mesh::dial(const endpoint& where)
+{
+  m_implementation->dial(where);
+}
+
+void peer_mesh::send(const instance_id& to, const peer_message& message)
+{
+  m_implementation->send(to, encode(message));
+}
+
+void peer_mesh::close(duration patience)
+{
+  m_implementation->close(patience);
+}
+} // namespace yardhill::peer
--- /dev/null
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -0,0 +1,116 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Platform/PlatformClient.h"
+
+#include <chrono>
+#include <utility>
+
+#include "Common/HttpCall.h"
+
+namespace yardhill::platform
+{
+namespace
+{
+using web::http::methods;
+using web::http::status_codes;
+
+store_status status_of(const call_result& result)
+{
+  if (result.end == call_end::unsent)
+    return store_status::unavailable;
+  if (result.end == call_end::unclear)
+    return store_status::unclear;
+  switch (result.status)
+  {
+  case status_codes::OK:
+    return store_status::ok;
+  case status_codes::Conflict:
+    return store_status::conflict;
+  case status_codes::TooManyRequests:
+    return store_status::limited;
+  case status_codes::ServiceUnavailable:
+    return store_status::unavailable;
+  default:
+    return store_status::unclear;
+  }
+}
+} // namespace
+
+struct platform_client::connection
+{
+  connection(const std::string& base_url, const std::string& caller, duration timeout)
+      : client(base_url, client_config(to_milliseconds(timeout)))
+  {
+    client.add_handler(
+        [caller](web::http::http_request request,
+                 const std::shared_ptr<web::http::http_pipeline_stage>& next)
+        {
+          request.headers().add(k_caller_header, caller);
+          return next->propagate(request);
+        });
+  }
+
+  web::http::client::http_client client;
+};
+
+platform_client::platform_client(const std::string& base_url, const std::string& caller,
+                                 duration timeout, metrics& counts)
+    : m_connection(std::make_shared<connection>(base_url, caller, timeout)), m_metrics(counts)
+{
+}
+
+platform_client::~platform_client() = default;
+
+void platform_client::read(const store_read& request, std::function<void(store_read_result)> done)
+{
+  const std::string body = to_json_text(request);
+  m_metrics.add(counter::store_bytes, body.size());
+  const auto sent_at = std::chrono::steady_clock::now();
+  call_http(m_connection->client, methods::POST, k_read_path, body,
+            [this, sent_at, done = std::move(done)](const call_result& result)
+            {
+              m_metrics.add(counter::store_bytes, result.body.size());
+              m_metrics.record(
+                  timing::store_latency,
+                  std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - sent_at));
+              store_read_result read;
+              read.status = status_of(result);
+              if (read.status == store_status::ok)
+                read = store_read_result_from(result.body);
+              done(std::move(read));
+            });
+}
+
+void platform_client::write(const store_transaction& request,
+                            std::function<void(store_write_result)> done)
+{
+  const std::string body = to_json_text(request);
+  m_metrics.add(counter::store_writes);
+  m_metrics.add(counter::store_rows_written, request.puts.size());
+  m_metrics.add(counter::store_bytes, body.size());
+  const auto sent_at = std::chrono::steady_clock::now();
+  call_http(m_connection->client, methods::POST, k_transaction_path, body,
+            [this, sent_at, done = std::move(done)](const call_result& result)
+            {
+              m_metrics.record(
+                  timing::store_latency,
+                  std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - sent_at));
+              store_write_result written;
+              written.status = status_of(result);
+              if (written.status == store_status::ok)
+                written.version = std::stoull(result.body);
+              done(written);
+            });
+}
+
+void platform_client::list_instances(std::function<void(std::vector<listed_instance>)> done)
+{
+  call_http(m_connection->client, methods::GET, k_instances_path, {},
+            [done = std::move(done)](const call_result& result)
+            {
+              if (status_of(result) == store_status::ok)
+                done(instance_list_from(result.body));
+            });
+}
+} // namespace yardhill::platform
--- /dev/null
+++ b/Source/Core/Replay/TableModel.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The platform's table service in memory: transactions with compare-and-set, and its rate limits.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Common/StoreMessages.h"
+#include "Common/Time.h"
+
+namespace yardhill::replay
+{
+using namespace common;
+
+struct table_limits
+{
+  double writes_per_second = 300;
+  double reads_per_second = 2000;
+};
+
+struct table_load
+{
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0; // transactions that took effect
+  std::uint64_t rows = 0;   // rows that they put
+  std::uint64_t limited = 0;
+  std::uint64_t conflicts = 0;
+};
+
+class table_model
+{
+public:
+  explicit table_model(const table_limits& limits) : m_limits(limits) {}
+
+  store_read_result read(const store_read& request, time_point now);
+  store_write_result write(const store_transaction& request, time_point now);
+
+  const table_load& load() const { return m_load; }
+  const std::map<std::string, store_row>& rows() const { return m_rows; }
+
+private:
+  // A second's worth of calls may come at once.
+  struct token_bucket
+  {
+    double tokens = 0;
+    time_point filled{};
+    bool started = false;
+
+    bool take(double per_second, time_point now);
+  };
+
+  table_limits m_limits;
+  std::map<std::string, store_row> m_rows;
+  std::uint64_t m_version = 0;
+  token_bucket m_reads;
+  token_bucket m_writes;
+  table_load m_load;
+};
+} // namespace yardhill::replay
--- /dev/null
+++ b/Source/Core/Target/WorkerClient.cpp
@@ -0,0 +1,116 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Target/WorkerClient.h"
+
+#include <exception>
+#include <utility>
+
+#include "Common/HttpCall.h"
+#include "Common/Json.h"
+
+namespace yardhill::target
+{
+namespace
+{
+using web::http::methods;
+using web::http::status_codes;
+
+start_end end_of(const call_result& result)
+{
+  switch (result.end)
+  {
+  case call_end::answered:
+    return result.status == status_codes::OK ? start_end::answered : start_end::unclear;
+  case call_end::unsent:
+    return start_end::unsent;
+  case call_end::unclear:
+    break;
+  }
+  return start_end::unclear;
+}
+} // namespace
+
+struct http_worker_protocol::connection
+{
+  connection(const std::string& address, duration timeout)
+      : client(address, client_config(to_milliseconds(timeout)))
+  {
+  }
+
+  web::http::client::http_client client;
+};
+
+http_worker_protocol::http_worker_protocol(duration timeout, metrics& counts)
+    : m_timeout(timeout), m_metrics(counts)
+{
+}
+
+http_worker_protocol::~http_worker_protocol() = default;
+
+std::shared_ptr<http_worker_protocol::connection>
+http_worker_protocol::connection_to(const std::string& address)
+{
+  const std::lock_guard hold(m_lock);
+  std::shared_ptr<connection>& known = m_connections[address];
+  if (!known)
+    known = std::make_shared<connection>(address, m_timeout);
+  return known;
+}
+
+void http_worker_protocol::claim(const std::string& address, const claim_request& request,
+                                 std::function<void(std::optional<claim_answer>)> done)
+{
+  m_metrics.add(counter::worker_calls);
+  const auto connected = connection_to(address);
+  call_http(connected->client, methods::POST, k_claim_path, to_json_text(request),
+            [connected, done = std::move(done)](const call_result& result)
+            {
+              std::optional<claim_answer> answer;
+              if (end_of(result) == start_end::answered)
+              {
+                try
+                {
+                  answer = claim_answer_from(result.body);
+                }
+                catch (const std::exception&)
+                {
+                  answer.reset(); // as good as no answer
+                }
+              }
+              done(std::move(answer));
+            });
+}
+
+void http_worker_protocol::start(const std::string& address, const start_request& request,
+                                 std::function<void(start_end, start_answer)> done)
+{
+  m_metrics.add(counter::worker_calls);
+  const auto connected = connection_to(address);
+  call_http(connected->client, methods::POST, k_start_path, to_json_text(request),
+            [connected, done = std::move(done)](const call_result& result)
+            {
+              start_end end = end_of(result);
+              start_answer answer;
+              try
+              {
+                if (end == start_end::answered)
+                  answer = start_answer_from(result.body);
+              }
+              catch (const std::exception&)
+              {
+                end = start_end::unclear;
+              }
+              done(end, std::move(answer));
+            });
+}
+
+void http_worker_protocol::stop(const std::string& address, const stop_request& request)
+{
+  m_metrics.add(counter::worker_calls);
+  const auto connected = connection_to(address);
+  // An unanswered stop is asked for again when the next claim still names the attempt.
+  call_http(connected->client, methods::POST, k_stop_path, to_json_text(request),
+            [connected](const call_result& /*result*/) {});
+}
+} // namespace yardhill::target
--- /dev/null
+++ b/Source/StandIns/Main.cpp
@@ -0,0 +1,92 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// The stand-ins for what the platform gives: its table service and instance list, and workers.
+// For tests and the demo; not part of the product.
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <string>
+#include <utility>
+
+#include <docopt/docopt.h>
+#include <pplx/threadpool.h>
+
+#include "StandIns/PlatformStandIn.h"
+#include "StandIns/WorkerStandIn.h"
+
+namespace
+{
+constexpr const char* k_usage = R"(Stand-ins for tests and the demo.
+
+Usage:
+  yardhill-standins platform --port PORT [--writes N] [--reads N] [--list-lag MS]
+  yardhill-standins workers --zone ZONE --admin-port PORT [--settings FILE] <file>...
+
+Options:
+  --port PORT        where the platform listens, on 127.0.0.1
+  --writes N         writes a second that the table service takes [default: 300]
+  --reads N          reads a second that it takes [default: 2000]
+  --list-lag MS      how old the instance list is [default: 1000]
+  --zone ZONE        the zone whose workers to stand in for
+  --admin-port PORT  where faults are set and the record is read, on 127.0.0.1
+  --settings FILE    an instance's settings, for the workers' ticket life and task lease
+)";
+
+constexpr std::size_t k_threads = 4;
+
+void wait_for_stop()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+void block_stop_signals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+} // namespace
+
+int main(int argc, char** argv)
+{
+  try
+  {
+    const auto parsed = docopt::docopt(k_usage, {argv + 1, argv + argc}, true);
+    block_stop_signals();
+    crossplat::threadpool::initialize_with_threads(k_threads);
+    if (parsed.at("platform").asBool())
+    {
+      yardhill::stand_ins::platform_options options;
+      options.port = static_cast<std::uint16_t>(std::stoul(parsed.at("--port").asString()));
+      options.limits.writes_per_second = std::stod(parsed.at("--writes").asString());
+      options.limits.reads_per_second = std::stod(parsed.at("--reads").asString());
+      options.list_lag = std::chrono::milliseconds{std::stol(parsed.at("--list-lag").asString())};
+      yardhill::stand_ins::platform_stand_in platform(options);
+      wait_for_stop();
+      return 0;
+    }
+    const auto admin_port =
+        static_cast<std::uint16_t>(std::stoul(parsed.at("--admin-port").asString()));
+    const std::string settings =
+        parsed.at("--settings") ? parsed.at("--settings").asString() : std::string{};
+    yardhill::stand_ins::worker_stand_in workers(parsed.at("<file>").asStringList(), settings,
+                                                 parsed.at("--zone").asString(), admin_port);
+    wait_for_stop();
+    return 0;
+  }
+  catch (const std::exception& error)
+  {
+    std::fprintf(stderr, "yardhill-standins: %s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Common/MetricsTest.cpp
@@ -0,0 +1,52 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Each reason is counted and shown under its own name.
+
+#include <set>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Common/Metrics.h"
+
+using namespace yardhill::common;
+
+BOOST_AUTO_TEST_SUITE(metrics_suite)
+
+BOOST_AUTO_TEST_CASE(every_reason_has_its_own_counter)
+{
+  metrics counts;
+  std::set<std::string_view> names;
+  for (std::size_t index = 1; index < k_refusal_reasons; ++index)
+  {
+    const auto reason = static_cast<refusal_reason>(index);
+    counts.add(reason);
+    names.insert(to_text(reason));
+    const std::string line =
+        "yardhill_refusals_total{reason=\"" + std::string(to_text(reason)) + "\"} 1\n";
+    BOOST_TEST(counts.exposition().find(line) != std::string::npos);
+  }
+  for (std::size_t index = 0; index < k_retry_reasons; ++index)
+  {
+    const auto reason = static_cast<retry_reason>(index);
+    counts.add(reason);
+    const std::string line =
+        "yardhill_retries_total{reason=\"" + std::string(to_text(reason)) + "\"} 1\n";
+    BOOST_TEST(counts.exposition().find(line) != std::string::npos);
+  }
+  BOOST_TEST(names.size() == k_refusal_reasons - 1);
+}
+
+BOOST_AUTO_TEST_CASE(quantiles_come_from_the_recorded_values)
+{
+  metrics counts;
+  for (int each = 0; each < 99; ++each)
+    counts.record(timing::decision, std::chrono::microseconds{100});
+  counts.record(timing::decision, std::chrono::milliseconds{10});
+  BOOST_TEST(counts.quantile(timing::decision, 0.5) < std::chrono::microseconds{140});
+  BOOST_TEST(counts.quantile(timing::decision, 0.5) >= std::chrono::microseconds{100});
+  BOOST_TEST(counts.quantile(timing::decision, 1.0) >= std::chrono::milliseconds{10});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -0,0 +1,93 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Frames come back as they were sent; damaged ones come back as nothing.
+
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Peer/FrameCodec.h"
+
+using namespace yardhill::peer;
+using namespace yardhill::common;
+
+namespace
+{
+std::span<const std::uint8_t> bytes_of(const std::string& text)
+{
+  return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+forward_request sample_request()
+{
+  forward_request request;
+  request.number = 7;
+  request.hops = 2;
+  request.purpose = request_purpose::cancel;
+  request.fresh = false;
+  request.spec.id = task_id{"preview/k1"};
+  request.spec.kind = task_kind::interactive;
+  request.spec.demand = {500, 256, 0, 1, 1};
+  request.spec.deadline = std::chrono::seconds{3};
+  request.spec.payload = "page";
+  return request;
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(frame_codec)
+
+BOOST_AUTO_TEST_CASE(a_request_comes_back_whole)
+{
+  const forward_request sent = sample_request();
+  const auto frame = decode(bytes_of(encode(peer_message{sent})));
+  BOOST_REQUIRE(frame);
+  const auto& got = std::get<forward_request>(std::get<peer_message>(*frame));
+  BOOST_TEST(got.number == sent.number);
+  BOOST_TEST(got.hops == sent.hops);
+  BOOST_TEST(!got.fresh);
+  BOOST_TEST((got.purpose == sent.purpose));
+  BOOST_TEST((got.spec == sent.spec));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_a_megabyte_of_any_bytes_comes_back_whole)
+{
+  forward_answer sent;
+  sent.number = 9;
+  sent.reply.result = outcome::done;
+  for (int index = 0; index < 1 << 20; ++index)
+    sent.reply.body.push_back(static_cast<char>(index * 31));
+  const auto frame = decode(bytes_of(encode(peer_message{sent})));
+  BOOST_REQUIRE(frame);
+  const auto& got = std::get<forward_answer>(std::get<peer_message>(*frame));
+  BOOST_TEST((got.reply.body == sent.reply.body));
+  BOOST_TEST((got.reply.result == outcome::done));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_frames_are_refused_or_read_without_harm)
+{
+  const std::string whole = encode(peer_message{sample_request()});
+  std::mt19937 random(1);
+  for (int round = 0; round < 20000; ++round)
+  {
+    std::string damaged = whole;
+    for (int hit = 0; hit < 3; ++hit)
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    damaged.resize(random() % (damaged.size() + 1));
+    decode(bytes_of(damaged)); // must not crash; the sanitizers watch when they are on
+  }
+  BOOST_TEST(!decode(bytes_of(whole.substr(0, whole.size() - 1))));
+  BOOST_TEST(!decode({}));
+}
+
+BOOST_AUTO_TEST_CASE(lengths_out_of_bounds_are_refused)
+{
+  const std::array<std::uint8_t, 4> none{};
+  const std::array<std::uint8_t, 4> huge{0, 0, 0, 0x40};
+  const std::array<std::uint8_t, 4> fine{0, 1, 0, 0};
+  BOOST_TEST(!frame_length(none));
+  BOOST_TEST(!frame_length(huge));
+  BOOST_TEST(frame_length(fine).value_or(0) == 256U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/Yardhill/Files.cpp
@@ -0,0 +1,36 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Yardhill/Files.h"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace yardhill::cli
+{
+common::named_text read_file(const std::string& path)
+{
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in)
+    throw std::runtime_error(path + ": cannot be read");
+  return {path, text.str()};
+}
+
+std::vector<common::named_text> read_files(const std::vector<std::string>& paths)
+{
+  std::vector<common::named_text> files;
+  for (const std::string& path : paths)
+    files.push_back(read_file(path));
+  return files;
+}
+
+void print_problems(const common::problem_list& problems)
+{
+  for (const common::file_problem& problem : problems)
+    std::fprintf(stderr, "%s\n", common::to_text(problem).c_str());
+}
+} // namespace yardhill::cli
--- /dev/null
+++ b/Source/Yardhill/Files.h
@@ -0,0 +1,21 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Reading the files that a subcommand is given.
+
+#include <string>
+#include <vector>
+
+#include "Common/ConfigParser.h"
+#include "Common/Problem.h"
+
+namespace yardhill::cli
+{
+// Throws std::runtime_error naming the file.
+common::named_text read_file(const std::string& path);
+std::vector<common::named_text> read_files(const std::vector<std::string>& paths);
+// One line each on standard error.
+void print_problems(const common::problem_list& problems);
+} // namespace yardhill::cli
--- /dev/null
+++ b/Source/Yardhill/Main.cpp
@@ -0,0 +1,82 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// The one binary: finds the subcommand and runs it.
+
+#include <array>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <docopt/docopt.h>
+
+#include "Yardhill/Subcommands.h"
+
+namespace
+{
+constexpr const char* k_usage = R"(yardhill: a cluster scheduler for unlike workloads.
+
+Usage:
+  yardhill <command> [<args>...]
+  yardhill --help | --version
+
+Commands:
+  serve    run an entry instance
+  check    check settings and workload files
+  apply    put a set of files into force
+  diff     show what applying a set of files would change
+  config   show the configuration in force
+  submit   run a task
+  status   show a task, or an instance
+  cancel   cancel a task
+  drain    stop an instance as planned, or take a worker out of use
+  load     send many tasks and check each answer
+
+Run "yardhill <command> --help" for each. Exit codes: 0 done; 1 refused, failed or different;
+2 wrong usage or files; 3 the instance could not be reached, or the result is unknown.
+)";
+
+struct subcommand
+{
+  const char* name;
+  yardhill::cli::subcommand_function run;
+};
+
+constexpr std::array<subcommand, 10> k_subcommands{{
+    {"serve", yardhill::cli::serve},
+    {"check", yardhill::cli::check},
+    {"apply", yardhill::cli::apply},
+    {"diff", yardhill::cli::diff},
+    {"config", yardhill::cli::config},
+    {"submit", yardhill::cli::submit},
+    {"status", yardhill::cli::status},
+    {"cancel", yardhill::cli::cancel},
+    {"drain", yardhill::cli::drain},
+    {"load", yardhill::cli::load},
+}};
+} // namespace
+
+int main(int argc, char** argv)
+{
+  try
+  {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto parsed = docopt::docopt(k_usage, arguments, true, "yardhill 0.1.0", true);
+    const std::string name = parsed.at("<command>").asString();
+    for (const subcommand& each : k_subcommands)
+    {
+      if (name == each.name)
+        return each.run(arguments);
+    }
+    std::fprintf(stderr, "yardhill: there is no command \"%s\"; see yardhill --help\n",
+                 name.c_str());
+    return yardhill::cli::k_wrong_usage;
+  }
+  catch (const std::exception& error)
+  {
+    std::fprintf(stderr, "yardhill: %s\n", error.what());
+    return yardhill::cli::k_wrong_usage;
+  }
+}
