--- a/Source/Core/Common/InstanceSettings.cpp
+++ b/Source/Core/Common/InstanceSettings.cpp
@@ -75,7 +75,7 @@
   std::optional<field_reader> section = in.object(name, true);
   if (!section)
     return {};
-  const endpoint where = read_endpoint(*section);
+  endpoint where = read_endpoint(*section);
   section->finish();
   return where;
 }
--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -19,7 +19,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<core_clock, duration>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's name
 };
 
 using time_point = core_clock::time_point;
--- a/Source/Core/Decision/PartitionScheduler.cpp
+++ b/Source/Core/Decision/PartitionScheduler.cpp
@@ -144,7 +144,7 @@
 std::optional<answer> partition_scheduler::find_refusal(const task_spec& spec,
                                                         time_point /*now*/) const
 {
-  if (const std::optional<answer> refusal = find_shape_refusal(spec))
+  if (std::optional<answer> refusal = find_shape_refusal(spec))
     return refusal;
   if (spec.durable() && spec.keyed && !m_records_complete)
     return unclear(spec.id, refusal_reason::records_incomplete,
--- a/Source/Core/Decision/PartitionSchedulerRuns.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRuns.cpp
@@ -453,11 +453,11 @@
       continue;
     member_run& run = task.members[entry.member];
     const attempt_id id = task.id_of_member(entry.member);
+    const bool rebooted = run.boot != news.boot;
+    const bool forgotten = run.phase == member_phase::running && news.moment >= run.started_moment;
     if (std::ranges::find(news.running, id, &running_attempt::id) != news.running.end())
       run.lapses = k_never;
-    else if (run.boot != news.boot)
-      member_vanished(task, entry.member, now);
-    else if (run.phase == member_phase::running && news.moment >= run.started_moment)
+    else if (rebooted || forgotten)
       member_vanished(task, entry.member, now);
     else if (run.phase == member_phase::unclear && voided)
       member_not_started(task, entry.member, start_refusal::old_ticket, now);
--- a/Source/Core/Decision/PlacementPass.cpp
+++ b/Source/Core/Decision/PlacementPass.cpp
@@ -38,7 +38,7 @@
   m_now = now;
   m_pool.refresh_circuits(now);
   m_room_left = m_pool.total_room();
-  m_headroom = m_options.keep_headroom ? scaled(m_pool.capacity(), headroom) : resources{};
+  m_headroom = m_options.keep_headroom ? scaled(m_pool.live_capacity(), headroom) : resources{};
   m_headroom.accelerators = 0;
   m_failed.clear();
   m_scanned = 0;
--- a/Source/Core/Decision/WorkerPool.cpp
+++ b/Source/Core/Decision/WorkerPool.cpp
@@ -64,6 +64,17 @@
   return sum;
 }
 
+resources worker_pool::live_capacity() const
+{
+  resources sum;
+  for (const worker_ledger& ledger : m_ledgers)
+  {
+    if (ledger.placeable())
+      sum += ledger.capacity();
+  }
+  return sum;
+}
+
 std::optional<resource_dimension> worker_pool::never_fits(const resources& demand) const
 {
   std::optional<resource_dimension> excess = resource_dimension::slots;
--- a/Source/Core/Decision/WorkerPool.h
+++ b/Source/Core/Decision/WorkerPool.h
@@ -49,8 +49,9 @@
     return m_placed[position];
   }
   const resources& capacity() const { return m_capacity; }
-  // Room on all workers that take work now.
+  // Room, and capacity, on all workers that take work now.
   resources total_room() const;
+  resources live_capacity() const;
   // A worker that could hold the demand were it empty; none with the dimension that fails.
   std::optional<resource_dimension> never_fits(const resources& demand) const;
   // How many such members all workers together could hold, were they empty.
--- a/Source/Core/Replay/RunChecker.cpp
+++ b/Source/Core/Replay/RunChecker.cpp
@@ -3,6 +3,7 @@
 
 #include "Replay/RunChecker.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Common/CellConfig.h"
@@ -88,6 +89,7 @@
 {
   run_state& run = m_runs[id.task];
   ++run.starts;
+  run.first_start = std::min(run.first_start, now);
   const auto [place, first] = run.running.try_emplace(id.member, worker);
   if (!first)
     fail(to_text(id) + " was started on " + worker.value + " while running on " +
@@ -120,6 +122,12 @@
   fail(worker.value + " was given more than it has");
 }
 
+time_point run_checker::first_start_of(const task_id& task) const
+{
+  const auto found = m_runs.find(task);
+  return found == m_runs.end() ? k_never : found->second.first_start;
+}
+
 std::size_t run_checker::running_members(const workload_id& workload) const
 {
   std::size_t sum = 0;
--- a/Source/Core/Replay/RunChecker.h
+++ b/Source/Core/Replay/RunChecker.h
@@ -53,6 +53,8 @@
   const std::string& failure() const { return *m_failure; }
   const std::map<std::uint64_t, request_record>& requests() const { return m_requests; }
   std::size_t starts_of(const task_id& task) const;
+  // When a worker first took it; k_never if none did.
+  time_point first_start_of(const task_id& task) const;
   std::size_t running_members(const workload_id& workload) const;
   // After everything was mended and time enough has passed: nobody waits, nothing is lost.
   void check_end();
@@ -65,6 +67,7 @@
   struct run_state
   {
     std::size_t starts = 0;
+    time_point first_start = k_never;
     std::size_t done = 0;
     std::map<std::uint32_t, worker_id> running; // by member
     std::size_t open_requests = 0;
--- a/Source/Core/Replay/VirtualCell.cpp
+++ b/Source/Core/Replay/VirtualCell.cpp
@@ -492,8 +492,7 @@
 
 void virtual_cell::worker_changed(worker_host& worker)
 {
-  if (m_options.check)
-    tell_checker(worker);
+  tell_checker(worker);
   answer_held(worker);
   plan_worker(worker);
 }
@@ -522,7 +521,7 @@
     // Leases elsewhere run out by themselves, without an event of their own.
     for (const auto& [name, other] : m_workers)
     {
-      if (other.get() == &worker || other->running.empty())
+      if (!m_options.check || other.get() == &worker || other->running.empty())
         continue;
       other->model.advance(m_now);
       tell_ended(*other);
@@ -706,13 +705,27 @@
     granted += worker->model.granted();
     capacity += worker->model.config().capacity;
   }
+  std::size_t queued = 0;
+  for (const auto& [name, entry] : m_instances)
+  {
+    for (const auto& [partition, home] : entry->core.homes())
+      queued += home.owns() ? home.scheduler().queued() : 0;
+  }
   const auto part = [](std::int64_t some, std::int64_t all)
   { return static_cast<double>(some) / static_cast<double>(std::max<std::int64_t>(1, all)); };
-  ++m_samples;
   const double processors = part(granted.cpu_millis, capacity.cpu_millis);
+  const double memory = part(granted.memory_mib, capacity.memory_mib);
+  ++m_samples;
   m_packed.processors += processors;
-  m_packed.memory += part(granted.memory_mib, capacity.memory_mib);
+  m_packed.memory += memory;
   m_packed.peak_processors = std::max(m_packed.peak_processors, processors);
+  m_packed.most_queued = std::max(m_packed.most_queued, queued);
+  if (queued > 0)
+  {
+    ++m_packed.backlogged_samples;
+    m_packed.backlogged += std::max({processors, memory, part(granted.slots, capacity.slots),
+                                     part(granted.accelerators, capacity.accelerators)});
+  }
   in(k_sample, [this] { sample_packing(); });
 }
 
@@ -722,6 +735,8 @@
   const auto samples = static_cast<double>(std::max<std::uint64_t>(1, m_samples));
   mean.processors /= samples;
   mean.memory /= samples;
+  if (mean.backlogged_samples > 0)
+    mean.backlogged /= static_cast<double>(mean.backlogged_samples);
   return mean;
 }
 
--- a/Source/Core/Replay/VirtualCell.h
+++ b/Source/Core/Replay/VirtualCell.h
@@ -67,6 +67,10 @@
     double processors = 0;
     double memory = 0;
     double peak_processors = 0;
+    // While tasks waited: the part of the scarcest resource, and over how many samples.
+    double backlogged = 0;
+    std::size_t backlogged_samples = 0;
+    std::size_t most_queued = 0;
   };
   packing_figures packing() const;
 
--- a/Source/Yardhill/Main.cpp
+++ b/Source/Yardhill/Main.cpp
@@ -32,6 +32,7 @@
   status   show a task, or an instance
   cancel   cancel a task
   drain    stop an instance as planned, or take a worker out of use
+  replay   feed a recorded trace to the decision core, in virtual time
   load     send many tasks and check each answer
 
 Run "yardhill <command> --help" for each. Exit codes: 0 done; 1 refused, failed or different;
@@ -44,7 +45,7 @@
   yardhill::cli::subcommand_function run;
 };
 
-constexpr std::array<subcommand, 10> k_subcommands{{
+constexpr std::array<subcommand, 11> k_subcommands{{
     {"serve", yardhill::cli::serve},
     {"check", yardhill::cli::check},
     {"apply", yardhill::cli::apply},
@@ -54,6 +55,7 @@
     {"status", yardhill::cli::status},
     {"cancel", yardhill::cli::cancel},
     {"drain", yardhill::cli::drain},
+    {"replay", yardhill::cli::replay},
     {"load", yardhill::cli::load},
 }};
 } // namespace
