Ownership: Rows that nobody waits for share later transactions

Cause: a batch task cost two writes, one for its acceptance and one for its end, each in a window of 5 ms that it seldom shared.

Change: an end or a deletion may wait 500 ms for company (its worker remembers it until then); acceptances and intents still wait 5 ms. A planned stop writes at once. PartitionStore commits when the earliest of what is pending is due.

--- a/Source/Core/Common/Options.h
+++ b/Source/Core/Common/Options.h
@@ -33,6 +33,12 @@
   duration store_timeout = std::chrono::milliseconds{1000};
   duration store_retry_first = std::chrono::milliseconds{200};
   duration store_retry_most = std::chrono::milliseconds{5000};
+  // Writes that come within these times share a transaction. Somebody waits for an acceptance or
+  // an intent; nobody does for an end, which the worker remembers until it is written.
+  duration commit_soon = std::chrono::milliseconds{5};
+  duration commit_late = std::chrono::milliseconds{500};
+  // Records that may share a transaction; 1 writes each by itself.
+  std::size_t most_batch = 100;
   duration probe_time = std::chrono::milliseconds{400};
   duration config_poll = std::chrono::milliseconds{2000};
 
--- a/Source/Core/Instance/PartitionHome.cpp
+++ b/Source/Core/Instance/PartitionHome.cpp
@@ -104,6 +104,7 @@
 
 void partition_home::begin_stop()
 {
+  m_stopping = true;
   m_ownership.set_candidate(false);
   m_scheduler.stop_placing();
 }
@@ -176,6 +177,8 @@
 
 bool partition_home::carry_store(time_point now)
 {
+  if (m_stopping)
+    m_store.flush();
   m_store.advance(now);
   ownership::partition_store_output out = m_store.take_output();
   if (out.allotted)
--- a/Source/Core/Instance/PartitionHome.h
+++ b/Source/Core/Instance/PartitionHome.h
@@ -88,6 +88,7 @@
   decision::partition_scheduler m_scheduler;
   std::map<worker_id, std::string> m_addresses;
   std::size_t m_starts_under_way = 0;
+  bool m_stopping = false;
   home_output m_output;
 };
 } // namespace yardhill::instance
--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -17,12 +17,9 @@
 {
 constexpr const char* k_open = "open";
 constexpr const char* k_ended = "ended";
-constexpr std::size_t k_most_batch = 100;
 constexpr std::uint32_t k_page = 500;
 // A caller is not kept waiting for the table longer than this.
 constexpr duration k_write_patience = std::chrono::seconds{2};
-// Writes that come within this time share a transaction.
-constexpr duration k_commit_window = std::chrono::milliseconds{5};
 
 term_row parse_row(const store_read_result& result)
 {
@@ -77,6 +74,7 @@
   m_row_current = false;
   m_needs_load = false;
   m_pending.clear();
+  m_commit_due = k_never;
   m_batch.clear();
   m_to_find.clear();
   m_loading.clear();
@@ -84,8 +82,10 @@
 
 void partition_store::append(const record_write& write, time_point now)
 {
-  if (m_pending.empty() && m_batch.empty())
-    m_not_before = std::max(m_not_before, now + k_commit_window);
+  const bool awaited =
+      write.change == record_change::accept || write.change == record_change::intent;
+  const duration window = awaited ? m_options.commit_soon : m_options.commit_late;
+  m_commit_due = std::min(m_commit_due, now + window);
   m_pending.push_back({write, now, false});
 }
 
@@ -236,13 +236,14 @@
   {
     m_batch_maybe_written = false;
     m_write_id = m_self.value + "/" + std::to_string(++m_write_count);
-    while (!m_pending.empty() && m_batch.size() < k_most_batch)
+    while (!m_pending.empty() && m_batch.size() < m_options.most_batch)
     {
       m_batch.push_back(std::move(m_pending.front()));
       m_pending.pop_front();
     }
   }
-  m_not_before = now + k_commit_window;
+  m_not_before = now + m_options.commit_soon;
+  m_commit_due = m_pending.empty() ? k_never : m_not_before;
   call(make_transaction(), step::committing);
 }
 
@@ -319,6 +320,7 @@
         m_pending.push_front(std::move(*entry));
     }
     m_batch.clear();
+    m_commit_due = m_not_before;
   }
   if (m_to_find.empty())
     return;
@@ -356,6 +358,7 @@
     asked.told_unclear = false;
     m_pending.push_front(std::move(asked));
     m_to_find.pop_front();
+    m_commit_due = m_not_before;
   }
   if (!m_to_find.empty())
     find_known();
@@ -395,6 +398,7 @@
     for (auto entry = m_batch.rbegin(); entry != m_batch.rend(); ++entry)
       m_pending.push_front(std::move(*entry));
     m_batch.clear();
+    m_commit_due = m_not_before;
   }
   std::erase_if(m_pending,
                 [&](const pending_write& entry)
@@ -435,6 +439,12 @@
   give_up_unwritten(now);
 }
 
+void partition_store::flush()
+{
+  if (!m_pending.empty())
+    m_commit_due = m_not_before;
+}
+
 void partition_store::read_answered(const store_read_result& result, time_point now)
 {
   m_metrics.add(counter::store_reads);
@@ -476,7 +486,7 @@
     find_known();
   else if (m_needs_load)
     load_page();
-  else if (!m_batch.empty() || !m_pending.empty())
+  else if (!m_batch.empty() || now >= m_commit_due)
     commit(now);
 }
 
@@ -485,9 +495,11 @@
   if (m_step != step::none)
     return k_never;
   const bool work =
-      m_wanted || (m_term != 0 && (!m_row_current || m_needs_load || !m_to_find.empty() ||
-                                   !m_batch.empty() || !m_pending.empty()));
-  return work ? m_not_before : k_never;
+      m_wanted ||
+      (m_term != 0 && (!m_row_current || m_needs_load || !m_to_find.empty() || !m_batch.empty()));
+  if (work)
+    return m_not_before;
+  return m_pending.empty() ? k_never : std::max(m_not_before, m_commit_due);
 }
 
 partition_store_output partition_store::take_output()
--- a/Source/Core/Ownership/PartitionStore.h
+++ b/Source/Core/Ownership/PartitionStore.h
@@ -61,6 +61,8 @@
   void begin_term(term_number term);
   void end_term();
   void append(const record_write& write, time_point now);
+  // Write now what could have waited.
+  void flush();
 
   void read_answered(const store_read_result& result, time_point now);
   void write_answered(const store_write_result& result, time_point now);
@@ -137,6 +139,7 @@
   std::uint32_t m_failures = 0;
   bool m_down = false;
   time_point m_not_before{};
+  time_point m_commit_due = k_never; // of what is pending
   partition_store_output m_output;
 };
 } // namespace yardhill::ownership
