--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -476,12 +476,10 @@
     give_up_unwritten(now);
   if (now < m_not_before)
     return;
-  if (m_wanted)
+  if (m_wanted || (m_term != 0 && !m_row_current))
     read_row(step::reading_row);
   else if (m_term == 0)
     return;
-  else if (!m_row_current)
-    read_row(step::reading_row);
   else if (!m_to_find.empty())
     find_known();
   else if (m_needs_load)
--- a/Source/StandIns/WorkerStandIn.cpp
+++ b/Source/StandIns/WorkerStandIn.cpp
@@ -45,6 +45,7 @@
 zone_config read_zone(const std::vector<std::string>& paths, const std::string& name)
 {
   std::vector<named_text> files;
+  files.reserve(paths.size());
   for (const std::string& path : paths)
     files.push_back(read_file(path));
   problem_list problems;
--- a/Source/Yardhill/Files.cpp
+++ b/Source/Yardhill/Files.cpp
@@ -23,6 +23,7 @@
 std::vector<common::named_text> read_files(const std::vector<std::string>& paths)
 {
   std::vector<common::named_text> files;
+  files.reserve(paths.size());
   for (const std::string& path : paths)
     files.push_back(read_file(path));
   return files;
