UnitTests: Golden sessions of real processes

Cause: the traces prove the core; the shells around it were only shown by the demo.

The whole exchange is compared with a file. An acceptance no longer calls itself "storing".

--- a/Source/Core/Decision/PartitionScheduler.cpp
+++ b/Source/Core/Decision/PartitionScheduler.cpp
@@ -298,6 +298,7 @@
   {
   case record_write_status::written:
     task.has_row = true;
+    task.phase = task_phase::queued; // as the answer says it
     reply_to_waiters(task, current_answer(task));
     enqueue(task, now);
     return;
--- /dev/null
+++ b/Source/UnitTests/Golden/session_store_outage.py
@@ -0,0 +1,51 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""The table service is down: what can go on goes on, also when the owner dies; nothing is lost."""
+import sys
+
+from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+
+
+def main():
+    session = Session("session_store_outage")
+    with Cluster(zones=1, instances_per_zone=3, workers_per_zone=5, port_offset=1400,
+                 timing=TIMING) as cluster:
+        cluster.start()
+        owner = cluster.owner_of("kakkanad")
+        entry = next(name for name in cluster.instances if name != owner)
+        tasks = cluster.url(entry) + "/v1/tasks"
+        payload = '{"run_us": 1000, "bytes": 16}'
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+        session.call("POST", tasks, {"workload": "nightly-rebuild", "key": "long", "wait": False,
+                                     "payload": '{"run_us": 4000000, "bytes": 16}'})
+        wait_until("it to run", lambda: runs_of(cluster, "nightly-rebuild"))
+        cluster.set_faults(cluster.platform_url(), outage=True)
+        session.note("# outage: previews and waited-for repeatable work go on")
+        session.call("POST", tasks, {"workload": "preview", "key": "p1", "payload": payload})
+        session.call("POST", tasks, {"workload": "nightly-rebuild", "key": "n1", "payload": payload})
+        session.note("# what must be kept is refused, with when to come back, and was not run")
+        refused = lambda key: http("POST", tasks, {"workload": "release-rebuild", "key": key,
+                                                   "payload": payload})[0] == 503
+        wait_until("the owner to know", lambda: refused("r1"))
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "r1", "payload": payload})
+        session.note(f"runs of it: {runs_of(cluster, 'release-rebuild').get('release-rebuild/r1', 0)}")
+        session.note("# the owner dies in the outage: a majority of workers makes the next one")
+        cluster.kill(owner)
+        wait_until("a new owner", lambda: cluster.owner_of("kakkanad") not in (None, owner))
+        session.call("POST", tasks, {"workload": "preview", "key": "p2", "payload": payload})
+        session.note("# it cannot know which kept tasks there are")
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+        cluster.set_faults(cluster.platform_url(), outage=False)
+        session.note("# the table is back: the kept record answers, the accepted task is done")
+        wait_until("the records", lambda: http("POST", tasks, {
+            "workload": "release-rebuild", "key": "before", "payload": payload})[0] == 200)
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "r1", "payload": payload})
+        wait_until("the long one", lambda: http("GET", tasks + "/nightly-rebuild/long")[0] == 200)
+        session.call("GET", tasks + "/nightly-rebuild/long")
+        session.note(str(sorted(runs_of(cluster, "release-rebuild").items())))
+    return session.finish()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
