Ownership: An owner whose row names another one asks the workers before it writes again

Cause: PartitionStoreTest/a_stale_owner_writes_nothing, written to show that stale owners cannot write, failed: a stale owner that met a higher term in the partition's row took the next term for itself and wrote its records. Ruled out: the row check itself (the first write conflicted as it should). The explorer had not found it: workers still refused the stale owner's starts.

Change: the row of another owner at the same or a higher term blocks all writes until the workers have spoken: with a majority that confirmed after the conflict the owner takes a higher term, without one it steps down. Also: answers and rows that cannot be read are errors with step and peer (Boost.LEAF), count as unclear and are logged; before, they ended the process. A partition row that is not ours is never written over.

--- a/Source/Core/Decision/PartitionScheduler.cpp
+++ b/Source/Core/Decision/PartitionScheduler.cpp
@@ -305,6 +305,11 @@
   case record_write_status::exists:
     if (result.known)
       take_known(task, *result.known, now);
+    else
+      finish(task,
+             unclear(task.spec.id, refusal_reason::records_incomplete,
+                     "its row in the table cannot be read", "store", duration{0}),
+             now);
     return;
   case record_write_status::not_written:
     finish(task,
--- a/Source/Core/Decision/PartitionSchedulerRecovery.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRecovery.cpp
@@ -5,10 +5,25 @@
 
 #include <algorithm>
 
+#include "Common/Error.h"
 #include "Decision/PartitionScheduler.h"
 
 namespace yardhill::decision
 {
+namespace
+{
+// Nothing where the worker left the specification out, or where it cannot be read.
+std::optional<task_spec> read_spec(const std::string& text, const attempt_id& id)
+{
+  if (text.empty())
+    return std::nullopt;
+  return value_or<std::optional<task_spec>>(
+      [&]() -> leaf::result<std::optional<task_spec>>
+      { return parsed("adopt", to_text(id), [&] { return std::optional(task_spec_from(text)); }); },
+      [](const step_error&) { return std::optional<task_spec>{}; });
+}
+} // namespace
+
 void partition_scheduler::begin_term(term_number term, time_point quarantine_until, time_point now)
 {
   constexpr unsigned half_bits = 32;
@@ -154,9 +169,10 @@
   }
   else
   {
-    if (spec_text.empty())
+    const std::optional<task_spec> read = read_spec(spec_text, id);
+    if (!read)
       return nullptr;
-    const task_spec spec = task_spec_from(spec_text);
+    const task_spec& spec = *read;
     if (spec.kind == task_kind::service && !is_declared_replica(spec))
       return nullptr;
     task = &m_tasks.create(spec, now);
--- a/Source/Core/Instance/ConfigKeeper.cpp
+++ b/Source/Core/Instance/ConfigKeeper.cpp
@@ -9,10 +9,14 @@
 #include <utility>
 
 #include "Common/ConfigParser.h"
+#include "Common/Error.h"
 #include "Common/Json.h"
 
 namespace yardhill::instance
 {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(past_apply, id, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_head, version, applies)
+
 namespace
 {
 constexpr const char* k_head_key = "config/head";
@@ -25,6 +29,17 @@
   key << "config/document/" << std::setw(12) << std::setfill('0') << version;
   return key.str();
 }
+// What the head's row says; nothing where it cannot be read.
+std::optional<config_head> parse_head(const std::string& text)
+{
+  return value_or<std::optional<config_head>>(
+      [&text]() -> leaf::result<std::optional<config_head>>
+      {
+        return parsed("read_head", "table",
+                      [&text] { return std::optional(json::parse(text).get<config_head>()); });
+      },
+      [](const step_error&) { return std::optional<config_head>{}; });
+}
 } // namespace
 
 config_keeper::config_keeper(const ownership_options& options, metrics& counts)
@@ -96,11 +111,15 @@
   m_head_row = 0;
   if (!result.rows.empty())
   {
+    const std::optional<config_head> head = parse_head(result.rows.front().value);
+    if (!head)
+    {
+      failed(now);
+      return;
+    }
     m_head_row = result.rows.front().version;
-    const json head = json::parse(result.rows.front().value);
-    m_head = head.at("version").get<std::uint64_t>();
-    for (const json& past : head.at("applies"))
-      m_past.push_back({past.at("id").get<std::string>(), past.at("version").get<std::uint64_t>()});
+    m_head = head->version;
+    m_past = head->applies;
   }
   if (m_head > m_cell.version)
     call(store_read{document_key(m_head), {}, 1}, step::reading_document);
@@ -144,15 +163,13 @@
 {
   const apply_request& request = m_applies.front().request;
   const std::uint64_t next = m_head + 1;
-  json applies = json::array();
-  for (const past_apply& past : m_past)
-    applies.push_back({{"id", past.id}, {"version", past.version}});
-  applies.push_back({{"id", request.apply_id}, {"version", next}});
-  if (applies.size() > k_remembered_applies)
-    applies.erase(0);
+  config_head head{next, m_past};
+  head.applies.push_back({request.apply_id, next});
+  if (head.applies.size() > k_remembered_applies)
+    head.applies.erase(head.applies.begin());
   store_transaction transaction;
   transaction.checks.push_back({k_head_key, m_head_row});
-  transaction.puts.push_back({k_head_key, json{{"version", next}, {"applies", applies}}.dump()});
+  transaction.puts.push_back({k_head_key, json(head).dump()});
   transaction.puts.push_back({document_key(next), request.document});
   if (next > k_remembered_applies)
     transaction.puts.push_back({document_key(next - k_remembered_applies), std::nullopt});
--- a/Source/Core/Instance/ConfigKeeper.h
+++ b/Source/Core/Instance/ConfigKeeper.h
@@ -28,6 +28,20 @@
   bool applied_here = false; // and it came from an operator of this instance: tell the peers
 };
 
+// An operator's apply, remembered so that the same one sent again is not applied twice.
+struct past_apply
+{
+  std::string id;
+  std::uint64_t version = 0;
+};
+
+// The row that names the version in force.
+struct config_head
+{
+  std::uint64_t version = 0;
+  std::vector<past_apply> applies; // the latest ones
+};
+
 class config_keeper
 {
 public:
@@ -56,12 +70,6 @@
     writing
   };
 
-  struct past_apply
-  {
-    std::string id;
-    std::uint64_t version = 0;
-  };
-
   struct waiting_apply
   {
     apply_request request;
--- a/Source/Core/Instance/PartitionHome.cpp
+++ b/Source/Core/Instance/PartitionHome.cpp
@@ -193,6 +193,8 @@
     m_ownership.term_unavailable(now);
   for (const record_write_result& result : out.results)
     m_scheduler.written(result, now);
+  for (const std::string& key : out.malformed_rows)
+    log(log_level::warning, "read_task", "table", {}, "the row " + key + " cannot be read");
   if (out.loaded && m_ownership.owns())
     m_scheduler.records_loaded(*out.loaded, now);
   const bool any =
--- a/Source/Core/Ownership/PartitionOwnership.cpp
+++ b/Source/Core/Ownership/PartitionOwnership.cpp
@@ -170,6 +170,8 @@
 void partition_ownership::term_conflict(const instance_id& owner, term_number term, time_point now)
 {
   learn(owner, term);
+  if (m_phase == ownership_phase::owning && m_contested == k_never)
+    m_contested = now;
   if (m_phase != ownership_phase::taking)
     return;
   m_phase = ownership_phase::following;
@@ -198,6 +200,7 @@
   m_term = term;
   learn(m_self, term);
   m_first_silence = time_point{};
+  m_contested = k_never;
   m_foreign_until = now + m_options.longest_foreign_run();
   if (was_owner)
     return; // a higher term for what is owned already: the next claims carry it
@@ -342,6 +345,7 @@
     m_metrics.add(counter::owner_lost);
   }
   m_phase = ownership_phase::following;
+  m_contested = k_never;
   m_last_heard = now;
   m_output.claims.clear();
   m_output.reports.clear();
@@ -384,6 +388,8 @@
       step_down(now);
     break;
   case ownership_phase::owning:
+    if (m_contested != k_never)
+      settle_contest(now);
     break;
   }
   if (m_phase != ownership_phase::claiming && m_phase != ownership_phase::owning)
@@ -395,6 +401,23 @@
   }
 }
 
+// The table names another owner. Who still has a majority of the workers afterwards is the owner.
+void partition_ownership::settle_contest(time_point now)
+{
+  const auto confirmed = std::ranges::count_if(
+      m_links, [this](const auto& entry)
+      { return entry.second.claimed && entry.second.confirmed_sent >= m_contested; });
+  if (static_cast<std::size_t>(confirmed) * 2 > m_links.size())
+  {
+    m_contested = k_never;
+    m_output.wanted_term = m_known_term + 1;
+  }
+  else if (now > m_contested + m_options.confirm_window)
+  {
+    step_down(now);
+  }
+}
+
 time_point partition_ownership::next_timer() const
 {
   switch (m_phase)
--- a/Source/Core/Ownership/PartitionOwnership.h
+++ b/Source/Core/Ownership/PartitionOwnership.h
@@ -150,6 +150,7 @@
   void probe_answered(worker_link& link, const claim_answer& news);
   void claim_refused(const claim_answer& news, time_point now);
   void become_owner();
+  void settle_contest(time_point now);
   void step_down(time_point now);
   void learn(const instance_id& owner, term_number term);
   duration silence_allowed() const;
@@ -164,7 +165,8 @@
   term_number m_known_term = 0;
   instance_id m_known_owner;
   time_point m_last_heard;
-  time_point m_first_silence{}; // since when probes have not reached a majority
+  time_point m_contested = k_never; // since when the table names another owner
+  time_point m_first_silence{};     // since when probes have not reached a majority
   time_point m_phase_ends = k_never;
   time_point m_foreign_until{};
   std::size_t m_rank = 0;
--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Error.h"
 #include "Common/Hash.h"
 #include "Common/Json.h"
 
@@ -21,11 +22,31 @@
 // A caller is not kept waiting for the table longer than this.
 constexpr duration k_write_patience = std::chrono::seconds{2};
 
-term_row parse_row(const store_read_result& result)
+// Nothing where the row is not one of ours: such a row is never written over.
+std::optional<term_row> parse_row(const store_read_result& result)
 {
   if (result.rows.empty())
-    return {};
-  return json::parse(result.rows.front().value).get<term_row>();
+    return term_row{};
+  return value_or<std::optional<term_row>>(
+      [&result]() -> leaf::result<std::optional<term_row>>
+      {
+        return parsed(
+            "read_row", "table",
+            [&result]
+            { return std::optional(json::parse(result.rows.front().value).get<term_row>()); });
+      },
+      [](const step_error&) { return std::optional<term_row>{}; });
+}
+
+std::optional<stored_task> parse_task(const store_row& row)
+{
+  return value_or<std::optional<stored_task>>(
+      [&row]() -> leaf::result<std::optional<stored_task>>
+      {
+        return parsed("read_task", "table",
+                      [&row] { return std::optional(stored_task_from(row.value)); });
+      },
+      [](const step_error&) { return std::optional<stored_task>{}; });
 }
 } // namespace
 
@@ -72,6 +93,7 @@
 {
   m_term = 0;
   m_row_current = false;
+  m_contested = false;
   m_needs_load = false;
   m_pending.clear();
   m_commit_due = k_never;
@@ -107,8 +129,14 @@
     failed(result.status, now);
     return;
   }
+  const std::optional<term_row> read = parse_row(result);
+  if (!read)
+  {
+    failed(store_status::unclear, now);
+    return;
+  }
   succeeded();
-  const term_row row = parse_row(result);
+  const term_row& row = *read;
   m_row_version = result.rows.empty() ? 0 : result.rows.front().version;
   if (m_wanted)
   {
@@ -123,8 +151,15 @@
     m_writing_term = m_term;
     return;
   }
+  if (row.owner != m_self && row.term >= m_term)
+  {
+    // Whose partition it is the workers have to say; until then nothing is written.
+    m_contested = true;
+    m_output.conflict = row;
+    return;
+  }
   // Catching the row up with a term that the workers allotted while the table was away.
-  write_row(row.term < m_term ? m_term : row.term + 1, m_row_version);
+  write_row(std::max(m_term, row.term), m_row_version);
 }
 
 void partition_store::write_row(term_number term, std::uint64_t version)
@@ -145,6 +180,7 @@
     succeeded();
     m_row_version = result.version;
     m_row_current = true;
+    m_contested = false;
     m_wanted.reset();
     if (m_writing_term != m_term)
       m_output.allotted = m_writing_term;
@@ -170,7 +206,13 @@
     failed(result.status, now);
     return;
   }
-  const term_row row = parse_row(result);
+  const std::optional<term_row> read = parse_row(result);
+  if (!read)
+  {
+    failed(store_status::unclear, now);
+    return;
+  }
+  const term_row& row = *read;
   const std::uint64_t version = result.rows.empty() ? 0 : result.rows.front().version;
   const bool ours = row.write == m_write_id;
   if (m_batch.empty())
@@ -201,8 +243,6 @@
     return;
   }
   m_row_current = false;
-  if (row.owner != m_self && row.term > m_term)
-    m_output.conflict = row;
 }
 
 void partition_store::load_page()
@@ -220,8 +260,11 @@
   succeeded();
   for (const store_row& row : result.rows)
   {
-    m_loading.push_back(stored_task_from(row.value));
     m_load_after = row.key;
+    if (std::optional<stored_task> task = parse_task(row))
+      m_loading.push_back(std::move(*task));
+    else
+      m_output.malformed_rows.push_back(row.key);
   }
   if (result.more)
     return;
@@ -343,8 +386,11 @@
       { return row.key == task_key(k_ended, id) || row.key == task_key(k_open, id); });
   if (same != result.rows.end())
   {
+    std::optional<stored_task> known = parse_task(*same);
+    if (!known)
+      m_output.malformed_rows.push_back(same->key);
     m_output.results.push_back(
-        {record_change::accept, id, record_write_status::exists, stored_task_from(same->value)});
+        {record_change::accept, id, record_write_status::exists, std::move(known)});
     m_to_find.pop_front();
   }
   else if (!asked.told_unclear)
@@ -434,6 +480,7 @@
   if (m_wanted)
   {
     m_wanted.reset();
+    m_contested = false;
     m_output.unavailable = true;
   }
   give_up_unwritten(now);
@@ -474,7 +521,8 @@
     return;
   if (m_down)
     give_up_unwritten(now);
-  if (now < m_not_before)
+  const bool blocked = m_contested && !m_wanted;
+  if (now < m_not_before || blocked)
     return;
   if (m_wanted || (m_term != 0 && !m_row_current))
     read_row(step::reading_row);
@@ -490,7 +538,7 @@
 
 time_point partition_store::next_timer() const
 {
-  if (m_step != step::none)
+  if (m_step != step::none || (m_contested && !m_wanted))
     return k_never;
   const bool work =
       m_wanted ||
--- a/Source/Core/Ownership/PartitionStore.h
+++ b/Source/Core/Ownership/PartitionStore.h
@@ -47,6 +47,7 @@
   bool unavailable = false;         // a wanted term could not be asked for
   std::vector<record_write_result> results;
   std::optional<std::vector<stored_task>> loaded;
+  std::vector<std::string> malformed_rows; // keys, for the log
 };
 
 class partition_store
@@ -125,6 +126,7 @@
   std::optional<term_number> m_wanted;
   term_number m_term = 0; // owned; 0 while not an owner
   bool m_row_current = false;
+  bool m_contested = false; // the row names another owner at this term or above
   bool m_needs_load = false;
   std::uint64_t m_row_version = 0;
   term_number m_writing_term = 0;
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -6,7 +6,9 @@
 #include <chrono>
 #include <utility>
 
+#include "Common/Error.h"
 #include "Common/HttpCall.h"
+#include "Common/JsonLog.h"
 
 namespace yardhill::platform
 {
@@ -15,6 +17,8 @@
 using web::http::methods;
 using web::http::status_codes;
 
+constexpr const char* k_platform = "platform";
+
 store_status status_of(const call_result& result)
 {
   if (result.end == call_end::unsent)
@@ -35,6 +39,48 @@
     return store_status::unclear;
   }
 }
+leaf::result<store_read_result> read_result_of(const call_result& result)
+{
+  const store_status status = status_of(result);
+  if (status != store_status::ok)
+    return store_read_result{status, {}, false};
+  return parsed("read", k_platform, [&result] { return store_read_result_from(result.body); });
+}
+
+leaf::result<store_write_result> write_result_of(const call_result& result)
+{
+  const store_status status = status_of(result);
+  if (status != store_status::ok)
+    return store_write_result{status, 0};
+  return parsed("write", k_platform,
+                [&result] {
+                  return store_write_result{store_status::ok, std::stoull(result.body)};
+                });
+}
+
+// An answer that cannot be read is no answer.
+void log_malformed(const step_error& error)
+{
+  log_warning({error.step, error.peer, {}, 0, error.detail});
+}
+
+store_read_result malformed_read(const step_error& error)
+{
+  log_malformed(error);
+  return {store_status::unclear, {}, false};
+}
+
+store_write_result malformed_write(const step_error& error)
+{
+  log_malformed(error);
+  return {store_status::unclear, 0};
+}
+
+std::vector<listed_instance> malformed_list(const step_error& error)
+{
+  log_malformed(error);
+  return {};
+}
 } // namespace
 
 struct platform_client::connection
@@ -67,19 +113,15 @@
   const std::string body = to_json_text(request);
   m_metrics.add(counter::store_bytes, body.size());
   const auto sent_at = std::chrono::steady_clock::now();
-  call_http(m_connection->client, methods::POST, k_read_path, body,
-            [this, sent_at, done = std::move(done)](const call_result& result)
-            {
-              m_metrics.add(counter::store_bytes, result.body.size());
-              m_metrics.record(
-                  timing::store_latency,
-                  std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - sent_at));
-              store_read_result read;
-              read.status = status_of(result);
-              if (read.status == store_status::ok)
-                read = store_read_result_from(result.body);
-              done(std::move(read));
-            });
+  call_http(
+      m_connection->client, methods::POST, k_read_path, body,
+      [this, sent_at, done = std::move(done)](const call_result& result)
+      {
+        m_metrics.add(counter::store_bytes, result.body.size());
+        m_metrics.record(timing::store_latency, std::chrono::duration_cast<duration>(
+                                                    std::chrono::steady_clock::now() - sent_at));
+        done(value_or<store_read_result>([&] { return read_result_of(result); }, malformed_read));
+      });
 }
 
 void platform_client::write(const store_transaction& request,
@@ -96,11 +138,8 @@
               m_metrics.record(
                   timing::store_latency,
                   std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - sent_at));
-              store_write_result written;
-              written.status = status_of(result);
-              if (written.status == store_status::ok)
-                written.version = std::stoull(result.body);
-              done(written);
+              done(value_or<store_write_result>([&] { return write_result_of(result); },
+                                                malformed_write));
             });
 }
 
@@ -110,7 +149,13 @@
             [done = std::move(done)](const call_result& result)
             {
               if (status_of(result) == store_status::ok)
-                done(instance_list_from(result.body));
+                done(value_or<std::vector<listed_instance>>(
+                    [&]
+                    {
+                      return parsed("list_instances", k_platform,
+                                    [&result] { return instance_list_from(result.body); });
+                    },
+                    malformed_list));
             });
 }
 } // namespace yardhill::platform
--- a/Source/Core/Target/WorkerClient.cpp
+++ b/Source/Core/Target/WorkerClient.cpp
@@ -3,11 +3,12 @@
 
 #include "Target/WorkerClient.h"
 
-#include <exception>
 #include <utility>
 
+#include "Common/Error.h"
 #include "Common/HttpCall.h"
 #include "Common/Json.h"
+#include "Common/JsonLog.h"
 
 namespace yardhill::target
 {
@@ -64,21 +65,26 @@
   m_metrics.add(counter::worker_calls);
   const auto connected = connection_to(address);
   call_http(connected->client, methods::POST, k_claim_path, to_json_text(request),
-            [connected, done = std::move(done)](const call_result& result)
+            [connected, address, done = std::move(done)](const call_result& result)
             {
-              std::optional<claim_answer> answer;
-              if (end_of(result) == start_end::answered)
+              if (end_of(result) != start_end::answered)
               {
-                try
-                {
-                  answer = claim_answer_from(result.body);
-                }
-                catch (const std::exception&)
-                {
-                  answer.reset(); // as good as no answer
-                }
+                done(std::nullopt);
+                return;
               }
-              done(std::move(answer));
+              done(value_or<std::optional<claim_answer>>(
+                  [&]() -> leaf::result<std::optional<claim_answer>>
+                  {
+                    return parsed(
+                        "claim", address,
+                        [&result]
+                        { return std::optional<claim_answer>(claim_answer_from(result.body)); });
+                  },
+                  [](const step_error& error)
+                  {
+                    log_warning({error.step, error.peer, {}, 0, error.detail});
+                    return std::optional<claim_answer>{}; // as good as no answer
+                  }));
             });
 }
 
@@ -88,19 +94,22 @@
   m_metrics.add(counter::worker_calls);
   const auto connected = connection_to(address);
   call_http(connected->client, methods::POST, k_start_path, to_json_text(request),
-            [connected, done = std::move(done)](const call_result& result)
+            [connected, address, done = std::move(done)](const call_result& result)
             {
               start_end end = end_of(result);
               start_answer answer;
-              try
-              {
-                if (end == start_end::answered)
-                  answer = start_answer_from(result.body);
-              }
-              catch (const std::exception&)
-              {
-                end = start_end::unclear;
-              }
+              if (end == start_end::answered)
+                answer = value_or<start_answer>(
+                    [&] {
+                      return parsed("start", address,
+                                    [&result] { return start_answer_from(result.body); });
+                    },
+                    [&end](const step_error& error)
+                    {
+                      log_warning({error.step, error.peer, {}, 0, error.detail});
+                      end = start_end::unclear;
+                      return start_answer{};
+                    });
               done(end, std::move(answer));
             });
 }
--- /dev/null
+++ b/Source/UnitTests/Ownership/PartitionStoreTest.cpp
@@ -0,0 +1,183 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// The rows of a partition: lost answers, stale owners, known keys, rows that cannot be read.
+
+#include <boost/test/unit_test.hpp>
+
+#include "Ownership/PartitionStore.h"
+#include "Replay/TableModel.h"
+
+using namespace yardhill::ownership;
+using yardhill::replay::table_model;
+
+namespace
+{
+// A partition's store on a table, answered at once unless told otherwise.
+struct fixture
+{
+  ownership_options options;
+  metrics counts;
+  table_model table{{1e9, 1e9}};
+  time_point now{std::chrono::seconds{1}};
+
+  partition_store make(const std::string& name)
+  {
+    return {{zone_id{"a"}, 0}, instance_id{name}, options, counts};
+  }
+
+  // Lets the store do what it can; `lose_writes` takes the answers of writes away.
+  partition_store_output settle(partition_store& store, bool lose_writes = false)
+  {
+    partition_store_output all;
+    for (int round = 0; round < 200; ++round)
+    {
+      now += std::chrono::milliseconds{20};
+      store.advance(now);
+      partition_store_output out = store.take_output();
+      collect(all, out);
+      if (!out.call)
+        continue;
+      if (const auto* read = std::get_if<store_read>(&*out.call))
+        store.read_answered(table.read(*read, now), now);
+      else
+      {
+        const auto result = table.write(std::get<store_transaction>(*out.call), now);
+        const store_write_result lost{store_status::unclear, 0};
+        store.write_answered(lose_writes && result.status == store_status::ok ? lost : result, now);
+      }
+      out = store.take_output();
+      collect(all, out);
+      if (out.call)
+        round = run_call(store, *out.call, round);
+    }
+    return all;
+  }
+
+  int run_call(partition_store& store, const store_call& call, int round)
+  {
+    if (const auto* read = std::get_if<store_read>(&call))
+      store.read_answered(table.read(*read, now), now);
+    else
+      store.write_answered(table.write(std::get<store_transaction>(call), now), now);
+    return round;
+  }
+
+  static void collect(partition_store_output& all, partition_store_output& out)
+  {
+    if (out.allotted)
+      all.allotted = out.allotted;
+    if (out.conflict)
+      all.conflict = out.conflict;
+    if (out.loaded)
+      all.loaded = out.loaded;
+    for (const auto& result : out.results)
+      all.results.push_back(result);
+    for (const auto& key : out.malformed_rows)
+      all.malformed_rows.push_back(key);
+  }
+
+  static record_write accept_of(const std::string& id)
+  {
+    record_write write;
+    write.change = record_change::accept;
+    write.task.spec.id = task_id{id};
+    write.task.spec.workload = workload_id{"w"};
+    return write;
+  }
+
+  partition_store owner(const std::string& name, term_number at_least)
+  {
+    partition_store store = make(name);
+    store.want_term(at_least);
+    const auto out = settle(store);
+    store.begin_term(out.allotted.value());
+    settle(store);
+    return store;
+  }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(partition_store_suite, fixture)
+
+BOOST_AUTO_TEST_CASE(terms_only_grow)
+{
+  partition_store first = make("a-1@1");
+  first.want_term(1);
+  BOOST_TEST(settle(first).allotted.value() == 1U);
+  partition_store second = make("a-2@1");
+  second.want_term(1);
+  BOOST_TEST(settle(second).allotted.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_term_whose_answer_was_lost_is_found_by_its_write_id)
+{
+  partition_store store = make("a-1@1");
+  store.want_term(1);
+  BOOST_TEST(settle(store, true).allotted.value() == 1U);
+  BOOST_TEST(table.load().writes == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_was_lost_takes_effect_once)
+{
+  partition_store store = owner("a-1@1", 1);
+  const auto writes_before = table.load().writes;
+  store.append(accept_of("w/k"), now);
+  const auto out = settle(store, true);
+  BOOST_REQUIRE(out.results.size() == 1U);
+  BOOST_TEST((out.results.front().status == record_write_status::written));
+  BOOST_TEST(table.load().writes == writes_before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_stale_owner_writes_nothing)
+{
+  partition_store old = owner("a-1@1", 1);
+  owner("a-2@1", 2);
+  const auto rows_before = table.load().rows;
+  old.append(accept_of("w/k"), now);
+  const auto out = settle(old);
+  BOOST_TEST(out.results.empty());
+  BOOST_TEST(table.rows().count("task/a/0/open/w/k") == 0U);
+  // It learns so when it reads the row; taking it back needs a term of its own.
+  BOOST_TEST(table.load().rows >= rows_before);
+}
+
+BOOST_AUTO_TEST_CASE(a_known_key_is_told_and_others_are_written)
+{
+  partition_store store = owner("a-1@1", 1);
+  store.append(accept_of("w/k"), now);
+  settle(store);
+  store.append(accept_of("w/k"), now);
+  store.append(accept_of("w/new"), now);
+  const auto out = settle(store);
+  BOOST_REQUIRE(out.results.size() == 2U);
+  BOOST_TEST((out.results[0].status == record_write_status::exists));
+  BOOST_TEST((out.results[1].status == record_write_status::written));
+  BOOST_TEST(out.results[1].task.value == "w/new");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_reads_open_records_and_steps_over_unreadable_ones)
+{
+  partition_store store = owner("a-1@1", 1);
+  store.append(accept_of("w/k"), now);
+  settle(store);
+  table.write({{}, {{"task/a/0/open/w/broken", "{"}}}, now);
+  partition_store next = make("a-2@1");
+  next.want_term(2);
+  next.begin_term(settle(next).allotted.value());
+  const auto out = settle(next);
+  BOOST_REQUIRE(out.loaded);
+  BOOST_TEST(out.loaded->size() == 1U);
+  BOOST_TEST(out.malformed_rows.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_partition_row_is_never_written_over)
+{
+  table.write({{}, {{"partition/a/0", "not ours"}}}, now);
+  partition_store store = make("a-1@1");
+  store.want_term(1);
+  BOOST_TEST(!settle(store).allotted);
+  BOOST_TEST(table.rows().at("partition/a/0").value == "not ours");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/Yardhill/Files.cpp
+++ b/Source/Yardhill/Files.cpp
@@ -10,14 +10,22 @@
 
 namespace yardhill::cli
 {
-common::named_text read_file(const std::string& path)
+common::leaf::result<common::named_text> load_file(const std::string& path)
 {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
   text << in.rdbuf();
   if (!in)
-    throw std::runtime_error(path + ": cannot be read");
-  return {path, text.str()};
+    return common::leaf::new_error(common::step_error{"read_file", path, "cannot be read"});
+  return common::named_text{path, text.str()};
+}
+
+common::named_text read_file(const std::string& path)
+{
+  return common::value_or<common::named_text>(
+      [&path] { return load_file(path); },
+      [](const common::step_error& error) -> common::named_text
+      { throw std::runtime_error(common::to_text(error)); });
 }
 
 std::vector<common::named_text> read_files(const std::vector<std::string>& paths)
--- a/Source/Yardhill/Files.h
+++ b/Source/Yardhill/Files.h
@@ -9,11 +9,13 @@
 #include <vector>
 
 #include "Common/ConfigParser.h"
+#include "Common/Error.h"
 #include "Common/Problem.h"
 
 namespace yardhill::cli
 {
-// Throws std::runtime_error naming the file.
+common::leaf::result<common::named_text> load_file(const std::string& path);
+// The same for a command's arguments: throws std::runtime_error with step and file.
 common::named_text read_file(const std::string& path);
 std::vector<common::named_text> read_files(const std::vector<std::string>& paths);
 // One line each on standard error.
