Ownership: Ended records leave the table after their time, and are found there before

Cause: rows of ended tasks were never deleted, and the status of a task whose record had left memory said "no such task" although the table had it.

Change: an owner remembers which ended rows it wrote; a new one lists their keys once; past ended_retention they are deleted by the next transaction, at no write of its own. A status that memory does not know is looked up in the table.

--- a/Source/Core/Common/InstanceSettings.cpp
+++ b/Source/Core/Common/InstanceSettings.cpp
@@ -35,6 +35,7 @@
     {"store_retry_first", &ownership_options::store_retry_first},
     {"store_retry_most", &ownership_options::store_retry_most},
     {"config_poll", &ownership_options::config_poll},
+    {"ended_retention", &ownership_options::ended_retention},
 });
 
 constexpr auto k_scheduling_spans = std::to_array<span_field<scheduling_options>>({
--- a/Source/Core/Common/Options.h
+++ b/Source/Core/Common/Options.h
@@ -37,6 +37,8 @@
   // an intent; nobody does for an end, which the worker remembers until it is written.
   duration commit_soon = std::chrono::milliseconds{5};
   duration commit_late = std::chrono::milliseconds{500};
+  // How long the table keeps the record of an ended task.
+  duration ended_retention = std::chrono::hours{24};
   // Records that may share a transaction; 1 writes each by itself.
   std::size_t most_batch = 100;
   duration probe_time = std::chrono::milliseconds{400};
--- a/Source/Core/Common/StoreMessages.h
+++ b/Source/Core/Common/StoreMessages.h
@@ -62,6 +62,7 @@
   std::string prefix;
   std::string after;
   std::uint32_t limit = 1000;
+  bool keys_only = false; // leave the values out
 };
 
 struct store_read_result
--- a/Source/Core/Common/StoredTask.h
+++ b/Source/Core/Common/StoredTask.h
@@ -35,6 +35,7 @@
   intent,
   end,
   forget,
+  find, // nothing is written: look whether there is a row
   count
 };
 
@@ -48,7 +49,7 @@
 {
   written,
   exists,      // accept only: the task was known; `known` tells
-  not_written, // certainly
+  not_written, // certainly; find: there is no row
   unclear      // may have been written; settled later by another result
 };
 
--- a/Source/Core/Decision/PartitionScheduler.cpp
+++ b/Source/Core/Decision/PartitionScheduler.cpp
@@ -262,6 +262,11 @@
 
 void partition_scheduler::written(const record_write_result& result, time_point now)
 {
+  if (result.change == record_change::find)
+  {
+    found(result);
+    return;
+  }
   task_record* task = m_tasks.find(result.task);
   if (task == nullptr)
   {
@@ -286,6 +291,7 @@
     if (result.status == record_write_status::written)
       m_tasks.erase(result.task);
     return;
+  case record_change::find:
   case record_change::count:
     return;
   }
@@ -426,8 +432,43 @@
                   "the table service has not told yet what is known", "status", k_store_come_back));
     return;
   }
-  reply(from, refuse(id, refusal_reason::unknown_task, "no such task is known here", "status",
-                     duration{0}));
+  if (m_store_down)
+  {
+    reply(from, unclear(id, refusal_reason::store_unavailable,
+                        "it is not in memory and the table service is down", "status",
+                        k_store_come_back));
+    return;
+  }
+  // It may have ended long ago: the table remembers longer than this process.
+  std::vector<reply_address>& asking = m_finding[id];
+  asking.push_back(from);
+  if (asking.size() > 1)
+    return;
+  record_write look;
+  look.change = record_change::find;
+  look.task.spec.id = id;
+  m_output.writes.push_back(std::move(look));
+}
+
+void partition_scheduler::found(const record_write_result& result)
+{
+  const auto asking = m_finding.find(result.task);
+  if (asking == m_finding.end())
+    return;
+  answer value = refuse(result.task, refusal_reason::unknown_task, "no such task is known here",
+                        "status", duration{0});
+  if (result.status == record_write_status::unclear)
+    value = unclear(result.task, refusal_reason::store_unavailable,
+                    "it is not in memory and the table service did not answer", "status",
+                    k_store_come_back);
+  else if (result.known && result.known->final_answer)
+    value = *result.known->final_answer;
+  else if (result.known)
+    value = unclear(result.task, refusal_reason::records_incomplete,
+                    "its record is being taken over", "status", k_store_come_back);
+  for (const reply_address& to : asking->second)
+    reply(to, value);
+  m_finding.erase(asking);
 }
 
 answer partition_scheduler::current_answer(const task_record& task) const
--- a/Source/Core/Decision/PartitionScheduler.h
+++ b/Source/Core/Decision/PartitionScheduler.h
@@ -115,6 +115,7 @@
   void accept_written(task_record& task, const record_write_result& result, time_point now);
   void intent_written(task_record& task, record_write_status status, time_point now);
   void end_written(task_record& task);
+  void found(const record_write_result& result);
   void take_known(task_record& task, const stored_task& known, time_point now);
   void accept(const task_spec& spec, bool fresh, const reply_address& from, time_point now);
   void enqueue(task_record& task, time_point now);
@@ -184,6 +185,7 @@
   cell_config m_cell;
   std::multimap<time_point, timer> m_timers;
   std::unordered_map<worker_id, worker_inbox> m_inboxes;
+  std::unordered_map<task_id, std::vector<reply_address>> m_finding; // asked of the table
   scheduler_output m_output;
   placing_right m_right = placing_right::none;
   bool m_owned = false;
--- a/Source/Core/Decision/PartitionSchedulerRecovery.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRecovery.cpp
@@ -55,6 +55,16 @@
             m_shares.ended(task.spec.team, task.members[member].granted);
         }
       });
+  for (const auto& [id, asking] : m_finding)
+  {
+    for (const reply_address& to : asking)
+    {
+      answer nothing;
+      nothing.task = id;
+      m_output.replies.push_back({to, nothing, true});
+    }
+  }
+  m_finding.clear();
   m_owned = false;
   m_records_complete = false;
   m_right = placing_right::none;
--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -83,7 +83,10 @@
 void partition_store::begin_term(term_number term)
 {
   if (m_term == 0)
+  {
     m_needs_load = true;
+    m_needs_listing = true;
+  }
   // The row that was written for this very term is current; any other has to be caught up.
   m_row_current = m_row_current && m_writing_term == term;
   m_term = term;
@@ -95,6 +98,11 @@
   m_row_current = false;
   m_contested = false;
   m_needs_load = false;
+  m_needs_listing = false;
+  m_load_after.clear();
+  m_list_after.clear();
+  m_ended.clear();
+  m_outdated.clear();
   m_pending.clear();
   m_commit_due = k_never;
   m_batch.clear();
@@ -104,6 +112,11 @@
 
 void partition_store::append(const record_write& write, time_point now)
 {
+  if (write.change == record_change::find)
+  {
+    m_to_find.push_back({write, now, false});
+    return;
+  }
   const bool awaited =
       write.change == record_change::accept || write.change == record_change::intent;
   const duration window = awaited ? m_options.commit_soon : m_options.commit_late;
@@ -273,11 +286,59 @@
   m_output.loaded = std::exchange(m_loading, {});
 }
 
+// Pages through the keys of what ended under earlier owners: from now on its time runs here.
+void partition_store::list_ended()
+{
+  store_read request{task_prefix(k_ended), m_list_after, k_page};
+  request.keys_only = true;
+  call(std::move(request), step::listing_ended);
+}
+
+void partition_store::ended_were_listed(const store_read_result& result, time_point now)
+{
+  if (result.status != store_status::ok)
+  {
+    failed(result.status, now);
+    return;
+  }
+  succeeded();
+  for (const store_row& row : result.rows)
+  {
+    m_ended.push_back({row.key, now + m_options.ended_retention});
+    m_list_after = row.key;
+  }
+  m_needs_listing = result.more;
+}
+
+// Rows past their time go with the next transaction, so that deleting costs no write of its own.
+void partition_store::collect_outdated(time_point now)
+{
+  m_outdated.clear();
+  while (!m_ended.empty() && m_ended.front().until <= now &&
+         m_outdated.size() < m_options.most_batch)
+  {
+    m_outdated.push_back(std::move(m_ended.front().key));
+    m_ended.pop_front();
+  }
+}
+
+void partition_store::note_ended(time_point now)
+{
+  for (const pending_write& done : m_batch)
+  {
+    if (done.write.change == record_change::end)
+      m_ended.push_back(
+          {task_key(k_ended, done.write.task.spec.id), now + m_options.ended_retention});
+  }
+  m_outdated.clear();
+}
+
 void partition_store::commit(time_point now)
 {
   if (m_batch.empty())
   {
     m_batch_maybe_written = false;
+    collect_outdated(now);
     m_write_id = m_self.value + "/" + std::to_string(++m_write_count);
     while (!m_pending.empty() && m_batch.size() < m_options.most_batch)
     {
@@ -317,10 +378,13 @@
     case record_change::forget:
       transaction.puts.push_back({open_key, std::nullopt});
       break;
+    case record_change::find:
     case record_change::count:
       break;
     }
   }
+  for (const std::string& key : m_outdated)
+    transaction.puts.push_back({key, std::nullopt});
   return transaction;
 }
 
@@ -332,6 +396,7 @@
     succeeded();
     m_row_version = result.version;
     report_batch(record_write_status::written);
+    note_ended(now);
     m_batch.clear();
     return;
   case store_status::conflict:
@@ -390,7 +455,7 @@
     if (!known)
       m_output.malformed_rows.push_back(same->key);
     m_output.results.push_back(
-        {record_change::accept, id, record_write_status::exists, std::move(known)});
+        {asked.write.change, id, record_write_status::exists, std::move(known)});
     m_to_find.pop_front();
   }
   else if (!asked.told_unclear)
@@ -399,6 +464,12 @@
     call(store_read{task_key(k_open, id), {}, 1}, step::finding_known);
     return;
   }
+  else if (asked.write.change == record_change::find)
+  {
+    m_output.results.push_back(
+        {record_change::find, id, record_write_status::not_written, std::nullopt});
+    m_to_find.pop_front();
+  }
   else
   {
     asked.told_unclear = false;
@@ -446,6 +517,14 @@
     m_batch.clear();
     m_commit_due = m_not_before;
   }
+  std::erase_if(m_to_find,
+                [&](const pending_write& entry)
+                {
+                  const bool over = entry.write.change == record_change::find;
+                  if (over)
+                    report(entry, record_write_status::unclear);
+                  return over;
+                });
   std::erase_if(m_pending,
                 [&](const pending_write& entry)
                 {
@@ -502,6 +581,8 @@
     settle(result, now);
   else if (answered == step::loading && m_needs_load)
     page_was_loaded(result, now);
+  else if (answered == step::listing_ended && m_needs_listing)
+    ended_were_listed(result, now);
   else if (answered == step::finding_known && !m_to_find.empty())
     known_was_read(result, now);
 }
@@ -532,6 +613,8 @@
     find_known();
   else if (m_needs_load)
     load_page();
+  else if (m_needs_listing)
+    list_ended();
   else if (!m_batch.empty() || now >= m_commit_due)
     commit(now);
 }
@@ -541,8 +624,8 @@
   if (m_step != step::none || (m_contested && !m_wanted))
     return k_never;
   const bool work =
-      m_wanted ||
-      (m_term != 0 && (!m_row_current || m_needs_load || !m_to_find.empty() || !m_batch.empty()));
+      m_wanted || (m_term != 0 && (!m_row_current || m_needs_load || m_needs_listing ||
+                                   !m_to_find.empty() || !m_batch.empty()));
   if (work)
     return m_not_before;
   return m_pending.empty() ? k_never : std::max(m_not_before, m_commit_due);
--- a/Source/Core/Ownership/PartitionStore.h
+++ b/Source/Core/Ownership/PartitionStore.h
@@ -84,6 +84,7 @@
     reading_row,
     writing_row,
     loading,
+    listing_ended, // for their time in the table to run
     committing,
     settling,      // reading the row after a conflict, to see whose write came first
     finding_known, // reading the rows of a task that turned out to exist
@@ -104,6 +105,10 @@
   void settle(const store_read_result& result, time_point now);
   void load_page();
   void page_was_loaded(const store_read_result& result, time_point now);
+  void list_ended();
+  void ended_were_listed(const store_read_result& result, time_point now);
+  void collect_outdated(time_point now);
+  void note_ended(time_point now);
   void commit(time_point now);
   store_transaction make_transaction();
   void committed(const store_write_result& result, time_point now);
@@ -133,6 +138,15 @@
   std::string m_write_id;
   std::uint64_t m_write_count = 0;
   std::string m_load_after;
+  bool m_needs_listing = false;
+  std::string m_list_after;
+  struct ended_row
+  {
+    std::string key;
+    time_point until;
+  };
+  std::deque<ended_row> m_ended;       // in the table, oldest first
+  std::vector<std::string> m_outdated; // deleted by the transaction that is under way
   std::vector<stored_task> m_loading;
   std::deque<pending_write> m_pending;
   std::deque<pending_write> m_batch; // in the transaction that is under way
--- a/Source/Core/Platform/TableProtocol.cpp
+++ b/Source/Core/Platform/TableProtocol.cpp
@@ -9,7 +9,7 @@
 {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_row, key, version, value)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(row_check, key, version)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_read, prefix, after, limit)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_read, prefix, after, limit, keys_only)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(endpoint, address, port)
 
 // A deleted row is a put without a value.
--- a/Source/Core/Replay/TableModel.cpp
+++ b/Source/Core/Replay/TableModel.cpp
@@ -45,6 +45,8 @@
       break;
     }
     result.rows.push_back(row->second);
+    if (request.keys_only)
+      result.rows.back().value.clear();
   }
   return result;
 }
--- a/Source/UnitTests/Ownership/PartitionStoreTest.cpp
+++ b/Source/UnitTests/Ownership/PartitionStoreTest.cpp
@@ -171,6 +171,50 @@
   BOOST_TEST(out.malformed_rows.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ended_records_are_deleted_after_their_time_also_by_a_later_owner)
+{
+  options.ended_retention = std::chrono::hours{1};
+  partition_store store = owner("a-1@1", 1);
+  for (const char* id : {"w/first", "w/second"})
+  {
+    store.append(accept_of(id), now);
+    record_write end = accept_of(id);
+    end.change = record_change::end;
+    end.task.final_answer = answer{};
+    settle(store);
+    store.append(end, now);
+    settle(store);
+  }
+  partition_store next = owner("a-2@1", 2);
+  BOOST_TEST(table.rows().count("task/a/0/ended/w/first") == 1U);
+  now += std::chrono::hours{2};
+  next.append(accept_of("w/third"), now);
+  settle(next);
+  BOOST_TEST(table.rows().count("task/a/0/ended/w/first") == 0U);
+  BOOST_TEST(table.rows().count("task/a/0/ended/w/second") == 0U);
+  BOOST_TEST(table.rows().count("task/a/0/open/w/third") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_ended_record_is_found_in_the_table)
+{
+  partition_store store = owner("a-1@1", 1);
+  record_write end = accept_of("w/k");
+  end.change = record_change::end;
+  end.task.final_answer = answer{};
+  store.append(end, now);
+  settle(store);
+  record_write look = accept_of("w/k");
+  look.change = record_change::find;
+  store.append(look, now);
+  look.task.spec.id = task_id{"w/other"};
+  store.append(look, now);
+  const auto out = settle(store);
+  BOOST_REQUIRE(out.results.size() == 2U);
+  BOOST_TEST((out.results[0].status == record_write_status::exists));
+  BOOST_TEST(out.results[0].known->final_answer.has_value());
+  BOOST_TEST((out.results[1].status == record_write_status::not_written));
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_partition_row_is_never_written_over)
 {
   table.write({{}, {{"partition/a/0", "not ours"}}}, now);
