--- a/Source/Core/Instance/InstanceCore.cpp
+++ b/Source/Core/Instance/InstanceCore.cpp
@@ -54,6 +54,8 @@
 {
   m_metrics.add(retry_reason::link_reconnect);
   m_peers.unlinked(link.peer);
+  for (auto& [partition, home] : m_homes)
+    home.peer_unlinked(link.peer, now);
   m_router.peer_unlinked(link.peer, now);
 }
 
--- a/Source/Core/Instance/PartitionHome.h
+++ b/Source/Core/Instance/PartitionHome.h
@@ -39,6 +39,10 @@
   void configure(const cell_config& cell, time_point now);
 
   void owner_heard(const instance_id& owner, term_number term, time_point now);
+  void peer_unlinked(const instance_id& peer, time_point now)
+  {
+    m_ownership.peer_unlinked(peer, now);
+  }
   void handed_over(term_number term, time_point now);
   void set_rank(std::size_t rank) { m_ownership.set_rank(rank); }
 
--- a/Source/Core/Ownership/PartitionOwnership.cpp
+++ b/Source/Core/Ownership/PartitionOwnership.cpp
@@ -23,6 +23,8 @@
 // How long claims of a new term may take to reach a majority before the owner goes on without.
 constexpr duration k_claiming_time = std::chrono::seconds{3};
 constexpr duration k_taking_time = std::chrono::seconds{3};
+// How soon after its connections broke an owner is looked for.
+constexpr duration k_unlinked_look = std::chrono::milliseconds{200};
 } // namespace
 
 std::string_view to_text(ownership_phase phase)
@@ -120,6 +122,7 @@
 {
   std::size_t answered = 0;
   std::size_t alive = 0;
+  duration youngest = duration::max();
   term_number highest = m_known_term;
   for (const auto& [worker, link] : m_links)
   {
@@ -128,15 +131,20 @@
     ++answered;
     highest = std::max(highest, link.probe_term);
     if (link.probe_owner != m_self && link.probe_term >= m_known_term && link.probe_term > 0 &&
-        link.probe_age <= m_options.owner_silence)
+        link.probe_age <= claim_age_allowed())
+    {
       ++alive;
+      youngest = std::min(youngest, link.probe_age);
+    }
   }
   m_phase = ownership_phase::following;
   const bool owner_lives = alive * 2 > m_links.size();
   const bool majority = answered * 2 > m_links.size();
   if (owner_lives || !m_candidate)
   {
-    m_last_heard = now;
+    // Look again when these claims have grown too old to speak for it.
+    const duration left = m_candidate ? claim_age_allowed() - youngest : silence_allowed();
+    m_last_heard = now - silence_allowed() + std::max(left, m_options.claim_retry);
     m_first_silence = time_point{};
     return;
   }
@@ -353,6 +361,18 @@
   m_output.became_owner = false;
 }
 
+// A living owner claims each worker again as soon as the worker has answered.
+duration partition_ownership::claim_age_allowed() const
+{
+  return m_options.claim_wait + m_options.claim_wait / 2;
+}
+
+void partition_ownership::peer_unlinked(const instance_id& peer, time_point now)
+{
+  if (peer == m_known_owner && m_phase == ownership_phase::following)
+    m_last_heard = std::min(m_last_heard, now - silence_allowed() + k_unlinked_look);
+}
+
 duration partition_ownership::silence_allowed() const
 {
   return m_options.owner_silence + k_rank_step * static_cast<duration::rep>(m_rank);
--- a/Source/Core/Ownership/PartitionOwnership.h
+++ b/Source/Core/Ownership/PartitionOwnership.h
@@ -75,6 +75,8 @@
 
   // A heartbeat or the table's row names this owner.
   void owner_heard(const instance_id& owner, term_number term, time_point now);
+  // The connections to this peer broke; if it is the owner it may be dead.
+  void peer_unlinked(const instance_id& peer, time_point now);
   // The table's row names it, which says nothing of whether it lives.
   void term_seen(const instance_id& owner, term_number term);
   // The owner hands the partition over to this instance.
@@ -154,6 +156,7 @@
   void step_down(time_point now);
   void learn(const instance_id& owner, term_number term);
   duration silence_allowed() const;
+  duration claim_age_allowed() const;
 
   partition_id m_partition;
   instance_id m_self;
--- a/Source/Core/Replay/WorkerModel.cpp
+++ b/Source/Core/Replay/WorkerModel.cpp
@@ -102,7 +102,6 @@
   answer.moment = m_moment;
   if (!answer.accepted)
     return answer;
-  m_owner_seen = now;
   m_told_moment = m_moment;
   answer.ticket = m_next_ticket++;
   m_tickets.emplace_back(answer.ticket, now);
