--- a/Source/Core/Common/CellConfig.h
+++ b/Source/Core/Common/CellConfig.h
@@ -59,7 +59,7 @@
 struct cell_config
 {
   std::uint64_t version = 0;
-  double interactive_headroom = 0.1; // part of each partition that only interactive work may use
+  double interactive_headroom = 0.02; // part of each partition that only interactive work may use
   std::vector<zone_config> zones;
   std::vector<team_config> teams;
   std::vector<workload_config> workloads;
