Common: Each rack's workers are dealt out among a zone's partitions

Cause: whole racks took turns, so at the size in two years (7 partitions of 15 workers) one lost rack would take the majority, and with it the keyed requests, from one partition in each zone. The test partitions_share_the_workers_of_each_rack failed (8 workers of a rack in one partition, 2 wanted).

Change: worker n belongs to partition n modulo their number.

--- a/Source/Core/Common/ConfigParser.cpp
+++ b/Source/Core/Common/ConfigParser.cpp
@@ -66,8 +66,8 @@
     const std::int64_t rack = index / per_rack;
     worker.id = worker_id{prefix + "-" + std::to_string(index + 1)};
     worker.rack = rack_id{prefix + "-rack-" + std::to_string(rack + 1)};
-    // Racks take turns, so that a partition spans several and outlives the loss of one.
-    worker.partition = static_cast<std::uint32_t>(rack) % zone.partitions;
+    // Each rack's workers are dealt out, so that every partition outlives the loss of any rack.
+    worker.partition = static_cast<std::uint32_t>(index) % zone.partitions;
     worker.address = "http://" + host + ":" + std::to_string(first_port + index);
     zone.workers.push_back(worker);
   }
--- a/Source/UnitTests/Common/ConfigParserTest.cpp
+++ b/Source/UnitTests/Common/ConfigParserTest.cpp
@@ -3,6 +3,8 @@
 
 // Files with one mistake each: the mistake is named by file, field, what is wrong, what is allowed.
 
+#include <map>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Common/ConfigParser.h"
@@ -42,6 +44,24 @@
   BOOST_TEST(cell->find_workload(workload_id{"w"})->demand.memory_mib == 1024);
 }
 
+// A lost rack must leave every partition the majority of its workers.
+BOOST_AUTO_TEST_CASE(partitions_share_the_workers_of_each_rack)
+{
+  problem_list problems;
+  const auto cell =
+      parse_cell_config({{"cell", R"({"cell": {"zones": [{"name": "a", "partitions": 4, "workers": [
+        {"prefix": "a", "count": 32, "per_rack": 8, "host": "127.0.0.1", "first_port": 1000,
+         "processors": 4, "memory": "8GiB"}]}]}})"}},
+                        problems);
+  BOOST_REQUIRE(cell);
+  std::map<std::pair<rack_id, std::uint32_t>, int> workers;
+  for (const worker_config& worker : cell->zones.front().workers)
+    ++workers[{worker.rack, worker.partition}];
+  BOOST_TEST(workers.size() == 16U);
+  for (const auto& [place, count] : workers)
+    BOOST_TEST(count == 2);
+}
+
 BOOST_AUTO_TEST_CASE(names_each_mistake)
 {
   const std::pair<std::string, std::string> mistakes[] = {
