Ownership: Results too large for a row go to the object store

Cause: the result of a kept task was written into its row whatever its size; a megabyte in base64 is no row. Ruled out: keeping it in memory only (an answer must survive its owner).

Change: bodies above 32 KiB are put into the object store before the row that names them is written, and read from there when a repeated request or a status meets the row. The HTTP calls carry bytes, not text.

--- a/Source/Core/Common/HttpCall.cpp
+++ b/Source/Core/Common/HttpCall.cpp
@@ -46,15 +46,19 @@
   web::http::http_request request(method);
   request.set_request_uri(web::uri(path));
   if (!body.empty())
-    request.set_body(body, "application/json");
+  {
+    request.set_body(std::vector<unsigned char>(body.begin(), body.end()));
+    request.headers().set_content_type("application/json");
+  }
   client.request(request)
       .then(
           [](web::http::http_response response)
           {
             const int status = response.status_code();
-            return response.extract_utf8string(true).then(
-                [status](const std::string& text) {
-                  return call_result{call_end::answered, status, text};
+            // Bytes, not text: an object is not always UTF-8.
+            return response.extract_vector().then(
+                [status](const std::vector<unsigned char>& bytes) {
+                  return call_result{call_end::answered, status, {bytes.begin(), bytes.end()}};
                 });
           })
       .then([done](const pplx::task<call_result>& finished) { done(result_of(finished)); });
--- a/Source/Core/Common/StoreMessages.h
+++ b/Source/Core/Common/StoreMessages.h
@@ -56,6 +56,19 @@
   std::uint64_t version = 0; // ok: the version that every row put now has
 };
 
+// The object store, for what is too large for a row. Writing the same key again replaces it.
+struct object_put
+{
+  std::string key;
+  std::string bytes;
+};
+
+// Answered like a read: one row with the bytes as its value, or none.
+struct object_get
+{
+  std::string key;
+};
+
 // Rows whose key starts with `prefix` and is above `after`, in the order of their keys.
 struct store_read
 {
--- a/Source/Core/Common/StoredTask.cpp
+++ b/Source/Core/Common/StoredTask.cpp
@@ -15,6 +15,8 @@
   out["spec"] = task.spec;
   if (task.intent)
     out["intent"] = *task.intent;
+  if (!task.body_object.empty())
+    out["body_object"] = task.body_object;
   if (task.final_answer)
   {
     out["answer"] = *task.final_answer;
@@ -30,6 +32,7 @@
   in.at("spec").get_to(task.spec);
   if (in.contains("intent"))
     task.intent = in["intent"].get<stored_intent>();
+  task.body_object = in.value("body_object", "");
   if (in.contains("answer"))
   {
     task.final_answer = in["answer"].get<answer>();
--- a/Source/Core/Common/StoredTask.h
+++ b/Source/Core/Common/StoredTask.h
@@ -26,6 +26,7 @@
   task_spec spec;
   std::optional<stored_intent> intent;
   std::optional<answer> final_answer;
+  std::string body_object; // key in the object store of a body too large for a row; else empty
 };
 
 // What a row write is for; open rows are read at a takeover, ended ones on a caller's retry.
--- a/Source/Core/Decision/TaskRecord.h
+++ b/Source/Core/Decision/TaskRecord.h
@@ -109,6 +109,6 @@
     return {spec.id, attempt, static_cast<std::uint32_t>(member)};
   }
   bool all_members_over() const;
-  stored_task to_stored() const { return {spec, intent, final_answer}; }
+  stored_task to_stored() const { return {spec, intent, final_answer, {}}; }
 };
 } // namespace yardhill::decision
--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -19,6 +19,8 @@
 constexpr const char* k_open = "open";
 constexpr const char* k_ended = "ended";
 constexpr std::uint32_t k_page = 500;
+// A larger result goes to the object store; rows stay small enough to be read by the page.
+constexpr std::size_t k_most_row_body = 32U << 10U;
 // A caller is not kept waiting for the table longer than this.
 constexpr duration k_write_patience = std::chrono::seconds{2};
 
@@ -107,6 +109,7 @@
   m_commit_due = k_never;
   m_batch.clear();
   m_to_find.clear();
+  m_known.reset();
   m_loading.clear();
 }
 
@@ -346,6 +349,8 @@
       m_pending.pop_front();
     }
   }
+  if (put_next_object())
+    return;
   m_not_before = now + m_options.commit_soon;
   m_commit_due = m_pending.empty() ? k_never : m_not_before;
   call(make_transaction(), step::committing);
@@ -454,9 +459,13 @@
     std::optional<stored_task> known = parse_task(*same);
     if (!known)
       m_output.malformed_rows.push_back(same->key);
-    m_output.results.push_back(
-        {asked.write.change, id, record_write_status::exists, std::move(known)});
-    m_to_find.pop_front();
+    if (known && !known->body_object.empty())
+    {
+      m_known = std::move(known);
+      call(object_get{m_known->body_object}, step::getting_object);
+      return;
+    }
+    tell_known(std::move(known));
   }
   else if (!asked.told_unclear)
   {
@@ -481,6 +490,60 @@
     find_known();
 }
 
+void partition_store::tell_known(std::optional<stored_task> known)
+{
+  const record_write& asked = m_to_find.front().write;
+  m_output.results.push_back(
+      {asked.change, asked.task.spec.id, record_write_status::exists, std::move(known)});
+  m_to_find.pop_front();
+}
+
+void partition_store::object_was_read(const store_read_result& result, time_point now)
+{
+  if (result.status != store_status::ok || result.rows.empty())
+  {
+    failed(store_status::unclear, now);
+    return;
+  }
+  succeeded();
+  m_known->final_answer->body = result.rows.front().value;
+  m_known->body_object.clear();
+  tell_known(std::exchange(m_known, std::nullopt));
+}
+
+// Large results are in the object store before the row that names them is written.
+bool partition_store::put_next_object()
+{
+  for (pending_write& entry : m_batch)
+  {
+    stored_task& task = entry.write.task;
+    if (!task.final_answer || task.final_answer->body.size() <= k_most_row_body)
+      continue;
+    task.body_object = "result/" + to_text(m_partition) + "/" + task.spec.id.value;
+    call(object_put{task.body_object, task.final_answer->body}, step::putting_object);
+    return true;
+  }
+  return false;
+}
+
+void partition_store::object_was_put(const store_write_result& result, time_point now)
+{
+  if (result.status != store_status::ok)
+  {
+    failed(result.status, now); // put again: the same bytes under the same key
+    return;
+  }
+  succeeded();
+  for (pending_write& entry : m_batch)
+  {
+    stored_task& task = entry.write.task;
+    if (!task.final_answer || task.final_answer->body.size() <= k_most_row_body)
+      continue;
+    task.final_answer->body.clear();
+    return;
+  }
+}
+
 void partition_store::report_batch(record_write_status status)
 {
   for (const pending_write& done : m_batch)
@@ -585,6 +648,8 @@
     ended_were_listed(result, now);
   else if (answered == step::finding_known && !m_to_find.empty())
     known_was_read(result, now);
+  else if (answered == step::getting_object && m_known && !m_to_find.empty())
+    object_was_read(result, now);
 }
 
 void partition_store::write_answered(const store_write_result& result, time_point now)
@@ -594,6 +659,8 @@
     row_was_written(result, now);
   else if (answered == step::committing && !m_batch.empty())
     committed(result, now);
+  else if (answered == step::putting_object && !m_batch.empty())
+    object_was_put(result, now);
 }
 
 void partition_store::advance(time_point now)
--- a/Source/Core/Ownership/PartitionStore.h
+++ b/Source/Core/Ownership/PartitionStore.h
@@ -29,7 +29,7 @@
 {
 using namespace common;
 
-using store_call = std::variant<store_read, store_transaction>;
+using store_call = std::variant<store_read, store_transaction, object_put, object_get>;
 
 // What the partition's row says.
 struct term_row
@@ -88,6 +88,8 @@
     committing,
     settling,      // reading the row after a conflict, to see whose write came first
     finding_known, // reading the rows of a task that turned out to exist
+    putting_object,
+    getting_object,
   };
 
   struct pending_write
@@ -114,6 +116,10 @@
   void committed(const store_write_result& result, time_point now);
   void find_known();
   void known_was_read(const store_read_result& result, time_point now);
+  void tell_known(std::optional<stored_task> known);
+  void object_was_read(const store_read_result& result, time_point now);
+  bool put_next_object();
+  void object_was_put(const store_write_result& result, time_point now);
   void report_batch(record_write_status status);
   void give_up_unwritten(time_point now);
   void succeeded();
@@ -152,6 +158,7 @@
   std::deque<pending_write> m_batch; // in the transaction that is under way
   bool m_batch_maybe_written = false;
   std::deque<pending_write> m_to_find;
+  std::optional<stored_task> m_known; // whose body is being read
   std::uint32_t m_failures = 0;
   bool m_down = false;
   time_point m_not_before{};
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -58,6 +58,11 @@
                 });
 }
 
+std::string object_path(const std::string& key)
+{
+  return k_objects_path + web::uri::encode_data_string(key);
+}
+
 // An answer that cannot be read is no answer.
 void log_malformed(const step_error& error)
 {
@@ -143,6 +148,28 @@
             });
 }
 
+void platform_client::put(const object_put& request, std::function<void(store_write_result)> done)
+{
+  m_metrics.add(counter::store_bytes, request.bytes.size());
+  call_http(m_connection->client, methods::PUT, object_path(request.key), request.bytes,
+            [done = std::move(done)](const call_result& result) {
+              done(store_write_result{status_of(result), 0});
+            });
+}
+
+void platform_client::get(const object_get& request, std::function<void(store_read_result)> done)
+{
+  call_http(m_connection->client, methods::GET, object_path(request.key), {},
+            [this, key = request.key, done = std::move(done)](const call_result& result)
+            {
+              m_metrics.add(counter::store_bytes, result.body.size());
+              store_read_result read{status_of(result), {}, false};
+              if (read.status == store_status::ok)
+                read.rows.push_back({key, 1, result.body});
+              done(std::move(read));
+            });
+}
+
 void platform_client::list_instances(std::function<void(std::vector<listed_instance>)> done)
 {
   call_http(m_connection->client, methods::GET, k_instances_path, {},
--- a/Source/Core/Platform/PlatformClient.h
+++ b/Source/Core/Platform/PlatformClient.h
@@ -29,6 +29,8 @@
   // The callbacks come on a thread of the HTTP library, exactly once.
   void read(const store_read& request, std::function<void(store_read_result)> done);
   void write(const store_transaction& request, std::function<void(store_write_result)> done);
+  void put(const object_put& request, std::function<void(store_write_result)> done);
+  void get(const object_get& request, std::function<void(store_read_result)> done);
   // Not called back when the list could not be had.
   void list_instances(std::function<void(std::vector<listed_instance>)> done);
 
--- a/Source/Core/Platform/TableProtocol.h
+++ b/Source/Core/Platform/TableProtocol.h
@@ -18,6 +18,7 @@
 // Paths below the platform's base URL, all taking POST but the list.
 inline constexpr const char* k_read_path = "/table/read";
 inline constexpr const char* k_transaction_path = "/table/transaction";
+inline constexpr const char* k_objects_path = "/objects/"; // PUT and GET, the bytes as they are
 inline constexpr const char* k_instances_path = "/instances";
 inline constexpr const char* k_caller_header = "Yardhill-Caller";
 
--- a/Source/Core/Replay/TableModel.cpp
+++ b/Source/Core/Replay/TableModel.cpp
@@ -51,6 +51,21 @@
   return result;
 }
 
+store_write_result table_model::put(const object_put& request)
+{
+  m_objects[request.key] = request.bytes;
+  return {store_status::ok, 0};
+}
+
+store_read_result table_model::get(const object_get& request) const
+{
+  store_read_result result{store_status::ok, {}, false};
+  const auto object = m_objects.find(request.key);
+  if (object != m_objects.end())
+    result.rows.push_back({request.key, 1, object->second});
+  return result;
+}
+
 store_write_result table_model::write(const store_transaction& request, time_point now)
 {
   if (!m_writes.take(m_limits.writes_per_second, now))
--- a/Source/Core/Replay/TableModel.h
+++ b/Source/Core/Replay/TableModel.h
@@ -39,6 +39,10 @@
   store_read_result read(const store_read& request, time_point now);
   store_write_result write(const store_transaction& request, time_point now);
 
+  // The object store beside it; without limits.
+  store_write_result put(const object_put& request);
+  store_read_result get(const object_get& request) const;
+
   const table_load& load() const { return m_load; }
   const std::map<std::string, store_row>& rows() const { return m_rows; }
 
@@ -55,6 +59,7 @@
 
   table_limits m_limits;
   std::map<std::string, store_row> m_rows;
+  std::map<std::string, std::string> m_objects;
   std::uint64_t m_version = 0;
   token_bucket m_reads;
   token_bucket m_writes;
--- a/Source/Core/Replay/VirtualCell.cpp
+++ b/Source/Core/Replay/VirtualCell.cpp
@@ -404,7 +404,8 @@
 {
   const auto settled = std::make_shared<bool>(false);
   const std::uint64_t number = what.call;
-  const bool is_read = std::holds_alternative<store_read>(what.request);
+  const bool is_read = std::holds_alternative<store_read>(what.request) ||
+                       std::holds_alternative<object_get>(what.request);
   const auto tell = [this, name = from.name, life = from.life, number, settled](auto result)
   {
     if (!std::exchange(*settled, true))
@@ -429,9 +430,18 @@
          in(way, [tell_status] { tell_status(store_status::unavailable); });
          return;
        }
-       if (const auto* read = std::get_if<store_read>(&request))
+       if (const auto* put = std::get_if<object_put>(&request))
        {
-         const store_read_result result = m_table.read(*read, m_now);
+         const store_write_result result = m_table.put(*put);
+         in(way, [tell, result] { tell(result); });
+         return;
+       }
+       const auto* get = std::get_if<object_get>(&request);
+       const auto* read = std::get_if<store_read>(&request);
+       if (get != nullptr || read != nullptr)
+       {
+         const store_read_result result =
+             get != nullptr ? m_table.get(*get) : m_table.read(*read, m_now);
          if (!is_cut(k_store, name))
            in(way, [tell, result] { tell(result); });
          return;
--- a/Source/Core/Service/InstanceService.cpp
+++ b/Source/Core/Service/InstanceService.cpp
@@ -188,18 +188,26 @@
 void instance_service::carry_out_one(const instance::call_store& what)
 {
   const std::uint64_t number = what.call;
+  const auto was_read = [this, number](store_read_result result) {
+    m_loop.deliver(instance::store_returned{number, std::move(result)});
+  };
   if (const auto* read = std::get_if<store_read>(&what.request))
   {
-    m_platform.read(*read,
-                    [this, number](store_read_result result) {
-                      m_loop.deliver(instance::store_returned{number, std::move(result)});
-                    });
+    m_platform.read(*read, was_read);
     return;
   }
-  m_platform.write(std::get<store_transaction>(what.request),
-                   [this, number](const store_write_result& result) {
-                     m_loop.deliver(instance::store_returned{number, result});
-                   });
+  if (const auto* get = std::get_if<object_get>(&what.request))
+  {
+    m_platform.get(*get, was_read);
+    return;
+  }
+  const auto written = [this, number](const store_write_result& result) {
+    m_loop.deliver(instance::store_returned{number, result});
+  };
+  if (const auto* put = std::get_if<object_put>(&what.request))
+    m_platform.put(*put, written);
+  else
+    m_platform.write(std::get<store_transaction>(what.request), written);
 }
 
 void instance_service::carry_out_one(const instance::log_event& what)
--- a/Source/StandIns/HttpHelp.cpp
+++ b/Source/StandIns/HttpHelp.cpp
@@ -43,7 +43,8 @@
            const std::string& body)
 {
   web::http::http_response response(status);
-  response.set_body(body, "application/json");
+  response.set_body(std::vector<unsigned char>(body.begin(), body.end()));
+  response.headers().set_content_type("application/json");
   request.reply(response).then(
       [](const pplx::task<void>& sent)
       {
@@ -59,12 +60,13 @@
 
 void with_body(const web::http::http_request& request, std::function<void(const std::string&)> then)
 {
-  web::http::http_request(request).extract_utf8string(true).then(
-      [request, then = std::move(then)](const pplx::task<std::string>& read)
+  web::http::http_request(request).extract_vector().then(
+      [request, then = std::move(then)](const pplx::task<std::vector<unsigned char>>& read)
       {
         try
         {
-          then(read.get());
+          const std::vector<unsigned char> bytes = read.get();
+          then(std::string(bytes.begin(), bytes.end()));
         }
         catch (const std::exception& error)
         {
--- a/Source/StandIns/PlatformStandIn.cpp
+++ b/Source/StandIns/PlatformStandIn.cpp
@@ -172,6 +172,10 @@
       }
       reply(request, status_of(result.status), std::to_string(result.version));
     }
+    else if (path.starts_with(platform::k_objects_path))
+    {
+      serve_object(request, path, body);
+    }
     else if (path == platform::k_instances_path)
     {
       reply(request, status_codes::OK, platform::to_json_text(lagging_list()));
@@ -182,6 +186,21 @@
     }
   }
 
+  void serve_object(const http_request& request, const std::string& path, const std::string& body)
+  {
+    if (request.method() == methods::PUT)
+    {
+      m_table.put({path, body});
+      reply(request, status_codes::OK, "");
+      return;
+    }
+    const store_read_result result = m_table.get({path});
+    if (result.rows.empty())
+      reply(request, status_codes::NotFound, "");
+    else
+      reply(request, status_codes::OK, result.rows.front().value);
+  }
+
   std::vector<listed_instance> lagging_list()
   {
     const time_point shown = monotonic_now() - m_options.list_lag;
--- a/Source/UnitTests/Golden/session_store_outage.py
+++ b/Source/UnitTests/Golden/session_store_outage.py
@@ -15,7 +15,8 @@
         entry = next(name for name in cluster.instances if name != owner)
         tasks = cluster.url(entry) + "/v1/tasks"
         payload = '{"run_us": 1000, "bytes": 16}'
-        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+        large = '{"run_us": 1000, "bytes": 100000}'  # too large for a row: the object store's
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": large})
         session.call("POST", tasks, {"workload": "nightly-rebuild", "key": "long", "wait": False,
                                      "payload": '{"run_us": 4000000, "bytes": 16}'})
         wait_until("it to run", lambda: runs_of(cluster, "nightly-rebuild"))
@@ -34,12 +35,12 @@
         wait_until("a new owner", lambda: cluster.owner_of("kakkanad") not in (None, owner))
         session.call("POST", tasks, {"workload": "preview", "key": "p2", "payload": payload})
         session.note("# it cannot know which kept tasks there are")
-        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": large})
         cluster.set_faults(cluster.platform_url(), outage=False)
         session.note("# the table is back: the kept record answers, the accepted task is done")
         wait_until("the records", lambda: http("POST", tasks, {
-            "workload": "release-rebuild", "key": "before", "payload": payload})[0] == 200)
-        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": payload})
+            "workload": "release-rebuild", "key": "before", "payload": large})[0] == 200)
+        session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": large})
         session.call("POST", tasks, {"workload": "release-rebuild", "key": "r1", "payload": payload})
         wait_until("the long one", lambda: http("GET", tasks + "/nightly-rebuild/long")[0] == 200)
         session.call("GET", tasks + "/nightly-rebuild/long")
--- a/Source/UnitTests/Ownership/PartitionStoreTest.cpp
+++ b/Source/UnitTests/Ownership/PartitionStoreTest.cpp
@@ -36,31 +36,30 @@
       store.advance(now);
       partition_store_output out = store.take_output();
       collect(all, out);
-      if (!out.call)
-        continue;
-      if (const auto* read = std::get_if<store_read>(&*out.call))
-        store.read_answered(table.read(*read, now), now);
-      else
+      while (out.call)
       {
-        const auto result = table.write(std::get<store_transaction>(*out.call), now);
-        const store_write_result lost{store_status::unclear, 0};
-        store.write_answered(lose_writes && result.status == store_status::ok ? lost : result, now);
+        answer_call(store, *out.call, lose_writes);
+        out = store.take_output();
+        collect(all, out);
       }
-      out = store.take_output();
-      collect(all, out);
-      if (out.call)
-        round = run_call(store, *out.call, round);
     }
     return all;
   }
 
-  int run_call(partition_store& store, const store_call& call, int round)
+  void answer_call(partition_store& store, const store_call& call, bool lose_write)
   {
     if (const auto* read = std::get_if<store_read>(&call))
       store.read_answered(table.read(*read, now), now);
+    else if (const auto* get = std::get_if<object_get>(&call))
+      store.read_answered(table.get(*get), now);
+    else if (const auto* put = std::get_if<object_put>(&call))
+      store.write_answered(table.put(*put), now);
     else
-      store.write_answered(table.write(std::get<store_transaction>(call), now), now);
-    return round;
+    {
+      const auto result = table.write(std::get<store_transaction>(call), now);
+      const store_write_result lost{store_status::unclear, 0};
+      store.write_answered(lose_write && result.status == store_status::ok ? lost : result, now);
+    }
   }
 
   static void collect(partition_store_output& all, partition_store_output& out)
@@ -195,6 +194,25 @@
   BOOST_TEST(table.rows().count("task/a/0/open/w/third") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_large_result_goes_to_the_object_store_and_comes_back_whole)
+{
+  partition_store store = owner("a-1@1", 1);
+  record_write end = accept_of("w/k");
+  end.change = record_change::end;
+  end.task.final_answer = answer{};
+  for (int byte = 0; byte < 1 << 20; ++byte)
+    end.task.final_answer->body.push_back(static_cast<char>(byte * 13));
+  store.append(end, now);
+  settle(store);
+  BOOST_TEST(table.rows().at("task/a/0/ended/w/k").value.size() < 4096U);
+  record_write look = accept_of("w/k");
+  look.change = record_change::find;
+  store.append(look, now);
+  const auto out = settle(store);
+  BOOST_REQUIRE(out.results.size() == 1U);
+  BOOST_TEST((out.results.front().known->final_answer->body == end.task.final_answer->body));
+}
+
 BOOST_AUTO_TEST_CASE(an_ended_record_is_found_in_the_table)
 {
   partition_store store = owner("a-1@1", 1);
