--- a/Source/Core/Common/ConfigParser.cpp
+++ b/Source/Core/Common/ConfigParser.cpp
@@ -187,7 +187,9 @@
   }
 }
 
-void check_references(const cell_config& cell, problem_list& problems)
+// `workload_files`: the file that declares each workload.
+void check_references(const cell_config& cell, const std::vector<std::string>& workload_files,
+                      problem_list& problems)
 {
   check_unique(cell.zones, "zones", problems);
   check_unique(cell.teams, "teams", problems);
@@ -196,18 +198,20 @@
   for (const zone_config& zone : cell.zones)
     workers.insert(workers.end(), zone.workers.begin(), zone.workers.end());
   check_unique(workers, "workers", problems);
-  for (const workload_config& workload : cell.workloads)
+  for (std::size_t index = 0; index < cell.workloads.size(); ++index)
   {
+    const workload_config& workload = cell.workloads[index];
+    const std::string& file = workload_files[index];
     const std::string field = "workloads." + workload.id.value;
     if (cell.find_team(workload.team) == nullptr)
-      problems.push_back({"the set", field + ".team",
+      problems.push_back({file, field + ".team",
                           "names the unknown team \"" + workload.team.value + "\"",
                           "a team of this set"});
     for (const zone_id& zone : workload.zones)
     {
       if (cell.find_zone(zone) == nullptr)
-        problems.push_back({"the set", field + ".zones",
-                            "names the unknown zone \"" + zone.value + "\"", "a zone of this set"});
+        problems.push_back({file, field + ".zones", "names the unknown zone \"" + zone.value + "\"",
+                            "a zone of this set"});
     }
   }
 }
@@ -219,6 +223,7 @@
   const std::size_t problems_before = problems.size();
   cell_config cell;
   bool has_cell = false;
+  std::vector<std::string> workload_files;
   for (const named_text& file : files)
   {
     const std::optional<json> document = parse_with_comments(file.text, file.file, problems);
@@ -240,6 +245,7 @@
       read_team(team, cell);
     for (field_reader& workload : in.objects("workloads"))
       read_workload(workload, cell);
+    workload_files.resize(cell.workloads.size(), file.file);
     for (const std::string& worker : in.texts("drained"))
       cell.drained.emplace_back(worker);
     in.finish();
@@ -248,7 +254,7 @@
   {
     if (!has_cell)
       problems.push_back({"the set", "cell", "is missing", "one cell in the whole set"});
-    check_references(cell, problems);
+    check_references(cell, workload_files, problems);
   }
   if (problems.size() > problems_before)
     return std::nullopt;
--- a/Source/Core/Replay/WorkerModel.cpp
+++ b/Source/Core/Replay/WorkerModel.cpp
@@ -23,6 +23,7 @@
     plan.run = duration{payload["run_us"].get<std::int64_t>()};
   plan.bytes = payload.value("bytes", plan.bytes);
   plan.fails = payload.value("fails", false);
+  plan.uses = payload.value("uses", plan.uses);
   return plan;
 }
 
@@ -116,10 +117,25 @@
     if (m_ended_terms.at(ended.id) == m_term)
       answer.ended.back().spec.clear();
   }
-  answer.used = m_granted;
+  answer.used = measured(now);
   return answer;
 }
 
+resources worker_model::measured(time_point now) const
+{
+  resources sum;
+  for (const auto& [id, task] : m_running)
+  {
+    if (now - task.started < m_faults.usage_lag)
+      continue;
+    resources used = scaled(task.order.demand, task.plan.uses);
+    used.slots = 0;
+    used.connections = 0;
+    sum += used;
+  }
+  return sum;
+}
+
 start_refusal worker_model::judge(const start_request& request, const start_order& order,
                                   time_point now) const
 {
--- a/Source/Core/Replay/WorkerModel.h
+++ b/Source/Core/Replay/WorkerModel.h
@@ -28,6 +28,7 @@
   std::size_t bytes = 64;
   std::string seed;
   bool fails = false;
+  double uses = 1.0; // of the declared processors and memory
 };
 
 // A payload that is not such JSON runs for the declared time.
@@ -49,7 +50,7 @@
 {
   bool fails_everything = false;
   bool leaving = false;
-  duration usage_lag{0};
+  duration usage_lag = std::chrono::seconds{1}; // an attempt younger than this is not in the report
 };
 
 class worker_model
@@ -94,6 +95,7 @@
   start_refusal judge(const start_request& request, const start_order& order, time_point now) const;
   void begin(const start_request& request, const start_order& order, time_point now);
   void end(const attempt_id& id, attempt_result result, time_point now);
+  resources measured(time_point now) const;
   bool ticket_is_good(std::uint64_t ticket, time_point now) const;
 
   worker_config m_config;
--- a/Source/StandIns/WorkerStandIn.cpp
+++ b/Source/StandIns/WorkerStandIn.cpp
@@ -135,6 +135,7 @@
     replay::worker_model model;
     std::vector<held_claim> held;
     std::set<std::string> cut;
+    bool paused = false;
     std::unique_ptr<http_server> server;
   };
 
@@ -152,6 +153,8 @@
                 const std::string path = request.relative_uri().path();
                 {
                   const std::lock_guard hold(m_lock);
+                  if (worker.paused)
+                    return;
                   worker.model.advance(monotonic_now());
                   if (path == target::k_claim_path)
                     claim(worker, request, claim_request_from(body));
@@ -257,6 +260,9 @@
     replay::worker_faults& set = worker.model.faults();
     set.fails_everything = faults.value("fails_everything", set.fails_everything);
     set.leaving = faults.value("leaving", set.leaving);
+    worker.paused = faults.value("paused", worker.paused);
+    if (faults.contains("usage_lag_ms"))
+      set.usage_lag = std::chrono::milliseconds{faults["usage_lag_ms"].get<std::int64_t>()};
     if (faults.contains("cut"))
       worker.cut = faults["cut"].get<std::set<std::string>>();
     if (faults.value("reboot", false))
--- a/Source/StandIns/WorkerStandIn.h
+++ b/Source/StandIns/WorkerStandIn.h
@@ -7,7 +7,8 @@
 //
 // Each worker:  POST /claim, /start, /stop   as Target/WorkerClient.h says
 // Admin port:   POST /faults  {"workers": [name...] or absent for all, "fails_everything": bool,
-//                              "leaving": bool, "cut": [owner names], "reboot": true}
+//                              "leaving": bool, "cut": [owner names], "reboot": true,
+//                              "paused": bool (answers nothing), "usage_lag_ms": n}
 //               GET  /record  every start that was taken, and how it ended
 //               GET  /usage   what is granted now, and whether anything ever was too much
 
--- a/Source/UnitTests/Common/ConfigParserTest.cpp
+++ b/Source/UnitTests/Common/ConfigParserTest.cpp
@@ -79,7 +79,7 @@
        "field; allowed: accelerators, connections, deadline, expected_run, kind, max_attempts, "
        "memory, name, priority, processors, repeatable, team, zones"},
       {workload(R"("kind": "batch", "zones": ["b"])"),
-       R"(the set: workloads.w.zones: names the unknown zone "b"; allowed: a zone of this set)"},
+       R"(file: workloads.w.zones: names the unknown zone "b"; allowed: a zone of this set)"},
       {R"({"teams": [{"name": "t"}]})",
        R"(the set: teams: names "t" twice; allowed: each name once)"},
       {R"({"teams": {}})", "file: teams: is not a list; allowed: a list of objects"},
