Decision, Replay: Large files cut by what their parts are for

Change: answers of the scheduler, what instances send in a virtual cell, and the built-in cell have files of their own; the times to come back stand in one place. Nothing else changed.

--- a/Source/Core/Decision/PartitionScheduler.cpp
+++ b/Source/Core/Decision/PartitionScheduler.cpp
@@ -1,22 +1,22 @@
 // SPDX-FileCopyrightText: 2026 yardhill contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// Taking tasks in and answering for them. Runs and recovery are in the two files beside this one.
+// Taking tasks in, and the order in which things are done. Answers, runs and recovery are in the
+// files beside this one.
 
 #include "Decision/PartitionScheduler.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "Decision/ComeBack.h"
+
 namespace yardhill::decision
 {
 namespace
 {
 constexpr duration k_pass_period = std::chrono::milliseconds{250};
-constexpr duration k_least_come_back = std::chrono::milliseconds{200};
-constexpr duration k_most_come_back = std::chrono::minutes{1};
 constexpr double k_interval_smoothing = 0.1;
-constexpr duration k_store_come_back = std::chrono::seconds{2};
 } // namespace
 
 partition_scheduler::partition_scheduler(partition_id partition, const scheduling_options& options,
@@ -239,21 +239,6 @@
   m_pass_due = true;
 }
 
-// The answer to a task that was cancelled, or whose deadline passed, while it could not be stopped.
-answer partition_scheduler::stopped_while_waiting(const task_record& task) const
-{
-  const bool cancelled = task.stopping == stop_cause::cancelled;
-  answer value =
-      refuse(task.spec.id,
-             cancelled ? refusal_reason::cancelled_by_caller : refusal_reason::deadline_passed,
-             "stopped while it waited", "place", duration{0});
-  if (cancelled)
-    value.result = outcome::cancelled;
-  else if (task.may_have_run || task.foreign)
-    value.result = outcome::unknown;
-  return value;
-}
-
 void partition_scheduler::leave_queue(task_record& task)
 {
   if (task.phase == task_phase::queued)
@@ -378,133 +363,6 @@
   reply_to_waiters(task, current_answer(task));
 }
 
-void partition_scheduler::cancel(const task_id& id, const reply_address& from, time_point now)
-{
-  task_record* task = m_tasks.find(id);
-  if (task == nullptr)
-  {
-    reply(from, refuse(id, refusal_reason::unknown_task, "no such task is known here", "cancel",
-                       duration{0}));
-    return;
-  }
-  if (task->final_answer)
-  {
-    reply(from, *task->final_answer);
-    return;
-  }
-  task->waiters.push_back({from, true});
-  switch (task->phase)
-  {
-  case task_phase::queued:
-  case task_phase::delayed:
-  {
-    answer cancelled = refuse(id, refusal_reason::cancelled_by_caller, "cancelled before it ran",
-                              "cancel", duration{0});
-    cancelled.result = outcome::cancelled;
-    finish(*task, std::move(cancelled), now);
-    return;
-  }
-  case task_phase::active:
-    stop_members(*task, stop_cause::cancelled, false);
-    return;
-  case task_phase::storing:
-  case task_phase::held:
-  case task_phase::intending:
-    task->stopping = stop_cause::cancelled; // takes effect at the next change of phase
-    return;
-  case task_phase::ended:
-    return;
-  }
-}
-
-void partition_scheduler::status(const task_id& id, const reply_address& from)
-{
-  const task_record* task = m_tasks.find(id);
-  if (task != nullptr)
-  {
-    reply(from, current_answer(*task));
-    return;
-  }
-  if (!m_records_complete)
-  {
-    reply(from,
-          unclear(id, refusal_reason::records_incomplete,
-                  "the table service has not told yet what is known", "status", k_store_come_back));
-    return;
-  }
-  if (m_store_down)
-  {
-    reply(from, unclear(id, refusal_reason::store_unavailable,
-                        "it is not in memory and the table service is down", "status",
-                        k_store_come_back));
-    return;
-  }
-  // It may have ended long ago: the table remembers longer than this process.
-  std::vector<reply_address>& asking = m_finding[id];
-  asking.push_back(from);
-  if (asking.size() > 1)
-    return;
-  record_write look;
-  look.change = record_change::find;
-  look.task.spec.id = id;
-  m_output.writes.push_back(std::move(look));
-}
-
-void partition_scheduler::found(const record_write_result& result)
-{
-  const auto asking = m_finding.find(result.task);
-  if (asking == m_finding.end())
-    return;
-  answer value = refuse(result.task, refusal_reason::unknown_task, "no such task is known here",
-                        "status", duration{0});
-  if (result.status == record_write_status::unclear)
-    value = unclear(result.task, refusal_reason::store_unavailable,
-                    "it is not in memory and the table service did not answer", "status",
-                    k_store_come_back);
-  else if (result.known && result.known->final_answer)
-    value = *result.known->final_answer;
-  else if (result.known)
-    value = unclear(result.task, refusal_reason::records_incomplete,
-                    "its record is being taken over", "status", k_store_come_back);
-  for (const reply_address& to : asking->second)
-    reply(to, value);
-  m_finding.erase(asking);
-}
-
-answer partition_scheduler::current_answer(const task_record& task) const
-{
-  if (task.final_answer)
-    return *task.final_answer;
-  answer value;
-  value.task = task.spec.id;
-  value.result = outcome::accepted;
-  value.detail = std::string(to_text(task.phase));
-  value.durability = task.has_row ? "table" : "memory";
-  value.attempts = task.tries;
-  return value;
-}
-
-void partition_scheduler::reply(const reply_address& to, const answer& value)
-{
-  if (to.peer.empty() && to.number == 0)
-    return; // asked for by the scheduler itself
-  m_output.replies.push_back({to, value, false});
-}
-
-void partition_scheduler::reply_to_waiters(task_record& task, const answer& value)
-{
-  const bool final = value.is_final();
-  std::vector<waiter> kept;
-  for (const waiter& waiting : task.waiters)
-  {
-    if (final || !waiting.until_final)
-      reply(waiting.to, value);
-    else
-      kept.push_back(waiting);
-  }
-  task.waiters = std::move(kept);
-}
-
 void partition_scheduler::write(task_record& task, record_change change)
 {
   m_output.writes.push_back({change, task.to_stored()});
@@ -515,65 +373,6 @@
   m_output.notes.push_back({task.spec.id, step, std::move(detail)});
 }
 
-void partition_scheduler::finish(task_record& task, answer result, time_point now)
-{
-  leave_queue(task);
-  leave_active(task);
-  task.phase = task_phase::ended;
-  task.ended_at = now;
-  result.task = task.spec.id;
-  result.attempts = task.tries;
-  task.final_answer = std::move(result);
-  const answer& final = *task.final_answer;
-  m_metrics.add(final.result == outcome::done ? counter::tasks_done : counter::tasks_failed);
-  note(task, "end", std::string(to_text(final.result)));
-  reply_to_waiters(task, final);
-  const bool retriable = final.result == outcome::refused;
-  if (task.has_row)
-  {
-    write(task, retriable ? record_change::forget : record_change::end);
-    if (!retriable)
-      m_tasks.retain(task, now);
-    return;
-  }
-  settle_members(task);
-  // A refused task was not run: asked for again, it is a new one. Services come back by themselves.
-  if (retriable || task.spec.kind == task_kind::service)
-    m_tasks.erase(task_id{task.spec.id});
-  else
-    m_tasks.retain(task, now);
-}
-
-void partition_scheduler::deadline_passed(task_record& task, time_point now)
-{
-  if (task.final_answer)
-    return;
-  const bool may_run = task.phase == task_phase::active || task.phase == task_phase::held ||
-                       task.phase == task_phase::intending || task.phase == task_phase::storing ||
-                       task.may_have_run;
-  if (!may_run)
-  {
-    finish(task,
-           refuse(task.spec.id, refusal_reason::deadline_passed, "it found no place in time",
-                  "place",
-                  std::clamp(expected_wait(m_queue.size()), k_least_come_back, k_most_come_back)),
-           now);
-    return;
-  }
-  reply_to_waiters(task, unclear(task.spec.id, refusal_reason::deadline_passed,
-                                 "its deadline passed while it may have been running", "run",
-                                 k_least_come_back));
-  if (task.phase == task_phase::active)
-    stop_members(task, stop_cause::deadline, false);
-  else if (task.phase == task_phase::queued || task.phase == task_phase::delayed)
-    finish(task,
-           unclear(task.spec.id, refusal_reason::deadline_passed,
-                   "its deadline passed between two attempts", "run", duration{0}),
-           now);
-  else
-    task.stopping = stop_cause::deadline;
-}
-
 void partition_scheduler::add_timer(time_point at, timer_kind kind, const task_record& task)
 {
   m_timers.emplace(at, timer{kind, task.spec.id, task.sequence});
--- a/Source/Core/Replay/VirtualCell.h
+++ b/Source/Core/Replay/VirtualCell.h
@@ -75,6 +75,7 @@
   packing_figures packing() const;
 
 private:
+  // Defined in VirtualCellParts.h.
   struct live_instance;
   struct held_claim;
   struct worker_host;
@@ -152,6 +153,4 @@
   std::uint64_t m_samples = 0;
 };
 
-// The declared set that traces without one of their own run on.
-std::string built_in_document(const trace_header& header, std::int64_t replicas);
 } // namespace yardhill::replay
--- a/Source/UnitTests/Replay/ExplorerTest.cpp
+++ b/Source/UnitTests/Replay/ExplorerTest.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Replay/BuiltInCell.h"
 #include "Replay/Explorer.h"
 #include "Replay/VirtualCell.h"
 
--- a/Source/UnitTests/Replay/TraceTest.cpp
+++ b/Source/UnitTests/Replay/TraceTest.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Replay/BuiltInCell.h"
 #include "Replay/VirtualCell.h"
 
 using namespace yardhill::replay;
--- a/Source/Yardhill/Replay.cpp
+++ b/Source/Yardhill/Replay.cpp
@@ -12,6 +12,7 @@
 
 #include "Common/ConfigParser.h"
 #include "Common/EnumNames.h"
+#include "Replay/BuiltInCell.h"
 #include "Replay/VirtualCell.h"
 #include "Yardhill/Files.h"
 #include "Yardhill/Subcommands.h"
