Ownership: A worker that leaves the declared set is given up when its leases are over

Cause: found while reading: taking a worker out of the declared set ended its claims, but the scheduler was never told, so what ran there counted as running for good; and a start's answer that came back after that was not counted, so a planned stop waited for it for ever.

Change: such a worker is reported lost, its tasks lapse after the longest run of its leases; calls to removed workers still find their partition. The setting limits.connections, which nothing enforced, is gone.

--- a/Source/Core/Common/InstanceSettings.cpp
+++ b/Source/Core/Common/InstanceSettings.cpp
@@ -92,7 +92,7 @@
   constexpr std::int64_t most_bytes = 64LL << 20U;
   scheduling_options& scheduling = settings.core.scheduling;
   settings.most_body = read_size(in, "request_bytes", most_bytes, settings.most_body);
-  settings.most_connections = read_size(in, "connections", most_count, settings.most_connections);
+
   settings.threads = read_size(in, "http_threads", 64, settings.threads);
   settings.core.routing.most_pending =
       read_size(in, "pending_requests", most_count, settings.core.routing.most_pending);
--- a/Source/Core/Common/InstanceSettings.h
+++ b/Source/Core/Common/InstanceSettings.h
@@ -41,9 +41,9 @@
   endpoint peer;
   std::string platform; // base URL of the table service and the instance list
   std::vector<peer_setting> peers;
-  std::size_t threads = 2;            // of the HTTP library
-  std::size_t most_body = 1U << 20U;  // bytes of a caller's request
-  std::size_t most_connections = 512; // of callers
+  std::size_t threads = 2;           // of the HTTP library
+  std::size_t most_body = 1U << 20U; // bytes of a caller's request
+
   std::string log_level = "info";
   core_options core;
 };
--- a/Source/Core/Instance/InstanceCore.cpp
+++ b/Source/Core/Instance/InstanceCore.cpp
@@ -211,7 +211,7 @@
     const partition_id partition{zone->id, index};
     m_homes.try_emplace(partition, partition, m_identity.id, m_options, m_policy, m_metrics, now);
   }
-  m_worker_homes.clear();
+  // Workers that are no longer declared stay known: calls to them may still come back.
   for (const worker_config& worker : zone->workers)
     m_worker_homes[worker.id] = {zone->id, worker.partition};
   for (auto& [partition, home] : m_homes)
--- a/Source/Core/Instance/PartitionHome.cpp
+++ b/Source/Core/Instance/PartitionHome.cpp
@@ -35,7 +35,7 @@
       m_addresses[worker.id] = worker.address;
     }
   }
-  m_ownership.configure(workers);
+  m_ownership.configure(workers, now);
   m_scheduler.configure(cell, now);
 }
 
--- a/Source/Core/Ownership/PartitionOwnership.cpp
+++ b/Source/Core/Ownership/PartitionOwnership.cpp
@@ -43,10 +43,20 @@
 {
 }
 
-void partition_ownership::configure(const std::vector<worker_id>& workers)
-{
-  std::erase_if(m_links, [&workers](const auto& entry)
-                { return std::ranges::find(workers, entry.first) == workers.end(); });
+void partition_ownership::configure(const std::vector<worker_id>& workers, time_point now)
+{
+  std::erase_if(m_links,
+                [&](const auto& entry)
+                {
+                  const auto& [worker, link] = entry;
+                  if (std::ranges::find(workers, worker) != workers.end())
+                    return false;
+                  // Nobody claims it any more, so what runs there ends with its leases.
+                  if (owns() && link.claimed && !link.lost)
+                    m_output.lost_workers.push_back(
+                        {worker, std::max(now, link.answered_at) + m_options.longest_own_run()});
+                  return true;
+                });
   for (const worker_id& worker : workers)
     m_links.try_emplace(worker);
 }
--- a/Source/Core/Ownership/PartitionOwnership.h
+++ b/Source/Core/Ownership/PartitionOwnership.h
@@ -71,7 +71,7 @@
   partition_ownership(partition_id partition, instance_id self, const ownership_options& options,
                       metrics& counts, time_point now);
 
-  void configure(const std::vector<worker_id>& workers);
+  void configure(const std::vector<worker_id>& workers, time_point now);
 
   // A heartbeat or the table's row names this owner.
   void owner_heard(const instance_id& owner, term_number term, time_point now);
