Common, Ownership, Instance: One piece of code for what stood twice

"Parse it, or nothing" was spelled out four times around LEAF (partition row, task row, configuration head, a worker's specification); the search for the next large result stood in two functions; "not the owner" was put together in two places; worker_acknowledgement and pending_of_callers were used by nobody.

Change: parsed_or_none in Common/Error.h, next_large_result, send_not_owner; the unused ones are gone. Behaviour is as before; no test was touched.

Not mended now: the setting forward_timeout is read but used by nothing.

--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -7,6 +7,7 @@
 
 #include <exception>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -54,4 +55,15 @@
         return on_error(step_error{"unknown", "", "no details"});
       });
 }
+
+// What `parse` makes of a text that came from `peer`; nothing where it throws.
+template<class parse_function>
+auto parsed_or_none(const std::string& step, const std::string& peer, const parse_function& parse)
+    -> std::optional<decltype(parse())>
+{
+  using maybe = std::optional<decltype(parse())>;
+  return value_or<maybe>([&]() -> leaf::result<maybe>
+                         { return parsed(step, peer, [&parse] { return maybe(parse()); }); },
+                         [](const step_error&) { return maybe{}; });
+}
 } // namespace yardhill::common
--- a/Source/Core/Decision/PartitionSchedulerRecovery.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRecovery.cpp
@@ -17,10 +17,7 @@
 {
   if (text.empty())
     return std::nullopt;
-  return value_or<std::optional<task_spec>>(
-      [&]() -> leaf::result<std::optional<task_spec>>
-      { return parsed("adopt", to_text(id), [&] { return std::optional(task_spec_from(text)); }); },
-      [](const step_error&) { return std::optional<task_spec>{}; });
+  return parsed_or_none("adopt", to_text(id), [&text] { return task_spec_from(text); });
 }
 } // namespace
 
--- a/Source/Core/Decision/SchedulerOutput.h
+++ b/Source/Core/Decision/SchedulerOutput.h
@@ -34,13 +34,6 @@
   bool moved = false; // nothing was decided: ask the partition's new owner
 };
 
-// A worker's ended attempt whose record is safe, so that the worker may forget it.
-struct worker_acknowledgement
-{
-  worker_id worker;
-  std::uint64_t sequence = 0;
-};
-
 // What happened to a task, for the log.
 struct task_note
 {
--- a/Source/Core/Instance/ConfigKeeper.cpp
+++ b/Source/Core/Instance/ConfigKeeper.cpp
@@ -32,13 +32,8 @@
 // What the head's row says; nothing where it cannot be read.
 std::optional<config_head> parse_head(const std::string& text)
 {
-  return value_or<std::optional<config_head>>(
-      [&text]() -> leaf::result<std::optional<config_head>>
-      {
-        return parsed("read_head", "table",
-                      [&text] { return std::optional(json::parse(text).get<config_head>()); });
-      },
-      [](const step_error&) { return std::optional<config_head>{}; });
+  return parsed_or_none("read_head", "table",
+                        [&text] { return json::parse(text).get<config_head>(); });
 }
 } // namespace
 
--- a/Source/Core/Instance/RequestRouter.cpp
+++ b/Source/Core/Instance/RequestRouter.cpp
@@ -135,10 +135,7 @@
   if (zone == nullptr && !request.from_peer.empty())
   {
     // The peer knows a configuration that this instance does not know yet.
-    forward_answer reply;
-    reply.number = request.from_number;
-    reply.not_owner = true;
-    m_commands.emplace_back(send_to_peer{request.from_peer, std::move(reply)});
+    send_not_owner(request, false);
     return;
   }
   if (zone == nullptr)
@@ -353,13 +350,17 @@
 
 void request_router::pass_back_not_owner(std::uint64_t number, bool may_have_run)
 {
-  const pending_request& request = m_pending.at(number);
+  send_not_owner(m_pending.at(number), may_have_run);
+  erase(m_pending.find(number));
+}
+
+void request_router::send_not_owner(const pending_request& request, bool may_have_run)
+{
   forward_answer reply;
   reply.number = request.from_number;
   reply.not_owner = true;
   reply.may_have_run = may_have_run;
   m_commands.emplace_back(send_to_peer{request.from_peer, std::move(reply)});
-  erase(m_pending.find(number));
 }
 
 void request_router::finish(std::uint64_t number, const answer& value)
@@ -421,10 +422,4 @@
 {
   return std::exchange(m_commands, {});
 }
-
-std::size_t request_router::pending_of_callers() const
-{
-  return static_cast<std::size_t>(std::ranges::count_if(
-      m_pending, [](const auto& entry) { return entry.second.from_peer.empty(); }));
-}
 } // namespace yardhill::instance
--- a/Source/Core/Instance/RequestRouter.h
+++ b/Source/Core/Instance/RequestRouter.h
@@ -48,7 +48,6 @@
   time_point next_timer() const;
   std::vector<command> take_commands();
   std::size_t pending() const { return m_pending.size(); }
-  std::size_t pending_of_callers() const;
 
 private:
   enum class place
@@ -92,6 +91,7 @@
   void finish(std::uint64_t number, const answer& value);
   pending_map::iterator erase(pending_map::iterator entry);
   void pass_back_not_owner(std::uint64_t number, bool may_have_run);
+  void send_not_owner(const pending_request& request, bool may_have_run);
   void send_answer(const pending_request& request, const answer& value);
   void count(const answer& value);
 
--- a/Source/Core/Ownership/PartitionStore.cpp
+++ b/Source/Core/Ownership/PartitionStore.cpp
@@ -29,26 +29,14 @@
 {
   if (result.rows.empty())
     return term_row{};
-  return value_or<std::optional<term_row>>(
-      [&result]() -> leaf::result<std::optional<term_row>>
-      {
-        return parsed(
-            "read_row", "table",
-            [&result]
-            { return std::optional(json::parse(result.rows.front().value).get<term_row>()); });
-      },
-      [](const step_error&) { return std::optional<term_row>{}; });
+  return parsed_or_none("read_row", "table",
+                        [&result]
+                        { return json::parse(result.rows.front().value).get<term_row>(); });
 }
 
 std::optional<stored_task> parse_task(const store_row& row)
 {
-  return value_or<std::optional<stored_task>>(
-      [&row]() -> leaf::result<std::optional<stored_task>>
-      {
-        return parsed("read_task", "table",
-                      [&row] { return std::optional(stored_task_from(row.value)); });
-      },
-      [](const step_error&) { return std::optional<stored_task>{}; });
+  return parsed_or_none("read_task", "table", [&row] { return stored_task_from(row.value); });
 }
 } // namespace
 
@@ -511,19 +499,27 @@
   tell_known(std::exchange(m_known, std::nullopt));
 }
 
-// Large results are in the object store before the row that names them is written.
-bool partition_store::put_next_object()
+// The first result of the batch that is too large for its row.
+stored_task* partition_store::next_large_result()
 {
   for (pending_write& entry : m_batch)
   {
     stored_task& task = entry.write.task;
-    if (!task.final_answer || task.final_answer->body.size() <= k_most_row_body)
-      continue;
-    task.body_object = "result/" + to_text(m_partition) + "/" + task.spec.id.value;
-    call(object_put{task.body_object, task.final_answer->body}, step::putting_object);
-    return true;
+    if (task.final_answer && task.final_answer->body.size() > k_most_row_body)
+      return &task;
   }
-  return false;
+  return nullptr;
+}
+
+// Large results are in the object store before the row that names them is written.
+bool partition_store::put_next_object()
+{
+  stored_task* task = next_large_result();
+  if (task == nullptr)
+    return false;
+  task->body_object = "result/" + to_text(m_partition) + "/" + task->spec.id.value;
+  call(object_put{task->body_object, task->final_answer->body}, step::putting_object);
+  return true;
 }
 
 void partition_store::object_was_put(const store_write_result& result, time_point now)
@@ -534,14 +530,8 @@
     return;
   }
   succeeded();
-  for (pending_write& entry : m_batch)
-  {
-    stored_task& task = entry.write.task;
-    if (!task.final_answer || task.final_answer->body.size() <= k_most_row_body)
-      continue;
-    task.final_answer->body.clear();
-    return;
-  }
+  if (stored_task* task = next_large_result())
+    task->final_answer->body.clear();
 }
 
 void partition_store::report_batch(record_write_status status)
--- a/Source/Core/Ownership/PartitionStore.h
+++ b/Source/Core/Ownership/PartitionStore.h
@@ -118,6 +118,7 @@
   void known_was_read(const store_read_result& result, time_point now);
   void tell_known(std::optional<stored_task> known);
   void object_was_read(const store_read_result& result, time_point now);
+  stored_task* next_large_result();
   bool put_next_object();
   void object_was_put(const store_write_result& result, time_point now);
   void report_batch(record_write_status status);
