--- a/CMake/Libraries.cmake
+++ b/CMake/Libraries.cmake
@@ -1,7 +1,7 @@
 # SPDX-FileCopyrightText: 2026 yardhill contributors
 # SPDX-License-Identifier: Apache-2.0
 # Finds the libraries that Tools/setup installs.
-find_package(Boost 1.74 REQUIRED COMPONENTS unit_test_framework)
+find_package(Boost 1.74 REQUIRED)
 find_package(cpprestsdk REQUIRED)
 find_package(OpenSSL REQUIRED) # cpprest's headers call it
 find_package(docopt REQUIRED)
@@ -9,8 +9,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(Threads REQUIRED)
 
-find_path(LEAF_INCLUDE boost/leaf.hpp PATHS "${CMAKE_SOURCE_DIR}/build/third_party/include"
-  NO_DEFAULT_PATH REQUIRED)
+find_path(EXPECTED_INCLUDE tl/expected.hpp REQUIRED)
 find_path(FLATBUFFERS_INCLUDE flatbuffers/flatbuffers.h REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
--- a/Source/Core/Common/Error.h
+++ b/Source/Core/Common/Error.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-// Errors that carry the step and the peer at which they arose, by Boost.LEAF.
+// Errors that carry the step and the peer at which they arose.
 
 #include <exception>
 #include <functional>
@@ -11,12 +11,10 @@
 #include <string>
 #include <utility>
 
-#include <boost/leaf.hpp>
+#include <tl/expected.hpp>
 
 namespace yardhill::common
 {
-namespace leaf = boost::leaf;
-
 struct step_error
 {
   std::string step; // what was being done, e.g. "read_row"
@@ -24,6 +22,14 @@
   std::string detail;
 };
 
+template<class value_type>
+using result = tl::expected<value_type, step_error>;
+
+inline tl::unexpected<step_error> new_error(step_error error)
+{
+  return tl::unexpected<step_error>(std::move(error));
+}
+
 inline std::string to_text(const step_error& error)
 {
   return error.step + ": " + error.peer + ": " + error.detail;
@@ -32,7 +38,7 @@
 // What `parse` makes of a text that came from `peer`; an error where it throws.
 template<class parse_function>
 auto parsed(const std::string& step, const std::string& peer, const parse_function& parse)
-    -> leaf::result<decltype(parse())>
+    -> result<decltype(parse())>
 {
   try
   {
@@ -40,20 +46,17 @@
   }
   catch (const std::exception& error)
   {
-    return leaf::new_error(step_error{step, peer, error.what()});
+    return new_error({step, peer, error.what()});
   }
 }
 
 // The result's value, or what `on_error` makes of the error.
 template<class value_type, class error_function>
-value_type value_or(const std::function<leaf::result<value_type>()>& attempt,
+value_type value_or(const std::function<result<value_type>()>& attempt,
                     const error_function& on_error)
 {
-  return leaf::try_handle_all(
-      attempt, [&on_error](const step_error& error) { return on_error(error); },
-      [&on_error] {
-        return on_error(step_error{"unknown", "", "no details"});
-      });
+  result<value_type> outcome = attempt();
+  return outcome ? *std::move(outcome) : on_error(outcome.error());
 }
 
 // What `parse` makes of a text that came from `peer`; nothing where it throws.
@@ -62,8 +65,7 @@
     -> std::optional<decltype(parse())>
 {
   using maybe = std::optional<decltype(parse())>;
-  return value_or<maybe>([&]() -> leaf::result<maybe>
-                         { return parsed(step, peer, [&parse] { return maybe(parse()); }); },
-                         [](const step_error&) { return maybe{}; });
+  auto outcome = parsed(step, peer, parse);
+  return outcome ? maybe(*std::move(outcome)) : maybe{};
 }
 } // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Http/HttpListener.cpp
@@ -0,0 +1,250 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/HttpListener.h"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace yardhill::http
+{
+namespace
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+// After a failed accept (no descriptors left) the listener pauses for this time.
+constexpr std::chrono::milliseconds k_accept_pause{50};
+// A caller that does not take its answer within this time is cut off.
+constexpr std::chrono::seconds k_write_timeout{5};
+
+struct listener_state
+{
+  listener_limits limits;
+  std::string deadline_header;
+  request_handler handle;
+  std::size_t connections = 0;
+  std::size_t in_flight = 0;
+  bool closing = false;
+};
+
+method method_of(bhttp::verb verb)
+{
+  switch (verb)
+  {
+  case bhttp::verb::get:
+    return method::get;
+  case bhttp::verb::post:
+    return method::post;
+  case bhttp::verb::put:
+    return method::put;
+  case bhttp::verb::delete_:
+    return method::remove;
+  default:
+    return method::other;
+  }
+}
+
+// One caller's connection: reads a request, hands it on, writes the answer, and again.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+  session(tcp::socket socket, std::shared_ptr<listener_state> state)
+      : m_stream(std::move(socket)), m_state(std::move(state))
+  {
+    ++m_state->connections;
+    error_code ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+  }
+  ~session() { --m_state->connections; }
+
+  void read()
+  {
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.most_header));
+    m_parser->body_limit(m_state->limits.most_body);
+    m_stream.expires_after(m_state->limits.idle_timeout);
+    bhttp::async_read_header(m_stream, m_buffer, *m_parser,
+                             [self = shared_from_this()](const error_code& failed, std::size_t)
+                             { self->read_body(failed); });
+  }
+
+private:
+  void read_body(const error_code& failed)
+  {
+    if (failed)
+    {
+      reject(failed);
+      return;
+    }
+    m_stream.expires_after(m_state->limits.header_timeout);
+    bhttp::async_read(m_stream, m_buffer, *m_parser,
+                      [self = shared_from_this()](const error_code& broken, std::size_t)
+                      {
+                        if (broken)
+                          self->reject(broken);
+                        else
+                          self->hand_on();
+                      });
+  }
+
+  // A caller that broke off gets no answer; one that sent too much or nonsense is told.
+  void reject(const error_code& why)
+  {
+    m_parser_keeps_alive = false;
+    if (why == bhttp::error::body_limit)
+      write({413, R"({"error":"the body is too large"})", "application/json", {}});
+    else if (why == bhttp::error::header_limit)
+      write({431, R"({"error":"the header is too large"})", "application/json", {}});
+    else if (why == beast::error::timeout && m_parser->got_some())
+      write({408, R"({"error":"the request did not arrive in time"})", "application/json", {}});
+  }
+
+  void hand_on()
+  {
+    auto message = m_parser->release();
+    m_parser_keeps_alive = message.keep_alive();
+    m_stream.expires_never();
+    incoming_request request;
+    request.verb = method_of(message.method());
+    request.host = std::string(message[bhttp::field::host]);
+    request.target = std::string(message.target());
+    request.deadline = std::string(message[m_state->deadline_header]);
+    request.body = std::move(message.body());
+    ++m_state->in_flight;
+    m_counted = true;
+    m_state->handle(std::move(request), [self = shared_from_this()](outgoing_answer answer)
+                    { self->write(std::move(answer)); });
+  }
+
+  void write(outgoing_answer answer)
+  {
+    if (m_counted)
+      --m_state->in_flight;
+    m_counted = false;
+    m_answer = {};
+    m_answer.version(11);
+    m_answer.result(answer.status);
+    m_answer.set(bhttp::field::content_type, answer.content_type);
+    for (const auto& [name, value] : answer.headers)
+      m_answer.set(name, value);
+    m_answer.body() = std::move(answer.body);
+    m_answer.keep_alive(m_parser_keeps_alive && !m_state->closing);
+    m_answer.prepare_payload();
+    m_stream.expires_after(k_write_timeout);
+    bhttp::async_write(m_stream, m_answer,
+                       [self = shared_from_this()](const error_code& failed, std::size_t)
+                       {
+                         if (!failed && self->m_answer.keep_alive())
+                         {
+                           self->read();
+                           return;
+                         }
+                         error_code ignored;
+                         self->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                       });
+  }
+
+  beast::tcp_stream m_stream;
+  std::shared_ptr<listener_state> m_state;
+  beast::flat_buffer m_buffer;
+  std::optional<bhttp::request_parser<bhttp::string_body>> m_parser;
+  bhttp::response<bhttp::string_body> m_answer;
+  bool m_parser_keeps_alive = false;
+  bool m_counted = false;
+};
+} // namespace
+
+class http_listener::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+  implementation(asio::io_context& io, const common::endpoint& where, std::string deadline_header,
+                 request_handler handle)
+      : m_acceptor(io, tcp::endpoint(asio::ip::make_address(where.address), where.port)),
+        m_pause(io),
+        m_state(std::make_shared<listener_state>())
+  {
+    m_state->deadline_header = std::move(deadline_header);
+    m_state->handle = std::move(handle);
+  }
+
+  void accept()
+  {
+    m_acceptor.async_accept(
+        [self = shared_from_this()](const error_code& failed, tcp::socket socket)
+        {
+          if (failed == asio::error::operation_aborted)
+            return;
+          if (failed)
+          {
+            self->pause();
+            return;
+          }
+          if (self->m_state->connections < self->m_state->limits.most_connections)
+            std::make_shared<session>(std::move(socket), self->m_state)->read();
+          self->accept();
+        });
+  }
+
+  void close()
+  {
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_pause.cancel();
+  }
+
+  listener_state& state() { return *m_state; }
+
+private:
+  void pause()
+  {
+    m_pause.expires_after(k_accept_pause);
+    m_pause.async_wait(
+        [self = shared_from_this()](const error_code& ended)
+        {
+          if (!ended)
+            self->accept();
+        });
+  }
+
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_pause;
+  std::shared_ptr<listener_state> m_state;
+};
+
+http_listener::http_listener(asio::io_context& io, const common::endpoint& where,
+                             std::string deadline_header, request_handler handle)
+    : m_implementation(std::make_shared<implementation>(io, where, std::move(deadline_header),
+                                                        std::move(handle)))
+{
+  m_implementation->accept();
+}
+
+http_listener::~http_listener()
+{
+  m_implementation->close();
+}
+
+void http_listener::set_limits(const listener_limits& limits)
+{
+  m_implementation->state().limits = limits;
+}
+
+void http_listener::close_after_answers()
+{
+  m_implementation->state().closing = true;
+}
+
+std::size_t http_listener::requests_in_flight() const
+{
+  return m_implementation->state().in_flight;
+}
+} // namespace yardhill::http
--- /dev/null
+++ b/Source/Core/Http/HttpListener.h
@@ -0,0 +1,62 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// An HTTP/1.1 server on one address, on the event loop's thread, with every size and time bounded.
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Common/InstanceSettings.h"
+#include "Http/HttpMessage.h"
+#include "Http/ListenerLimits.h"
+
+namespace yardhill::http
+{
+struct incoming_request
+{
+  method verb = method::other;
+  std::string host;
+  std::string target;
+  std::string body;
+  std::string deadline; // text of the caller's deadline header, empty if there was none
+};
+
+struct outgoing_answer
+{
+  unsigned status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  header_list headers;
+};
+
+using responder = std::function<void(outgoing_answer)>;
+using request_handler = std::function<void(incoming_request, responder)>;
+
+class http_listener
+{
+public:
+  // Throws boost::system::system_error when the address cannot be listened on. `deadline_header`
+  // is the name of the header that is handed on as `deadline`.
+  http_listener(boost::asio::io_context& io, const common::endpoint& where,
+                std::string deadline_header, request_handler handle);
+  ~http_listener();
+  http_listener(const http_listener&) = delete;
+  http_listener& operator=(const http_listener&) = delete;
+
+  // Holds for requests that begin from now on.
+  void set_limits(const listener_limits& limits);
+  // From now on each answer closes its connection.
+  void close_after_answers();
+  std::size_t requests_in_flight() const;
+
+private:
+  class implementation;
+  std::shared_ptr<implementation> m_implementation;
+};
+} // namespace yardhill::http
--- /dev/null
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -0,0 +1,108 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Jobs/JobProgress.h"
+
+#include <array>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace yardhill::jobs
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 5> k_state_names{"queued", "active", "completed", "failed",
+                                                        "cancelled"};
+
+job_state state_from(const std::string& name)
+{
+  for (std::size_t i = 0; i < k_state_names.size(); ++i)
+  {
+    if (k_state_names[i] == name)
+      return static_cast<job_state>(i);
+  }
+  throw std::invalid_argument("unknown job state " + name);
+}
+
+// '1' for a done task, '0' for one that is not; the text's length is the step's count.
+std::string bits_of(const std::vector<bool>& done)
+{
+  std::string text;
+  text.reserve(done.size());
+  for (const bool bit : done)
+    text.push_back(bit ? '1' : '0');
+  return text;
+}
+
+std::vector<bool> bits_from(const std::string& text)
+{
+  std::vector<bool> done;
+  done.reserve(text.size());
+  for (const char bit : text)
+    done.push_back(bit == '1');
+  return done;
+}
+} // namespace
+
+std::string_view to_text(job_state state)
+{
+  return k_state_names[static_cast<std::size_t>(state)];
+}
+
+bool is_final(job_state state)
+{
+  return state == job_state::completed || state == job_state::failed ||
+         state == job_state::cancelled;
+}
+
+std::string to_row_text(const job_progress& progress)
+{
+  json out;
+  out["state"] = to_text(progress.state);
+  // A job that has ended needs no details: nothing of it will run again.
+  if (is_final(progress.state))
+    return out.dump();
+  json cycles = json::array();
+  for (const auto& steps : progress.done)
+  {
+    json row = json::array();
+    for (const std::vector<bool>& done : steps)
+      row.push_back(bits_of(done));
+    cycles.push_back(std::move(row));
+  }
+  out["done"] = std::move(cycles);
+  json histories = json::array();
+  for (const auto& [place, history] : progress.histories)
+    histories.push_back({place.cycle, place.step, place.index, history.failures,
+                         history.last_failed, history.checkpoint});
+  if (!histories.empty())
+    out["tasks"] = std::move(histories);
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+job_progress job_progress_from(const std::string& text)
+{
+  const json in = json::parse(text);
+  job_progress progress;
+  progress.state = state_from(in.at("state").get<std::string>());
+  if (in.contains("done"))
+  {
+    for (const json& steps : in["done"])
+    {
+      auto& row = progress.done.emplace_back();
+      for (const json& bits : steps)
+        row.push_back(bits_from(bits.get<std::string>()));
+    }
+  }
+  if (in.contains("tasks"))
+  {
+    for (const json& task : in["tasks"])
+      progress.histories[{task.at(0), task.at(1), task.at(2)}] = {task.at(3), task.at(4),
+                                                                  task.at(5)};
+  }
+  return progress;
+}
+} // namespace yardhill::jobs
--- /dev/null
+++ b/Source/Core/Jobs/JobProgress.h
@@ -0,0 +1,60 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// How far a job has come, as far as it must outlast its owner: a small row, written by the owner.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yardhill::jobs
+{
+enum class job_state
+{
+  queued, // none of its tasks has begun
+  active,
+  completed,
+  failed,
+  cancelled
+};
+
+std::string_view to_text(job_state state);
+bool is_final(job_state state);
+
+// A task within its job.
+struct task_place
+{
+  std::uint32_t cycle = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  auto operator<=>(const task_place&) const = default;
+};
+
+// What is kept of one task besides its being done.
+struct task_history
+{
+  std::uint32_t failures = 0;    // ends by its own fault, counted against the attempts
+  std::uint32_t last_failed = 0; // number of the run whose failure was counted last
+  std::string checkpoint;        // where the next run continues; empty: from the start
+
+  bool operator==(const task_history&) const = default;
+};
+
+struct job_progress
+{
+  job_state state = job_state::queued;
+  // One bit a task, by cycle and step; a vector<bool> of the step's count.
+  std::vector<std::vector<std::vector<bool>>> done;
+  std::map<task_place, task_history> histories;
+};
+
+// Our own form of the row. Reading throws nlohmann::json::exception or std::invalid_argument on a
+// damaged text.
+std::string to_row_text(const job_progress& progress);
+job_progress job_progress_from(const std::string& text);
+} // namespace yardhill::jobs
--- /dev/null
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -0,0 +1,299 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/CallerGateway.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "Common/EventLog.h"
+#include "platform/Ingress.h"
+
+namespace yardhill::node
+{
+namespace
+{
+using common::refusal_reason;
+
+// For callers that do not say how long they wait; the sites' usual deadline.
+constexpr std::chrono::milliseconds k_usual_patience{3000};
+// An answer has to reach the caller before its patience ends.
+constexpr std::chrono::milliseconds k_answer_margin{150};
+constexpr std::chrono::milliseconds k_read_timeout{900};
+// A partition whose owner has not renewed its row for this long gets no new jobs if another does.
+constexpr std::chrono::milliseconds k_owner_fresh{2500};
+// Another zone's partition has to be better by this much processor time (thousandths of a core):
+// three workers' worth, so that partitions do not pass jobs to and fro on small differences.
+constexpr std::int64_t k_home_margin = 40000;
+// Homes remembered to save a read of the job's row; about 2 MB when full.
+constexpr std::size_t k_most_homes = 20000;
+// Told to callers that are refused because the store is away or this instance has just started.
+constexpr const char* k_come_back_s = "1";
+
+std::chrono::milliseconds patience_from(const std::string& text)
+{
+  std::int64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || value <= 0)
+    return k_usual_patience;
+  return std::chrono::milliseconds(value);
+}
+} // namespace
+
+caller_gateway::caller_gateway(job_store& store, const jobs::queue_table& queues,
+                               const std::vector<std::unique_ptr<partition_owner>>& partitions,
+                               std::string own_zone, common::metrics& counts)
+    : m_store(store),
+      m_queues(queues),
+      m_partitions(partitions),
+      m_own_zone(std::move(own_zone)),
+      m_metrics(counts)
+{
+}
+
+void caller_gateway::handle(http::incoming_request request, http::responder respond)
+{
+  m_metrics.add(common::counter::requests);
+  auto what = std::make_shared<call>();
+  what->respond = std::move(respond);
+  what->received = steady_now();
+  what->patience = patience_from(request.deadline);
+  what->body = std::move(request.body);
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (m_queues.version == 0)
+  {
+    refuse(*what, 503, refusal_reason::config_invalid, "no configuration has arrived yet");
+    return;
+  }
+  const std::string host = request.host.substr(0, request.host.find(':'));
+  what->route = m_queues.find(host, path);
+  if (what->route == nullptr)
+  {
+    refuse(*what, 404, refusal_reason::unknown_workload, "no such queue");
+    return;
+  }
+  what->id = path.substr(what->route->path_prefix.size());
+  if (what->id.empty() && request.verb == http::method::get)
+    count(what);
+  else if (!adapter::is_job_id(what->id))
+    refuse(*what, 400, refusal_reason::malformed_request, "a job's id has 16 hexadecimal digits");
+  else if (request.verb == http::method::post)
+    submit(what);
+  else if (request.verb == http::method::get)
+    show(what);
+  else if (request.verb == http::method::remove)
+    cancel(what);
+  else
+    refuse(*what, 405, refusal_reason::malformed_request, "no such method");
+}
+
+void caller_gateway::refuse(const call& what, unsigned status, refusal_reason why,
+                            const std::string& detail)
+{
+  m_metrics.add(why);
+  common::log_request("refused", what.id,
+                      {{"status", status},
+                       {"reason", common::to_text(why)},
+                       {"detail", detail},
+                       {"config_version", m_queues.version},
+                       {"after_ms", steady_now() - what.received}});
+  http::outgoing_answer answer;
+  answer.status = status;
+  answer.body = adapter::error_body(detail);
+  if (status == 503 || status == 429)
+    answer.headers.emplace_back("Retry-After", k_come_back_s);
+  what.respond(std::move(answer));
+}
+
+partition_owner* caller_gateway::partition(const std::string& name) const
+{
+  const auto found = std::find_if(m_partitions.begin(), m_partitions.end(),
+                                  [&name](const auto& each) { return each->partition() == name; });
+  return found == m_partitions.end() ? nullptr : found->get();
+}
+
+// The partition with the least work waiting for its free room; our own unless another is better by
+// a margin. Partitions without a fresh owner come last.
+std::string caller_gateway::home_for() const
+{
+  const common::time_point now = steady_now();
+  std::string best = m_own_zone;
+  std::int64_t best_load = std::numeric_limits<std::int64_t>::max();
+  for (const auto& each : m_partitions)
+  {
+    const seen_owner& seen = each->seen();
+    if (seen.version == 0 || now - seen.changed_at > k_owner_fresh)
+      continue;
+    std::int64_t load = seen.row.waiting_cpu - seen.row.free_cpu;
+    if (each->partition() == m_own_zone)
+      load -= k_home_margin;
+    if (load >= best_load)
+      continue;
+    best = each->partition();
+    best_load = load;
+  }
+  return best;
+}
+
+void caller_gateway::submit(const std::shared_ptr<call>& what)
+{
+  auto spec = adapter::submission_from(what->body);
+  if (!spec)
+  {
+    refuse(*what, 400, refusal_reason::malformed_request, common::to_text(spec.error()));
+    return;
+  }
+  jobs::accepted_job job;
+  job.id = what->id;
+  job.queue = what->route->name;
+  job.home = home_for();
+  job.accepted_at =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  job.spec = *std::move(spec);
+  const common::time_point deadline = what->received + what->patience - k_answer_margin;
+  m_store.accept(job, deadline,
+                 [this, what, job](const accept_result& result)
+                 { on_accepted(what, job, result); });
+}
+
+void caller_gateway::on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
+                                 const accept_result& result)
+{
+  if (result.end == accept_end::refused)
+  {
+    refuse(*what, 503, refusal_reason::store_unavailable, result.detail);
+    return;
+  }
+  if (result.end == accept_end::unknown)
+  {
+    refuse(*what, 504, refusal_reason::run_unclear, result.detail);
+    return;
+  }
+  common::log_request("job_accepted", job.id,
+                      {{"queue", job.queue},
+                       {"home", result.first ? std::string_view(job.home) : "as before"},
+                       {"first", result.first},
+                       {"steps", job.spec.steps.size()},
+                       {"config_version", m_queues.version},
+                       {"row_version", result.version},
+                       {"after_ms", steady_now() - what->received}});
+  what->respond({200, "{}", "application/json", {}});
+  if (!result.first)
+    return;
+  remember_home(job.id, job.home);
+  if (partition_owner* const home = partition(job.home))
+    home->job_accepted(job);
+}
+
+void caller_gateway::remember_home(const std::string& id, const std::string& home)
+{
+  // Forgetting everything now and then costs one read per job that is still asked for.
+  if (m_homes.size() >= k_most_homes)
+    m_homes.clear();
+  m_homes[id] = home;
+}
+
+void caller_gateway::show(const std::shared_ptr<call>& what)
+{
+  const auto home = m_homes.find(what->id);
+  if (home != m_homes.end())
+  {
+    show_written(what, home->second);
+    return;
+  }
+  m_store.find(what->id, k_read_timeout,
+               [this, what](const found_job& found)
+               {
+                 if (!found.answered)
+                 {
+                   refuse(*what, 503, refusal_reason::store_unavailable,
+                          "the store did not answer");
+                   return;
+                 }
+                 if (!found.job)
+                 {
+                   refuse(*what, 410, refusal_reason::unknown_task, "no such job");
+                   return;
+                 }
+                 remember_home(what->id, found.job->home);
+                 show_written(what, found.job->home);
+               });
+}
+
+void caller_gateway::show_written(const std::shared_ptr<call>& what, const std::string& home)
+{
+  const auto answer = [this, what](std::optional<jobs::job_state> state)
+  {
+    if (!state)
+    {
+      refuse(*what, 503, refusal_reason::store_unavailable, "the store did not answer");
+      return;
+    }
+    common::log_request(
+        "state_shown", what->id,
+        {{"state", jobs::to_text(*state)}, {"after_ms", steady_now() - what->received}});
+    what->respond({200, adapter::state_body(*state), "application/json", {}});
+  };
+  const partition_owner* const owner = partition(home);
+  if (owner != nullptr)
+  {
+    if (const auto state = owner->written_state(what->id))
+    {
+      answer(state);
+      return;
+    }
+  }
+  m_store.state(home, what->id, k_read_timeout, answer);
+}
+
+void caller_gateway::cancel(const std::shared_ptr<call>& what)
+{
+  m_store.find(what->id, k_read_timeout,
+               [this, what](const found_job& found)
+               {
+                 if (!found.answered)
+                 {
+                   refuse(*what, 503, refusal_reason::store_unavailable,
+                          "the store did not answer");
+                   return;
+                 }
+                 if (!found.job)
+                 {
+                   refuse(*what, 410, refusal_reason::unknown_task, "no such job");
+                   return;
+                 }
+                 const auto on_cancelled = [this, what, home = found.job->home](bool kept)
+                 {
+                   if (!kept)
+                   {
+                     refuse(*what, 503, refusal_reason::store_unavailable,
+                            "the cancellation could not be kept for sure");
+                     return;
+                   }
+                   common::log_request("job_cancelled", what->id,
+                                       {{"after_ms", steady_now() - what->received}});
+                   what->respond({200, "{}", "application/json", {}});
+                   if (partition_owner* const owner = partition(home))
+                     owner->job_cancelled(what->id);
+                 };
+                 if (found.cancelled)
+                   on_cancelled(true);
+                 else
+                   m_store.cancel(what->id, k_read_timeout, on_cancelled);
+               });
+}
+
+void caller_gateway::count(const std::shared_ptr<call>& what)
+{
+  std::uint64_t pending = 0;
+  for (const auto& each : m_partitions)
+  {
+    const auto& counts = each->seen().row.pending;
+    const auto found = counts.find(what->route->name);
+    pending += found == counts.end() ? 0 : found->second;
+  }
+  what->respond({200, adapter::pending_body(pending), "application/json", {}});
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/CallerGateway.h
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What callers ask of an instance: hand a job in, ask for its state, cancel it, count a queue.
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Http/HttpListener.h"
+#include "Jobs/QueueTable.h"
+#include "Node/JobStore.h"
+#include "Node/PartitionOwner.h"
+
+namespace yardhill::node
+{
+class caller_gateway
+{
+public:
+  caller_gateway(job_store& store, const jobs::queue_table& queues,
+                 const std::vector<std::unique_ptr<partition_owner>>& partitions,
+                 std::string own_zone, common::metrics& counts);
+
+  void handle(http::incoming_request request, http::responder respond);
+
+private:
+  // A request whose queue is known.
+  struct call
+  {
+    const jobs::queue_route* route = nullptr;
+    std::string id; // of the job; empty for the queue itself
+    std::string body;
+    std::chrono::milliseconds patience{0}; // of the caller
+    common::time_point received{};
+    http::responder respond;
+  };
+
+  void submit(const std::shared_ptr<call>& what);
+  void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
+                   const accept_result& result);
+  void show(const std::shared_ptr<call>& what);
+  void show_written(const std::shared_ptr<call>& what, const std::string& partition);
+  void cancel(const std::shared_ptr<call>& what);
+  void count(const std::shared_ptr<call>& what);
+  void refuse(const call& what, unsigned status, common::refusal_reason why,
+              const std::string& detail);
+
+  // Where a new job should run.
+  std::string home_for() const;
+  partition_owner* partition(const std::string& name) const;
+  void remember_home(const std::string& id, const std::string& home);
+
+  job_store& m_store;
+  const jobs::queue_table& m_queues;
+  const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
+  std::string m_own_zone;
+  common::metrics& m_metrics;
+  std::unordered_map<std::string, std::string> m_homes; // of jobs seen here
+};
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/JobStore.cpp
@@ -0,0 +1,266 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/JobStore.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Common/Error.h"
+#include "Common/EventLog.h"
+#include "Common/Hash.h"
+#include "Node/OwnerRow.h"
+#include "Node/TableFeed.h"
+
+namespace yardhill::node
+{
+namespace
+{
+constexpr std::size_t k_job_parts = 8;
+// Behind a job's own row in the order of keys.
+constexpr const char* k_cancel_suffix = "~cancel";
+constexpr const char* k_refused_text = "refused";
+// The store answers in 4 ms; under its slowest measured trouble (sixty times) in 240.
+constexpr std::chrono::milliseconds k_write_timeout{900};
+// Refusals for the rate or a short outage are tried again a little later, this often.
+constexpr unsigned k_most_retries = 3;
+constexpr std::chrono::milliseconds k_retry_pause{60};
+
+adapter::row_key job_key(const std::string& id)
+{
+  return {k_jobs_table, job_part(id), id};
+}
+
+// One submission on its way into the store.
+class acceptance : public std::enable_shared_from_this<acceptance>
+{
+public:
+  acceptance(boost::asio::io_context& io, adapter::store_client& store,
+             const jobs::accepted_job& job, common::time_point deadline,
+             std::function<void(accept_result)> done)
+      : m_timer(io),
+        m_store(store),
+        m_key(job_key(job.id)),
+        m_text(jobs::to_row_text(job)),
+        m_deadline(deadline),
+        m_done(std::move(done))
+  {
+  }
+
+  void write()
+  {
+    put(m_text, [self = shared_from_this()](const adapter::transaction_result& result)
+        { self->on_written(result); });
+  }
+
+private:
+  void put(const std::string& text, std::function<void(adapter::transaction_result)> done)
+  {
+    adapter::transaction change;
+    change.conditions.push_back({m_key, m_expected});
+    change.puts.push_back({m_key, text});
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - steady_now());
+    m_store.transact(change, std::min(k_write_timeout, left), std::move(done));
+  }
+
+  void on_written(const adapter::transaction_result& result)
+  {
+    switch (result.end)
+    {
+    case adapter::store_end::done:
+      m_done({accept_end::accepted, {}, true, result.version});
+      return;
+    case adapter::store_end::conflict:
+      on_conflict(result);
+      return;
+    case adapter::store_end::unavailable:
+      if (++m_tries <= k_most_retries && steady_now() + 4 * k_retry_pause < m_deadline)
+        later([this] { write(); });
+      else
+        m_done({accept_end::refused, "the store is not available: " + result.detail, false, 0});
+      return;
+    default:
+      m_detail = result.detail;
+      settle();
+    }
+  }
+
+  // Another row is there: the same job, or the mark of an earlier refusal, which may be replaced.
+  void on_conflict(const adapter::transaction_result& result)
+  {
+    const auto present = std::find_if(result.conflicting.begin(), result.conflicting.end(),
+                                      [](const adapter::row& row) { return !row.value.empty(); });
+    if (present == result.conflicting.end())
+    {
+      m_expected = 0;
+      retry_or_settle();
+      return;
+    }
+    if (present->value != k_refused_text)
+    {
+      m_done({accept_end::accepted, "the id was there already", false, present->version});
+      return;
+    }
+    m_expected = present->version;
+    retry_or_settle();
+  }
+
+  void retry_or_settle()
+  {
+    if (++m_tries <= k_most_retries)
+      write();
+    else
+      m_done({accept_end::unknown, "the row keeps changing", false, 0});
+  }
+
+  // The write may have happened or may happen later. A refusal is true only once the same key
+  // holds something else.
+  void settle()
+  {
+    if (steady_now() + k_retry_pause >= m_deadline)
+    {
+      m_done({accept_end::unknown, "the store did not answer: " + m_detail, false, 0});
+      return;
+    }
+    put(k_refused_text, [self = shared_from_this()](const adapter::transaction_result& result)
+        { self->on_settled(result); });
+  }
+
+  void on_settled(const adapter::transaction_result& result)
+  {
+    if (result.end == adapter::store_end::done)
+    {
+      m_done({accept_end::refused, "the store did not answer: " + m_detail, false, 0});
+      return;
+    }
+    if (result.end != adapter::store_end::conflict)
+    {
+      later([this] { settle(); });
+      return;
+    }
+    const bool kept = std::any_of(result.conflicting.begin(), result.conflicting.end(),
+                                  [](const adapter::row& row)
+                                  { return !row.value.empty() && row.value != k_refused_text; });
+    if (kept)
+      m_done({accept_end::accepted, "settled by reading it back", true, 0});
+    else
+      m_done({accept_end::refused, "settled: it is not kept", false, 0});
+  }
+
+  void later(std::function<void()> again)
+  {
+    m_timer.expires_after(k_retry_pause);
+    m_timer.async_wait([self = shared_from_this(),
+                        again = std::move(again)](const boost::system::error_code&) { again(); });
+  }
+
+  boost::asio::steady_timer m_timer;
+  adapter::store_client& m_store;
+  adapter::row_key m_key;
+  std::string m_text;
+  common::time_point m_deadline;
+  std::function<void(accept_result)> m_done;
+  adapter::row_version m_expected = 0;
+  unsigned m_tries = 0;
+  std::string m_detail;
+};
+} // namespace
+
+std::vector<std::string> job_parts()
+{
+  std::vector<std::string> parts;
+  for (std::size_t i = 0; i < k_job_parts; ++i)
+    parts.push_back("j" + std::to_string(i));
+  return parts;
+}
+
+std::string job_part(const std::string& id)
+{
+  return "j" + std::to_string(common::stable_hash(id) % k_job_parts);
+}
+
+std::optional<job_row> job_row_from(const adapter::row& row)
+{
+  const std::size_t suffix = row.at.key.find(k_cancel_suffix);
+  if (suffix != std::string::npos)
+    return job_row{row.at.key.substr(0, suffix), cancel_mark{}};
+  if (row.value == k_refused_text)
+    return job_row{row.at.key, refused_mark{}};
+  auto job = common::parsed("read_job_row", row.at.key,
+                            [&row] { return jobs::accepted_job_from(row.at.key, row.value); });
+  if (!job)
+  {
+    common::log_request("row_damaged", row.at.key, {{"error", common::to_text(job.error())}});
+    return std::nullopt;
+  }
+  return job_row{row.at.key, *std::move(job)};
+}
+
+job_store::job_store(boost::asio::io_context& io, adapter::store_client& store)
+    : m_io(io), m_store(store)
+{
+}
+
+void job_store::accept(const jobs::accepted_job& job, common::time_point deadline,
+                       std::function<void(accept_result)> done)
+{
+  std::make_shared<acceptance>(m_io, m_store, job, deadline, std::move(done))->write();
+}
+
+void job_store::find(const std::string& id, common::duration timeout,
+                     std::function<void(found_job)> done)
+{
+  m_store.read({k_jobs_table, job_part(id), id, id + "~~", 2}, timeout,
+               [done = std::move(done)](const adapter::rows_result& result)
+               {
+                 found_job found;
+                 found.answered = result.end == adapter::store_end::done;
+                 for (const adapter::row& each : result.rows)
+                 {
+                   auto row = job_row_from(each);
+                   if (!row)
+                     continue;
+                   if (auto* job = std::get_if<jobs::accepted_job>(&row->content))
+                     found.job = std::move(*job);
+                   found.cancelled |= std::holds_alternative<cancel_mark>(row->content);
+                 }
+                 done(std::move(found));
+               });
+}
+
+void job_store::cancel(const std::string& id, common::duration timeout,
+                       std::function<void(bool)> done)
+{
+  adapter::transaction change;
+  change.puts.push_back({{k_jobs_table, job_part(id), id + k_cancel_suffix}, "cancel"});
+  m_store.transact(change, timeout,
+                   [done = std::move(done)](const adapter::transaction_result& result)
+                   { done(result.end == adapter::store_end::done); });
+}
+
+void job_store::state(const std::string& partition, const std::string& id, common::duration timeout,
+                      std::function<void(std::optional<jobs::job_state>)> done)
+{
+  m_store.read({k_progress_table, partition, id, id + "~", 1}, timeout,
+               [done = std::move(done), id](const adapter::rows_result& result)
+               {
+                 if (result.end != adapter::store_end::done)
+                 {
+                   done(std::nullopt);
+                   return;
+                 }
+                 if (result.rows.empty())
+                 {
+                   done(jobs::job_state::queued);
+                   return;
+                 }
+                 const auto progress = common::parsed_or_none(
+                     "read_progress", id,
+                     [&result] { return jobs::job_progress_from(result.rows.front().value); });
+                 done(progress ? std::optional(progress->state) : std::nullopt);
+               });
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/JobStore.h
@@ -0,0 +1,90 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Jobs as the store keeps them: accepting one exactly once, finding it again, cancelling it.
+//
+// A job's row lies in a part that follows from its id alone, so that a second submission of the
+// same id meets the first one wherever it comes in. The row names the partition that runs the job.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Jobs/JobProgress.h"
+#include "Jobs/JobSpec.h"
+#include "platform/StoreClient.h"
+
+namespace yardhill::node
+{
+inline constexpr const char* k_jobs_table = "jobs";
+
+// The parts of the jobs' table. One part takes 300 transactions a second; with eight, the rate of
+// the whole store (600 to 1,200 a second) is the bound instead.
+std::vector<std::string> job_parts();
+std::string job_part(const std::string& id);
+
+// What a row of the jobs' table says.
+struct refused_mark // written in place of a job whose acceptance stayed unclear
+{
+};
+struct cancel_mark
+{
+};
+struct job_row
+{
+  std::string id;
+  std::variant<jobs::accepted_job, refused_mark, cancel_mark> content;
+};
+// None, with a line in the log, for a damaged row.
+std::optional<job_row> job_row_from(const adapter::row& row);
+
+enum class accept_end
+{
+  accepted, // kept, now or by an earlier submission of the same id
+  refused,  // certainly not kept
+  unknown   // may be kept; the caller has to ask again
+};
+
+struct accept_result
+{
+  accept_end end = accept_end::unknown;
+  std::string detail;
+  bool first = false; // kept by this very call
+  adapter::row_version version = 0;
+};
+
+struct found_job
+{
+  bool answered = false;
+  std::optional<jobs::accepted_job> job;
+  bool cancelled = false;
+};
+
+class job_store
+{
+public:
+  job_store(boost::asio::io_context& io, adapter::store_client& store);
+
+  // Keeps the job; an answer comes by `deadline`.
+  void accept(const jobs::accepted_job& job, common::time_point deadline,
+              std::function<void(accept_result)> done);
+  void find(const std::string& id, common::duration timeout, std::function<void(found_job)> done);
+  // `done` is told whether the mark is kept.
+  void cancel(const std::string& id, common::duration timeout, std::function<void(bool)> done);
+  // The state that the partition's owner has written last; queued if there is none yet. Nothing if
+  // the store did not answer.
+  void state(const std::string& partition, const std::string& id, common::duration timeout,
+             std::function<void(std::optional<jobs::job_state>)> done);
+
+private:
+  boost::asio::io_context& m_io;
+  adapter::store_client& m_store;
+};
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -0,0 +1,84 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/NodeSettings.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "Common/FieldReader.h"
+
+namespace yardhill::node
+{
+namespace
+{
+using common::endpoint;
+using common::field_reader;
+
+constexpr const char* k_address_form = "an address and a port, such as 10.1.0.13:8161";
+
+std::optional<endpoint> endpoint_from(const std::string& text)
+{
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0)
+    return std::nullopt;
+  endpoint where;
+  where.address = text.substr(0, colon);
+  const char* const end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data() + colon + 1, end, where.port);
+  if (error != std::errc() || last != end)
+    return std::nullopt;
+  return where;
+}
+
+endpoint address_field(field_reader& fields, const char* name)
+{
+  const std::string text = fields.text(name);
+  const auto where = endpoint_from(text);
+  if (!where && !text.empty())
+    fields.problem(name, "\"" + text + "\" is not an address", k_address_form);
+  return where.value_or(endpoint{});
+}
+
+common::duration time_field(field_reader& fields, const char* name, std::int64_t most,
+                            common::duration unit)
+{
+  return fields.integer(name, {1, most}) * unit;
+}
+} // namespace
+
+std::optional<node_settings> parse_node_settings(const std::string& text, const std::string& file,
+                                                 common::problem_list& problems)
+{
+  const std::size_t before = problems.size();
+  const auto parsed = common::parse_with_comments(text, file, problems);
+  if (!parsed)
+    return std::nullopt;
+  field_reader fields(*parsed, file, "", problems);
+  node_settings settings;
+  settings.name = fields.text("name");
+  settings.zone = fields.text("availability_zone");
+  settings.zones = fields.texts("availability_zones");
+  std::sort(settings.zones.begin(), settings.zones.end());
+  if (std::find(settings.zones.begin(), settings.zones.end(), settings.zone) ==
+      settings.zones.end())
+    fields.problem("availability_zone", "\"" + settings.zone + "\" is not listed",
+                   "one of availability_zones");
+  settings.callers = address_field(fields, "callers_address");
+  settings.ready = address_field(fields, "ready_address");
+  settings.store = address_field(fields, "store_address");
+  const std::string advice = fields.text("advice_address", "");
+  if (!advice.empty())
+    settings.advice = address_field(fields, "advice_address");
+  settings.metrics.address = fields.text("own_address");
+  settings.metrics.port = static_cast<std::uint16_t>(fields.integer("first_own_port", {1, 65535}));
+  settings.stop_grace = time_field(fields, "stop_grace_s", 3600, std::chrono::seconds{1});
+  settings.lease_limit =
+      time_field(fields, "lease_limit_ms", 3600000, std::chrono::milliseconds{1});
+  settings.keep_status = time_field(fields, "keep_status_s", 864000, std::chrono::seconds{1});
+  fields.finish();
+  if (problems.size() > before)
+    return std::nullopt;
+  return settings;
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/NodeSettings.h
@@ -0,0 +1,37 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The settings file of an instance on the platform: JSON with comments, filled from
+// platform/settings.jsonc.template.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/InstanceSettings.h"
+#include "Common/Problem.h"
+#include "Common/Time.h"
+
+namespace yardhill::node
+{
+struct node_settings
+{
+  std::string name;
+  std::string zone;
+  std::vector<std::string> zones; // each is a partition
+  common::endpoint callers;
+  common::endpoint ready;
+  common::endpoint metrics; // the first of the ports that are ours
+  common::endpoint store;
+  std::optional<common::endpoint> advice;
+  common::duration stop_grace = std::chrono::seconds{6};
+  common::duration lease_limit = std::chrono::seconds{10};
+  common::duration keep_status = std::chrono::seconds{120};
+};
+
+// Checks the whole text and notes every mistake. None if there is any.
+std::optional<node_settings> parse_node_settings(const std::string& text, const std::string& file,
+                                                 common::problem_list& problems);
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -0,0 +1,54 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/OwnerRow.h"
+
+#include <nlohmann/json.hpp>
+
+namespace yardhill::node
+{
+using nlohmann::json;
+
+std::string to_row_text(const owner_row& row)
+{
+  const json out{{"holder", row.holder},    {"life", row.life},
+                 {"epoch", row.epoch},      {"renewal", row.renewal},
+                 {"pending", row.pending},  {"waiting_cpu", row.waiting_cpu},
+                 {"free_cpu", row.free_cpu}};
+  return out.dump();
+}
+
+common::result<owner_row> owner_row_from(const std::string& text)
+{
+  return common::parsed("read_owner_row", "store",
+                        [&text]
+                        {
+                          const json in = json::parse(text);
+                          owner_row row;
+                          row.holder = in.at("holder").get<std::string>();
+                          row.life = in.at("life").get<std::string>();
+                          row.epoch = in.at("epoch").get<std::uint64_t>();
+                          row.renewal = in.at("renewal").get<std::uint64_t>();
+                          row.pending = in.value("pending", row.pending);
+                          row.waiting_cpu = in.value("waiting_cpu", std::int64_t{0});
+                          row.free_cpu = in.value("free_cpu", std::int64_t{0});
+                          return row;
+                        });
+}
+
+std::string to_row_text(const commit_row& row)
+{
+  return json{{"life", row.life}, {"number", row.number}}.dump();
+}
+
+common::result<commit_row> commit_row_from(const std::string& text)
+{
+  return common::parsed(
+      "read_commit_row", "store",
+      [&text]
+      {
+        const json in = json::parse(text);
+        return commit_row{in.at("life").get<std::string>(), in.at("number").get<std::uint64_t>()};
+      });
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/OwnerRow.h
@@ -0,0 +1,56 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The rows by which a partition has one owner: who it is, and the number of its last commit.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Common/Error.h"
+#include "Common/Time.h"
+#include "platform/StoreClient.h"
+
+namespace yardhill::node
+{
+// Tables of our own. A partition's rows share the part that has its name.
+inline constexpr const char* k_owners_table = "owners";
+inline constexpr const char* k_owner_key = "owner";
+inline constexpr const char* k_commits_table = "commits";
+inline constexpr const char* k_commit_key = "last";
+inline constexpr const char* k_progress_table = "progress";
+
+struct owner_row
+{
+  std::string holder;      // an instance's name; empty: given back
+  std::string life;        // of the holder's process
+  std::uint64_t epoch = 0; // counts the owners
+  std::uint64_t renewal = 0;
+  // What others may know of the partition: accepted jobs that have not begun, by queue, and the
+  // processor time that waits and that is free, in thousandths of a core.
+  std::map<std::string, std::uint64_t> pending;
+  std::int64_t waiting_cpu = 0;
+  std::int64_t free_cpu = 0;
+};
+
+struct commit_row
+{
+  std::string life;
+  std::uint64_t number = 0;
+};
+
+std::string to_row_text(const owner_row& row);
+common::result<owner_row> owner_row_from(const std::string& text);
+std::string to_row_text(const commit_row& row);
+common::result<commit_row> commit_row_from(const std::string& text);
+
+// An owner row as it was last seen.
+struct seen_owner
+{
+  owner_row row;
+  adapter::row_version version = 0; // 0: there is none
+  common::time_point changed_at{};  // on our clock
+};
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -0,0 +1,565 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/PartitionOwner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::node
+{
+namespace
+{
+// Events that come within this time are worked off by one pass of the scheduler.
+constexpr std::chrono::milliseconds k_step_delay{4};
+// A later owner numbers its runs above every number an earlier one can have used: no task is
+// started this often by one owner.
+constexpr scheduling::run_number k_runs_per_epoch = 1000;
+
+adapter::row_key owner_key(const std::string& partition)
+{
+  return {k_owners_table, partition, k_owner_key};
+}
+
+adapter::row_key commit_key(const std::string& partition)
+{
+  return {k_commits_table, partition, k_commit_key};
+}
+
+const adapter::row* row_in(const std::vector<adapter::row>& rows, const char* table)
+{
+  const auto found = std::find_if(rows.begin(), rows.end(),
+                                  [table](const adapter::row& row)
+                                  { return row.at.table == table && row.version != 0; });
+  return found == rows.end() ? nullptr : &*found;
+}
+} // namespace
+
+partition_owner::partition_owner(const node_parts& parts, instance_identity self,
+                                 std::string partition, const ownership_options& options)
+    : m_parts(parts),
+      m_self(std::move(self)),
+      m_partition(std::move(partition)),
+      m_options(options),
+      m_step_timer(parts.io),
+      m_retry_timer(parts.io)
+{
+}
+
+partition_owner::~partition_owner() = default;
+
+// ---- Who owns the partition
+
+void partition_owner::owner_row_changed(const adapter::row& row)
+{
+  if (row.version < m_seen.version)
+    return;
+  const auto parsed = owner_row_from(row.value);
+  if (!parsed)
+  {
+    common::log_process("row_damaged", {{"table", k_owners_table},
+                                        {"partition", m_partition},
+                                        {"error", common::to_text(parsed.error())}});
+    return;
+  }
+  const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
+  m_seen = {*parsed, row.version, steady_now()};
+  if (other_owner)
+    common::log_process("owner_seen", {{"partition", m_partition},
+                                       {"holder", parsed->holder},
+                                       {"epoch", parsed->epoch},
+                                       {"version", row.version}});
+  const bool mine = parsed->life == m_self.life && !parsed->holder.empty();
+  if ((m_state == state::owning || m_state == state::loading) && parsed->life != m_self.life &&
+      row.version > m_owner_version)
+    lose("the owner's row names another instance");
+  // A write of ours whose answer was lost has come true.
+  if (m_state == state::watching && mine && !m_stopping)
+  {
+    adapter::transaction_result result;
+    result.end = adapter::store_end::done;
+    result.version = row.version;
+    on_acquired(*parsed, result);
+  }
+}
+
+bool partition_owner::should_take(common::time_point now,
+                                  std::optional<common::time_point> feed_healthy_since) const
+{
+  if (!feed_healthy_since || m_stopping || now < m_try_after || m_parts.queues.version == 0)
+    return false;
+  const bool near = m_self.zone == m_partition;
+  const common::time_point heard = std::max(m_seen.changed_at, *feed_healthy_since);
+  if (m_seen.version != 0 && m_seen.row.holder == m_self.name && m_seen.row.life != m_self.life)
+    return true; // an earlier process of this very instance: it has ended
+  const bool free = m_seen.version == 0 || m_seen.row.holder.empty();
+  if (free && near)
+    return true;
+  const common::duration patience = near ? m_options.silence_near : m_options.silence_far;
+  return now - heard > (free ? m_options.silence_near : patience);
+}
+
+void partition_owner::acquire()
+{
+  m_state = state::acquiring;
+  owner_row row;
+  row.holder = m_self.name;
+  row.life = m_self.life;
+  row.epoch = m_seen.row.epoch + 1;
+  adapter::transaction change;
+  change.conditions.push_back({owner_key(m_partition), m_seen.version});
+  change.puts.push_back({owner_key(m_partition), to_row_text(row)});
+  common::log_process("take_over", {{"partition", m_partition},
+                                    {"from", m_seen.row.holder},
+                                    {"epoch", row.epoch},
+                                    {"silent_ms", steady_now() - m_seen.changed_at}});
+  m_parts.store.transact(change, m_options.commit_timeout,
+                         [this, row](const adapter::transaction_result& result)
+                         {
+                           if (m_state == state::acquiring)
+                             on_acquired(row, result);
+                         });
+}
+
+void partition_owner::on_acquired(const owner_row& row, const adapter::transaction_result& result)
+{
+  if (result.end != adapter::store_end::done)
+  {
+    m_state = state::watching;
+    m_try_after = steady_now() + m_options.retry_pause;
+    common::log_process("take_over_failed", {{"partition", m_partition},
+                                             {"end", adapter::to_text(result.end)},
+                                             {"detail", result.detail}});
+    if (const adapter::row* present = row_in(result.conflicting, k_owners_table))
+      owner_row_changed(*present);
+    return;
+  }
+  m_parts.metrics.add(common::counter::takeovers);
+  m_row = row;
+  m_token = result.version;
+  m_owner_version = result.version;
+  m_seen = {row, result.version, steady_now()};
+  m_last_renewal = steady_now();
+  m_ownership = std::make_shared<int>(0);
+  load();
+}
+
+void partition_owner::load()
+{
+  m_state = state::loading;
+  m_loader = std::make_shared<partition_loader>(m_parts.io, m_parts.store, m_partition,
+                                                [this](loaded_partition loaded)
+                                                { on_loaded(std::move(loaded)); });
+  m_loader->start();
+}
+
+void partition_owner::on_loaded(loaded_partition loaded)
+{
+  m_loader.reset();
+  m_state = state::owning;
+  const common::time_point now = steady_now();
+  m_commit_version = loaded.commit_version;
+  m_commit_number = loaded.commit_number;
+  scheduling::scheduler_options options;
+  const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
+  m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
+  m_scheduler->set_authority(now + m_options.authority);
+  queues_changed();
+  for (const auto& [id, info] : m_parts.worker_entries)
+    worker_entry(info);
+  add_loaded_jobs(loaded);
+  const common::duration longest_lease = std::chrono::duration_cast<common::duration>(
+      options.task_lease * (1.0 + options.clock_drift));
+  m_scheduler->begin_accounting(now + m_options.authority + longest_lease);
+  common::log_process("partition_owned", {{"partition", m_partition},
+                                          {"epoch", m_row.epoch},
+                                          {"token", m_token},
+                                          {"jobs", loaded.jobs.size()},
+                                          {"load_ms", now - m_last_renewal}});
+  follow_jobs(loaded.read_at);
+  step_soon();
+}
+
+void partition_owner::add_loaded_jobs(const loaded_partition& loaded)
+{
+  const common::time_point now = steady_now();
+  for (const loaded_partition::kept_job& each : loaded.jobs)
+  {
+    if (m_scheduler->knows(each.job.id))
+      continue;
+    const auto progress = loaded.progress.find(each.job.id);
+    // Jobs that were kept after the takeover have not been started by anyone.
+    if (each.version > m_token)
+      m_scheduler->add_job(each.job, now);
+    else if (progress == loaded.progress.end())
+      m_scheduler->restore_job(each.job, std::nullopt, now);
+    else
+      m_scheduler->restore_job(each.job, progress->second, now);
+  }
+  for (const std::string& id : loaded.cancelled)
+    m_scheduler->cancel_job(id, now);
+}
+
+void partition_owner::follow_jobs(adapter::row_version since)
+{
+  feed_handlers handlers;
+  handlers.changed = [this](const std::vector<adapter::row>& rows) { on_job_rows(rows); };
+  handlers.expired = [this] { reload_jobs(); };
+  m_job_feed = std::make_unique<table_feed>(m_parts.io, m_parts.store, k_jobs_table, job_parts(),
+                                            std::move(handlers));
+  m_job_feed->start_after(since);
+}
+
+// The feed cannot say what it missed, so everything is read again; jobs known here are left alone.
+void partition_owner::reload_jobs()
+{
+  m_loader = std::make_shared<partition_loader>(
+      m_parts.io, m_parts.store, m_partition,
+      [this, alive = std::weak_ptr<int>(m_ownership)](const loaded_partition& loaded)
+      {
+        if (alive.expired())
+          return;
+        add_loaded_jobs(loaded);
+        follow_jobs(loaded.read_at);
+        step_soon();
+      });
+  m_loader->start();
+}
+
+void partition_owner::on_job_rows(const std::vector<adapter::row>& rows)
+{
+  for (const adapter::row& row : rows)
+  {
+    if (row.removed)
+      continue;
+    const auto kept = job_row_from(row);
+    if (!kept)
+      continue;
+    if (std::holds_alternative<cancel_mark>(kept->content))
+      job_cancelled(kept->id);
+    else if (const auto* job = std::get_if<jobs::accepted_job>(&kept->content))
+      job_accepted(*job);
+  }
+}
+
+void partition_owner::job_accepted(const jobs::accepted_job& job)
+{
+  if (!owns() || job.home != m_partition || m_scheduler->knew(job.id))
+    return;
+  m_scheduler->add_job(job, steady_now());
+  step_soon();
+}
+
+void partition_owner::job_cancelled(const std::string& id)
+{
+  if (!owns() || !m_scheduler->knows(id))
+    return;
+  m_scheduler->cancel_job(id, steady_now());
+  step_soon();
+}
+
+std::optional<jobs::job_state> partition_owner::written_state(const std::string& id) const
+{
+  if (!owns())
+    return std::nullopt;
+  const auto latest = m_scheduler->state_of(id);
+  if (!latest)
+    return std::nullopt;
+  const bool on_its_way = m_commit && m_commit->batch.rows.contains(id);
+  if (jobs::is_final(*latest) && (on_its_way || m_scheduler->unwritten(id)))
+    return jobs::job_state::active;
+  return latest;
+}
+
+void partition_owner::lose(const char* why)
+{
+  common::log_process("partition_lost", {{"partition", m_partition},
+                                         {"why", why},
+                                         {"epoch", m_row.epoch},
+                                         {"token", m_token},
+                                         {"holder", m_seen.row.holder}});
+  m_parts.metrics.add(common::counter::owner_lost);
+  if (m_loader)
+    m_loader->abandon();
+  m_loader.reset();
+  m_job_feed.reset();
+  m_ownership.reset();
+  m_scheduler.reset();
+  m_commit.reset();
+  m_retry_timer.cancel();
+  m_step_timer.cancel();
+  m_step_due = false;
+  m_state = state::watching;
+  m_try_after = steady_now() + m_options.silence_near;
+}
+
+// ---- What workers and callers bring
+
+void partition_owner::worker_entry(const scheduling::worker_info& info)
+{
+  if (!owns() || info.zone != m_partition)
+    return;
+  m_scheduler->worker_entry(info, steady_now());
+  step_soon();
+}
+
+void partition_owner::worker_entry_gone(const common::worker_id& id)
+{
+  if (!owns())
+    return;
+  m_scheduler->worker_entry_gone(id, steady_now());
+  step_soon();
+}
+
+void partition_owner::queues_changed()
+{
+  if (!owns())
+    return;
+  std::map<std::string, jobs::queue_policy> policies;
+  for (const jobs::queue_route& route : m_parts.queues.routes)
+    policies[route.name] = route.policy;
+  m_scheduler->set_policies(std::move(policies));
+  step_soon();
+}
+
+// ---- Commits: one at a time, each under the condition that nobody else wrote in between
+
+owner_row partition_owner::current_row() const
+{
+  owner_row row = m_row;
+  row.pending = m_scheduler->pending();
+  row.waiting_cpu = m_scheduler->waiting_cpu();
+  row.free_cpu = m_scheduler->free_cpu();
+  return row;
+}
+
+void partition_owner::pump_commits(common::time_point now)
+{
+  if (m_commit)
+    return;
+  const bool renew = now - m_last_renewal >= m_options.renew_period;
+  const bool spaced = now - m_last_commit >= m_options.commit_spacing;
+  if (!renew && !(spaced && m_scheduler->has_changes()) && !m_stopping)
+    return;
+  m_commit = next_commit(now, renew);
+  send_commit();
+}
+
+partition_owner::pending_commit partition_owner::next_commit(common::time_point now, bool renew)
+{
+  pending_commit commit;
+  commit.batch = m_scheduler->take_commit(m_options.most_commit_rows);
+  commit.number = m_commit_number + 1;
+  commit.releases = m_stopping && !m_scheduler->has_changes();
+  commit.renews = renew || commit.releases;
+  commit.change.conditions.push_back({owner_key(m_partition), m_owner_version});
+  commit.change.conditions.push_back({commit_key(m_partition), m_commit_version});
+  commit.change.puts.push_back(
+      {commit_key(m_partition), to_row_text(commit_row{m_self.life, commit.number})});
+  for (const auto& [id, text] : commit.batch.rows)
+    commit.change.puts.push_back({{k_progress_table, m_partition, id}, text});
+  if (commit.renews)
+  {
+    ++m_row.renewal;
+    owner_row row = current_row();
+    if (commit.releases)
+      row.holder.clear();
+    commit.change.puts.push_back({owner_key(m_partition), to_row_text(row)});
+  }
+  m_last_commit = now;
+  return commit;
+}
+
+void partition_owner::send_commit()
+{
+  m_commit->sent = steady_now();
+  m_parts.store.transact(
+      m_commit->change, m_options.commit_timeout,
+      [this, alive = std::weak_ptr<int>(m_ownership)](const adapter::transaction_result& result)
+      {
+        if (!alive.expired() && m_commit)
+          on_commit(result);
+      });
+}
+
+void partition_owner::on_commit(const adapter::transaction_result& result)
+{
+  switch (result.end)
+  {
+  case adapter::store_end::done:
+    commit_written(result.version);
+    return;
+  case adapter::store_end::conflict:
+    on_commit_conflict(result);
+    return;
+  default:
+    // Not done, or not known: the same commit is sent again. If an earlier copy was or will be
+    // done, the conditions let only one of them through.
+    common::log_process("commit_unanswered", {{"partition", m_partition},
+                                              {"number", m_commit->number},
+                                              {"end", adapter::to_text(result.end)},
+                                              {"detail", result.detail}});
+    m_parts.metrics.add(common::retry_reason::store_unavailable);
+    retry_commit();
+  }
+}
+
+void partition_owner::on_commit_conflict(const adapter::transaction_result& result)
+{
+  m_parts.metrics.add(common::retry_reason::store_conflict);
+  const adapter::row* const owner = row_in(result.conflicting, k_owners_table);
+  const adapter::row* const commit = row_in(result.conflicting, k_commits_table);
+  const auto owned = owner == nullptr ? common::result<owner_row>(common::new_error({}))
+                                      : owner_row_from(owner->value);
+  const auto last = commit == nullptr ? common::result<commit_row>(common::new_error({}))
+                                      : commit_row_from(commit->value);
+  if (last && last->life == m_self.life && last->number == m_commit->number)
+  {
+    commit_written(commit->version); // by an earlier copy of it
+    return;
+  }
+  if (owner != nullptr && owned && owned->life == m_self.life && !owned->holder.empty() &&
+      (owner->version != m_owner_version ||
+       (commit != nullptr && commit->version != m_commit_version)))
+  {
+    common::log_process("commit_conditions_stale", {{"partition", m_partition},
+                                                    {"owner_version", owner->version},
+                                                    {"expected", m_owner_version}});
+    m_owner_version = owner->version;
+    m_commit_version = commit == nullptr ? m_commit_version : commit->version;
+    m_commit->change.conditions[0].version = m_owner_version;
+    m_commit->change.conditions[1].version = m_commit_version;
+    retry_commit();
+    return;
+  }
+  if (owner != nullptr)
+    owner_row_changed(*owner);
+  if (owns())
+    lose("a commit met another owner's row");
+}
+
+void partition_owner::commit_written(adapter::row_version version)
+{
+  const pending_commit commit = *std::exchange(m_commit, std::nullopt);
+  m_commit_number = commit.number;
+  m_commit_version = version;
+  m_scheduler->commit_done(commit.batch, true);
+  m_scheduler->set_authority(commit.sent + m_options.authority);
+  if (commit.renews)
+  {
+    m_owner_version = version;
+    m_last_renewal = commit.sent;
+  }
+  m_parts.metrics.record(common::timing::store_latency, steady_now() - commit.sent);
+  if (commit.releases)
+  {
+    lose("given back for a planned stop");
+    return;
+  }
+  step_soon();
+}
+
+void partition_owner::retry_commit()
+{
+  m_retry_timer.expires_after(m_options.retry_pause);
+  m_retry_timer.async_wait(
+      [this, alive = std::weak_ptr<int>(m_ownership)](const boost::system::error_code& ended)
+      {
+        if (!ended && !alive.expired() && m_commit)
+          send_commit();
+      });
+}
+
+// ---- Running the scheduler
+
+void partition_owner::tick(common::time_point now,
+                           std::optional<common::time_point> feed_healthy_since)
+{
+  if (m_state == state::watching && should_take(now, feed_healthy_since))
+    acquire();
+  if (m_state == state::owning)
+    step();
+}
+
+void partition_owner::step_soon()
+{
+  if (m_step_due)
+    return;
+  m_step_due = true;
+  m_step_timer.expires_after(k_step_delay);
+  m_step_timer.async_wait(
+      [this, alive = std::weak_ptr<int>(m_ownership)](const boost::system::error_code& ended)
+      {
+        if (ended || alive.expired())
+          return;
+        m_step_due = false;
+        step();
+      });
+}
+
+void partition_owner::step()
+{
+  if (!owns())
+    return;
+  const common::time_point now = steady_now();
+  m_scheduler->set_wall_clock(
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
+      now);
+  m_scheduler->tick(now);
+  for (const scheduling::command& each : m_scheduler->take_commands())
+    carry_out(each);
+  if (m_scheduler->fenced())
+  {
+    lose("a worker obeys a later owner");
+    return;
+  }
+  pump_commits(now);
+}
+
+template<class answer_type>
+std::function<void(answer_type)> partition_owner::while_owner(
+    void (scheduling::job_scheduler::*handle)(const answer_type&, common::time_point))
+{
+  return [this, handle, alive = std::weak_ptr<int>(m_ownership)](const answer_type& answer)
+  {
+    if (alive.expired() || !m_scheduler)
+      return;
+    (m_scheduler.get()->*handle)(answer, steady_now());
+    step_soon();
+  };
+}
+
+void partition_owner::carry_out(const scheduling::command& what)
+{
+  using scheduling::job_scheduler;
+  const common::time_point now = steady_now();
+  if (const auto* start = std::get_if<scheduling::start_command>(&what))
+    m_parts.workers.start(*start, m_token, now,
+                          while_owner<scheduling::start_answer>(&job_scheduler::start_answered));
+  else if (const auto* stop = std::get_if<scheduling::stop_command>(&what))
+    m_parts.workers.stop(*stop, m_token, now,
+                         while_owner<scheduling::stop_answer>(&job_scheduler::stop_answered));
+  else if (const auto* hold = std::get_if<scheduling::hold_command>(&what))
+    m_parts.workers.hold(*hold, m_token, now,
+                         while_owner<scheduling::hold_answer>(&job_scheduler::hold_answered));
+  else if (const auto* pace = std::get_if<scheduling::pace_command>(&what))
+    m_parts.workers.pace(*pace, m_token);
+  else if (const auto* advice = std::get_if<scheduling::advice_command>(&what))
+    m_parts.advice.ask(*advice,
+                       while_owner<scheduling::advice_answer>(&job_scheduler::advice_answered));
+}
+
+void partition_owner::hand_over()
+{
+  m_stopping = true;
+}
+
+bool partition_owner::handed_over() const
+{
+  return m_stopping && m_state == state::watching;
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/PartitionOwner.h
@@ -0,0 +1,173 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// One instance's part in one partition: watches its owner, takes it over when the owner is silent,
+// and while it is the owner runs the partition's scheduler and writes down what it decides.
+//
+// The store alone says who owns a partition, by a conditional write of the owner's row. The row's
+// version at that write is the fencing token. Every later write of the owner holds only as long as
+// the row is still its own, and as long as no other write came in between.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Jobs/QueueTable.h"
+#include "Node/AdviceDesk.h"
+#include "Node/JobStore.h"
+#include "Node/OwnerRow.h"
+#include "Node/PartitionLoader.h"
+#include "Node/TableFeed.h"
+#include "Scheduling/JobScheduler.h"
+#include "platform/WorkerClient.h"
+
+namespace yardhill::node
+{
+struct ownership_options
+{
+  // The owner's row is renewed this often; pending counts in it may be 2 s old (the platform's
+  // bound), and watchers notice a dead owner by it.
+  common::duration renew_period = std::chrono::milliseconds{1000};
+  // An instance of the partition's zone takes over after this silence; one of another zone later,
+  // so that a zone that is cut off for a few seconds keeps its owner.
+  common::duration silence_near = std::chrono::milliseconds{3500};
+  common::duration silence_far = std::chrono::milliseconds{7500};
+  // How long an owner goes on giving orders after it asked the store for its latest success. It
+  // covers an outage of 7 s; a new owner waits for as long where it cannot ask a worker.
+  common::duration authority = std::chrono::milliseconds{9000};
+  // Commits are at least this far apart, so that ends share them: 25 a second and partition.
+  common::duration commit_spacing = std::chrono::milliseconds{40};
+  common::duration commit_timeout = std::chrono::milliseconds{900};
+  common::duration retry_pause = std::chrono::milliseconds{200};
+  // Rows of one commit; the platform takes 100 entries.
+  std::size_t most_commit_rows = 90;
+};
+
+struct instance_identity
+{
+  std::string name;
+  std::string life; // new at each start of the process
+  std::string zone;
+};
+
+// What the owners of all partitions share with their process.
+struct node_parts
+{
+  boost::asio::io_context& io;
+  adapter::store_client& store;
+  adapter::worker_client& workers;
+  advice_desk& advice;
+  common::metrics& metrics;
+  // Known workers and queues, as the feeds have them.
+  const std::map<std::string, scheduling::worker_info>& worker_entries;
+  const jobs::queue_table& queues;
+};
+
+class partition_owner
+{
+public:
+  partition_owner(const node_parts& parts, instance_identity self, std::string partition,
+                  const ownership_options& options);
+  ~partition_owner();
+  partition_owner(const partition_owner&) = delete;
+  partition_owner& operator=(const partition_owner&) = delete;
+
+  const std::string& partition() const { return m_partition; }
+  bool owns() const { return m_state == state::owning; }
+  const seen_owner& seen() const { return m_seen; }
+
+  void owner_row_changed(const adapter::row& row);
+  void worker_entry(const scheduling::worker_info& info);
+  void worker_entry_gone(const common::worker_id& id);
+  void queues_changed();
+  // A job that this process has just had kept, so that it need not wait for the feed.
+  void job_accepted(const jobs::accepted_job& job);
+  void job_cancelled(const std::string& id);
+  // What is written of a job here; nothing if this instance does not own it or does not know it.
+  std::optional<jobs::job_state> written_state(const std::string& id) const;
+
+  // Called often. `feed_healthy_since`: of the owners' feed.
+  void tick(common::time_point now, std::optional<common::time_point> feed_healthy_since);
+  // Planned stop: gives the partition back once everything is written.
+  void hand_over();
+  bool handed_over() const;
+
+private:
+  enum class state
+  {
+    watching,
+    acquiring,
+    loading,
+    owning
+  };
+
+  // A commit on its way.
+  struct pending_commit
+  {
+    scheduling::commit_batch batch;
+    adapter::transaction change;
+    std::uint64_t number = 0;
+    bool renews = false;
+    bool releases = false;
+    common::time_point sent{};
+  };
+
+  bool should_take(common::time_point now,
+                   std::optional<common::time_point> feed_healthy_since) const;
+  void acquire();
+  void on_acquired(const owner_row& row, const adapter::transaction_result& result);
+  void load();
+  void on_loaded(loaded_partition loaded);
+  void add_loaded_jobs(const loaded_partition& loaded);
+  void follow_jobs(adapter::row_version since);
+  void on_job_rows(const std::vector<adapter::row>& rows);
+  void reload_jobs();
+
+  void pump_commits(common::time_point now);
+  pending_commit next_commit(common::time_point now, bool renew);
+  void send_commit();
+  void on_commit(const adapter::transaction_result& result);
+  void on_commit_conflict(const adapter::transaction_result& result);
+  void commit_written(adapter::row_version version);
+  void retry_commit();
+  void lose(const char* why);
+
+  void step_soon();
+  void step();
+  void carry_out(const scheduling::command& what);
+  // Wraps a callback so that it does nothing once this ownership has ended.
+  template<class answer_type>
+  std::function<void(answer_type)>
+  while_owner(void (scheduling::job_scheduler::*handle)(const answer_type&, common::time_point));
+  owner_row current_row() const;
+
+  node_parts m_parts;
+  instance_identity m_self;
+  std::string m_partition;
+  ownership_options m_options;
+  state m_state = state::watching;
+  seen_owner m_seen;
+  common::time_point m_try_after{};
+  bool m_stopping = false;
+
+  // Of the present ownership.
+  std::shared_ptr<int> m_ownership; // replaced with each; callbacks hold it weakly
+  std::unique_ptr<scheduling::job_scheduler> m_scheduler;
+  std::shared_ptr<partition_loader> m_loader;
+  std::unique_ptr<table_feed> m_job_feed;
+  scheduling::fencing_token m_token = 0;
+  adapter::row_version m_owner_version = 0;
+  adapter::row_version m_commit_version = 0;
+  std::uint64_t m_commit_number = 0;
+  owner_row m_row;
+  std::optional<pending_commit> m_commit;
+  common::time_point m_last_commit{};
+  common::time_point m_last_renewal{};
+  boost::asio::steady_timer m_step_timer;
+  boost::asio::steady_timer m_retry_timer;
+  bool m_step_due = false;
+};
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/TableFeed.cpp
@@ -0,0 +1,225 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/TableFeed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::node
+{
+namespace
+{
+// A feed waits this long for a change: a silent path to the store is noticed within this time and
+// the client's slack of 1 s, well within the time in which configurations have to be in force.
+constexpr std::chrono::milliseconds k_feed_wait{2500};
+constexpr std::chrono::milliseconds k_read_timeout{1500};
+// Retries begin quickly, since most failures are one call's, and slow down: each call is priced.
+constexpr std::chrono::milliseconds k_retry_first{60};
+constexpr std::chrono::milliseconds k_retry_most{500};
+} // namespace
+
+common::time_point steady_now()
+{
+  return common::time_point(std::chrono::duration_cast<common::duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+class table_feed::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+  implementation(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+                 std::vector<std::string> parts, feed_handlers handlers)
+      : m_timer(io),
+        m_store(store),
+        m_table(std::move(table)),
+        m_parts(std::move(parts)),
+        m_handlers(std::move(handlers))
+  {
+  }
+
+  void start()
+  {
+    m_rows.clear();
+    m_part = 0;
+    m_first_key.clear();
+    m_since.reset();
+    read_next();
+  }
+
+  void start_after(adapter::row_version version)
+  {
+    m_since = version;
+    m_loaded = true;
+    wait_for_changes();
+  }
+
+  void stop()
+  {
+    m_stopped = true;
+    m_timer.cancel();
+  }
+
+  std::optional<common::time_point> healthy_since() const { return m_healthy_since; }
+  bool loaded() const { return m_loaded; }
+
+private:
+  void read_next()
+  {
+    m_store.read({m_table, m_parts[m_part], m_first_key, {}, 500}, k_read_timeout,
+                 [self = shared_from_this()](const adapter::rows_result& result)
+                 {
+                   if (!self->m_stopped)
+                     self->on_page(result);
+                 });
+  }
+
+  void on_page(const adapter::rows_result& result)
+  {
+    if (result.end != adapter::store_end::done)
+    {
+      failed(result);
+      retry([this] { read_next(); });
+      return;
+    }
+    succeeded();
+    if (!m_since)
+      m_since = result.version;
+    m_rows.insert(m_rows.end(), result.rows.begin(), result.rows.end());
+    if (result.more && !result.rows.empty())
+    {
+      // The next key in byte order.
+      m_first_key = result.rows.back().at.key + std::string(1, '\x01');
+      read_next();
+      return;
+    }
+    m_first_key.clear();
+    if (++m_part < m_parts.size())
+    {
+      read_next();
+      return;
+    }
+    m_loaded = true;
+    const std::vector<adapter::row> rows = std::exchange(m_rows, {});
+    m_handlers.snapshot(rows);
+    if (!m_stopped)
+      wait_for_changes();
+  }
+
+  void wait_for_changes()
+  {
+    m_store.changes(m_table, *m_since, k_feed_wait,
+                    [self = shared_from_this()](const adapter::rows_result& result)
+                    {
+                      if (!self->m_stopped)
+                        self->on_changes(result);
+                    });
+  }
+
+  void on_changes(const adapter::rows_result& result)
+  {
+    if (result.end == adapter::store_end::expired)
+    {
+      common::log_process("feed_history_gone", {{"table", m_table}, {"since", *m_since}});
+      if (m_handlers.expired)
+        m_handlers.expired();
+      else
+        start();
+      return;
+    }
+    if (result.end != adapter::store_end::done)
+    {
+      failed(result);
+      retry([this] { wait_for_changes(); });
+      return;
+    }
+    succeeded();
+    m_since = std::max(*m_since, result.version);
+    if (!result.rows.empty())
+      m_handlers.changed(result.rows);
+    if (!m_stopped)
+      wait_for_changes();
+  }
+
+  void succeeded()
+  {
+    m_retry = k_retry_first;
+    if (m_healthy_since)
+      return;
+    m_healthy_since = steady_now();
+    common::log_process("feed_heard", {{"table", m_table}});
+  }
+
+  void failed(const adapter::rows_result& result)
+  {
+    if (!m_healthy_since)
+      return;
+    m_healthy_since.reset();
+    common::log_process(
+        "feed_lost",
+        {{"table", m_table}, {"end", adapter::to_text(result.end)}, {"detail", result.detail}});
+  }
+
+  void retry(std::function<void()> again)
+  {
+    m_timer.expires_after(m_retry);
+    m_retry = std::min(m_retry * 2, k_retry_most);
+    m_timer.async_wait(
+        [self = shared_from_this(), again = std::move(again)](const boost::system::error_code&)
+        {
+          if (!self->m_stopped)
+            again();
+        });
+  }
+
+  boost::asio::steady_timer m_timer;
+  adapter::store_client& m_store;
+  std::string m_table;
+  std::vector<std::string> m_parts;
+  feed_handlers m_handlers;
+  std::vector<adapter::row> m_rows; // read so far
+  std::size_t m_part = 0;
+  std::string m_first_key;
+  std::optional<adapter::row_version> m_since;
+  std::chrono::milliseconds m_retry = k_retry_first;
+  std::optional<common::time_point> m_healthy_since;
+  bool m_loaded = false;
+  bool m_stopped = false;
+};
+
+table_feed::table_feed(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+                       std::vector<std::string> parts, feed_handlers handlers)
+    : m_implementation(std::make_shared<implementation>(io, store, std::move(table),
+                                                        std::move(parts), std::move(handlers)))
+{
+}
+
+table_feed::~table_feed()
+{
+  m_implementation->stop();
+}
+
+void table_feed::start()
+{
+  m_implementation->start();
+}
+
+void table_feed::start_after(adapter::row_version version)
+{
+  m_implementation->start_after(version);
+}
+
+std::optional<common::time_point> table_feed::healthy_since() const
+{
+  return m_implementation->healthy_since();
+}
+
+bool table_feed::loaded() const
+{
+  return m_implementation->loaded();
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/TableFeed.h
@@ -0,0 +1,55 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Follows one table of the store: reads it whole, then waits for changes, for as long as it lives.
+//
+// After a gap in the history it reads the table whole again.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "platform/StoreClient.h"
+
+namespace yardhill::node
+{
+struct feed_handlers
+{
+  // All rows of the table; what is not among them is gone.
+  std::function<void(const std::vector<adapter::row>&)> snapshot;
+  std::function<void(const std::vector<adapter::row>&)> changed;
+  // Where given, called instead of reading the table again when the history was lost; the feed
+  // has ended then.
+  std::function<void()> expired;
+};
+
+class table_feed
+{
+public:
+  table_feed(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+             std::vector<std::string> parts, feed_handlers handlers);
+  ~table_feed();
+  table_feed(const table_feed&) = delete;
+  table_feed& operator=(const table_feed&) = delete;
+
+  void start();
+  // Continues behind a version up to which the rows are known already.
+  void start_after(adapter::row_version version);
+  // Since when answers have come without a failure in between; none while they do not come.
+  std::optional<common::time_point> healthy_since() const;
+  bool loaded() const;
+
+private:
+  class implementation;
+  std::shared_ptr<implementation> m_implementation;
+};
+
+// The steady clock as the core's time.
+common::time_point steady_now();
+} // namespace yardhill::node
--- a/Source/Core/Platform/PlatformClient.cpp
+++ b/Source/Core/Platform/PlatformClient.cpp
@@ -39,7 +39,7 @@
     return store_status::unclear;
   }
 }
-leaf::result<store_read_result> read_result_of(const call_result& result)
+result<store_read_result> read_result_of(const call_result& result)
 {
   const store_status status = status_of(result);
   if (status != store_status::ok)
@@ -47,7 +47,7 @@
   return parsed("read", k_platform, [&result] { return store_read_result_from(result.body); });
 }
 
-leaf::result<store_write_result> write_result_of(const call_result& result)
+result<store_write_result> write_result_of(const call_result& result)
 {
   const store_status status = status_of(result);
   if (status != store_status::ok)
--- /dev/null
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -0,0 +1,154 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/AdvicePlanner.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+namespace
+{
+const std::string k_no_ticket;
+} // namespace
+
+advice_planner::advice_planner(scheduler_state& state) : m_state(state) {}
+
+bool suits(const worker_record& worker, const job_record& job, const step_record& step)
+{
+  return worker.present && worker.claimed && !worker.info.draining &&
+         worker.info.service == job.policy().service &&
+         worker.has_label(step.spec->required_label) &&
+         room_of(*step.spec).fits_in(worker.info.capacity);
+}
+
+const std::string* advice_planner::ticket(const job_record& job, const step_record& step,
+                                          const worker_id& worker, time_point now) const
+{
+  if (!job.policy().advice)
+    return &k_no_ticket;
+  const auto found = step.permits.tickets.find(worker);
+  if (found == step.permits.tickets.end() || found->second.until <= now)
+    return nullptr;
+  return &found->second.text;
+}
+
+std::vector<worker_id> advice_planner::worth_asking(const job_record& job,
+                                                    const step_record& step) const
+{
+  std::vector<const worker_record*> candidates;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (!suits(*worker, job, step) || worker->suspect)
+      continue;
+    const auto known = step.permits.permitted.find(id);
+    if (known != step.permits.permitted.end() && !known->second)
+      continue;
+    candidates.push_back(worker.get());
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const worker_record* left, const worker_record* right)
+                   { return left->free().cpu_millis > right->free().cpu_millis; });
+  if (candidates.size() > m_state.options.advice_workers)
+    candidates.resize(m_state.options.advice_workers);
+  std::vector<worker_id> ids;
+  ids.reserve(candidates.size());
+  for (const worker_record* worker : candidates)
+    ids.push_back(worker->info.id);
+  return ids;
+}
+
+void advice_planner::want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now)
+{
+  step_record& in = job.cycles()[cycle].steps[step];
+  step_permits& permits = in.permits;
+  if (!job.policy().advice || permits.asking || now < permits.ask_after)
+    return;
+  // Tickets that are still good for a while are waited with, not asked for again.
+  const time_point renew = now + m_state.options.ticket_margin;
+  const bool any_good =
+      std::any_of(permits.tickets.begin(), permits.tickets.end(),
+                  [renew](const auto& each) { return each.second.until > renew; });
+  if (any_good)
+    return;
+  std::vector<worker_id> workers = worth_asking(job, in);
+  if (workers.empty())
+    return;
+  permits.asking = true;
+  const auto expected =
+      job.policy().advice->per_call +
+      std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
+  m_state.commands.emplace_back(
+      advice_command{{job.id(), cycle, step}, std::move(workers), expected});
+}
+
+bool advice_planner::soon(job_record& job, std::uint32_t cycle, std::uint32_t step,
+                          time_point now) const
+{
+  for (const std::uint32_t needed : job.cycles()[cycle].steps[step].spec->depends_on)
+  {
+    step_record& before = job.cycles()[cycle].steps[needed];
+    if (before.complete())
+      continue;
+    for (const task_record& task : before.tasks)
+    {
+      if (task.phase == task_phase::done)
+        continue;
+      if (task.runs.empty())
+        return false;
+      const time_point expected_end = task.runs.front()->begun + before.spec->estimate;
+      if (expected_end > now + m_state.options.advice_ahead)
+        return false;
+    }
+  }
+  return true;
+}
+
+void advice_planner::look_ahead(job_record& job, time_point now)
+{
+  if (!job.policy().advice)
+    return;
+  for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+    {
+      const step_record& step = job.cycles()[c].steps[s];
+      if (step.waiting > 0 && !job.ready(c, s, m_state.wall(now)) && soon(job, c, s, now))
+        want(job, c, s, now);
+    }
+  }
+}
+
+void advice_planner::on_answer(const advice_answer& answer, time_point now)
+{
+  job_record* const job = m_state.find_job(answer.step.job);
+  if (job == nullptr || !job->contains({answer.step.cycle, answer.step.step, 0}))
+    return;
+  step_permits& permits = job->cycles()[answer.step.cycle].steps[answer.step.step].permits;
+  permits.asking = false;
+  if (!answer.answered)
+  {
+    permits.ask_after = now + m_state.options.advice_retry;
+    return;
+  }
+  for (const worker_id& worker : answer.asked)
+    permits.permitted[worker] = false;
+  const time_point until = answer.received + answer.valid - m_state.options.ticket_margin;
+  for (const admission_ticket& each : answer.permitted)
+  {
+    permits.permitted[each.worker] = true;
+    permits.tickets[each.worker] = {each.ticket, until};
+  }
+  // No worker may run the step: others may come, or these may be asked about in vain for ever.
+  if (answer.permitted.empty())
+    permits.ask_after = now + m_state.options.advice_retry;
+  m_state.place_again = true;
+  common::log_request("advice", answer.step.job,
+                      {{"step", answer.step.step},
+                       {"asked", answer.asked.size()},
+                       {"permitted", answer.permitted.size()},
+                       {"valid_ms", answer.valid}});
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -0,0 +1,182 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/JobRecord.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yardhill::scheduling
+{
+namespace
+{
+// A job that ends within this many times its objective is still worth a part of its credit.
+constexpr int k_late_factor = 3;
+} // namespace
+
+job_record::job_record(jobs::accepted_job job, const jobs::queue_policy& policy,
+                       time_point accepted)
+    : m_job(std::move(job)), m_policy(policy), m_accepted_at(accepted)
+{
+  m_cycles.resize(m_job.spec.cycles());
+  for (cycle_record& cycle : m_cycles)
+  {
+    cycle.steps.resize(m_job.spec.steps.size());
+    for (std::size_t i = 0; i < cycle.steps.size(); ++i)
+    {
+      cycle.steps[i].spec = &m_job.spec.steps[i];
+      cycle.steps[i].tasks.resize(m_job.spec.steps[i].count);
+      cycle.steps[i].waiting = m_job.spec.steps[i].count;
+    }
+  }
+  set_times();
+}
+
+void job_record::set_policy(const jobs::queue_policy& policy)
+{
+  m_policy = policy;
+  set_times();
+}
+
+void job_record::set_times()
+{
+  const auto chain = jobs::longest_chain(m_job.spec.steps);
+  const duration allowed =
+      m_policy.latency_target + std::chrono::duration_cast<duration>(chain * m_policy.stretch);
+  m_objective = m_accepted_at + allowed;
+  m_worthless = m_accepted_at + allowed * k_late_factor;
+}
+
+bool job_record::contains(const task_place& place) const
+{
+  return place.cycle < m_cycles.size() && place.step < m_cycles[place.cycle].steps.size() &&
+         place.index < m_cycles[place.cycle].steps[place.step].tasks.size();
+}
+
+std::uint32_t job_record::waiting() const
+{
+  std::uint32_t sum = 0;
+  for (const cycle_record& cycle : m_cycles)
+  {
+    for (const step_record& step : cycle.steps)
+      sum += step.waiting;
+  }
+  return sum;
+}
+
+bool job_record::ready(std::uint32_t cycle, std::uint32_t step, jobs::wall_time wall) const
+{
+  if (m_job.spec.repeats > 0 && wall < m_job.spec.due(cycle))
+    return false;
+  const auto& steps = m_cycles[cycle].steps;
+  const auto& needs = steps[step].spec->depends_on;
+  return std::all_of(needs.begin(), needs.end(),
+                     [&steps](std::uint32_t needed) { return steps[needed].complete(); });
+}
+
+bool job_record::all_done() const
+{
+  return std::all_of(m_cycles.begin(), m_cycles.end(),
+                     [](const cycle_record& cycle)
+                     {
+                       return std::all_of(cycle.steps.begin(), cycle.steps.end(),
+                                          [](const step_record& step) { return step.complete(); });
+                     });
+}
+
+bool job_record::has_runs() const
+{
+  for (const cycle_record& cycle : m_cycles)
+  {
+    for (const step_record& step : cycle.steps)
+    {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                      [](const task_record& task) { return !task.runs.empty(); }))
+        return true;
+    }
+  }
+  return false;
+}
+
+void job_record::set_phase(const task_place& place, task_phase phase)
+{
+  step_record& in = step(place);
+  task_record& task = in.tasks[place.index];
+  if (task.phase == phase)
+    return;
+  in.waiting -= task.phase == task_phase::waiting ? 1 : 0;
+  in.done -= task.phase == task_phase::done ? 1 : 0;
+  in.waiting += phase == task_phase::waiting ? 1 : 0;
+  in.done += phase == task_phase::done ? 1 : 0;
+  task.phase = phase;
+}
+
+jobs::job_progress job_record::progress() const
+{
+  jobs::job_progress progress;
+  progress.state = m_state;
+  if (ended())
+    return progress;
+  for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
+  {
+    auto& row = progress.done.emplace_back();
+    for (std::uint32_t s = 0; s < m_cycles[c].steps.size(); ++s)
+    {
+      const step_record& step = m_cycles[c].steps[s];
+      auto& bits = row.emplace_back();
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+      {
+        const task_record& task = step.tasks[i];
+        bits.push_back(task.phase == task_phase::done);
+        if (task.phase != task_phase::done && (task.failures > 0 || !task.checkpoint.empty()))
+          progress.histories[{c, s, i}] = {task.failures, task.last_failed, task.checkpoint};
+      }
+    }
+  }
+  return progress;
+}
+
+void job_record::restore(const jobs::job_progress& progress, run_number first_run)
+{
+  m_state = progress.state;
+  for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < m_cycles[c].steps.size(); ++s)
+    {
+      step_record& step = m_cycles[c].steps[s];
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+      {
+        step.tasks[i].last_run = first_run;
+        if (c < progress.done.size() && s < progress.done[c].size() &&
+            i < progress.done[c][s].size() && progress.done[c][s][i])
+          set_phase({c, s, i}, task_phase::done);
+      }
+    }
+  }
+  for (const auto& [place, history] : progress.histories)
+  {
+    if (!contains(place))
+      continue;
+    task_record& kept = task(place);
+    kept.failures = history.failures;
+    kept.last_failed = history.last_failed;
+    kept.checkpoint = history.checkpoint;
+    kept.last_run = std::max(kept.last_run, history.last_failed);
+  }
+}
+
+void job_record::mark_unaccounted()
+{
+  for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < m_cycles[c].steps.size(); ++s)
+    {
+      for (std::uint32_t i = 0; i < m_cycles[c].steps[s].tasks.size(); ++i)
+      {
+        if (m_cycles[c].steps[s].tasks[i].phase == task_phase::waiting)
+          set_phase({c, s, i}, task_phase::unaccounted);
+      }
+    }
+  }
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -0,0 +1,119 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// A job as its partition's owner holds it in memory: what was asked for, and each task's phase.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Jobs/JobProgress.h"
+#include "Jobs/JobSpec.h"
+#include "Scheduling/SchedulerMessages.h"
+
+namespace yardhill::scheduling
+{
+struct run_record;
+
+enum class task_phase
+{
+  waiting,
+  active, // at least one run of it may be going on
+  done,
+  unaccounted // an earlier owner may have started it on a worker that has not been heard yet
+};
+
+struct task_record
+{
+  task_phase phase = task_phase::waiting;
+  run_number last_run = 0;    // the highest number used
+  run_number last_failed = 0; // the run whose failure was counted last
+  std::uint32_t failures = 0;
+  std::string checkpoint;
+  std::vector<run_record*> runs;
+};
+
+// Which workers the queue's policy permits for a step, as far as it was asked.
+struct step_permits
+{
+  struct ticket
+  {
+    std::string text;
+    time_point until;
+  };
+  std::map<worker_id, ticket> tickets; // of permitted workers; may be out of date
+  std::map<worker_id, bool> permitted; // every worker asked about: the policy does not change
+  bool asking = false;
+  time_point ask_after{};
+};
+
+struct step_record
+{
+  const jobs::step_spec* spec = nullptr;
+  std::vector<task_record> tasks;
+  std::uint32_t waiting = 0;
+  std::uint32_t done = 0;
+  step_permits permits;
+
+  bool complete() const { return done == tasks.size(); }
+};
+
+struct cycle_record
+{
+  std::vector<step_record> steps;
+};
+
+class job_record
+{
+public:
+  job_record(jobs::accepted_job job, const jobs::queue_policy& policy, time_point accepted);
+
+  const std::string& id() const { return m_job.id; }
+  const jobs::accepted_job& accepted() const { return m_job; }
+  const jobs::queue_policy& policy() const { return m_policy; }
+  void set_policy(const jobs::queue_policy& policy);
+
+  jobs::job_state state() const { return m_state; }
+  bool ended() const { return jobs::is_final(m_state); }
+  void set_state(jobs::job_state state) { m_state = state; }
+
+  // When the job should be complete to be worth its full credit, and until when it is worth some.
+  time_point objective() const { return m_objective; }
+  time_point worthless() const { return m_worthless; }
+  time_point accepted_at() const { return m_accepted_at; }
+
+  std::vector<cycle_record>& cycles() { return m_cycles; }
+  step_record& step(const task_place& place) { return m_cycles[place.cycle].steps[place.step]; }
+  task_record& task(const task_place& place) { return step(place).tasks[place.index]; }
+  bool contains(const task_place& place) const;
+  std::uint32_t waiting() const;
+
+  // Whether everything that the step depends on is done and its cycle is due.
+  bool ready(std::uint32_t cycle, std::uint32_t step, jobs::wall_time wall) const;
+  bool all_done() const;
+  bool has_runs() const;
+
+  // Moves a task between phases and keeps the counts.
+  void set_phase(const task_place& place, task_phase phase);
+
+  // What has to outlast this owner, and taking it over from an earlier one.
+  jobs::job_progress progress() const;
+  void restore(const jobs::job_progress& progress, run_number first_run);
+  // All tasks that are not done may have been started by an earlier owner.
+  void mark_unaccounted();
+
+private:
+  void set_times();
+
+  jobs::accepted_job m_job;
+  jobs::queue_policy m_policy;
+  jobs::job_state m_state = jobs::job_state::queued;
+  time_point m_accepted_at;
+  time_point m_objective;
+  time_point m_worthless;
+  std::vector<cycle_record> m_cycles;
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -0,0 +1,257 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+job_scheduler::job_scheduler(const scheduler_options& options, run_number first_run,
+                             common::metrics& counts)
+    : m_state(options, counts),
+      m_follower(m_state),
+      m_holder(m_state, m_follower),
+      m_advice(m_state),
+      m_placer(m_state, m_advice, m_holder)
+{
+  m_state.first_run = first_run;
+}
+
+void job_scheduler::set_policies(std::map<std::string, jobs::queue_policy> policies)
+{
+  // The last policy of a queue that is no longer configured holds for its accepted jobs.
+  for (auto& [queue, policy] : policies)
+    m_state.policies[queue] = policy;
+  for (const std::string& id : m_state.open)
+  {
+    job_record& job = *m_state.jobs.at(id);
+    job.set_policy(policy_of(job.accepted().queue));
+  }
+  m_state.place_again = true;
+}
+
+const jobs::queue_policy& job_scheduler::policy_of(const std::string& queue) const
+{
+  static const jobs::queue_policy s_unknown;
+  const auto found = m_state.policies.find(queue);
+  return found == m_state.policies.end() ? s_unknown : found->second;
+}
+
+void job_scheduler::set_wall_clock(jobs::wall_time wall, time_point now)
+{
+  m_state.wall_ahead =
+      wall.time_since_epoch() - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+}
+
+void job_scheduler::set_authority(time_point until)
+{
+  m_state.authority_end = until;
+}
+
+void job_scheduler::worker_entry(const worker_info& info, time_point now)
+{
+  m_holder.on_entry(info, now);
+}
+
+void job_scheduler::worker_entry_gone(const worker_id& id, time_point now)
+{
+  m_holder.on_entry_gone(id, now);
+}
+
+void job_scheduler::add_job(const jobs::accepted_job& job, time_point now)
+{
+  if (m_state.jobs.contains(job.id))
+    return;
+  const time_point accepted = std::min(
+      now, now - std::chrono::duration_cast<duration>(m_state.wall(now) - job.accepted_at));
+  m_state.jobs[job.id] = std::make_unique<job_record>(job, policy_of(job.queue), accepted);
+  m_state.open.insert(job.id);
+  m_state.place_again = true;
+  m_state.metrics.add(common::counter::tasks_accepted);
+}
+
+void job_scheduler::restore_job(const jobs::accepted_job& job,
+                                const std::optional<jobs::job_progress>& progress, time_point now)
+{
+  if (m_state.jobs.contains(job.id))
+    return;
+  add_job(job, now);
+  job_record& record = *m_state.jobs.at(job.id);
+  record.restore(progress.value_or(jobs::job_progress{}), m_state.first_run);
+  if (record.ended())
+    m_state.open.erase(job.id);
+  else
+    record.mark_unaccounted();
+}
+
+void job_scheduler::begin_accounting(time_point deadline)
+{
+  m_holder.begin_accounting(deadline);
+}
+
+void job_scheduler::cancel_job(const std::string& id, time_point now)
+{
+  job_record* const job = m_state.find_job(id);
+  if (job != nullptr)
+    m_follower.cancel(*job, now);
+}
+
+void job_scheduler::start_answered(const start_answer& answer, time_point now)
+{
+  m_follower.on_start(answer, now);
+}
+
+void job_scheduler::stop_answered(const stop_answer& answer, time_point now)
+{
+  m_follower.on_stop(answer, now);
+}
+
+void job_scheduler::hold_answered(const hold_answer& answer, time_point now)
+{
+  m_holder.on_hold(answer, now);
+}
+
+void job_scheduler::advice_answered(const advice_answer& answer, time_point now)
+{
+  m_advice.on_answer(answer, now);
+}
+
+bool job_scheduler::ends_unwritten() const
+{
+  return std::any_of(m_state.workers.begin(), m_state.workers.end(),
+                     [](const auto& each) { return each.second->seen > each.second->durable; });
+}
+
+commit_batch job_scheduler::take_commit(std::size_t most_rows)
+{
+  commit_batch batch;
+  while (!m_state.dirty.empty() && batch.rows.size() < most_rows)
+  {
+    const std::string id = *m_state.dirty.begin();
+    const job_record& job = *m_state.jobs.at(id);
+    batch.rows[id] = jobs::to_row_text(job.progress());
+    if (job.ended())
+      m_ending.insert(id);
+    m_state.dirty.erase(id);
+  }
+  if (!m_state.dirty.empty())
+    return batch;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->seen > worker->durable)
+      batch.ends[id] = worker->seen;
+  }
+  return batch;
+}
+
+void job_scheduler::commit_done(const commit_batch& batch, bool written)
+{
+  if (!written)
+  {
+    for (const auto& [id, text] : batch.rows)
+    {
+      if (m_state.jobs.contains(id))
+        m_state.dirty.insert(id);
+    }
+    return;
+  }
+  for (const auto& [id, end] : batch.ends)
+  {
+    if (worker_record* const worker = m_state.find_worker(id))
+      worker->durable = std::max(worker->durable, end);
+  }
+  forget_ended();
+}
+
+void job_scheduler::forget_ended()
+{
+  for (auto each = m_ending.begin(); each != m_ending.end();)
+  {
+    const auto found = m_state.jobs.find(*each);
+    if (m_state.dirty.contains(*each) || found->second->has_runs())
+    {
+      ++each;
+      continue;
+    }
+    m_state.jobs.erase(found);
+    m_forgotten.insert(*each);
+    each = m_ending.erase(each);
+  }
+}
+
+void job_scheduler::look_ahead(time_point now)
+{
+  for (const std::string& id : m_state.open)
+  {
+    job_record& job = *m_state.jobs.at(id);
+    if (job.state() == jobs::job_state::active)
+      m_advice.look_ahead(job, now);
+  }
+}
+
+void job_scheduler::tick(time_point now)
+{
+  if (m_state.fenced)
+    return;
+  m_holder.tick(now);
+  m_follower.repeat_orders(now);
+  look_ahead(now);
+  m_state.place_again = false;
+  m_placer.place(now);
+}
+
+std::vector<command> job_scheduler::take_commands()
+{
+  return std::exchange(m_state.commands, {});
+}
+
+std::optional<jobs::job_state> job_scheduler::state_of(const std::string& job) const
+{
+  const auto found = m_state.jobs.find(job);
+  if (found == m_state.jobs.end())
+    return std::nullopt;
+  return found->second->state();
+}
+
+std::map<std::string, std::uint64_t> job_scheduler::pending() const
+{
+  std::map<std::string, std::uint64_t> counts;
+  for (const std::string& id : m_state.open)
+  {
+    const job_record& job = *m_state.jobs.at(id);
+    if (job.state() == jobs::job_state::queued)
+      ++counts[job.accepted().queue];
+  }
+  return counts;
+}
+
+std::int64_t job_scheduler::waiting_cpu() const
+{
+  std::int64_t sum = 0;
+  for (const std::string& id : m_state.open)
+  {
+    job_record& job = *m_state.jobs.at(id);
+    for (const cycle_record& cycle : job.cycles())
+    {
+      for (const step_record& step : cycle.steps)
+        sum += static_cast<std::int64_t>(step.waiting) * room_of(*step.spec).cpu_millis;
+    }
+  }
+  return sum;
+}
+
+std::int64_t job_scheduler::free_cpu() const
+{
+  std::int64_t sum = 0;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->present && worker->claimed && !worker->suspect && !worker->info.draining)
+      sum += worker->free().cpu_millis;
+  }
+  return sum;
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -0,0 +1,101 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// One partition's jobs and workers under one owner: told of events, it answers with commands.
+//
+// No I/O, no clock, no randomness: the same events at the same times give the same commands.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/Placer.h"
+#include "Scheduling/RunFollower.h"
+#include "Scheduling/SchedulerState.h"
+#include "Scheduling/WorkerHolder.h"
+
+namespace yardhill::scheduling
+{
+// What has to be written before the ends in it may be acknowledged.
+struct commit_batch
+{
+  std::map<std::string, std::string> rows; // progress by job
+  std::map<worker_id, end_number> ends;
+
+  bool empty() const { return rows.empty() && ends.empty(); }
+};
+
+class job_scheduler
+{
+public:
+  // Runs are numbered above `first_run`.
+  job_scheduler(const scheduler_options& options, run_number first_run, common::metrics& counts);
+  job_scheduler(const job_scheduler&) = delete;
+  job_scheduler& operator=(const job_scheduler&) = delete;
+
+  void set_policies(std::map<std::string, jobs::queue_policy> policies);
+  // The time of day at `now`.
+  void set_wall_clock(jobs::wall_time wall, time_point now);
+  // Orders may be given until this time.
+  void set_authority(time_point until);
+
+  void worker_entry(const worker_info& info, time_point now);
+  void worker_entry_gone(const worker_id& id, time_point now);
+
+  // A job accepted under this owner.
+  void add_job(const jobs::accepted_job& job, time_point now);
+  // A job of an earlier owner, as far as it had come.
+  void restore_job(const jobs::accepted_job& job, const std::optional<jobs::job_progress>& progress,
+                   time_point now);
+  // All earlier jobs and known workers are here; until `deadline` some worker may be unheard.
+  void begin_accounting(time_point deadline);
+  void cancel_job(const std::string& id, time_point now);
+
+  void start_answered(const start_answer& answer, time_point now);
+  void stop_answered(const stop_answer& answer, time_point now);
+  void hold_answered(const hold_answer& answer, time_point now);
+  void advice_answered(const advice_answer& answer, time_point now);
+
+  // What has changed since the last call; the caller writes it and says how that went.
+  // With more than `most_rows` jobs to write, the ends have to wait for a later batch.
+  commit_batch take_commit(std::size_t most_rows);
+  void commit_done(const commit_batch& batch, bool written);
+
+  void tick(time_point now);
+  std::vector<command> take_commands();
+
+  bool fenced() const { return m_state.fenced; }
+  // Whether ends or final states wait to be written.
+  bool has_changes() const { return !m_state.dirty.empty() || ends_unwritten(); }
+  bool knows(const std::string& job) const { return m_state.jobs.contains(job); }
+  // Also true for jobs that have ended under this owner and are no longer held in memory.
+  bool knew(const std::string& job) const { return knows(job) || m_forgotten.contains(job); }
+  // Whether the job's latest state waits for a commit.
+  bool unwritten(const std::string& job) const { return m_state.dirty.contains(job); }
+  std::optional<jobs::job_state> state_of(const std::string& job) const;
+  // Accepted jobs none of whose tasks has begun, by queue.
+  std::map<std::string, std::uint64_t> pending() const;
+  // Processor time, in thousandths of a core, that waiting tasks ask for, and what workers have.
+  std::int64_t waiting_cpu() const;
+  std::int64_t free_cpu() const;
+
+private:
+  bool ends_unwritten() const;
+  // Drops ended jobs that are written and of which nothing runs any more.
+  void forget_ended();
+  void look_ahead(time_point now);
+  const jobs::queue_policy& policy_of(const std::string& queue) const;
+
+  scheduler_state m_state;
+  run_follower m_follower;
+  worker_holder m_holder;
+  advice_planner m_advice;
+  placer m_placer;
+  std::set<std::string> m_ending;    // ended jobs that are still held
+  std::set<std::string> m_forgotten; // ended under this owner
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -0,0 +1,184 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/Placer.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+namespace
+{
+// Data on the worker's own rack outweighs any difference in free room, which is at most 1.
+constexpr double k_data_rack_weight = 2.0;
+} // namespace
+
+placer::placer(scheduler_state& state, advice_planner& advice, worker_holder& holder)
+    : m_state(state), m_advice(advice), m_holder(holder)
+{
+}
+
+void placer::place(time_point now)
+{
+  if (!m_state.may_act(now))
+    return;
+  for (const waiting_step& each : in_order(now))
+  {
+    m_advice.want(*each.job, each.cycle, each.step, now);
+    if (each.job->cycles()[each.cycle].steps[each.step].spec->gang)
+      place_gang(each, now);
+    else
+      place_step(each, now);
+  }
+}
+
+// By priority; within one, jobs that can still earn something first, the most urgent first.
+std::vector<placer::waiting_step> placer::in_order(time_point now) const
+{
+  std::vector<waiting_step> steps;
+  for (const std::string& id : m_state.open)
+  {
+    job_record& job = *m_state.jobs.at(id);
+    for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+    {
+      for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+      {
+        if (job.cycles()[c].steps[s].waiting > 0 && job.ready(c, s, m_state.wall(now)))
+          steps.push_back({&job, c, s});
+      }
+    }
+  }
+  std::sort(steps.begin(), steps.end(),
+            [now](const waiting_step& left, const waiting_step& right)
+            {
+              const auto key = [now](const waiting_step& each)
+              {
+                const job_record& job = *each.job;
+                return std::tuple(job.policy().priority, now > job.worthless(), job.objective(),
+                                  std::string_view(job.id()), each.cycle, each.step);
+              };
+              return key(left) < key(right);
+            });
+  return steps;
+}
+
+bool placer::has_room(const worker_record& worker, const waiting_step& each) const
+{
+  const step_record& step = each.job->cycles()[each.cycle].steps[each.step];
+  if (!worker.foreign.empty() || !room_of(*step.spec).fits_in(worker.free()))
+    return false;
+  return step.spec->most_per_worker == 0 ||
+         worker.tasks_of(*each.job, each.cycle, each.step) < step.spec->most_per_worker;
+}
+
+// The fullest worker that still has room, so that others keep room for large tasks.
+double placer::preference(const worker_record& worker, const step_record& step) const
+{
+  const double used =
+      common::dominant_share(worker.used + room_of(*step.spec), worker.info.capacity);
+  const bool near = !step.spec->data_rack.empty() && worker.info.rack == step.spec->data_rack;
+  return used + (near ? k_data_rack_weight : 0.0);
+}
+
+worker_record* placer::best_worker(job_record& job, const waiting_step& each, time_point now) const
+{
+  const step_record& step = job.cycles()[each.cycle].steps[each.step];
+  worker_record* best = nullptr;
+  double best_preference = 0.0;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->suspect || worker->avoid_until > now || !suits(*worker, job, step) ||
+        !has_room(*worker, each) || m_advice.ticket(job, step, id, now) == nullptr)
+      continue;
+    const double value = preference(*worker, step);
+    if (best != nullptr && value <= best_preference)
+      continue;
+    best = worker.get();
+    best_preference = value;
+  }
+  return best;
+}
+
+void placer::place_step(const waiting_step& each, time_point now)
+{
+  job_record& job = *each.job;
+  step_record& step = job.cycles()[each.cycle].steps[each.step];
+  std::uint32_t started = 0;
+  for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index)
+  {
+    const task_record& task = step.tasks[index];
+    if (task.phase != task_phase::waiting)
+      continue;
+    worker_record* const worker = best_worker(job, each, now);
+    if (worker == nullptr)
+      break;
+    start(job, {each.cycle, each.step, index}, std::max(task.last_run, m_state.first_run) + 1,
+          *worker, now);
+    ++started;
+  }
+  if (started > 0)
+    common::log_request("tasks_started", job.id(),
+                        {{"step", each.step},
+                         {"started", started},
+                         {"still_waiting", step.waiting},
+                         {"since_accepted_ms", now - job.accepted_at()},
+                         {"before_objective_ms", job.objective() - now}});
+}
+
+// All members start in one pass or none does.
+void placer::place_gang(const waiting_step& each, time_point now)
+{
+  job_record& job = *each.job;
+  step_record& step = job.cycles()[each.cycle].steps[each.step];
+  // Members of an earlier run that have not ended yet would be a second run of the same task.
+  if (step.waiting != step.tasks.size())
+    return;
+  run_number number = m_state.first_run;
+  for (const task_record& task : step.tasks)
+    number = std::max(number, task.last_run);
+  ++number;
+  std::vector<run_record*> members;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index)
+  {
+    worker_record* const worker = best_worker(job, each, now);
+    if (worker == nullptr)
+    {
+      for (run_record* member : members)
+        m_state.remove_run(*member);
+      return;
+    }
+    const task_place place{each.cycle, each.step, index};
+    members.push_back(&m_state.add_run(job, place, number, *worker, now));
+  }
+  // Any member's checkpoint serves for all; all must bring the same one.
+  std::string checkpoint;
+  for (const task_record& task : step.tasks)
+    checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+  for (task_record& task : step.tasks)
+    task.checkpoint = checkpoint;
+  for (run_record* member : members)
+    start(job, member->place, number, *member->worker, now);
+  common::log_request("gang_started", job.id(),
+                      {{"step", each.step}, {"members", members.size()}, {"run", number}});
+}
+
+void placer::start(job_record& job, const task_place& place, run_number number,
+                   worker_record& worker, time_point now)
+{
+  const auto known = worker.runs.find({job.id(), place});
+  run_record& run = known == worker.runs.end() ? m_state.add_run(job, place, number, worker, now)
+                                               : *known->second;
+  const std::string* const ticket = m_advice.ticket(job, job.step(place), worker.info.id, now);
+  run.last_sent = now;
+  run.sends = 1;
+  run.start_expires = m_holder.extended_lease(worker, now);
+  run.ticket = ticket == nullptr ? std::string() : *ticket;
+  m_state.metrics.add(common::counter::attempts_started);
+  m_state.commands.emplace_back(start_command{
+      worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
+      run.start_expires, job.task(place).checkpoint, run.ticket});
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Placer.h
@@ -0,0 +1,43 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Places waiting tasks: in which order steps are served, and on which workers their tasks start.
+
+#include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/SchedulerState.h"
+#include "Scheduling/WorkerHolder.h"
+
+namespace yardhill::scheduling
+{
+class placer
+{
+public:
+  placer(scheduler_state& state, advice_planner& advice, worker_holder& holder);
+
+  // One pass over all waiting steps.
+  void place(time_point now);
+
+private:
+  struct waiting_step
+  {
+    job_record* job = nullptr;
+    std::uint32_t cycle = 0;
+    std::uint32_t step = 0;
+  };
+
+  std::vector<waiting_step> in_order(time_point now) const;
+  void place_step(const waiting_step& each, time_point now);
+  void place_gang(const waiting_step& each, time_point now);
+  worker_record* best_worker(job_record& job, const waiting_step& each, time_point now) const;
+  bool has_room(const worker_record& worker, const waiting_step& each) const;
+  double preference(const worker_record& worker, const step_record& step) const;
+  void start(job_record& job, const task_place& place, run_number number, worker_record& worker,
+             time_point now);
+
+  scheduler_state& m_state;
+  advice_planner& m_advice;
+  worker_holder& m_holder;
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -0,0 +1,349 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/RunFollower.h"
+
+#include <algorithm>
+#include <set>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+run_follower::run_follower(scheduler_state& state) : m_state(state) {}
+
+void run_follower::on_start(const start_answer& answer, time_point now)
+{
+  if (answer.end == call_end::fenced)
+  {
+    m_state.fenced = true;
+    return;
+  }
+  worker_record* const worker = m_state.find_worker(answer.worker);
+  if (worker == nullptr)
+    return;
+  worker->suspect = answer.end == call_end::unanswered;
+  run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
+  if (run == nullptr)
+    return;
+  switch (answer.end)
+  {
+  case call_end::done:
+    run->start_answered = now;
+    if (run->phase == run_phase::starting)
+      run->phase = run_phase::running;
+    return;
+  case call_end::unanswered:
+    m_state.metrics.add(common::retry_reason::start_unclear);
+    return;
+  case call_end::other_life:
+    m_state.lose_runs(*worker, "another life answered at the worker's address");
+    worker->present = false;
+    return;
+  default:
+    start_refused(*run, answer.end, now);
+  }
+}
+
+void run_follower::start_refused(run_record& run, call_end end, time_point now)
+{
+  worker_record& worker = *run.worker;
+  m_state.metrics.add(common::retry_reason::start_refused);
+  common::log_request("start_refused", run.job->id(),
+                      {{"step", run.place.step},
+                       {"task", run.place.index},
+                       {"run", run.number},
+                       {"worker", worker.info.id.value},
+                       {"reason", to_text(end)},
+                       {"sends", run.sends}});
+  if (end == call_end::no_room)
+    worker.avoid_until = now + m_state.options.room_pause;
+  if (end == call_end::unhealthy)
+    worker.avoid_until = now + m_state.options.unhealthy_pause;
+  if (end == call_end::bad_ticket)
+    run.job->step(run.place).permits.tickets.erase(worker.info.id);
+  // Of a start that was sent more than once an earlier copy may have been carried out; the
+  // worker's lists will tell.
+  if (run.sends > 1 && end != call_end::unhealthy)
+    return;
+  if (run.sends > 1 || run.phase == run_phase::stopping)
+    return;
+  job_record& job = *run.job;
+  const task_place place = run.place;
+  const run_number number = run.number;
+  const bool gang = run.spec().gang;
+  m_state.remove_run(run);
+  if (gang)
+    break_gang(job, place, number, now);
+}
+
+void run_follower::on_stop(const stop_answer& answer, time_point now)
+{
+  if (answer.end == call_end::fenced)
+    m_state.fenced = true;
+  worker_record* const worker = m_state.find_worker(answer.worker);
+  if (worker == nullptr)
+    return;
+  worker->suspect = answer.end == call_end::unanswered;
+  if (answer.end == call_end::other_life)
+  {
+    m_state.lose_runs(*worker, "another life answered at the worker's address");
+    worker->present = false;
+    return;
+  }
+  run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
+  if (run != nullptr && answer.end == call_end::done)
+    run->stop_answered = now;
+}
+
+void run_follower::on_lists(worker_record& worker, const hold_answer& answer, time_point now)
+{
+  for (const listed_end& end : answer.ended)
+  {
+    if (end.number <= worker.seen)
+      continue;
+    apply_end(worker, end, now);
+    worker.seen = end.number;
+  }
+  std::set<std::pair<task_ref, run_number>> foreign;
+  for (const listed_run& listed : answer.running)
+  {
+    apply_running(worker, listed, now);
+    if (m_state.find_run(worker.info.id, listed.task, listed.run) == nullptr)
+      foreign.insert({listed.task, listed.run});
+  }
+  worker.foreign = std::move(foreign);
+  drop_missing(worker, answer, now);
+}
+
+void run_follower::apply_end(worker_record& worker, const listed_end& end, time_point now)
+{
+  job_record* const job = m_state.find_job(end.task.job);
+  if (job == nullptr || !job->contains(end.task.place))
+    return;
+  note_failures(worker, end, now);
+  task_record& task = job->task(end.task.place);
+  task.last_run = std::max(task.last_run, end.run);
+  if (end.how != run_end::done && !end.checkpoint.empty() &&
+      job->step(end.task.place).spec->checkpointing)
+    task.checkpoint = end.checkpoint;
+  if (end.how != run_end::done)
+    common::log_request("run_ended", end.task.job,
+                        {{"step", end.task.place.step},
+                         {"task", end.task.place.index},
+                         {"run", end.run},
+                         {"worker", worker.info.id.value},
+                         {"how", to_text(end.how)},
+                         {"failures", task.failures},
+                         {"checkpoint", !end.checkpoint.empty()}});
+  // A job that has ended stays as it is; its last runs only give their room back.
+  if (!job->ended())
+  {
+    m_state.mark_dirty(*job);
+    if (end.how == run_end::done)
+      task_done(*job, end.task.place, now);
+    if (end.how == run_end::failed)
+      task_failed(*job, end, now);
+  }
+  if (run_record* const run = m_state.find_run(worker.info.id, end.task, end.run))
+    m_state.remove_run(*run);
+  if (end.how == run_end::done)
+    check_complete(*job, now);
+}
+
+void run_follower::note_failures(worker_record& worker, const listed_end& end, time_point now)
+{
+  if (end.how == run_end::done)
+    worker.failures_in_a_row = 0;
+  if (end.how != run_end::failed)
+    return;
+  ++worker.failures_in_a_row;
+  if (worker.failures_in_a_row < m_state.options.failures_to_pause)
+    return;
+  worker.avoid_until = now + m_state.options.failing_pause;
+  common::log_process("worker_paused", {{"worker", worker.info.id.value},
+                                        {"failures_in_a_row", worker.failures_in_a_row}});
+}
+
+void run_follower::task_done(job_record& job, const task_place& place, time_point now)
+{
+  step_record& step = job.step(place);
+  if (step.spec->long_running)
+    return;
+  m_state.metrics.add(common::counter::tasks_done);
+  // One end of a gang's member stands for all of them.
+  const std::uint32_t first = step.spec->gang ? 0 : place.index;
+  const std::uint32_t last = step.spec->gang ? step.spec->count - 1 : place.index;
+  for (std::uint32_t index = first; index <= last; ++index)
+  {
+    const task_place member{place.cycle, place.step, index};
+    job.set_phase(member, task_phase::done);
+    if (step.spec->gang)
+      continue;
+    for (run_record* run : job.task(member).runs)
+      m_state.order_stop(*run, now);
+  }
+  m_state.place_again = true;
+}
+
+void run_follower::task_failed(job_record& job, const listed_end& end, time_point now)
+{
+  step_record& step = job.step(end.task.place);
+  m_state.metrics.add(common::retry_reason::attempt_failed);
+  // A gang's failures are counted at its first member.
+  task_place counted = end.task.place;
+  if (step.spec->gang)
+    counted.index = 0;
+  task_record& task = job.task(counted);
+  if (task.phase == task_phase::done || end.run <= task.last_failed)
+    return;
+  task.last_failed = end.run;
+  ++task.failures;
+  if (!step.spec->long_running && task.failures >= job.policy().max_attempts)
+  {
+    m_state.end_job(job, jobs::job_state::failed, now);
+    return;
+  }
+  if (step.spec->gang)
+    break_gang(job, end.task.place, end.run, now);
+}
+
+void run_follower::break_gang(job_record& job, const task_place& place, run_number number,
+                              time_point now)
+{
+  for (task_record& task : job.step(place).tasks)
+  {
+    for (run_record* run : task.runs)
+    {
+      if (run->number == number)
+        m_state.order_stop(*run, now);
+    }
+  }
+}
+
+void run_follower::apply_running(worker_record& worker, const listed_run& listed, time_point now)
+{
+  const auto found = worker.runs.find(listed.task);
+  if (found != worker.runs.end() && found->second->number == listed.run)
+  {
+    run_record& run = *found->second;
+    run.percent = listed.percent;
+    run.load = listed.load;
+    if (!listed.checkpoint.empty())
+      run.checkpoint = listed.checkpoint;
+    if (!run.start_answered)
+      run.start_answered = now;
+    if (run.phase == run_phase::starting)
+      run.phase = run_phase::running;
+    return;
+  }
+  job_record* const job = m_state.find_job(listed.task.job);
+  const bool wanted = job != nullptr && !job->ended() && job->contains(listed.task.place) &&
+                      found == worker.runs.end();
+  const task_phase phase = wanted ? job->task(listed.task.place).phase : task_phase::done;
+  if (phase == task_phase::waiting || phase == task_phase::unaccounted)
+    take_over_run(worker, *job, listed, now);
+  else
+    stop_foreign(worker, listed, now);
+}
+
+void run_follower::take_over_run(worker_record& worker, job_record& job, const listed_run& listed,
+                                 time_point now)
+{
+  run_record& run = m_state.add_run(job, listed.task.place, listed.run, worker, now);
+  run.phase = run_phase::running;
+  run.start_answered = now;
+  run.percent = listed.percent;
+  if (!listed.checkpoint.empty())
+    run.checkpoint = listed.checkpoint;
+  common::log_request("run_taken_over", job.id(),
+                      {{"step", listed.task.place.step},
+                       {"task", listed.task.place.index},
+                       {"run", listed.run},
+                       {"worker", worker.info.id.value}});
+}
+
+void run_follower::stop_foreign(worker_record& worker, const listed_run& listed, time_point now)
+{
+  common::log_request("unwanted_run_stopped", listed.task.job,
+                      {{"step", listed.task.place.step},
+                       {"task", listed.task.place.index},
+                       {"run", listed.run},
+                       {"worker", worker.info.id.value}});
+  if (m_state.may_act(now))
+    m_state.commands.emplace_back(
+        stop_command{worker.info.id, worker.info.address, listed.task, listed.run});
+}
+
+// Runs that the lists should show and do not.
+void run_follower::drop_missing(worker_record& worker, const hold_answer& answer, time_point now)
+{
+  std::set<std::pair<task_ref, run_number>> listed;
+  for (const listed_run& each : answer.running)
+    listed.insert({each.task, each.run});
+  std::vector<run_record*> missing;
+  for (const auto& [task, run] : worker.runs)
+  {
+    if (listed.contains({task, run->number}))
+      continue;
+    const bool started_before = run->start_answered && *run->start_answered < answer.sent;
+    const bool stopped_before = run->stop_answered && *run->stop_answered < answer.sent;
+    const bool start_void = answer.clock && *answer.clock > run->start_expires;
+    if (started_before || stopped_before || start_void)
+      missing.push_back(run.get());
+  }
+  for (run_record* run : missing)
+  {
+    common::log_request("run_missing", run->job->id(),
+                        {{"step", run->place.step},
+                         {"task", run->place.index},
+                         {"run", run->number},
+                         {"worker", worker.info.id.value},
+                         {"start_answered", run->start_answered.has_value()},
+                         {"stop_answered", run->stop_answered.has_value()}});
+    job_record& job = *run->job;
+    const task_place place = run->place;
+    const run_number number = run->number;
+    const bool gang = run->spec().gang;
+    m_state.remove_run(*run);
+    if (gang)
+      break_gang(job, place, number, now);
+  }
+}
+
+void run_follower::check_complete(job_record& job, time_point now)
+{
+  if (!job.ended() && job.all_done())
+    m_state.end_job(job, jobs::job_state::completed, now);
+}
+
+void run_follower::repeat_orders(time_point now)
+{
+  if (!m_state.may_act(now))
+    return;
+  for (auto& [id, worker] : m_state.workers)
+  {
+    for (auto& [task, run] : worker->runs)
+    {
+      if (run->last_sent + m_state.options.order_retry > now)
+        continue;
+      if (run->phase == run_phase::stopping && !run->stop_answered)
+        m_state.order_stop(*run, now);
+      if (run->phase != run_phase::starting || worker->suspect || run->start_answered ||
+          worker->clock_at(now) >= run->start_expires)
+        continue;
+      run->last_sent = now;
+      ++run->sends;
+      m_state.commands.emplace_back(
+          start_command{worker->info.id, worker->info.address, task, run->number,
+                        run->job->accepted().spec.payload, run->start_expires,
+                        run->job->task(run->place).checkpoint, run->ticket});
+    }
+  }
+}
+
+void run_follower::cancel(job_record& job, time_point now)
+{
+  m_state.end_job(job, jobs::job_state::cancelled, now);
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -0,0 +1,212 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What a partition's scheduler is told and what it wants done. Plain data: the clients carry the
+// commands out and report back with the answers.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Ids.h"
+#include "Common/InstanceSettings.h"
+#include "Common/Resources.h"
+#include "Common/Time.h"
+#include "Jobs/JobProgress.h"
+
+namespace yardhill::scheduling
+{
+using common::duration;
+using common::time_point;
+using common::worker_id;
+using jobs::task_place;
+using std::chrono::milliseconds;
+
+// Counts the starts of a task; rises over all owners. All members of a gang share one.
+using run_number = std::uint32_t;
+// Number of an end within a worker's life; rises from 1.
+using end_number = std::uint64_t;
+// Of a partition's owner; workers obey no lower one than the highest they have seen.
+using fencing_token = std::uint64_t;
+
+struct task_ref
+{
+  std::string job;
+  task_place place;
+
+  auto operator<=>(const task_ref&) const = default;
+};
+
+struct step_ref
+{
+  std::string job;
+  std::uint32_t cycle = 0;
+  std::uint32_t step = 0;
+
+  auto operator<=>(const step_ref&) const = default;
+};
+
+// What is known of a worker from its entry in the store.
+struct worker_info
+{
+  worker_id id; // new at each life
+  common::endpoint address;
+  std::string zone;
+  std::string service;
+  std::string rack;
+  std::vector<std::string> labels;
+  common::resources capacity;
+  bool draining = false;
+  std::optional<milliseconds> remaining; // at least this long until a draining worker leaves
+};
+
+// A time on a worker's own clock, in milliseconds.
+using worker_clock_time = std::chrono::milliseconds;
+
+struct start_command
+{
+  worker_id worker;
+  common::endpoint address;
+  task_ref task;
+  run_number run = 0;
+  std::string payload;
+  worker_clock_time lease_end{};
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct stop_command
+{
+  worker_id worker;
+  common::endpoint address;
+  task_ref task;
+  run_number run = 0;
+};
+
+// Extends the lease of all that runs there and asks for news.
+struct hold_command
+{
+  worker_id worker;
+  common::endpoint address;
+  end_number acknowledged = 0;
+  std::optional<worker_clock_time> lease_end; // none: the worker's clock is not known yet
+  milliseconds wait{0};
+};
+
+struct pace_command
+{
+  worker_id worker;
+  common::endpoint address;
+  task_ref task;
+  run_number run = 0;
+  std::uint32_t percent = 100;
+};
+
+struct advice_command
+{
+  step_ref step;
+  std::vector<worker_id> workers;
+  milliseconds expected{0}; // how long the service will take for this call
+};
+
+using command =
+    std::variant<start_command, stop_command, hold_command, pace_command, advice_command>;
+
+enum class call_end
+{
+  done,
+  fenced,   // the worker has seen a higher token
+  outdated, // the run's number is not above one that ended there
+  too_late, // it arrived after the lease's end that it carried
+  no_room,
+  bad_ticket,
+  other_life, // another worker lives at that address: the one meant is gone
+  unhealthy,  // refused without having done anything
+  rejected,   // the call was malformed
+  unanswered  // may have been carried out, or may be later
+};
+
+std::string_view to_text(call_end end);
+
+struct start_answer
+{
+  worker_id worker;
+  task_ref task;
+  run_number run = 0;
+  call_end end = call_end::unanswered;
+  std::optional<worker_clock_time> clock;
+  time_point sent;
+};
+
+struct stop_answer
+{
+  worker_id worker;
+  task_ref task;
+  run_number run = 0;
+  call_end end = call_end::unanswered;
+  time_point sent;
+};
+
+struct listed_run
+{
+  task_ref task;
+  run_number run = 0;
+  std::string checkpoint;
+  std::uint32_t percent = 0; // done, or for a serving task how far it is at work
+  std::int64_t load = 0;     // serving: its tail in ms; else the processor share in use, in millis
+};
+
+enum class run_end
+{
+  done,
+  failed,
+  stopped,
+  lapsed, // its lease ended
+  broken, // another member of its gang ended
+  alone   // it waited in vain for the others of its gang
+};
+
+std::string_view to_text(run_end end);
+
+struct listed_end
+{
+  end_number number = 0;
+  task_ref task;
+  run_number run = 0;
+  run_end how = run_end::lapsed;
+  std::string checkpoint;
+};
+
+struct hold_answer
+{
+  worker_id worker;
+  call_end end = call_end::unanswered;
+  std::optional<worker_clock_time> clock;
+  end_number acknowledged = 0; // as it was sent
+  std::vector<listed_run> running;
+  std::vector<listed_end> ended;
+  time_point sent;
+};
+
+struct admission_ticket
+{
+  worker_id worker;
+  std::string ticket;
+};
+
+struct advice_answer
+{
+  step_ref step;
+  std::vector<worker_id> asked;
+  bool answered = false;
+  std::vector<admission_ticket> permitted;
+  milliseconds valid{0};
+  time_point received;
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Times and bounds of a partition's scheduler, each with where its figure comes from.
+
+#include "Common/Time.h"
+
+namespace yardhill::scheduling
+{
+using common::duration;
+
+struct scheduler_options
+{
+  // What runs on a worker ends by itself this long after its owner was last heard. It has to cover
+  // a takeover (4 s of silence and half a second of work) and is what a task lost with its worker
+  // waits for. The platform's bound is 10 s.
+  duration task_lease = std::chrono::milliseconds{7000};
+  // Workers' clocks may run this much slow (the platform's bound).
+  double clock_drift = 0.02;
+  // Added to each computed end of a lease: a message's way and the worker's own reaction.
+  duration lease_slack = std::chrono::milliseconds{150};
+  // A hold waits this long at the worker for news; also how often leases are extended.
+  duration hold_wait = std::chrono::milliseconds{1000};
+  // While ends wait to be written, leases are still extended this often.
+  duration hold_refresh = std::chrono::milliseconds{700};
+  // A worker that did not answer is asked again after this time.
+  duration hold_retry = std::chrono::milliseconds{250};
+  // Starts and stops without an answer are sent again after this time.
+  duration order_retry = std::chrono::milliseconds{250};
+  // A worker that refused a start as unhealthy gets none for this time.
+  duration unhealthy_pause = std::chrono::milliseconds{1000};
+  // A worker that rejected a start for want of room (our ledger differs from its own).
+  duration room_pause = std::chrono::milliseconds{300};
+  // Several runs in a row that failed on one worker keep it out of use for a time.
+  unsigned failures_to_pause = 3;
+  duration failing_pause = std::chrono::seconds{4};
+  // Advice without an answer is asked for again after this time.
+  duration advice_retry = std::chrono::milliseconds{200};
+  // A ticket is not used in the last part of its life: the start has to arrive in time.
+  duration ticket_margin = std::chrono::milliseconds{150};
+  // Advice for a step is asked for when what it depends on should end within this time.
+  duration advice_ahead = std::chrono::milliseconds{1200};
+  // The most workers named in one call for advice (the platform's bound is 100).
+  std::size_t advice_workers = 100;
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -0,0 +1,135 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/SchedulerState.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+job_record* scheduler_state::find_job(const std::string& id)
+{
+  const auto found = jobs.find(id);
+  return found == jobs.end() ? nullptr : found->second.get();
+}
+
+worker_record* scheduler_state::find_worker(const worker_id& id)
+{
+  const auto found = workers.find(id);
+  return found == workers.end() ? nullptr : found->second.get();
+}
+
+run_record* scheduler_state::find_run(const worker_id& worker, const task_ref& task, run_number run)
+{
+  worker_record* const on = find_worker(worker);
+  if (on == nullptr)
+    return nullptr;
+  const auto found = on->runs.find(task);
+  if (found == on->runs.end() || found->second->number != run)
+    return nullptr;
+  return found->second.get();
+}
+
+jobs::wall_time scheduler_state::wall(time_point now) const
+{
+  return jobs::wall_time(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + wall_ahead);
+}
+
+run_record& scheduler_state::add_run(job_record& job, const task_place& place, run_number number,
+                                     worker_record& worker, time_point now)
+{
+  auto run = std::make_unique<run_record>();
+  run->job = &job;
+  run->place = place;
+  run->number = number;
+  run->worker = &worker;
+  run->room = room_of(*job.step(place).spec);
+  run->begun = now;
+  run->checkpoint = job.task(place).checkpoint;
+  worker.used += run->room;
+  task_record& task = job.task(place);
+  task.last_run = std::max(task.last_run, number);
+  task.runs.push_back(run.get());
+  if (task.phase != task_phase::done)
+    job.set_phase(place, task_phase::active);
+  if (job.state() == jobs::job_state::queued)
+  {
+    job.set_state(jobs::job_state::active);
+    mark_dirty(job);
+  }
+  return *(worker.runs[run->ref()] = std::move(run));
+}
+
+void scheduler_state::remove_run(run_record& run)
+{
+  job_record& job = *run.job;
+  const task_place place = run.place;
+  task_record& task = job.task(place);
+  task.runs.erase(std::remove(task.runs.begin(), task.runs.end(), &run), task.runs.end());
+  if (task.phase == task_phase::active && task.runs.empty())
+    job.set_phase(place, task_phase::waiting);
+  worker_record& worker = *run.worker;
+  worker.used -= run.room;
+  worker.runs.erase(run.ref());
+  place_again = true;
+}
+
+void scheduler_state::order_stop(run_record& run, time_point now)
+{
+  if (run.phase == run_phase::stopping && run.last_sent + options.order_retry > now)
+    return;
+  run.phase = run_phase::stopping;
+  run.last_sent = now;
+  if (may_act(now))
+    commands.emplace_back(
+        stop_command{run.worker->info.id, run.worker->info.address, run.ref(), run.number});
+}
+
+void scheduler_state::end_job(job_record& job, jobs::job_state how, time_point now)
+{
+  if (job.ended())
+    return;
+  job.set_state(how);
+  mark_dirty(job);
+  open.erase(job.id());
+  common::log_request("job_ended", job.id(),
+                      {{"state", jobs::to_text(how)},
+                       {"queue", job.accepted().queue},
+                       {"after_ms", now - job.accepted_at()},
+                       {"before_objective_ms", job.objective() - now}});
+  for (cycle_record& cycle : job.cycles())
+  {
+    for (step_record& step : cycle.steps)
+    {
+      for (task_record& task : step.tasks)
+      {
+        for (run_record* run : task.runs)
+          order_stop(*run, now);
+      }
+    }
+  }
+}
+
+void scheduler_state::lose_runs(worker_record& worker, const char* why)
+{
+  while (!worker.runs.empty())
+  {
+    run_record& run = *worker.runs.begin()->second;
+    common::log_request("run_lost", run.job->id(),
+                        {{"step", run.place.step},
+                         {"task", run.place.index},
+                         {"run", run.number},
+                         {"worker", worker.info.id.value},
+                         {"why", why}});
+    metrics.add(common::retry_reason::worker_lost);
+    if (!run.checkpoint.empty())
+      run.job->task(run.place).checkpoint = run.checkpoint;
+    remove_run(run);
+  }
+  worker.foreign.clear();
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What the parts of a partition's scheduler share: jobs, workers, commands to be carried out.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Metrics.h"
+#include "Scheduling/JobRecord.h"
+#include "Scheduling/SchedulerOptions.h"
+#include "Scheduling/WorkerRecord.h"
+
+namespace yardhill::scheduling
+{
+struct scheduler_state
+{
+  scheduler_state(const scheduler_options& given, common::metrics& counts)
+      : options(given), metrics(counts)
+  {
+  }
+
+  scheduler_options options;
+  common::metrics& metrics;
+  std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
+  std::map<worker_id, std::unique_ptr<worker_record>> workers;
+  std::map<std::string, jobs::queue_policy> policies; // by queue
+  std::vector<command> commands;
+  std::set<std::string> dirty; // jobs whose row has to be written
+  std::set<std::string> open;  // jobs that have not ended
+  // Until when this owner may order anything; it is extended by the store's word.
+  time_point authority_end{};
+  bool fenced = false; // a worker obeys a later owner
+  bool place_again = true;
+  // Time of day less the steady clock, for timed jobs.
+  std::chrono::milliseconds wall_ahead{0};
+  // Numbers of runs begin above this: an earlier owner may have used any up to it.
+  run_number first_run = 0;
+
+  job_record* find_job(const std::string& id);
+  worker_record* find_worker(const worker_id& id);
+  run_record* find_run(const worker_id& worker, const task_ref& task, run_number run);
+  jobs::wall_time wall(time_point now) const;
+  bool may_act(time_point now) const { return now < authority_end && !fenced; }
+
+  void mark_dirty(const job_record& job) { dirty.insert(job.id()); }
+  // Adds a run that takes room from now on.
+  run_record& add_run(job_record& job, const task_place& place, run_number number,
+                      worker_record& worker, time_point now);
+  // The run has ended or never was: its room is free, its task waits again if nothing else of it
+  // runs and it is not done.
+  void remove_run(run_record& run);
+  void order_stop(run_record& run, time_point now);
+  // The job has ended as `how`: whatever of it runs is stopped.
+  void end_job(job_record& job, jobs::job_state how, time_point now);
+  // Whatever ran there has ended; the record is dropped if its entry is gone as well.
+  void lose_runs(worker_record& worker, const char* why);
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -0,0 +1,208 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/WorkerHolder.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+worker_holder::worker_holder(scheduler_state& state, run_follower& follower)
+    : m_state(state), m_follower(follower)
+{
+}
+
+void worker_holder::on_entry(const worker_info& info, time_point now)
+{
+  // Another life at the same address: the earlier one has ended, with all that ran there.
+  for (auto& [id, worker] : m_state.workers)
+  {
+    if (id != info.id && worker->info.address == info.address)
+      gone(*worker, "another life has its address");
+  }
+  auto& slot = m_state.workers[info.id];
+  const bool news = slot == nullptr;
+  if (news)
+    slot = std::make_unique<worker_record>();
+  const bool was_draining = slot->info.draining;
+  const bool was_present = slot->present;
+  slot->info = info;
+  slot->present = true;
+  m_state.place_again = true;
+  if (news || was_draining != info.draining || !was_present)
+    common::log_process("worker_entry", {{"worker", info.id.value},
+                                         {"rack", info.rack},
+                                         {"cpu_millis", info.capacity.cpu_millis},
+                                         {"memory_mib", info.capacity.memory_mib},
+                                         {"draining", info.draining},
+                                         {"new", news}});
+  if (!slot->claimed && !slot->hold_under_way)
+    hold(*slot, now);
+}
+
+void worker_holder::on_entry_gone(const worker_id& id, time_point now)
+{
+  worker_record* const worker = m_state.find_worker(id);
+  if (worker == nullptr)
+    return;
+  worker->present = false;
+  common::log_process("worker_entry_gone", {{"worker", id.value},
+                                            {"runs", worker->runs.size()},
+                                            {"lease_left_ms", worker->lease_end - now}});
+}
+
+void worker_holder::gone(worker_record& worker, const char* why)
+{
+  m_state.lose_runs(worker, why);
+  worker.present = false;
+  worker.lease_end = time_point{};
+  accounted(worker.info.id);
+}
+
+worker_clock_time worker_holder::extended_lease(worker_record& worker, time_point now)
+{
+  const duration longest = std::chrono::duration_cast<duration>(
+      m_state.options.task_lease * (1.0 + m_state.options.clock_drift));
+  worker.lease_end = std::max(worker.lease_end, now + longest + m_state.options.lease_slack);
+  return worker.clock_at(now) +
+         std::chrono::duration_cast<milliseconds>(m_state.options.task_lease);
+}
+
+void worker_holder::hold(worker_record& worker, time_point now)
+{
+  if (!m_state.may_act(now))
+    return;
+  hold_command order;
+  order.worker = worker.info.id;
+  order.address = worker.info.address;
+  order.acknowledged = worker.durable;
+  // A worker that does not answer gets no longer lease: its runs must end some day.
+  if (worker.claimed && !worker.suspect && worker.clock_ahead)
+    order.lease_end = extended_lease(worker, now);
+  const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable &&
+                       worker.durable == worker.acknowledged;
+  if (settled)
+    order.wait = std::chrono::duration_cast<milliseconds>(m_state.options.hold_wait);
+  worker.hold_under_way = true;
+  worker.last_hold = now;
+  m_state.commands.emplace_back(std::move(order));
+}
+
+bool worker_holder::hold_due(const worker_record& worker, time_point now) const
+{
+  if (worker.hold_under_way)
+    return false;
+  const duration since = now - worker.last_hold;
+  if (!worker.claimed || worker.suspect)
+    return since >= m_state.options.hold_retry;
+  if (worker.durable > worker.acknowledged)
+    return true;
+  // Ends that are not written yet would be listed again at once.
+  if (worker.seen > worker.durable)
+    return since >= m_state.options.hold_refresh;
+  return !worker.runs.empty() || !worker.foreign.empty();
+}
+
+void worker_holder::on_hold(const hold_answer& answer, time_point now)
+{
+  if (answer.end == call_end::fenced)
+  {
+    m_state.fenced = true;
+    return;
+  }
+  worker_record* const worker = m_state.find_worker(answer.worker);
+  if (worker == nullptr)
+    return;
+  worker->hold_under_way = false;
+  if (answer.end == call_end::other_life)
+  {
+    gone(*worker, "another life answered at the worker's address");
+    return;
+  }
+  const bool lost = answer.end != call_end::done;
+  if (lost != worker->suspect)
+    common::log_process(lost ? "worker_silent" : "worker_heard", {{"worker", worker->info.id.value},
+                                                                  {"end", to_text(answer.end)},
+                                                                  {"runs", worker->runs.size()}});
+  worker->suspect = lost;
+  if (lost)
+    return;
+  if (answer.clock)
+    worker->clock_ahead =
+        *answer.clock - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  if (!worker->claimed)
+  {
+    worker->claimed = true;
+    m_state.place_again = true;
+  }
+  // The answer shows which acknowledgement has arrived: ends up to it are listed no more.
+  worker->acknowledged = std::max(worker->acknowledged, answer.acknowledged);
+  m_follower.on_lists(*worker, answer, now);
+  accounted(worker->info.id);
+}
+
+void worker_holder::tick(time_point now)
+{
+  if (m_accounting && now >= m_accounting_deadline)
+    end_accounting("every earlier lease is over");
+  for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
+  {
+    worker_record& worker = *each->second;
+    if (!worker.runs.empty() && now >= worker.lease_end)
+      m_state.lose_runs(worker, "its lease is over");
+    if (!worker.present && worker.runs.empty() && !worker.hold_under_way && now >= worker.lease_end)
+    {
+      each = m_state.workers.erase(each);
+      continue;
+    }
+    if (hold_due(worker, now))
+      hold(worker, now);
+    ++each;
+  }
+}
+
+void worker_holder::begin_accounting(time_point deadline)
+{
+  m_accounting = true;
+  m_accounting_deadline = deadline;
+  m_unheard.clear();
+  for (const auto& [id, worker] : m_state.workers)
+    m_unheard.insert(id);
+  if (m_unheard.empty())
+    end_accounting("no worker is known");
+}
+
+void worker_holder::accounted(const worker_id& id)
+{
+  m_unheard.erase(id);
+  if (m_accounting && m_unheard.empty())
+    end_accounting("every worker was heard");
+}
+
+void worker_holder::end_accounting(const char* why)
+{
+  m_accounting = false;
+  std::size_t released = 0;
+  for (const std::string& id : m_state.open)
+  {
+    job_record& job = *m_state.jobs.at(id);
+    for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+    {
+      for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+      {
+        for (std::uint32_t i = 0; i < job.cycles()[c].steps[s].tasks.size(); ++i)
+        {
+          if (job.cycles()[c].steps[s].tasks[i].phase != task_phase::unaccounted)
+            continue;
+          job.set_phase({c, s, i}, task_phase::waiting);
+          ++released;
+        }
+      }
+    }
+  }
+  m_state.place_again = true;
+  common::log_process("tasks_accounted", {{"why", why}, {"released", released}});
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -0,0 +1,47 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Decides when each worker is held: to claim it, to extend its lease, to hear news, to acknowledge
+// ends. Knows which workers have left and when what ran there has surely ended.
+
+#include <set>
+
+#include "Scheduling/RunFollower.h"
+#include "Scheduling/SchedulerState.h"
+
+namespace yardhill::scheduling
+{
+class worker_holder
+{
+public:
+  worker_holder(scheduler_state& state, run_follower& follower);
+
+  void on_entry(const worker_info& info, time_point now);
+  void on_entry_gone(const worker_id& id, time_point now);
+  void on_hold(const hold_answer& answer, time_point now);
+  // Issues the holds that are due, and gives up workers whose leases are over.
+  void tick(time_point now);
+
+  // From now on, tasks of older jobs wait until each known worker has been heard or `deadline`
+  // has passed.
+  void begin_accounting(time_point deadline);
+  bool accounting() const { return m_accounting; }
+  // The lease of everything that is started or held now ends at this worker time.
+  worker_clock_time extended_lease(worker_record& worker, time_point now);
+
+private:
+  void hold(worker_record& worker, time_point now);
+  bool hold_due(const worker_record& worker, time_point now) const;
+  void accounted(const worker_id& id);
+  void end_accounting(const char* why);
+  void gone(worker_record& worker, const char* why);
+
+  scheduler_state& m_state;
+  run_follower& m_follower;
+  bool m_accounting = false;
+  time_point m_accounting_deadline{};
+  std::set<worker_id> m_unheard;
+};
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -0,0 +1,41 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/WorkerRecord.h"
+
+#include <algorithm>
+
+namespace yardhill::scheduling
+{
+worker_clock_time worker_record::clock_at(time_point now) const
+{
+  return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) +
+         clock_ahead.value_or(milliseconds{0});
+}
+
+std::uint32_t worker_record::tasks_of(const job_record& job, std::uint32_t cycle,
+                                      std::uint32_t step) const
+{
+  const auto first = runs.lower_bound({job.id(), {cycle, step, 0}});
+  std::uint32_t count = 0;
+  for (auto each = first; each != runs.end() && each->first.job == job.id() &&
+                          each->first.place.cycle == cycle && each->first.place.step == step;
+       ++each)
+    ++count;
+  return count;
+}
+
+bool worker_record::has_label(const std::string& label) const
+{
+  return label.empty() ||
+         std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
+common::resources room_of(const jobs::step_spec& step)
+{
+  common::resources room = step.demand;
+  if (step.fills_idle)
+    room.cpu_millis = 0;
+  return room;
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -0,0 +1,85 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// A worker as its partition's owner holds it in memory: its room, what runs there, its lease.
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "Scheduling/JobRecord.h"
+#include "Scheduling/SchedulerMessages.h"
+
+namespace yardhill::scheduling
+{
+enum class run_phase
+{
+  starting, // ordered, no sure word yet that it runs
+  running,
+  stopping
+};
+
+struct worker_record;
+
+// One run of a task on one worker. It exists from the order on until its end is known.
+struct run_record
+{
+  job_record* job = nullptr;
+  task_place place;
+  run_number number = 0;
+  worker_record* worker = nullptr;
+  run_phase phase = run_phase::starting;
+  common::resources room; // what it takes of the worker's capacity
+  time_point begun;       // when it was first ordered, or found
+  time_point last_sent;   // of the latest start or stop
+  unsigned sends = 0;     // of the start
+  std::optional<time_point> start_answered;
+  std::optional<time_point> stop_answered;
+  worker_clock_time start_expires{}; // a start that arrives later does nothing
+  std::string checkpoint;            // the latest one listed
+  std::string ticket;
+  std::uint32_t percent = 0;
+  std::int64_t load = 0;
+  std::uint32_t pace = 100; // percent, as it was last set
+
+  const jobs::step_spec& spec() const { return *job->step(place).spec; }
+  task_ref ref() const { return {job->id(), place}; }
+};
+
+struct worker_record
+{
+  worker_info info;
+  bool present = true;  // its entry is in the store
+  bool claimed = false; // it has answered a hold with this owner's token
+  bool suspect = false; // its last answer did not come
+  // The worker's clock less ours, from its latest answer.
+  std::optional<std::chrono::milliseconds> clock_ahead;
+  time_point lease_end{}; // on our clock: when all that runs there has surely ended
+  time_point avoid_until{};
+  unsigned failures_in_a_row = 0;
+
+  bool hold_under_way = false;
+  time_point last_hold{};
+  bool hold_answered = true; // the latest one
+
+  end_number seen = 0;         // the highest end taken into memory
+  end_number durable = 0;      // the highest end whose effect the store keeps
+  end_number acknowledged = 0; // the highest end that the worker was told to forget
+
+  common::resources used;
+  std::map<task_ref, std::unique_ptr<run_record>> runs;
+  // Runs of jobs that are not known here: their size is unknown, so nothing is placed beside them.
+  std::set<std::pair<task_ref, run_number>> foreign;
+
+  worker_clock_time clock_at(time_point now) const;
+  common::resources free() const { return info.capacity - used; }
+  std::uint32_t tasks_of(const job_record& job, std::uint32_t cycle, std::uint32_t step) const;
+  bool has_label(const std::string& label) const;
+};
+
+// What a task of the step takes of a worker's capacity.
+common::resources room_of(const jobs::step_spec& step);
+} // namespace yardhill::scheduling
--- a/Source/Core/Target/WorkerClient.cpp
+++ b/Source/Core/Target/WorkerClient.cpp
@@ -73,7 +73,7 @@
                 return;
               }
               done(value_or<std::optional<claim_answer>>(
-                  [&]() -> leaf::result<std::optional<claim_answer>>
+                  [&]() -> common::result<std::optional<claim_answer>>
                   {
                     return parsed(
                         "claim", address,
--- a/Source/Yardhill/Files.cpp
+++ b/Source/Yardhill/Files.cpp
@@ -10,13 +10,13 @@
 
 namespace yardhill::cli
 {
-common::leaf::result<common::named_text> load_file(const std::string& path)
+common::result<common::named_text> load_file(const std::string& path)
 {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
   text << in.rdbuf();
   if (!in)
-    return common::leaf::new_error(common::step_error{"read_file", path, "cannot be read"});
+    return common::new_error({"read_file", path, "cannot be read"});
   return common::named_text{path, text.str()};
 }
 
--- a/Source/Yardhill/Files.h
+++ b/Source/Yardhill/Files.h
@@ -14,7 +14,7 @@
 
 namespace yardhill::cli
 {
-common::leaf::result<common::named_text> load_file(const std::string& path);
+common::result<common::named_text> load_file(const std::string& path);
 // The same for a command's arguments: throws std::runtime_error with step and file.
 common::named_text read_file(const std::string& path);
 std::vector<common::named_text> read_files(const std::vector<std::string>& paths);
--- a/Source/Yardhill/Main.cpp
+++ b/Source/Yardhill/Main.cpp
@@ -23,6 +23,7 @@
   yardhill --help | --version
 
 Commands:
+  instance run an instance on the platform
   serve    run an entry instance
   check    check settings and workload files
   apply    put a set of files into force
@@ -45,7 +46,8 @@
   yardhill::cli::subcommand_function run;
 };
 
-constexpr std::array<subcommand, 11> k_subcommands{{
+constexpr std::array<subcommand, 12> k_subcommands{{
+    {"instance", yardhill::cli::instance},
     {"serve", yardhill::cli::serve},
     {"check", yardhill::cli::check},
     {"apply", yardhill::cli::apply},
--- a/Source/Yardhill/Subcommands.h
+++ b/Source/Yardhill/Subcommands.h
@@ -19,6 +19,7 @@
 using arguments = std::vector<std::string>;
 using subcommand_function = int (*)(const arguments&);
 
+int instance(const arguments& given);
 int serve(const arguments& given);
 int check(const arguments& given);
 int apply(const arguments& given);
