Scheduling: A run found on a worker is not lost before any lease was counted there

Ruled out: a wrong listing by the worker (the log shows run_taken_over, then run_lost of the same run 3 ms later). Change: an unheard worker's lease ends when every earlier owner's last one does; a claimed one's after one lease. The time of day is set before jobs are restored, so that their objectives are right. Test: TakeoverTest/a_run_found_on_a_worker_goes_on failed first.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -165,16 +165,16 @@
   m_commit_version = loaded.commit_version;
   m_commit_number = loaded.commit_number;
   scheduling::scheduler_options options;
+  options.earlier_authority = m_options.authority;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
   m_scheduler->set_authority(now + m_options.authority);
+  tell_time(now);
   queues_changed();
   for (const auto& [id, info] : m_parts.worker_entries)
     worker_entry(info);
   add_loaded_jobs(loaded);
-  const common::duration longest_lease = std::chrono::duration_cast<common::duration>(
-      options.task_lease * (1.0 + options.clock_drift));
-  m_scheduler->begin_accounting(now + m_options.authority + longest_lease);
+  m_scheduler->begin_accounting(now + m_options.authority + options.longest_lease());
   common::log_process("partition_owned", {{"partition", m_partition},
                                           {"epoch", m_row.epoch},
                                           {"token", m_token},
@@ -501,6 +501,13 @@
       });
 }
 
+void partition_owner::tell_time(common::time_point now)
+{
+  m_scheduler->set_wall_clock(std::chrono::time_point_cast<std::chrono::milliseconds>(
+                                  std::chrono::system_clock::now()),
+                              now);
+}
+
 void partition_owner::step()
 {
   if (!owns())
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -135,6 +135,7 @@
   void retry_commit();
   void lose(const char* why);
 
+  void tell_time(common::time_point now);
   void step_soon();
   void step();
   void carry_out(const scheduling::command& what);
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -44,5 +44,14 @@
   duration advice_ahead = std::chrono::milliseconds{1200};
   // The most workers named in one call for advice (the platform's bound is 100).
   std::size_t advice_workers = 100;
+  // How long an earlier owner may go on giving orders after it was replaced, where no worker has
+  // told it so: see node::ownership_options::authority.
+  duration earlier_authority = std::chrono::milliseconds{9000};
+
+  // On our own clock, the most that a lease given now can last.
+  duration longest_lease() const
+  {
+    return std::chrono::duration_cast<duration>(task_lease * (1.0 + clock_drift)) + lease_slack;
+  }
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -25,7 +25,12 @@
   auto& slot = m_state.workers[info.id];
   const bool news = slot == nullptr;
   if (news)
+  {
     slot = std::make_unique<worker_record>();
+    // Unless it says otherwise, an earlier owner may still have runs there.
+    slot->lease_end =
+        now + m_state.options.earlier_authority + m_state.options.longest_lease();
+  }
   const bool was_draining = slot->info.draining;
   const bool was_present = slot->present;
   slot->info = info;
@@ -63,9 +68,7 @@
 
 worker_clock_time worker_holder::extended_lease(worker_record& worker, time_point now)
 {
-  const duration longest = std::chrono::duration_cast<duration>(
-      m_state.options.task_lease * (1.0 + m_state.options.clock_drift));
-  worker.lease_end = std::max(worker.lease_end, now + longest + m_state.options.lease_slack);
+  worker.lease_end = std::max(worker.lease_end, now + m_state.options.longest_lease());
   return worker.clock_at(now) +
          std::chrono::duration_cast<milliseconds>(m_state.options.task_lease);
 }
@@ -135,6 +138,8 @@
   if (!worker->claimed)
   {
     worker->claimed = true;
+    // From now on no earlier owner extends anything there.
+    worker->lease_end = now + m_state.options.longest_lease();
     m_state.place_again = true;
   }
   // The answer shows which acknowledgement has arrived: ends up to it are listed no more.
--- /dev/null
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -0,0 +1,81 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <boost/test/unit_test.hpp>
+
+#include "Scheduling/SchedulerHarness.h"
+
+using namespace yardhill::scheduling;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+// An owner that has taken over a job of one task from an earlier one.
+struct taken_over : scheduler_harness
+{
+  taken_over() : scheduler_harness(1000)
+  {
+    scheduler->worker_entry(worker("w1"), now);
+    scheduler->worker_entry(worker("w2"), now);
+    scheduler->restore_job(job("0123456789abcdef", {step_of(1)}), std::nullopt, now);
+    scheduler->begin_accounting(now + seconds{16});
+    step();
+  }
+
+  listed_run earlier_run() const
+  {
+    listed_run run;
+    run.task = {"0123456789abcdef", {0, 0, 0}};
+    run.run = 7;
+    return run;
+  }
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TakeoverTest)
+
+BOOST_FIXTURE_TEST_CASE(nothing_starts_before_every_worker_is_heard, taken_over)
+{
+  answer_hold("w1", {});
+  step();
+  BOOST_TEST(starts.empty());
+  answer_hold("w2", {});
+  step();
+  BOOST_TEST(starts.size() == 1U);
+  BOOST_TEST(starts.front().run > 1000U);
+}
+
+// Thies, trouble-1, 20.478 s: a run that was found on a worker counted as lost at once, since no
+// lease had been counted there yet, and was started a second time elsewhere.
+BOOST_FIXTURE_TEST_CASE(a_run_found_on_a_worker_goes_on, taken_over)
+{
+  answer_hold("w1", {earlier_run()});
+  answer_hold("w2", {});
+  step();
+  pass(milliseconds{30});
+  step();
+  BOOST_TEST(starts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_unheard_worker_is_given_up_once_every_earlier_lease_is_over, taken_over)
+{
+  answer_hold("w1", {});
+  pass(seconds{15});
+  step();
+  BOOST_TEST(starts.empty());
+  pass(seconds{2});
+  step();
+  BOOST_TEST(starts.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_that_an_earlier_owner_did_not_acknowledge_counts, taken_over)
+{
+  answer_hold("w1", {}, {{1, {"0123456789abcdef", {0, 0, 0}}, 7, run_end::done, ""}});
+  answer_hold("w2", {});
+  step();
+  BOOST_TEST(starts.empty());
+  BOOST_TEST((scheduler->state_of("0123456789abcdef") == yardhill::jobs::job_state::completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
