--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -73,6 +73,32 @@
   term_number term = 0;
 };
 
-using peer_message =
-    std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover>;
+// The sender wants the receiver to ask the advice service on its behalf: the service takes the
+// calls of one instance in turn, but those of several at once. The number is the sender's own.
+struct advice_request
+{
+  std::uint64_t number = 0;
+  std::string job;
+  std::uint32_t cycle = 0;
+  std::uint32_t step = 0;
+  std::uint32_t expected_ms = 0; // how long the service takes for it
+  std::vector<std::string> workers;
+};
+
+struct advice_reply
+{
+  struct permit
+  {
+    std::string worker;
+    std::string ticket;
+  };
+
+  std::uint64_t number = 0;
+  bool answered = false;
+  std::uint32_t valid_ms = 0;
+  std::vector<permit> permitted;
+};
+
+using peer_message = std::variant<heartbeat, forward_request, forward_answer, config_push,
+                                  config_pull, handover, advice_request, advice_reply>;
 } // namespace yardhill::common
--- /dev/null
+++ b/Source/Core/Node/AdvicePool.h
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Spreads calls for advice over the instances, since the service answers one call of an instance at
+// a time but those of several at once.
+//
+// Some instances are kept free of long calls, so that short ones, for which somebody waits, never
+// stand behind them.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Common/PeerMessages.h"
+#include "Node/AdviceDesk.h"
+
+namespace yardhill::node
+{
+class advice_pool
+{
+public:
+  using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
+
+  advice_pool(advice_desk& own, sender send);
+
+  void ask(scheduling::advice_command question, advice_desk::answer_handler done);
+
+  void peer_linked(const std::string& peer);
+  void peer_unlinked(const std::string& peer);
+  // A peer asks for our help.
+  void on_request(const std::string& peer, const common::advice_request& request);
+  void on_reply(const std::string& peer, const common::advice_reply& reply);
+  // Gives up calls whose answers are overdue.
+  void tick(common::time_point now);
+
+private:
+  struct outstanding
+  {
+    scheduling::advice_command question;
+    advice_desk::answer_handler done;
+    common::time_point overdue;
+  };
+
+  struct helper
+  {
+    std::string peer; // empty: this instance
+    std::chrono::milliseconds backlog{0};
+    common::time_point avoid_until{}; // after an overdue answer
+  };
+
+  helper& choose(std::chrono::milliseconds expected);
+  void ask_own(helper& self, scheduling::advice_command question, advice_desk::answer_handler done);
+  void settle(const std::string& peer, std::chrono::milliseconds expected);
+
+  advice_desk& m_own;
+  sender m_send;
+  std::vector<helper> m_helpers;                                       // the first is this instance
+  std::map<std::string, std::map<std::uint64_t, outstanding>> m_asked; // by peer
+  std::uint64_t m_number = 0;
+};
+} // namespace yardhill::node
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -24,9 +24,6 @@
 constexpr std::chrono::milliseconds k_read_timeout{900};
 // A partition whose owner has not renewed its row for this long gets no new jobs if another does.
 constexpr std::chrono::milliseconds k_owner_fresh{2500};
-// Another zone's partition has to be better by this much processor time (thousandths of a core):
-// three workers' worth, so that partitions do not pass jobs to and fro on small differences.
-constexpr std::int64_t k_home_margin = 40000;
 // Homes remembered to save a read of the job's row; about 2 MB when full.
 constexpr std::size_t k_most_homes = 20000;
 // Told to callers that are refused because the store is away or this instance has just started.
@@ -44,12 +41,8 @@
 
 caller_gateway::caller_gateway(job_store& store, const jobs::queue_table& queues,
                                const std::vector<std::unique_ptr<partition_owner>>& partitions,
-                               std::string own_zone, common::metrics& counts)
-    : m_store(store),
-      m_queues(queues),
-      m_partitions(partitions),
-      m_own_zone(std::move(own_zone)),
-      m_metrics(counts)
+                               common::metrics& counts)
+    : m_store(store), m_queues(queues), m_partitions(partitions), m_metrics(counts)
 {
 }
 
@@ -114,21 +107,19 @@
   return found == m_partitions.end() ? nullptr : found->get();
 }
 
-// The partition with the least work waiting for its free room; our own unless another is better by
-// a margin. Partitions without a fresh owner come last.
+// The partition with the least work waiting for its free room. Partitions without a fresh owner
+// come last.
 std::string caller_gateway::home_for() const
 {
   const common::time_point now = steady_now();
-  std::string best = m_own_zone;
+  std::string best = m_partitions.front()->partition();
   std::int64_t best_load = std::numeric_limits<std::int64_t>::max();
   for (const auto& each : m_partitions)
   {
     const seen_owner& seen = each->seen();
     if (seen.version == 0 || now - seen.changed_at > k_owner_fresh)
       continue;
-    std::int64_t load = seen.row.waiting_cpu - seen.row.free_cpu;
-    if (each->partition() == m_own_zone)
-      load -= k_home_margin;
+    const std::int64_t load = seen.row.waiting_cpu - seen.row.free_cpu;
     if (load >= best_load)
       continue;
     best = each->partition();
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -24,7 +24,7 @@
 public:
   caller_gateway(job_store& store, const jobs::queue_table& queues,
                  const std::vector<std::unique_ptr<partition_owner>>& partitions,
-                 std::string own_zone, common::metrics& counts);
+                 common::metrics& counts);
 
   void handle(http::incoming_request request, http::responder respond);
 
@@ -58,7 +58,6 @@
   job_store& m_store;
   const jobs::queue_table& m_queues;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
-  std::string m_own_zone;
   common::metrics& m_metrics;
   std::unordered_map<std::string, std::string> m_homes; // of jobs seen here
 };
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -16,6 +16,9 @@
 {
 namespace
 {
+// Up to some sixty workers are one partition: a queue's policy may permit a step on as few as a
+// third of the workers, and of a zone's sixteen that is now and then none.
+constexpr const char* k_whole_cell = "cell";
 // The steps that no event causes: leases to extend, orders to repeat, silences to notice.
 constexpr std::chrono::milliseconds k_tick{25};
 // One held call and a few orders at a time; each new connection to a worker is priced.
@@ -38,17 +41,17 @@
       m_store(m_store_http, settings.store, m_metrics),
       m_workers(m_worker_http, m_metrics),
       m_advice_client(m_worker_http, settings.advice.value_or(common::endpoint{})),
-      m_advice(m_advice_client),
+      m_advice_desk(m_advice_client),
+      m_advice(m_advice_desk, [this](const std::string& peer, const common::peer_message& message)
+               { m_peers->send(peer, message); }),
       m_jobs(m_io, m_store),
-      m_gateway(m_jobs, m_queues, m_partitions, settings.zone, m_metrics),
+      m_gateway(m_jobs, m_queues, m_partitions, m_metrics),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io)
 {
   const node_parts parts{m_io, m_store, m_workers, m_advice, m_metrics, m_worker_entries, m_queues};
-  const instance_identity self{settings.name, life, settings.zone};
-  for (const std::string& zone : settings.zones)
-    m_partitions.push_back(
-        std::make_unique<partition_owner>(parts, self, zone, ownership_options{}));
+  m_partitions.push_back(std::make_unique<partition_owner>(
+      parts, instance_identity{settings.name, life}, k_whole_cell, ownership_options{}));
 }
 
 node_service::~node_service() = default;
@@ -68,9 +71,11 @@
                          [this](const http::incoming_request&, const http::responder& respond) {
                            respond({200, m_metrics.exposition(), "text/plain", {}});
                          });
-  common::log_process("started", {{"zone", m_settings.zone},
-                                  {"partitions", m_settings.zones.size()},
-                                  {"store", common::to_text(m_settings.store)}});
+  common::log_process("started",
+                      {{"zone", m_settings.zone}, {"store", common::to_text(m_settings.store)}});
+  m_peers.emplace(m_io, m_store, m_settings.name, m_settings.zone, m_settings.peers, on_links(),
+                  m_metrics);
+  m_peers->start();
   start_feeds();
   wait_for_signal();
   tick();
@@ -78,6 +83,33 @@
   common::log_process("stopped", {});
 }
 
+link_events node_service::on_links()
+{
+  link_events events;
+  events.linked = [this](const std::string& peer)
+  {
+    common::log_process("peer_linked", {{"peer", peer}});
+    m_advice.peer_linked(peer);
+    for (const auto& each : m_partitions)
+      each->peer_link(peer, true);
+  };
+  events.unlinked = [this](const std::string& peer)
+  {
+    common::log_process("peer_unlinked", {{"peer", peer}});
+    m_advice.peer_unlinked(peer);
+    for (const auto& each : m_partitions)
+      each->peer_link(peer, false);
+  };
+  events.received = [this](const std::string& peer, const common::peer_message& message)
+  {
+    if (const auto* request = std::get_if<common::advice_request>(&message))
+      m_advice.on_request(peer, *request);
+    else if (const auto* reply = std::get_if<common::advice_reply>(&message))
+      m_advice.on_reply(peer, *reply);
+  };
+  return events;
+}
+
 void node_service::start_feeds()
 {
   const auto rows = [this](const std::vector<adapter::row>& changed) { on_operator_rows(changed); };
@@ -89,7 +121,7 @@
                     [this](const std::vector<adapter::row>& some) { on_worker_rows(some, false); },
                     {}});
   const auto owners = [this](const std::vector<adapter::row>& changed) { on_owner_rows(changed); };
-  m_owner_feed.emplace(m_io, m_store, k_owners_table, m_settings.zones,
+  m_owner_feed.emplace(m_io, m_store, k_owners_table, std::vector<std::string>{k_whole_cell},
                        feed_handlers{owners, owners, {}});
   m_operator_feed->start();
   m_worker_feed->start();
@@ -254,6 +286,7 @@
   }
   for (const auto& each : m_partitions)
     each->tick(now, m_owner_feed->loaded() ? m_owner_feed->healthy_since() : std::nullopt);
+  m_advice.tick(now);
   common::flush_event_log();
   m_timer.expires_after(k_tick);
   m_timer.async_wait(
--- a/Source/Core/Node/NodeService.h
+++ b/Source/Core/Node/NodeService.h
@@ -20,6 +20,7 @@
 #include "Node/CallerGateway.h"
 #include "Node/NodeSettings.h"
 #include "Node/PartitionOwner.h"
+#include "Node/PeerLinks.h"
 #include "platform/AdviceClient.h"
 
 namespace yardhill::node
@@ -43,6 +44,7 @@
   void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
   void on_owner_rows(const std::vector<adapter::row>& rows);
   void remove_worker(const std::string& id);
+  link_events on_links();
   bool ready() const;
   void wait_for_signal();
   void reload();
@@ -59,7 +61,8 @@
   adapter::store_client m_store;
   adapter::worker_client m_workers;
   adapter::advice_client m_advice_client;
-  advice_desk m_advice;
+  advice_desk m_advice_desk;
+  advice_pool m_advice;
   jobs::queue_table m_queues;
   std::map<std::string, scheduling::worker_info> m_worker_entries;
   std::vector<std::unique_ptr<partition_owner>> m_partitions;
@@ -68,6 +71,7 @@
   std::optional<http::http_listener> m_callers;
   std::optional<http::http_listener> m_ready;
   std::optional<http::http_listener> m_metrics_page;
+  std::optional<peer_links> m_peers;
   std::optional<table_feed> m_operator_feed;
   std::optional<table_feed> m_worker_feed;
   std::optional<table_feed> m_owner_feed;
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -3,7 +3,6 @@
 
 #include "Node/NodeSettings.h"
 
-#include <algorithm>
 #include <charconv>
 
 #include "Common/FieldReader.h"
@@ -58,12 +57,6 @@
   node_settings settings;
   settings.name = fields.text("name");
   settings.zone = fields.text("availability_zone");
-  settings.zones = fields.texts("availability_zones");
-  std::sort(settings.zones.begin(), settings.zones.end());
-  if (std::find(settings.zones.begin(), settings.zones.end(), settings.zone) ==
-      settings.zones.end())
-    fields.problem("availability_zone", "\"" + settings.zone + "\" is not listed",
-                   "one of availability_zones");
   settings.callers = address_field(fields, "callers_address");
   settings.ready = address_field(fields, "ready_address");
   settings.store = address_field(fields, "store_address");
@@ -71,7 +64,9 @@
   if (!advice.empty())
     settings.advice = address_field(fields, "advice_address");
   settings.metrics.address = fields.text("own_address");
-  settings.metrics.port = static_cast<std::uint16_t>(fields.integer("first_own_port", {1, 65535}));
+  settings.metrics.port = static_cast<std::uint16_t>(fields.integer("first_own_port", {1, 65534}));
+  settings.peers.address = settings.metrics.address;
+  settings.peers.port = static_cast<std::uint16_t>(settings.metrics.port + 1);
   settings.stop_grace = time_field(fields, "stop_grace_s", 3600, std::chrono::seconds{1});
   settings.lease_limit =
       time_field(fields, "lease_limit_ms", 3600000, std::chrono::milliseconds{1});
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -20,10 +20,10 @@
 {
   std::string name;
   std::string zone;
-  std::vector<std::string> zones; // each is a partition
   common::endpoint callers;
   common::endpoint ready;
   common::endpoint metrics; // the first of the ports that are ours
+  common::endpoint peers;   // the second
   common::endpoint store;
   std::optional<common::endpoint> advice;
   common::duration stop_grace = std::chrono::seconds{6};
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -92,20 +92,33 @@
 {
   if (!feed_healthy_since || m_stopping || now < m_try_after || m_parts.queues.version == 0)
     return false;
-  const bool near = m_self.zone == m_partition;
   const common::time_point heard = std::max(m_seen.changed_at, *feed_healthy_since);
   if (m_seen.version != 0 && m_seen.row.holder == m_self.name && m_seen.row.life != m_self.life)
     return true; // an earlier process of this very instance: it has ended
-  const bool free = m_seen.version == 0 || m_seen.row.holder.empty();
-  if (free && near)
+  if (m_seen.version == 0 || m_seen.row.holder.empty())
     return true;
-  const common::duration patience = near ? m_options.silence_near : m_options.silence_far;
-  return now - heard > (free ? m_options.silence_near : patience);
+  const common::duration patience =
+      m_unlinked.contains(m_seen.row.holder) ? m_options.silence_unlinked : m_options.silence;
+  return now - heard > patience;
+}
+
+void partition_owner::peer_link(const std::string& peer, bool linked)
+{
+  if (linked)
+    m_unlinked.erase(peer);
+  else
+    m_unlinked.insert(peer);
 }
 
 void partition_owner::acquire()
 {
   m_state = state::acquiring;
+  // The write holds only if the row is still the one seen, so the earlier owner's latest renewal is
+  // that one, and was asked for before it was seen.
+  const scheduling::scheduler_options leases;
+  m_earlier_end = m_seen.version == 0
+                      ? common::time_point{}
+                      : m_seen.changed_at + m_options.authority + leases.longest_lease();
   owner_row row;
   row.holder = m_self.name;
   row.life = m_self.life;
@@ -164,17 +177,17 @@
   const common::time_point now = steady_now();
   m_commit_version = loaded.commit_version;
   m_commit_number = loaded.commit_number;
-  scheduling::scheduler_options options;
-  options.earlier_authority = m_options.authority;
+  const scheduling::scheduler_options options;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
   m_scheduler->set_authority(now + m_options.authority);
+  m_scheduler->set_earlier_end(m_earlier_end);
   tell_time(now);
   queues_changed();
   for (const auto& [id, info] : m_parts.worker_entries)
     worker_entry(info);
   add_loaded_jobs(loaded);
-  m_scheduler->begin_accounting(now + m_options.authority + options.longest_lease());
+  m_scheduler->begin_accounting();
   common::log_process("partition_owned", {{"partition", m_partition},
                                           {"epoch", m_row.epoch},
                                           {"token", m_token},
@@ -189,7 +202,7 @@
   const common::time_point now = steady_now();
   for (const loaded_partition::kept_job& each : loaded.jobs)
   {
-    if (m_scheduler->knows(each.job.id))
+    if (m_scheduler->knew(each.job.id))
       continue;
     const auto progress = loaded.progress.find(each.job.id);
     // Jobs that were kept after the takeover have not been started by anyone.
@@ -294,14 +307,14 @@
   m_step_timer.cancel();
   m_step_due = false;
   m_state = state::watching;
-  m_try_after = steady_now() + m_options.silence_near;
+  m_try_after = steady_now() + m_options.silence;
 }
 
 // ---- What workers and callers bring
 
 void partition_owner::worker_entry(const scheduling::worker_info& info)
 {
-  if (!owns() || info.zone != m_partition)
+  if (!owns())
     return;
   m_scheduler->worker_entry(info, steady_now());
   step_soon();
@@ -503,9 +516,9 @@
 
 void partition_owner::tell_time(common::time_point now)
 {
-  m_scheduler->set_wall_clock(std::chrono::time_point_cast<std::chrono::milliseconds>(
-                                  std::chrono::system_clock::now()),
-                              now);
+  m_scheduler->set_wall_clock(
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
+      now);
 }
 
 void partition_owner::step()
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -13,10 +13,11 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "Jobs/QueueTable.h"
-#include "Node/AdviceDesk.h"
+#include "Node/AdvicePool.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 #include "Node/PartitionLoader.h"
@@ -31,13 +32,14 @@
   // The owner's row is renewed this often; pending counts in it may be 2 s old (the platform's
   // bound), and watchers notice a dead owner by it.
   common::duration renew_period = std::chrono::milliseconds{1000};
-  // An instance of the partition's zone takes over after this silence; one of another zone later,
-  // so that a zone that is cut off for a few seconds keeps its owner.
-  common::duration silence_near = std::chrono::milliseconds{3500};
-  common::duration silence_far = std::chrono::milliseconds{7500};
-  // How long an owner goes on giving orders after it asked the store for its latest success. It
-  // covers an outage of 7 s; a new owner waits for as long where it cannot ask a worker.
-  common::duration authority = std::chrono::milliseconds{9000};
+  // An owner that has not renewed its row for this long is replaced: three renewals missed.
+  common::duration silence = std::chrono::milliseconds{3000};
+  // The same once the link to it is broken as well: one renewal missed.
+  common::duration silence_unlinked = std::chrono::milliseconds{1400};
+  // How long an owner goes on giving orders after it asked the store for its latest success. With
+  // the leases (7.5 s) it covers an outage of 7 s; a new owner waits for both together where it
+  // cannot ask a worker.
+  common::duration authority = std::chrono::milliseconds{4500};
   // Commits are at least this far apart, so that ends share them: 25 a second and partition.
   common::duration commit_spacing = std::chrono::milliseconds{40};
   common::duration commit_timeout = std::chrono::milliseconds{900};
@@ -50,7 +52,6 @@
 {
   std::string name;
   std::string life; // new at each start of the process
-  std::string zone;
 };
 
 // What the owners of all partitions share with their process.
@@ -59,7 +60,7 @@
   boost::asio::io_context& io;
   adapter::store_client& store;
   adapter::worker_client& workers;
-  advice_desk& advice;
+  advice_pool& advice;
   common::metrics& metrics;
   // Known workers and queues, as the feeds have them.
   const std::map<std::string, scheduling::worker_info>& worker_entries;
@@ -80,6 +81,8 @@
   const seen_owner& seen() const { return m_seen; }
 
   void owner_row_changed(const adapter::row& row);
+  // The link to that instance has come up or has broken.
+  void peer_link(const std::string& peer, bool linked);
   void worker_entry(const scheduling::worker_info& info);
   void worker_entry_gone(const common::worker_id& id);
   void queues_changed();
@@ -152,6 +155,8 @@
   state m_state = state::watching;
   seen_owner m_seen;
   common::time_point m_try_after{};
+  std::set<std::string> m_unlinked;   // peers whose link has broken and not come back
+  common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
 
   // Of the present ownership.
--- /dev/null
+++ b/Source/Core/Node/PeerLinks.cpp
@@ -0,0 +1,109 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/PeerLinks.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "Common/Error.h"
+#include "Common/EventLog.h"
+
+namespace yardhill::node
+{
+namespace
+{
+constexpr std::chrono::milliseconds k_write_timeout{900};
+constexpr std::chrono::milliseconds k_retry{500};
+
+common::result<common::endpoint> endpoint_from(const adapter::row& row)
+{
+  return common::parsed("read_instance_row", row.at.key,
+                        [&row]
+                        {
+                          const auto in = nlohmann::json::parse(row.value);
+                          return common::endpoint{in.at("address").get<std::string>(),
+                                                  in.at("port").get<std::uint16_t>()};
+                        });
+}
+} // namespace
+
+peer_links::peer_links(boost::asio::io_context& io, adapter::store_client& store,
+                       const std::string& name, const std::string& zone,
+                       const common::endpoint& where, link_events events, common::metrics& counts)
+    : m_io(io),
+      m_timer(io),
+      m_store(store),
+      m_name(name),
+      m_where(where),
+      m_events(std::move(events)),
+      m_feed(io, store, k_instances_table, {""},
+             {[this](const auto& rows) { on_rows(rows); },
+              [this](const auto& rows) { on_rows(rows); },
+              {}}),
+      m_mesh({peer::k_protocol_version, common::instance_id(name), common::zone_id(zone),
+              where.address, where.port},
+             // The mesh has a thread of its own.
+             {[this](const common::instance_id& id, const common::zone_id&)
+              { boost::asio::post(m_io, [this, id] { m_events.linked(id.value); }); },
+              [this](const common::instance_id& id)
+              { boost::asio::post(m_io, [this, id] { m_events.unlinked(id.value); }); },
+              [this](const common::instance_id& id, common::peer_message message)
+              {
+                boost::asio::post(m_io, [this, id, message = std::move(message)]
+                                  { m_events.received(id.value, message); });
+              },
+              [](const std::string&, const std::string&) {}},
+             counts)
+{
+}
+
+void peer_links::start()
+{
+  announce();
+  m_feed.start();
+}
+
+void peer_links::announce()
+{
+  adapter::transaction change;
+  const nlohmann::json row{{"address", m_where.address}, {"port", m_where.port}};
+  change.puts.push_back({{k_instances_table, "", m_name}, row.dump()});
+  m_store.transact(change, k_write_timeout,
+                   [this](const adapter::transaction_result& result)
+                   {
+                     if (result.end == adapter::store_end::done)
+                       return;
+                     m_timer.expires_after(k_retry);
+                     m_timer.async_wait(
+                         [this](const boost::system::error_code& ended)
+                         {
+                           if (!ended)
+                             announce();
+                         });
+                   });
+}
+
+void peer_links::on_rows(const std::vector<adapter::row>& rows)
+{
+  for (const adapter::row& row : rows)
+  {
+    if (row.removed || row.at.key == m_name)
+      continue;
+    const auto where = endpoint_from(row);
+    if (where)
+      m_mesh.dial(*where);
+    else
+      common::log_process("row_damaged", {{"table", k_instances_table},
+                                          {"key", row.at.key},
+                                          {"error", common::to_text(where.error())}});
+  }
+}
+
+void peer_links::send(const std::string& peer, const common::peer_message& message)
+{
+  m_mesh.send(common::instance_id(peer), message);
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/PeerLinks.h
@@ -0,0 +1,56 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The links between the instances, brought onto the event loop, and the table by which the
+// instances find each other.
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Node/TableFeed.h"
+#include "Peer/PeerMesh.h"
+
+namespace yardhill::node
+{
+// One row an instance: where it listens for its peers.
+inline constexpr const char* k_instances_table = "instances";
+
+struct link_events
+{
+  // Peers by their instance's name.
+  std::function<void(const std::string& peer)> linked;
+  std::function<void(const std::string& peer)> unlinked;
+  std::function<void(const std::string& peer, const common::peer_message&)> received;
+};
+
+class peer_links
+{
+public:
+  peer_links(boost::asio::io_context& io, adapter::store_client& store, const std::string& name,
+             const std::string& zone, const common::endpoint& where, link_events events,
+             common::metrics& counts);
+
+  // Enters this instance into the table and follows it.
+  void start();
+  void send(const std::string& peer, const common::peer_message& message);
+
+private:
+  void announce();
+  void on_rows(const std::vector<adapter::row>& rows);
+
+  boost::asio::io_context& m_io;
+  boost::asio::steady_timer m_timer;
+  adapter::store_client& m_store;
+  std::string m_name;
+  common::endpoint m_where;
+  link_events m_events;
+  table_feed m_feed;
+  peer::peer_mesh m_mesh;
+};
+} // namespace yardhill::node
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -137,6 +137,34 @@
   return to;
 }
 
+wire::AdviceRequestT to_wire(const advice_request& from)
+{
+  wire::AdviceRequestT to;
+  to.number = from.number;
+  to.job = from.job;
+  to.cycle = from.cycle;
+  to.step = from.step;
+  to.expected_ms = from.expected_ms;
+  to.workers = from.workers;
+  return to;
+}
+
+wire::AdviceReplyT to_wire(const advice_reply& from)
+{
+  wire::AdviceReplyT to;
+  to.number = from.number;
+  to.answered = from.answered;
+  to.valid_ms = from.valid_ms;
+  for (const advice_reply::permit& each : from.permitted)
+  {
+    auto entry = std::make_unique<wire::PermitT>();
+    entry->worker = each.worker;
+    entry->ticket = each.ticket;
+    to.permitted.push_back(std::move(entry));
+  }
+  return to;
+}
+
 template<class wire_type>
 std::string encode_message(wire_type&& message)
 {
@@ -235,6 +263,22 @@
       forward_request{from.number, from.hops, *purpose, from.fresh, std::move(*spec)}};
 }
 
+advice_request from_wire(const wire::AdviceRequestT& from)
+{
+  return {from.number, from.job, from.cycle, from.step, from.expected_ms, from.workers};
+}
+
+advice_reply from_wire(const wire::AdviceReplyT& from)
+{
+  advice_reply to;
+  to.number = from.number;
+  to.answered = from.answered;
+  to.valid_ms = from.valid_ms;
+  for (const auto& each : from.permitted)
+    to.permitted.push_back({each->worker, each->ticket});
+  return to;
+}
+
 std::optional<frame> from_wire(const wire::ForwardAnswerT& from)
 {
   std::optional<answer> reply = from_wire(from.reply.get());
@@ -292,6 +336,10 @@
     const wire::HandoverT& given = *parsed.message.AsHandover();
     return peer_message{handover{{zone_id{given.zone}, given.index}, given.term}};
   }
+  case wire::Message::AdviceRequest:
+    return peer_message{from_wire(*parsed.message.AsAdviceRequest())};
+  case wire::Message::AdviceReply:
+    return peer_message{from_wire(*parsed.message.AsAdviceReply())};
   case wire::Message::NONE:
     return std::nullopt;
   }
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -60,6 +60,18 @@
 struct HandoverBuilder;
 struct HandoverT;
 
+struct AdviceRequest;
+struct AdviceRequestBuilder;
+struct AdviceRequestT;
+
+struct Permit;
+struct PermitBuilder;
+struct PermitT;
+
+struct AdviceReply;
+struct AdviceReplyBuilder;
+struct AdviceReplyT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -73,11 +85,13 @@
   ConfigPush = 5,
   ConfigPull = 6,
   Handover = 7,
+  AdviceRequest = 8,
+  AdviceReply = 9,
   MIN = NONE,
-  MAX = Handover
+  MAX = AdviceReply
 };
 
-inline const Message (&EnumValuesMessage())[8] {
+inline const Message (&EnumValuesMessage())[10] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -86,13 +100,15 @@
     Message::ForwardAnswer,
     Message::ConfigPush,
     Message::ConfigPull,
-    Message::Handover
+    Message::Handover,
+    Message::AdviceRequest,
+    Message::AdviceReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[9] = {
+  static const char * const names[11] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -101,13 +117,15 @@
     "ConfigPush",
     "ConfigPull",
     "Handover",
+    "AdviceRequest",
+    "AdviceReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::Handover)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::AdviceReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -144,6 +162,14 @@
   static const Message enum_value = Message::Handover;
 };
 
+template<> struct MessageTraits<yardhill::wire::AdviceRequest> {
+  static const Message enum_value = Message::AdviceRequest;
+};
+
+template<> struct MessageTraits<yardhill::wire::AdviceReply> {
+  static const Message enum_value = Message::AdviceReply;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -176,6 +202,14 @@
   static const Message enum_value = Message::Handover;
 };
 
+template<> struct MessageUnionTraits<yardhill::wire::AdviceRequestT> {
+  static const Message enum_value = Message::AdviceRequest;
+};
+
+template<> struct MessageUnionTraits<yardhill::wire::AdviceReplyT> {
+  static const Message enum_value = Message::AdviceReply;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -262,6 +296,22 @@
     return type == Message::Handover ?
       reinterpret_cast<const yardhill::wire::HandoverT *>(value) : nullptr;
   }
+  yardhill::wire::AdviceRequestT *AsAdviceRequest() {
+    return type == Message::AdviceRequest ?
+      reinterpret_cast<yardhill::wire::AdviceRequestT *>(value) : nullptr;
+  }
+  const yardhill::wire::AdviceRequestT *AsAdviceRequest() const {
+    return type == Message::AdviceRequest ?
+      reinterpret_cast<const yardhill::wire::AdviceRequestT *>(value) : nullptr;
+  }
+  yardhill::wire::AdviceReplyT *AsAdviceReply() {
+    return type == Message::AdviceReply ?
+      reinterpret_cast<yardhill::wire::AdviceReplyT *>(value) : nullptr;
+  }
+  const yardhill::wire::AdviceReplyT *AsAdviceReply() const {
+    return type == Message::AdviceReply ?
+      reinterpret_cast<const yardhill::wire::AdviceReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -1609,6 +1659,337 @@
 
 flatbuffers::Offset<Handover> CreateHandover(flatbuffers::FlatBufferBuilder &_fbb, const HandoverT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AdviceRequestT : public flatbuffers::NativeTable {
+  typedef AdviceRequest TableType;
+  uint64_t number = 0;
+  std::string job{};
+  uint32_t cycle = 0;
+  uint32_t step = 0;
+  uint32_t expected_ms = 0;
+  std::vector<std::string> workers{};
+};
+
+struct AdviceRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdviceRequestT NativeTableType;
+  typedef AdviceRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_JOB = 6,
+    VT_CYCLE = 8,
+    VT_STEP = 10,
+    VT_EXPECTED_MS = 12,
+    VT_WORKERS = 14
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t cycle() const {
+    return GetField<uint32_t>(VT_CYCLE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t expected_ms() const {
+    return GetField<uint32_t>(VT_EXPECTED_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_CYCLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_MS, 4) &&
+           VerifyOffset(verifier, VT_WORKERS) &&
+           verifier.VerifyVector(workers()) &&
+           verifier.VerifyVectorOfStrings(workers()) &&
+           verifier.EndTable();
+  }
+  AdviceRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdviceRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdviceRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdviceRequestBuilder {
+  typedef AdviceRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(AdviceRequest::VT_NUMBER, number, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(AdviceRequest::VT_JOB, job);
+  }
+  void add_cycle(uint32_t cycle) {
+    fbb_.AddElement<uint32_t>(AdviceRequest::VT_CYCLE, cycle, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(AdviceRequest::VT_STEP, step, 0);
+  }
+  void add_expected_ms(uint32_t expected_ms) {
+    fbb_.AddElement<uint32_t>(AdviceRequest::VT_EXPECTED_MS, expected_ms, 0);
+  }
+  void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
+    fbb_.AddOffset(AdviceRequest::VT_WORKERS, workers);
+  }
+  explicit AdviceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdviceRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdviceRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdviceRequest> CreateAdviceRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t cycle = 0,
+    uint32_t step = 0,
+    uint32_t expected_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0) {
+  AdviceRequestBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_workers(workers);
+  builder_.add_expected_ms(expected_ms);
+  builder_.add_step(step);
+  builder_.add_cycle(cycle);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct AdviceRequest::Traits {
+  using type = AdviceRequest;
+  static auto constexpr Create = CreateAdviceRequest;
+};
+
+inline flatbuffers::Offset<AdviceRequest> CreateAdviceRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *job = nullptr,
+    uint32_t cycle = 0,
+    uint32_t step = 0,
+    uint32_t expected_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  return yardhill::wire::CreateAdviceRequest(
+      _fbb,
+      number,
+      job__,
+      cycle,
+      step,
+      expected_ms,
+      workers__);
+}
+
+flatbuffers::Offset<AdviceRequest> CreateAdviceRequest(flatbuffers::FlatBufferBuilder &_fbb, const AdviceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitT : public flatbuffers::NativeTable {
+  typedef Permit TableType;
+  std::string worker{};
+  std::string ticket{};
+};
+
+struct Permit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitT NativeTableType;
+  typedef PermitBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_TICKET = 6
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           verifier.EndTable();
+  }
+  PermitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Permit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitBuilder {
+  typedef Permit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(Permit::VT_WORKER, worker);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(Permit::VT_TICKET, ticket);
+  }
+  explicit PermitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Permit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Permit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Permit> CreatePermit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
+  PermitBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_worker(worker);
+  return builder_.Finish();
+}
+
+struct Permit::Traits {
+  using type = Permit;
+  static auto constexpr Create = CreatePermit;
+};
+
+inline flatbuffers::Offset<Permit> CreatePermitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    const char *ticket = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return yardhill::wire::CreatePermit(
+      _fbb,
+      worker__,
+      ticket__);
+}
+
+flatbuffers::Offset<Permit> CreatePermit(flatbuffers::FlatBufferBuilder &_fbb, const PermitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AdviceReplyT : public flatbuffers::NativeTable {
+  typedef AdviceReply TableType;
+  uint64_t number = 0;
+  bool answered = false;
+  uint32_t valid_ms = 0;
+  std::vector<std::unique_ptr<yardhill::wire::PermitT>> permitted{};
+  AdviceReplyT() = default;
+  AdviceReplyT(const AdviceReplyT &o);
+  AdviceReplyT(AdviceReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  AdviceReplyT &operator=(AdviceReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AdviceReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdviceReplyT NativeTableType;
+  typedef AdviceReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ANSWERED = 6,
+    VT_VALID_MS = 8,
+    VT_PERMITTED = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
+  uint32_t valid_ms() const {
+    return GetField<uint32_t>(VT_VALID_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<yardhill::wire::Permit>> *permitted() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<yardhill::wire::Permit>> *>(VT_PERMITTED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
+           VerifyOffset(verifier, VT_PERMITTED) &&
+           verifier.VerifyVector(permitted()) &&
+           verifier.VerifyVectorOfTables(permitted()) &&
+           verifier.EndTable();
+  }
+  AdviceReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdviceReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdviceReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdviceReplyBuilder {
+  typedef AdviceReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(AdviceReply::VT_NUMBER, number, 0);
+  }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(AdviceReply::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
+  void add_valid_ms(uint32_t valid_ms) {
+    fbb_.AddElement<uint32_t>(AdviceReply::VT_VALID_MS, valid_ms, 0);
+  }
+  void add_permitted(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yardhill::wire::Permit>>> permitted) {
+    fbb_.AddOffset(AdviceReply::VT_PERMITTED, permitted);
+  }
+  explicit AdviceReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdviceReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdviceReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdviceReply> CreateAdviceReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool answered = false,
+    uint32_t valid_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<yardhill::wire::Permit>>> permitted = 0) {
+  AdviceReplyBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_permitted(permitted);
+  builder_.add_valid_ms(valid_ms);
+  builder_.add_answered(answered);
+  return builder_.Finish();
+}
+
+struct AdviceReply::Traits {
+  using type = AdviceReply;
+  static auto constexpr Create = CreateAdviceReply;
+};
+
+inline flatbuffers::Offset<AdviceReply> CreateAdviceReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool answered = false,
+    uint32_t valid_ms = 0,
+    const std::vector<flatbuffers::Offset<yardhill::wire::Permit>> *permitted = nullptr) {
+  auto permitted__ = permitted ? _fbb.CreateVector<flatbuffers::Offset<yardhill::wire::Permit>>(*permitted) : 0;
+  return yardhill::wire::CreateAdviceReply(
+      _fbb,
+      number,
+      answered,
+      valid_ms,
+      permitted__);
+}
+
+flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   yardhill::wire::MessageUnion message{};
@@ -1650,6 +2031,12 @@
   const yardhill::wire::Handover *message_as_Handover() const {
     return message_type() == yardhill::wire::Message::Handover ? static_cast<const yardhill::wire::Handover *>(message()) : nullptr;
   }
+  const yardhill::wire::AdviceRequest *message_as_AdviceRequest() const {
+    return message_type() == yardhill::wire::Message::AdviceRequest ? static_cast<const yardhill::wire::AdviceRequest *>(message()) : nullptr;
+  }
+  const yardhill::wire::AdviceReply *message_as_AdviceReply() const {
+    return message_type() == yardhill::wire::Message::AdviceReply ? static_cast<const yardhill::wire::AdviceReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -1690,6 +2077,14 @@
   return message_as_Handover();
 }
 
+template<> inline const yardhill::wire::AdviceRequest *Frame::message_as<yardhill::wire::AdviceRequest>() const {
+  return message_as_AdviceRequest();
+}
+
+template<> inline const yardhill::wire::AdviceReply *Frame::message_as<yardhill::wire::AdviceReply>() const {
+  return message_as_AdviceReply();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2235,6 +2630,127 @@
       _term);
 }
 
+inline AdviceRequestT *AdviceRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdviceRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdviceRequest::UnPackTo(AdviceRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = cycle(); _o->cycle = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = expected_ms(); _o->expected_ms = _e; }
+  { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<AdviceRequest> AdviceRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdviceRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdviceRequest> CreateAdviceRequest(flatbuffers::FlatBufferBuilder &_fbb, const AdviceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _cycle = _o->cycle;
+  auto _step = _o->step;
+  auto _expected_ms = _o->expected_ms;
+  auto _workers = _o->workers.size() ? _fbb.CreateVectorOfStrings(_o->workers) : 0;
+  return yardhill::wire::CreateAdviceRequest(
+      _fbb,
+      _number,
+      _job,
+      _cycle,
+      _step,
+      _expected_ms,
+      _workers);
+}
+
+inline PermitT *Permit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Permit::UnPackTo(PermitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+}
+
+inline flatbuffers::Offset<Permit> Permit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Permit> CreatePermit(flatbuffers::FlatBufferBuilder &_fbb, const PermitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateString(_o->ticket);
+  return yardhill::wire::CreatePermit(
+      _fbb,
+      _worker,
+      _ticket);
+}
+
+inline AdviceReplyT::AdviceReplyT(const AdviceReplyT &o)
+      : number(o.number),
+        answered(o.answered),
+        valid_ms(o.valid_ms) {
+  permitted.reserve(o.permitted.size());
+  for (const auto &permitted_ : o.permitted) { permitted.emplace_back((permitted_) ? new yardhill::wire::PermitT(*permitted_) : nullptr); }
+}
+
+inline AdviceReplyT &AdviceReplyT::operator=(AdviceReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(answered, o.answered);
+  std::swap(valid_ms, o.valid_ms);
+  std::swap(permitted, o.permitted);
+  return *this;
+}
+
+inline AdviceReplyT *AdviceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdviceReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdviceReply::UnPackTo(AdviceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = answered(); _o->answered = _e; }
+  { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = permitted(); if (_e) { _o->permitted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permitted[_i] = std::unique_ptr<yardhill::wire::PermitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<AdviceReply> AdviceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdviceReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdviceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _answered = _o->answered;
+  auto _valid_ms = _o->valid_ms;
+  auto _permitted = _o->permitted.size() ? _fbb.CreateVector<flatbuffers::Offset<yardhill::wire::Permit>> (_o->permitted.size(), [](size_t i, _VectorArgs *__va) { return CreatePermit(*__va->__fbb, __va->__o->permitted[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return yardhill::wire::CreateAdviceReply(
+      _fbb,
+      _number,
+      _answered,
+      _valid_ms,
+      _permitted);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -2297,6 +2813,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::Handover *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::AdviceRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::AdviceReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2344,6 +2868,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::Handover *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::AdviceRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::AdviceReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2379,6 +2911,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::HandoverT *>(value);
       return CreateHandover(_fbb, ptr, _rehasher).Union();
     }
+    case Message::AdviceRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceRequestT *>(value);
+      return CreateAdviceRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::AdviceReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::AdviceReplyT *>(value);
+      return CreateAdviceReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2413,6 +2953,14 @@
       value = new yardhill::wire::HandoverT(*reinterpret_cast<yardhill::wire::HandoverT *>(u.value));
       break;
     }
+    case Message::AdviceRequest: {
+      value = new yardhill::wire::AdviceRequestT(*reinterpret_cast<yardhill::wire::AdviceRequestT *>(u.value));
+      break;
+    }
+    case Message::AdviceReply: {
+      value = new yardhill::wire::AdviceReplyT(*reinterpret_cast<yardhill::wire::AdviceReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2455,6 +3003,16 @@
       delete ptr;
       break;
     }
+    case Message::AdviceRequest: {
+      auto ptr = reinterpret_cast<yardhill::wire::AdviceRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::AdviceReply: {
+      auto ptr = reinterpret_cast<yardhill::wire::AdviceReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Core/Peer/PeerMesh.cpp
+++ b/Source/Core/Peer/PeerMesh.cpp
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio.hpp>
 
 namespace yardhill::peer
@@ -25,6 +27,11 @@
 
 constexpr std::chrono::milliseconds k_redial_first{100};
 constexpr std::chrono::milliseconds k_redial_most{1000};
+// A machine without power or behind a cut never answers; links within a region take 3 ms.
+constexpr std::chrono::milliseconds k_connect_timeout{1000};
+// Bytes that stay unacknowledged for this long break the link, so that a peer that has vanished
+// without a word is reported as unlinked.
+constexpr int k_user_timeout_ms = 1500;
 // What may wait to be sent to one peer; a peer that takes less is cut off and asked again later.
 constexpr std::size_t k_most_unsent_bytes = 4U << 20U;
 
@@ -42,6 +49,9 @@
   {
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.set_option(
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(k_user_timeout_ms),
+        ignored);
   }
 
   void start() { read_length(); }
@@ -306,9 +316,18 @@
     if (error)
       return;
     const auto socket = std::make_shared<tcp::socket>(m_context);
+    target.timer->expires_after(k_connect_timeout);
+    target.timer->async_wait(
+        [socket](const error_code& ended)
+        {
+          error_code ignored;
+          if (!ended)
+            socket->close(ignored);
+        });
     socket->async_connect(tcp::endpoint(address, target.where.port),
                           [this, &target, socket](const error_code& failed)
                           {
+                            target.timer->cancel();
                             if (failed)
                               redial(target);
                             else
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -35,13 +35,17 @@
   return &found->second.text;
 }
 
-std::vector<worker_id> advice_planner::worth_asking(const job_record& job,
-                                                    const step_record& step) const
+// Ahead of time any suitable worker is worth asking about, the emptiest first; later only those
+// with room, since a ticket does not live long enough to wait for it.
+std::vector<worker_id> advice_planner::worth_asking(const job_record& job, const step_record& step,
+                                                    bool ahead, time_point now) const
 {
   std::vector<const worker_record*> candidates;
   for (const auto& [id, worker] : m_state.workers)
   {
-    if (!suits(*worker, job, step) || worker->suspect)
+    if (!suits(*worker, job, step) || worker->suspect || ticket(job, step, id, now) != nullptr)
+      continue;
+    if (!ahead && (worker->avoid_until > now || !room_of(*step.spec).fits_in(worker->free())))
       continue;
     const auto known = step.permits.permitted.find(id);
     if (known != step.permits.permitted.end() && !known->second)
@@ -61,19 +65,22 @@
 }
 
 void advice_planner::want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now)
+{
+  const step_record& in = job.cycles()[cycle].steps[step];
+  if (m_budget <= 0)
+    return;
+  m_budget -= static_cast<std::int64_t>(in.waiting) * room_of(*in.spec).cpu_millis;
+  ask(job, cycle, step, false, now);
+}
+
+void advice_planner::ask(job_record& job, std::uint32_t cycle, std::uint32_t step, bool ahead,
+                         time_point now)
 {
   step_record& in = job.cycles()[cycle].steps[step];
   step_permits& permits = in.permits;
   if (!job.policy().advice || permits.asking || now < permits.ask_after)
     return;
-  // Tickets that are still good for a while are waited with, not asked for again.
-  const time_point renew = now + m_state.options.ticket_margin;
-  const bool any_good =
-      std::any_of(permits.tickets.begin(), permits.tickets.end(),
-                  [renew](const auto& each) { return each.second.until > renew; });
-  if (any_good)
-    return;
-  std::vector<worker_id> workers = worth_asking(job, in);
+  std::vector<worker_id> workers = worth_asking(job, in, ahead, now);
   if (workers.empty())
     return;
   permits.asking = true;
@@ -115,8 +122,12 @@
     for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
     {
       const step_record& step = job.cycles()[c].steps[s];
-      if (step.waiting > 0 && !job.ready(c, s, m_state.wall(now)) && soon(job, c, s, now))
-        want(job, c, s, now);
+      const bool any_ticket =
+          std::any_of(step.permits.tickets.begin(), step.permits.tickets.end(),
+                      [now](const auto& each) { return each.second.until > now; });
+      if (step.waiting > 0 && !any_ticket && !job.ready(c, s, m_state.wall(now)) &&
+          soon(job, c, s, now))
+        ask(job, c, s, true, now);
     }
   }
 }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -14,8 +14,11 @@
 public:
   explicit advice_planner(scheduler_state& state);
 
-  // Asks for a step whose tasks wait, where its tickets do not suffice.
+  // Asks for a step whose tasks wait, about workers that have room for one but no ticket yet.
   void want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
+  // From now on, steps are asked for only as long as their tasks would fit into this much free
+  // processor time (thousandths of a core) together.
+  void set_budget(std::int64_t cpu_millis) { m_budget = cpu_millis; }
   // Asks for steps that should become ready soon.
   void look_ahead(job_record& job, time_point now);
   void on_answer(const advice_answer& answer, time_point now);
@@ -25,10 +28,13 @@
                             time_point now) const;
 
 private:
-  std::vector<worker_id> worth_asking(const job_record& job, const step_record& step) const;
+  std::vector<worker_id> worth_asking(const job_record& job, const step_record& step, bool ahead,
+                                      time_point now) const;
+  void ask(job_record& job, std::uint32_t cycle, std::uint32_t step, bool ahead, time_point now);
   bool soon(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now) const;
 
   scheduler_state& m_state;
+  std::int64_t m_budget = 0;
 };
 
 // Whether a task of the step may run on the worker at all, its present load left aside.
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -88,9 +88,14 @@
     record.mark_unaccounted();
 }
 
-void job_scheduler::begin_accounting(time_point deadline)
+void job_scheduler::set_earlier_end(time_point end)
 {
-  m_holder.begin_accounting(deadline);
+  m_state.earlier_end = end;
+}
+
+void job_scheduler::begin_accounting()
+{
+  m_holder.begin_accounting();
 }
 
 void job_scheduler::cancel_job(const std::string& id, time_point now)
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -51,8 +51,11 @@
   // A job of an earlier owner, as far as it had come.
   void restore_job(const jobs::accepted_job& job, const std::optional<jobs::job_progress>& progress,
                    time_point now);
-  // All earlier jobs and known workers are here; until `deadline` some worker may be unheard.
-  void begin_accounting(time_point deadline);
+  // After this, nothing that an earlier owner ordered can be running on a worker not heard since.
+  // Told before any worker is.
+  void set_earlier_end(time_point end);
+  // All earlier jobs and known workers are here: their tasks wait until every worker is heard.
+  void begin_accounting();
   void cancel_job(const std::string& id, time_point now);
 
   void start_answered(const start_answer& answer, time_point now);
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -25,13 +25,19 @@
 {
   if (!m_state.may_act(now))
     return;
+  std::int64_t free = 0;
+  for (const auto& [id, worker] : m_state.workers)
+    free += worker->present && !worker->suspect ? worker->free().cpu_millis : 0;
+  m_advice.set_budget(free);
   for (const waiting_step& each : in_order(now))
   {
-    m_advice.want(*each.job, each.cycle, each.step, now);
-    if (each.job->cycles()[each.cycle].steps[each.step].spec->gang)
+    const step_record& step = each.job->cycles()[each.cycle].steps[each.step];
+    if (step.spec->gang)
       place_gang(each, now);
     else
       place_step(each, now);
+    if (step.waiting > 0)
+      m_advice.want(*each.job, each.cycle, each.step, now);
   }
 }
 
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -14,9 +14,9 @@
 struct scheduler_options
 {
   // What runs on a worker ends by itself this long after its owner was last heard. It has to cover
-  // a takeover (4 s of silence and half a second of work) and is what a task lost with its worker
+  // a takeover (3 s of silence and half a second of work) and is what a task lost with its worker
   // waits for. The platform's bound is 10 s.
-  duration task_lease = std::chrono::milliseconds{7000};
+  duration task_lease = std::chrono::milliseconds{7500};
   // Workers' clocks may run this much slow (the platform's bound).
   double clock_drift = 0.02;
   // Added to each computed end of a lease: a message's way and the worker's own reaction.
@@ -42,11 +42,9 @@
   duration ticket_margin = std::chrono::milliseconds{150};
   // Advice for a step is asked for when what it depends on should end within this time.
   duration advice_ahead = std::chrono::milliseconds{1200};
-  // The most workers named in one call for advice (the platform's bound is 100).
-  std::size_t advice_workers = 100;
-  // How long an earlier owner may go on giving orders after it was replaced, where no worker has
-  // told it so: see node::ownership_options::authority.
-  duration earlier_authority = std::chrono::milliseconds{9000};
+  // The most workers named in one call for advice: of 24, about 8 are permitted at the sites'
+  // strictest queues, and naming more costs up to 6.5 ms each. The platform's bound is 100.
+  std::size_t advice_workers = 24;
 
   // On our own clock, the most that a lease given now can last.
   duration longest_lease() const
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -36,7 +36,8 @@
   std::set<std::string> open;  // jobs that have not ended
   // Until when this owner may order anything; it is extended by the store's word.
   time_point authority_end{};
-  bool fenced = false; // a worker obeys a later owner
+  time_point earlier_end{}; // of what earlier owners ordered on workers not heard since
+  bool fenced = false;      // a worker obeys a later owner
   bool place_again = true;
   // Time of day less the steady clock, for timed jobs.
   std::chrono::milliseconds wall_ahead{0};
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -28,8 +28,7 @@
   {
     slot = std::make_unique<worker_record>();
     // Unless it says otherwise, an earlier owner may still have runs there.
-    slot->lease_end =
-        now + m_state.options.earlier_authority + m_state.options.longest_lease();
+    slot->lease_end = m_state.earlier_end;
   }
   const bool was_draining = slot->info.draining;
   const bool was_present = slot->present;
@@ -150,7 +149,7 @@
 
 void worker_holder::tick(time_point now)
 {
-  if (m_accounting && now >= m_accounting_deadline)
+  if (m_accounting && now >= m_state.earlier_end)
     end_accounting("every earlier lease is over");
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
   {
@@ -168,10 +167,9 @@
   }
 }
 
-void worker_holder::begin_accounting(time_point deadline)
+void worker_holder::begin_accounting()
 {
   m_accounting = true;
-  m_accounting_deadline = deadline;
   m_unheard.clear();
   for (const auto& [id, worker] : m_state.workers)
     m_unheard.insert(id);
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -24,9 +24,9 @@
   // Issues the holds that are due, and gives up workers whose leases are over.
   void tick(time_point now);
 
-  // From now on, tasks of older jobs wait until each known worker has been heard or `deadline`
-  // has passed.
-  void begin_accounting(time_point deadline);
+  // From now on, tasks of older jobs wait until each known worker has been heard or whatever
+  // earlier owners ordered is over.
+  void begin_accounting();
   bool accounting() const { return m_accounting; }
   // The lease of everything that is started or held now ends at this worker time.
   worker_clock_time extended_lease(worker_record& worker, time_point now);
@@ -41,7 +41,6 @@
   scheduler_state& m_state;
   run_follower& m_follower;
   bool m_accounting = false;
-  time_point m_accounting_deadline{};
   std::set<worker_id> m_unheard;
 };
 } // namespace yardhill::scheduling
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -16,10 +16,11 @@
 {
   taken_over() : scheduler_harness(1000)
   {
+    scheduler->set_earlier_end(now + seconds{16});
     scheduler->worker_entry(worker("w1"), now);
     scheduler->worker_entry(worker("w2"), now);
     scheduler->restore_job(job("0123456789abcdef", {step_of(1)}), std::nullopt, now);
-    scheduler->begin_accounting(now + seconds{16});
+    scheduler->begin_accounting();
     step();
   }
 
