Scheduling, Node: Claims of workers are kept, so that a later owner asks all of them

Cause: a new owner counted only workers with an entry in the store. Ruled out: remembering lapsed entries in memory, which a restart of all machines forgets. Change: the first commit after a worker was claimed writes a row with its address; nothing starts there before. A later owner asks every claimed worker, with an entry or not, until its lease must be over.

--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -41,6 +41,22 @@
   return json{{"life", row.life}, {"number", row.number}}.dump();
 }
 
+std::string to_row_text(const common::endpoint& address)
+{
+  return json{{"address", address.address}, {"port", address.port}}.dump();
+}
+
+common::result<common::endpoint> address_from(const std::string& text)
+{
+  return common::parsed("read_address", "store",
+                        [&text]
+                        {
+                          const json in = json::parse(text);
+                          return common::endpoint{in.at("address").get<std::string>(),
+                                                  in.at("port").get<std::uint16_t>()};
+                        });
+}
+
 common::result<commit_row> commit_row_from(const std::string& text)
 {
   return common::parsed(
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "Common/Error.h"
+#include "Common/InstanceSettings.h"
 #include "Common/Time.h"
 #include "platform/StoreClient.h"
 
@@ -21,6 +22,8 @@
 inline constexpr const char* k_commits_table = "commits";
 inline constexpr const char* k_commit_key = "last";
 inline constexpr const char* k_progress_table = "progress";
+// One row a worker on which runs may have been started: its address.
+inline constexpr const char* k_claims_table = "claims";
 
 struct owner_row
 {
@@ -44,6 +47,8 @@
 std::string to_row_text(const owner_row& row);
 common::result<owner_row> owner_row_from(const std::string& text);
 std::string to_row_text(const commit_row& row);
+std::string to_row_text(const common::endpoint& address);
+common::result<common::endpoint> address_from(const std::string& text);
 common::result<commit_row> commit_row_from(const std::string& text);
 
 // An owner row as it was last seen.
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -24,6 +24,7 @@
 {
   // The commit's row comes first: from then on only this owner commits.
   m_ranges.push_back({k_commits_table, m_partition, {}, {}, 1});
+  m_ranges.push_back({k_claims_table, m_partition, {}, {}, 500});
   m_ranges.push_back({k_progress_table, m_partition, {}, {}, 500});
   for (const std::string& part : job_parts())
     m_ranges.push_back({k_jobs_table, part, {}, {}, 500});
@@ -92,6 +93,16 @@
       m_loaded.commit_number = commit->number;
     return;
   }
+  if (row.at.table == k_claims_table)
+  {
+    if (const auto address = address_from(row.value))
+      m_loaded.claims[common::worker_id(row.at.key)] = *address;
+    else
+      common::log_process("row_damaged", {{"table", row.at.table},
+                                          {"key", row.at.key},
+                                          {"error", common::to_text(address.error())}});
+    return;
+  }
   if (row.at.table == k_progress_table)
   {
     auto progress = common::parsed("read_progress", row.at.key,
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -184,6 +184,8 @@
   m_scheduler->set_earlier_end(m_earlier_end);
   tell_time(now);
   queues_changed();
+  for (const auto& [id, address] : loaded.claims)
+    m_scheduler->restore_claim(id, address, now);
   for (const auto& [id, info] : m_parts.worker_entries)
     worker_entry(info);
   add_loaded_jobs(loaded);
@@ -375,6 +377,10 @@
       {commit_key(m_partition), to_row_text(commit_row{m_self.life, commit.number})});
   for (const auto& [id, text] : commit.batch.rows)
     commit.change.puts.push_back({{k_progress_table, m_partition, id}, text});
+  for (const auto& [id, address] : commit.batch.claims)
+    commit.change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(address)});
+  for (const common::worker_id& id : commit.batch.releases)
+    commit.change.removals.push_back({k_claims_table, m_partition, id.value});
   if (commit.renews)
   {
     ++m_row.renewal;
--- a/Source/Core/Node/PeerLinks.cpp
+++ b/Source/Core/Node/PeerLinks.cpp
@@ -6,10 +6,9 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <nlohmann/json.hpp>
 
-#include "Common/Error.h"
 #include "Common/EventLog.h"
+#include "Node/OwnerRow.h"
 
 namespace yardhill::node
 {
@@ -17,17 +16,6 @@
 {
 constexpr std::chrono::milliseconds k_write_timeout{900};
 constexpr std::chrono::milliseconds k_retry{500};
-
-common::result<common::endpoint> endpoint_from(const adapter::row& row)
-{
-  return common::parsed("read_instance_row", row.at.key,
-                        [&row]
-                        {
-                          const auto in = nlohmann::json::parse(row.value);
-                          return common::endpoint{in.at("address").get<std::string>(),
-                                                  in.at("port").get<std::uint16_t>()};
-                        });
-}
 } // namespace
 
 peer_links::peer_links(boost::asio::io_context& io, adapter::store_client& store,
@@ -69,8 +57,7 @@
 void peer_links::announce()
 {
   adapter::transaction change;
-  const nlohmann::json row{{"address", m_where.address}, {"port", m_where.port}};
-  change.puts.push_back({{k_instances_table, "", m_name}, row.dump()});
+  change.puts.push_back({{k_instances_table, "", m_name}, to_row_text(m_where)});
   m_store.transact(change, k_write_timeout,
                    [this](const adapter::transaction_result& result)
                    {
@@ -92,7 +79,7 @@
   {
     if (row.removed || row.at.key == m_name)
       continue;
-    const auto where = endpoint_from(row);
+    const auto where = address_from(row.value);
     if (where)
       m_mesh.dial(*where);
     else
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -52,6 +52,12 @@
   m_state.authority_end = until;
 }
 
+void job_scheduler::restore_claim(const worker_id& id, const common::endpoint& address,
+                                  time_point now)
+{
+  m_holder.restore_claim(id, address, now);
+}
+
 void job_scheduler::worker_entry(const worker_info& info, time_point now)
 {
   m_holder.on_entry(info, now);
@@ -125,6 +131,14 @@
   m_advice.on_answer(answer, now);
 }
 
+bool job_scheduler::has_changes() const
+{
+  return !m_state.dirty.empty() || !m_state.released.empty() || ends_unwritten() ||
+         std::any_of(m_state.workers.begin(), m_state.workers.end(),
+                     [](const auto& each)
+                     { return each.second->claimed && !each.second->claim_written; });
+}
+
 bool job_scheduler::ends_unwritten() const
 {
   return std::any_of(m_state.workers.begin(), m_state.workers.end(),
@@ -145,10 +159,14 @@
   }
   if (!m_state.dirty.empty())
     return batch;
+  while (!m_state.released.empty() && batch.size() < most_rows)
+    batch.releases.insert(m_state.released.extract(m_state.released.begin()));
   for (const auto& [id, worker] : m_state.workers)
   {
     if (worker->seen > worker->durable)
       batch.ends[id] = worker->seen;
+    if (worker->claimed && !worker->claim_written && batch.size() < most_rows)
+      batch.claims[id] = worker->info.address;
   }
   return batch;
 }
@@ -162,6 +180,7 @@
       if (m_state.jobs.contains(id))
         m_state.dirty.insert(id);
     }
+    m_state.released.insert(batch.releases.begin(), batch.releases.end());
     return;
   }
   for (const auto& [id, end] : batch.ends)
@@ -169,6 +188,12 @@
     if (worker_record* const worker = m_state.find_worker(id))
       worker->durable = std::max(worker->durable, end);
   }
+  for (const auto& [id, address] : batch.claims)
+  {
+    if (worker_record* const worker = m_state.find_worker(id))
+      worker->claim_written = true;
+  }
+  m_state.place_again = true;
   forget_ended();
 }
 
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -25,8 +25,12 @@
 {
   std::map<std::string, std::string> rows; // progress by job
   std::map<worker_id, end_number> ends;
+  // Workers on which runs may be started once this is written, and workers on which none can be
+  // any more. A later owner asks all claimed ones, whether they have entries then or not.
+  std::map<worker_id, common::endpoint> claims;
+  std::set<worker_id> releases;
 
-  bool empty() const { return rows.empty() && ends.empty(); }
+  std::size_t size() const { return rows.size() + claims.size() + releases.size(); }
 };
 
 class job_scheduler
@@ -43,6 +47,8 @@
   // Orders may be given until this time.
   void set_authority(time_point until);
 
+  // A worker that an earlier owner had claimed.
+  void restore_claim(const worker_id& id, const common::endpoint& address, time_point now);
   void worker_entry(const worker_info& info, time_point now);
   void worker_entry_gone(const worker_id& id, time_point now);
 
@@ -64,7 +70,7 @@
   void advice_answered(const advice_answer& answer, time_point now);
 
   // What has changed since the last call; the caller writes it and says how that went.
-  // With more than `most_rows` jobs to write, the ends have to wait for a later batch.
+  // At most `most_rows` rows. With more jobs to write, the ends have to wait for a later batch.
   commit_batch take_commit(std::size_t most_rows);
   void commit_done(const commit_batch& batch, bool written);
 
@@ -73,7 +79,7 @@
 
   bool fenced() const { return m_state.fenced; }
   // Whether ends or final states wait to be written.
-  bool has_changes() const { return !m_state.dirty.empty() || ends_unwritten(); }
+  bool has_changes() const;
   bool knows(const std::string& job) const { return m_state.jobs.contains(job); }
   // Also true for jobs that have ended under this owner and are no longer held in memory.
   bool knew(const std::string& job) const { return knows(job) || m_forgotten.contains(job); }
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -32,8 +32,9 @@
   std::map<worker_id, std::unique_ptr<worker_record>> workers;
   std::map<std::string, jobs::queue_policy> policies; // by queue
   std::vector<command> commands;
-  std::set<std::string> dirty; // jobs whose row has to be written
-  std::set<std::string> open;  // jobs that have not ended
+  std::set<std::string> dirty;  // jobs whose row has to be written
+  std::set<std::string> open;   // jobs that have not ended
+  std::set<worker_id> released; // claimed workers that are gone, to be written
   // Until when this owner may order anything; it is extended by the store's word.
   time_point authority_end{};
   time_point earlier_end{}; // of what earlier owners ordered on workers not heard since
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -14,6 +14,26 @@
 {
 }
 
+worker_record& worker_holder::new_record(const worker_id& id)
+{
+  auto& slot = m_state.workers[id];
+  slot = std::make_unique<worker_record>();
+  slot->info.id = id;
+  // Unless it says otherwise, an earlier owner may still have runs there.
+  slot->lease_end = m_state.earlier_end;
+  return *slot;
+}
+
+void worker_holder::restore_claim(const worker_id& id, const common::endpoint& address,
+                                  time_point now)
+{
+  worker_record& worker = new_record(id);
+  worker.info.address = address;
+  worker.present = false;
+  worker.claim_written = true;
+  hold(worker, now);
+}
+
 void worker_holder::on_entry(const worker_info& info, time_point now)
 {
   // Another life at the same address: the earlier one has ended, with all that ran there.
@@ -22,18 +42,13 @@
     if (id != info.id && worker->info.address == info.address)
       gone(*worker, "another life has its address");
   }
-  auto& slot = m_state.workers[info.id];
-  const bool news = slot == nullptr;
-  if (news)
-  {
-    slot = std::make_unique<worker_record>();
-    // Unless it says otherwise, an earlier owner may still have runs there.
-    slot->lease_end = m_state.earlier_end;
-  }
-  const bool was_draining = slot->info.draining;
-  const bool was_present = slot->present;
-  slot->info = info;
-  slot->present = true;
+  worker_record* const known = m_state.find_worker(info.id);
+  const bool news = known == nullptr;
+  worker_record& worker = news ? new_record(info.id) : *known;
+  const bool was_draining = worker.info.draining;
+  const bool was_present = worker.present;
+  worker.info = info;
+  worker.present = true;
   m_state.place_again = true;
   if (news || was_draining != info.draining || !was_present)
     common::log_process("worker_entry", {{"worker", info.id.value},
@@ -42,8 +57,8 @@
                                          {"memory_mib", info.capacity.memory_mib},
                                          {"draining", info.draining},
                                          {"new", news}});
-  if (!slot->claimed && !slot->hold_under_way)
-    hold(*slot, now);
+  if (!worker.claimed && !worker.hold_under_way)
+    hold(worker, now);
 }
 
 void worker_holder::on_entry_gone(const worker_id& id, time_point now)
@@ -158,6 +173,8 @@
       m_state.lose_runs(worker, "its lease is over");
     if (!worker.present && worker.runs.empty() && !worker.hold_under_way && now >= worker.lease_end)
     {
+      if (worker.claim_written)
+        m_state.released.insert(each->first);
       each = m_state.workers.erase(each);
       continue;
     }
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -18,6 +18,8 @@
 public:
   worker_holder(scheduler_state& state, run_follower& follower);
 
+  // A worker that an earlier owner had claimed; its entry may come later or never.
+  void restore_claim(const worker_id& id, const common::endpoint& address, time_point now);
   void on_entry(const worker_info& info, time_point now);
   void on_entry_gone(const worker_id& id, time_point now);
   void on_hold(const hold_answer& answer, time_point now);
@@ -32,6 +34,7 @@
   worker_clock_time extended_lease(worker_record& worker, time_point now);
 
 private:
+  worker_record& new_record(const worker_id& id);
   void hold(worker_record& worker, time_point now);
   bool hold_due(const worker_record& worker, time_point now) const;
   void accounted(const worker_id& id);
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -52,9 +52,10 @@
 struct worker_record
 {
   worker_info info;
-  bool present = true;  // its entry is in the store
-  bool claimed = false; // it has answered a hold with this owner's token
-  bool suspect = false; // its last answer did not come
+  bool present = true;        // its entry is in the store
+  bool claimed = false;       // it has answered a hold with this owner's token
+  bool claim_written = false; // later owners will ask it, so runs may be started there
+  bool suspect = false;       // its last answer did not come
   // The worker's clock less ours, from its latest answer.
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -104,6 +104,7 @@
   scheduler->worker_entry(info, now);
   step();
   answer_hold(info.id.value, {});
+  commit();
   step();
   holds.clear();
 }
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -42,6 +42,7 @@
   step();
   BOOST_TEST(starts.empty());
   answer_hold("w2", {});
+  commit();
   step();
   BOOST_TEST(starts.size() == 1U);
   BOOST_TEST(starts.front().run > 1000U);
@@ -62,6 +63,7 @@
 BOOST_FIXTURE_TEST_CASE(an_unheard_worker_is_given_up_once_every_earlier_lease_is_over, taken_over)
 {
   answer_hold("w1", {});
+  commit();
   pass(seconds{15});
   step();
   BOOST_TEST(starts.empty());
@@ -79,4 +81,43 @@
   BOOST_TEST((scheduler->state_of("0123456789abcdef") == yardhill::jobs::job_state::completed));
 }
 
+// Periyar, trouble-3, 38.983 s: while a zone was cut off its workers' entries lapsed, a new owner
+// counted only the workers with entries, and what ran on the others was started again.
+BOOST_AUTO_TEST_CASE(a_worker_without_an_entry_is_waited_for_if_earlier_owners_used_it)
+{
+  scheduler_harness owner(1000);
+  owner.scheduler->set_earlier_end(owner.now + seconds{16});
+  owner.scheduler->restore_claim(worker_id("w9"), {"10.0.0.9", 80}, owner.now);
+  owner.scheduler->worker_entry(scheduler_harness::worker("w1"), owner.now);
+  owner.scheduler->restore_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), std::nullopt,
+      owner.now);
+  owner.scheduler->begin_accounting();
+  owner.step();
+  owner.answer_hold("w1", {});
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+  BOOST_TEST(owner.holds.size() >= 2U);
+  owner.answer_hold("w9", {});
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_on_a_worker_before_its_claim_is_written)
+{
+  scheduler_harness owner;
+  owner.scheduler->worker_entry(scheduler_harness::worker("w1"), owner.now);
+  owner.step();
+  owner.answer_hold("w1", {});
+  owner.scheduler->add_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
