Scheduling, Node: Calls for advice are bounded by what the instances take at once

Change: the planner asks in the order of placement and only as many calls as instances can take at once; ahead of time only after what waits; a peer is given up later.

--- a/Source/Core/Node/AdvicePool.cpp
+++ b/Source/Core/Node/AdvicePool.cpp
@@ -13,13 +13,14 @@
 {
 namespace
 {
-// The sites' short calls take 20 to 40 ms, the long ones 400 and more.
-constexpr std::chrono::milliseconds k_long_call{100};
 // Of all instances, this share (in hundredths) is kept free of long calls: long calls make up three
 // quarters of the service's time at the sites.
 constexpr std::size_t k_short_share = 40;
-// An answer from a peer is overdue this long after its line should have been worked off.
-constexpr std::chrono::milliseconds k_overdue_slack{600};
+// Short calls in line at one instance: the second covers the way to a peer and back.
+constexpr std::size_t k_short_line = 2;
+// An answer from a peer is overdue this long after twice the time of its line. Asking again costs
+// the service the first call's time as well, so a slow peer is waited for.
+constexpr std::chrono::milliseconds k_overdue_slack{1500};
 // A peer whose answer was overdue is not asked for this time.
 constexpr std::chrono::seconds k_avoid{2};
 } // namespace
@@ -29,12 +30,30 @@
   m_helpers.push_back({});
 }
 
+std::size_t advice_pool::kept_free() const
+{
+  if (m_helpers.size() == 1)
+    return 0;
+  return std::max<std::size_t>(1, m_helpers.size() * k_short_share / 100);
+}
+
+scheduling::advice_slots advice_pool::slots(common::time_point now) const
+{
+  scheduling::advice_slots free{0, 0};
+  for (std::size_t i = 0; i < m_helpers.size(); ++i)
+  {
+    if (m_helpers[i].avoid_until > now)
+      continue;
+    free.long_calls += i >= kept_free() ? 1 : 0;
+    free.short_calls += i < kept_free() || m_helpers.size() == 1 ? k_short_line : 0;
+  }
+  return {std::max<std::size_t>(1, free.short_calls), std::max<std::size_t>(1, free.long_calls)};
+}
+
 advice_pool::helper& advice_pool::choose(std::chrono::milliseconds expected)
 {
   const common::time_point now = steady_now();
-  const std::size_t kept_free =
-      m_helpers.size() == 1 ? 0 : std::max<std::size_t>(1, m_helpers.size() * k_short_share / 100);
-  const std::size_t first = expected >= k_long_call ? kept_free : 0;
+  const std::size_t first = expected >= scheduling::k_long_advice ? kept_free() : 0;
   helper* best = nullptr;
   for (std::size_t i = first; i < m_helpers.size(); ++i)
   {
--- a/Source/Core/Node/AdvicePool.h
+++ b/Source/Core/Node/AdvicePool.h
@@ -28,6 +28,8 @@
   advice_pool(advice_desk& own, sender send);
 
   void ask(scheduling::advice_command question, advice_desk::answer_handler done);
+  // What the instances that can be asked now take at once.
+  scheduling::advice_slots slots(common::time_point now) const;
 
   void peer_linked(const std::string& peer);
   void peer_unlinked(const std::string& peer);
@@ -52,6 +54,8 @@
     common::time_point avoid_until{}; // after an overdue answer
   };
 
+  // How many of the helpers, from the first on, are kept free of long calls.
+  std::size_t kept_free() const;
   helper& choose(std::chrono::milliseconds expected);
   void ask_own(helper& self, scheduling::advice_command question, advice_desk::answer_handler done);
   void settle(const std::string& peer, std::chrono::milliseconds expected);
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -532,9 +532,8 @@
   if (!owns())
     return;
   const common::time_point now = steady_now();
-  m_scheduler->set_wall_clock(
-      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
-      now);
+  tell_time(now);
+  m_scheduler->set_advice_slots(m_parts.advice.slots(now));
   m_scheduler->tick(now);
   for (const scheduling::command& each : m_scheduler->take_commands())
     carry_out(each);
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -80,10 +80,16 @@
   step_permits& permits = in.permits;
   if (!job.policy().advice || permits.asking || now < permits.ask_after)
     return;
+  const bool is_long = job.policy().advice->per_call >= k_long_advice;
+  const auto taken = std::count_if(m_under_way.begin(), m_under_way.end(),
+                                   [is_long](const auto& each) { return each.second == is_long; });
+  if (static_cast<std::size_t>(taken) >= (is_long ? m_slots.long_calls : m_slots.short_calls))
+    return;
   std::vector<worker_id> workers = worth_asking(job, in, ahead, now);
   if (workers.empty())
     return;
   permits.asking = true;
+  m_under_way[{job.id(), cycle, step}] = is_long;
   const auto expected =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
@@ -134,6 +140,8 @@
 
 void advice_planner::on_answer(const advice_answer& answer, time_point now)
 {
+  m_under_way.erase(answer.step);
+  m_state.place_again = true;
   job_record* const job = m_state.find_job(answer.step.job);
   if (job == nullptr || !job->contains({answer.step.cycle, answer.step.step, 0}))
     return;
@@ -155,7 +163,6 @@
   // No worker may run the step: others may come, or these may be asked about in vain for ever.
   if (answer.permitted.empty())
     permits.ask_after = now + m_state.options.advice_retry;
-  m_state.place_again = true;
   common::log_request("advice", answer.step.job,
                       {{"step", answer.step.step},
                        {"asked", answer.asked.size()},
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -22,6 +22,7 @@
   // Asks for steps that should become ready soon.
   void look_ahead(job_record& job, time_point now);
   void on_answer(const advice_answer& answer, time_point now);
+  void set_slots(const advice_slots& slots) { m_slots = slots; }
   // The ticket to start a task of the step on that worker; null if there is none. An empty text
   // where the queue needs none.
   const std::string* ticket(const job_record& job, const step_record& step, const worker_id& worker,
@@ -35,6 +36,8 @@
 
   scheduler_state& m_state;
   std::int64_t m_budget = 0;
+  advice_slots m_slots;
+  std::map<step_ref, bool> m_under_way; // whether it is a long call
 };
 
 // Whether a task of the step may run on the worker at all, its present load left aside.
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -229,9 +229,10 @@
     return;
   m_holder.tick(now);
   m_follower.repeat_orders(now);
-  look_ahead(now);
   m_state.place_again = false;
   m_placer.place(now);
+  // After what waits already, since the calls that can be under way are few.
+  look_ahead(now);
 }
 
 std::vector<command> job_scheduler::take_commands()
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -44,6 +44,7 @@
   void set_policies(std::map<std::string, jobs::queue_policy> policies);
   // The time of day at `now`.
   void set_wall_clock(jobs::wall_time wall, time_point now);
+  void set_advice_slots(const advice_slots& slots) { m_advice.set_slots(slots); }
   // Orders may be given until this time.
   void set_authority(time_point until);
 
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -118,6 +118,17 @@
 using command =
     std::variant<start_command, stop_command, hold_command, pace_command, advice_command>;
 
+// How many calls for advice may be under way at once: the service takes those of one instance in
+// turn, so more would only stand in line. Short and long calls are kept apart.
+struct advice_slots
+{
+  std::size_t short_calls = 1;
+  std::size_t long_calls = 1;
+};
+
+// The sites' short calls take 20 to 40 ms, the long ones 400 and more.
+inline constexpr milliseconds k_long_advice{100};
+
 enum class call_end
 {
   done,
