Node: An instance that the store turns away reaches it through a peer

Ruled out: faster takeover alone, which does not help callers of instances that own nothing. Change: calls go through a linked peer while the direct way is bad; feeds stay direct and show how the way is. An owner that commits only through a peer gives the partition back after 0.7 s. With no way at all, calls fail at once.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -99,6 +99,26 @@
   std::vector<permit> permitted;
 };
 
-using peer_message = std::variant<heartbeat, forward_request, forward_answer, config_push,
-                                  config_pull, handover, advice_request, advice_reply>;
+// The sender cannot reach the store, the receiver may: it sends the call on.
+struct relay_request
+{
+  std::uint64_t number = 0;
+  std::uint8_t verb = 0; // an http::method
+  std::string target;
+  std::string body;
+  std::uint32_t timeout_ms = 0;
+};
+
+struct relay_reply
+{
+  std::uint64_t number = 0;
+  std::uint32_t status = 0; // 0: the store did not answer
+  std::string body;
+  std::string failure;
+  bool refused = false; // the call has not reached the store
+};
+
+using peer_message =
+    std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover,
+                 advice_request, advice_reply, relay_request, relay_reply>;
 } // namespace yardhill::common
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -38,7 +38,12 @@
       m_io(1),
       m_worker_http(m_io, {k_worker_connections, 2000, 16U << 20U}),
       m_store_http(m_io, {k_store_connections, 2000, 16U << 20U}),
-      m_store(m_store_http, settings.store, m_metrics),
+      m_store_path(m_io, m_store_http, settings.store, adapter::store_probe(),
+                   [this](const std::string& peer, const common::peer_message& message)
+                   { m_peers->send(peer, message); }),
+      m_direct_path(m_store_path),
+      m_store(m_store_path, m_metrics),
+      m_feed_store(m_direct_path, m_metrics),
       m_workers(m_worker_http, m_metrics),
       m_advice_client(m_worker_http, settings.advice.value_or(common::endpoint{})),
       m_advice_desk(m_advice_client),
@@ -49,7 +54,8 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io)
 {
-  const node_parts parts{m_io, m_store, m_workers, m_advice, m_metrics, m_worker_entries, m_queues};
+  const node_parts parts{m_io,     m_store,   m_feed_store,     m_store_path, m_workers,
+                         m_advice, m_metrics, m_worker_entries, m_queues};
   m_partitions.push_back(std::make_unique<partition_owner>(
       parts, instance_identity{settings.name, life}, k_whole_cell, ownership_options{}));
 }
@@ -73,8 +79,8 @@
                          });
   common::log_process("started",
                       {{"zone", m_settings.zone}, {"store", common::to_text(m_settings.store)}});
-  m_peers.emplace(m_io, m_store, m_settings.name, m_settings.zone, m_settings.peers, on_links(),
-                  m_metrics);
+  m_peers.emplace(m_io, m_feed_store, m_settings.name, m_settings.zone, m_settings.peers,
+                  on_links(), m_metrics);
   m_peers->start();
   start_feeds();
   wait_for_signal();
@@ -90,6 +96,7 @@
   {
     common::log_process("peer_linked", {{"peer", peer}});
     m_advice.peer_linked(peer);
+    m_store_path.peer_linked(peer);
     for (const auto& each : m_partitions)
       each->peer_link(peer, true);
   };
@@ -97,6 +104,7 @@
   {
     common::log_process("peer_unlinked", {{"peer", peer}});
     m_advice.peer_unlinked(peer);
+    m_store_path.peer_unlinked(peer);
     for (const auto& each : m_partitions)
       each->peer_link(peer, false);
   };
@@ -106,6 +114,10 @@
       m_advice.on_request(peer, *request);
     else if (const auto* reply = std::get_if<common::advice_reply>(&message))
       m_advice.on_reply(peer, *reply);
+    else if (const auto* call = std::get_if<common::relay_request>(&message))
+      m_store_path.on_request(peer, *call);
+    else if (const auto* answer = std::get_if<common::relay_reply>(&message))
+      m_store_path.on_reply(peer, *answer);
   };
   return events;
 }
@@ -113,15 +125,15 @@
 void node_service::start_feeds()
 {
   const auto rows = [this](const std::vector<adapter::row>& changed) { on_operator_rows(changed); };
-  m_operator_feed.emplace(m_io, m_store, adapter::wire::k_operator_table,
+  m_operator_feed.emplace(m_io, m_feed_store, adapter::wire::k_operator_table,
                           std::vector<std::string>{""}, feed_handlers{rows, rows, {}});
   m_worker_feed.emplace(
-      m_io, m_store, adapter::wire::k_workers_table, std::vector<std::string>{""},
+      m_io, m_feed_store, adapter::wire::k_workers_table, std::vector<std::string>{""},
       feed_handlers{[this](const std::vector<adapter::row>& all) { on_worker_rows(all, true); },
                     [this](const std::vector<adapter::row>& some) { on_worker_rows(some, false); },
                     {}});
   const auto owners = [this](const std::vector<adapter::row>& changed) { on_owner_rows(changed); };
-  m_owner_feed.emplace(m_io, m_store, k_owners_table, std::vector<std::string>{k_whole_cell},
+  m_owner_feed.emplace(m_io, m_feed_store, k_owners_table, std::vector<std::string>{k_whole_cell},
                        feed_handlers{owners, owners, {}});
   m_operator_feed->start();
   m_worker_feed->start();
@@ -287,6 +299,7 @@
   for (const auto& each : m_partitions)
     each->tick(now, m_owner_feed->loaded() ? m_owner_feed->healthy_since() : std::nullopt);
   m_advice.tick(now);
+  m_store_path.tick(now);
   common::flush_event_log();
   m_timer.expires_after(k_tick);
   m_timer.async_wait(
--- a/Source/Core/Node/NodeService.h
+++ b/Source/Core/Node/NodeService.h
@@ -21,6 +21,7 @@
 #include "Node/NodeSettings.h"
 #include "Node/PartitionOwner.h"
 #include "Node/PeerLinks.h"
+#include "Node/StorePath.h"
 #include "platform/AdviceClient.h"
 
 namespace yardhill::node
@@ -58,7 +59,10 @@
   common::metrics m_metrics;
   http::http_client m_worker_http;
   http::http_client m_store_http;
-  adapter::store_client m_store;
+  store_path m_store_path;
+  direct_store_path m_direct_path;
+  adapter::store_client m_store;      // directly or through a peer
+  adapter::store_client m_feed_store; // directly
   adapter::worker_client m_workers;
   adapter::advice_client m_advice_client;
   advice_desk m_advice_desk;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -224,8 +224,8 @@
   feed_handlers handlers;
   handlers.changed = [this](const std::vector<adapter::row>& rows) { on_job_rows(rows); };
   handlers.expired = [this] { reload_jobs(); };
-  m_job_feed = std::make_unique<table_feed>(m_parts.io, m_parts.store, k_jobs_table, job_parts(),
-                                            std::move(handlers));
+  m_job_feed = std::make_unique<table_feed>(m_parts.io, m_parts.feed_store, k_jobs_table,
+                                            job_parts(), std::move(handlers));
   m_job_feed->start_after(since);
 }
 
@@ -308,6 +308,7 @@
   m_retry_timer.cancel();
   m_step_timer.cancel();
   m_step_due = false;
+  m_releasing = false;
   m_state = state::watching;
   m_try_after = steady_now() + m_options.silence;
 }
@@ -352,13 +353,26 @@
   return row;
 }
 
+// The store turns this instance away but takes its commits through a peer.
+bool partition_owner::better_off_elsewhere(common::time_point now) const
+{
+  const auto bad_since = m_parts.path.bad_since();
+  return bad_since && now - *bad_since >= m_options.relayed_most &&
+         m_last_written > *bad_since + m_options.relayed_most / 2;
+}
+
 void partition_owner::pump_commits(common::time_point now)
 {
   if (m_commit)
     return;
   const bool renew = now - m_last_renewal >= m_options.renew_period;
   const bool spaced = now - m_last_commit >= m_options.commit_spacing;
-  if (!renew && !(spaced && m_scheduler->has_changes()) && !m_stopping)
+  if (!m_releasing && (m_stopping || better_off_elsewhere(now)))
+  {
+    m_releasing = true;
+    common::log_process("partition_release", {{"partition", m_partition}, {"stop", m_stopping}});
+  }
+  if (!renew && !(spaced && m_scheduler->has_changes()) && !m_releasing)
     return;
   m_commit = next_commit(now, renew);
   send_commit();
@@ -369,7 +383,7 @@
   pending_commit commit;
   commit.batch = m_scheduler->take_commit(m_options.most_commit_rows);
   commit.number = m_commit_number + 1;
-  commit.releases = m_stopping && !m_scheduler->has_changes();
+  commit.releases = m_releasing && !m_scheduler->has_changes();
   commit.renews = renew || commit.releases;
   commit.change.conditions.push_back({owner_key(m_partition), m_owner_version});
   commit.change.conditions.push_back({commit_key(m_partition), m_commit_version});
@@ -466,6 +480,7 @@
   const pending_commit commit = *std::exchange(m_commit, std::nullopt);
   m_commit_number = commit.number;
   m_commit_version = version;
+  m_last_written = steady_now();
   m_scheduler->commit_done(commit.batch, true);
   m_scheduler->set_authority(commit.sent + m_options.authority);
   if (commit.renews)
@@ -476,7 +491,7 @@
   m_parts.metrics.record(common::timing::store_latency, steady_now() - commit.sent);
   if (commit.releases)
   {
-    lose("given back for a planned stop");
+    lose("given back");
     return;
   }
   step_soon();
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -21,6 +21,7 @@
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 #include "Node/PartitionLoader.h"
+#include "Node/StorePath.h"
 #include "Node/TableFeed.h"
 #include "Scheduling/JobScheduler.h"
 #include "platform/WorkerClient.h"
@@ -44,6 +45,9 @@
   common::duration commit_spacing = std::chrono::milliseconds{40};
   common::duration commit_timeout = std::chrono::milliseconds{900};
   common::duration retry_pause = std::chrono::milliseconds{200};
+  // An owner that reaches the store only through a peer for this long gives its partition back:
+  // another instance hears of new jobs at once.
+  common::duration relayed_most = std::chrono::milliseconds{700};
   // Rows of one commit; the platform takes 100 entries.
   std::size_t most_commit_rows = 90;
 };
@@ -59,6 +63,8 @@
 {
   boost::asio::io_context& io;
   adapter::store_client& store;
+  adapter::store_client& feed_store; // for feeds: directly, never through a peer
+  const store_path& path;
   adapter::worker_client& workers;
   advice_pool& advice;
   common::metrics& metrics;
@@ -137,6 +143,7 @@
   void commit_written(adapter::row_version version);
   void retry_commit();
   void lose(const char* why);
+  bool better_off_elsewhere(common::time_point now) const;
 
   void tell_time(common::time_point now);
   void step_soon();
@@ -158,6 +165,7 @@
   std::set<std::string> m_unlinked;   // peers whose link has broken and not come back
   common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
+  bool m_releasing = false; // this ownership is given back once everything is written
 
   // Of the present ownership.
   std::shared_ptr<int> m_ownership; // replaced with each; callbacks hold it weakly
@@ -171,6 +179,7 @@
   owner_row m_row;
   std::optional<pending_commit> m_commit;
   common::time_point m_last_commit{};
+  common::time_point m_last_written{};
   common::time_point m_last_renewal{};
   boost::asio::steady_timer m_step_timer;
   boost::asio::steady_timer m_retry_timer;
--- /dev/null
+++ b/Source/Core/Node/StorePath.h
@@ -0,0 +1,85 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// The way to the store: directly, or through a peer while the store turns this instance away.
+//
+// While neither works, calls fail at once, so that callers are refused instead of kept waiting.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Common/PeerMessages.h"
+#include "Http/HttpClient.h"
+#include "Http/RequestSender.h"
+
+namespace yardhill::node
+{
+class store_path : public http::request_sender
+{
+public:
+  using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
+
+  store_path(boost::asio::io_context& io, http::http_client& client, const common::endpoint& store,
+             http::request probe, sender send_to_peer);
+
+  // Sent once, directly or through a peer. Sent a second time through a peer only if the direct
+  // call has certainly not been carried out, or changes nothing.
+  void send(http::request call, common::duration timeout, http::reply_handler done) override;
+  // Directly in any case; the outcome tells about the direct way.
+  void send_directly(http::request call, common::duration timeout, http::reply_handler done);
+
+  void peer_linked(const std::string& peer);
+  void peer_unlinked(const std::string& peer);
+  void on_request(const std::string& peer, const common::relay_request& request);
+  void on_reply(const std::string& peer, const common::relay_reply& reply);
+  // Gives up relayed calls that are overdue; probes a direct way that is bad.
+  void tick(common::time_point now);
+
+  // Since when direct calls fail; none while they do not.
+  std::optional<common::time_point> bad_since() const { return m_bad_since; }
+
+private:
+  struct relayed
+  {
+    http::reply_handler done;
+    std::string peer;
+    common::time_point overdue;
+  };
+
+  void note(const http::reply& answer);
+  void relay(http::request call, common::duration timeout, http::reply_handler done);
+
+  boost::asio::io_context& m_io;
+  http::http_client& m_client;
+  common::endpoint m_store;
+  http::request m_probe;
+  sender m_send_to_peer;
+  std::optional<common::time_point> m_bad_since;
+  common::time_point m_last_probe{};
+  std::set<std::string> m_peers;
+  std::map<std::string, common::time_point> m_avoid; // peers without a way, until then
+  std::map<std::uint64_t, relayed> m_relayed;
+  std::uint64_t m_number = 0;
+};
+
+// The direct way alone, for feeds: their health is what tells how this instance stands.
+class direct_store_path : public http::request_sender
+{
+public:
+  explicit direct_store_path(store_path& path) : m_path(path) {}
+
+  void send(http::request call, common::duration timeout, http::reply_handler done) override;
+
+private:
+  store_path& m_path;
+};
+} // namespace yardhill::node
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -165,6 +165,28 @@
   return to;
 }
 
+wire::RelayRequestT to_wire(const relay_request& from)
+{
+  wire::RelayRequestT to;
+  to.number = from.number;
+  to.verb = from.verb;
+  to.target = from.target;
+  to.body = from.body;
+  to.timeout_ms = from.timeout_ms;
+  return to;
+}
+
+wire::RelayReplyT to_wire(const relay_reply& from)
+{
+  wire::RelayReplyT to;
+  to.number = from.number;
+  to.status = from.status;
+  to.body = from.body;
+  to.failure = from.failure;
+  to.refused = from.refused;
+  return to;
+}
+
 template<class wire_type>
 std::string encode_message(wire_type&& message)
 {
@@ -340,6 +362,18 @@
     return peer_message{from_wire(*parsed.message.AsAdviceRequest())};
   case wire::Message::AdviceReply:
     return peer_message{from_wire(*parsed.message.AsAdviceReply())};
+  case wire::Message::RelayRequest:
+  {
+    const wire::RelayRequestT& call = *parsed.message.AsRelayRequest();
+    return peer_message{
+        relay_request{call.number, call.verb, call.target, call.body, call.timeout_ms}};
+  }
+  case wire::Message::RelayReply:
+  {
+    const wire::RelayReplyT& back = *parsed.message.AsRelayReply();
+    return peer_message{
+        relay_reply{back.number, back.status, back.body, back.failure, back.refused}};
+  }
   case wire::Message::NONE:
     return std::nullopt;
   }
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -72,6 +72,14 @@
 struct AdviceReplyBuilder;
 struct AdviceReplyT;
 
+struct RelayRequest;
+struct RelayRequestBuilder;
+struct RelayRequestT;
+
+struct RelayReply;
+struct RelayReplyBuilder;
+struct RelayReplyT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -87,11 +95,13 @@
   Handover = 7,
   AdviceRequest = 8,
   AdviceReply = 9,
+  RelayRequest = 10,
+  RelayReply = 11,
   MIN = NONE,
-  MAX = AdviceReply
+  MAX = RelayReply
 };
 
-inline const Message (&EnumValuesMessage())[10] {
+inline const Message (&EnumValuesMessage())[12] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -102,13 +112,15 @@
     Message::ConfigPull,
     Message::Handover,
     Message::AdviceRequest,
-    Message::AdviceReply
+    Message::AdviceReply,
+    Message::RelayRequest,
+    Message::RelayReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[11] = {
+  static const char * const names[13] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -119,13 +131,15 @@
     "Handover",
     "AdviceRequest",
     "AdviceReply",
+    "RelayRequest",
+    "RelayReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::AdviceReply)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RelayReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -170,6 +184,14 @@
   static const Message enum_value = Message::AdviceReply;
 };
 
+template<> struct MessageTraits<yardhill::wire::RelayRequest> {
+  static const Message enum_value = Message::RelayRequest;
+};
+
+template<> struct MessageTraits<yardhill::wire::RelayReply> {
+  static const Message enum_value = Message::RelayReply;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -210,6 +232,14 @@
   static const Message enum_value = Message::AdviceReply;
 };
 
+template<> struct MessageUnionTraits<yardhill::wire::RelayRequestT> {
+  static const Message enum_value = Message::RelayRequest;
+};
+
+template<> struct MessageUnionTraits<yardhill::wire::RelayReplyT> {
+  static const Message enum_value = Message::RelayReply;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -312,6 +342,22 @@
     return type == Message::AdviceReply ?
       reinterpret_cast<const yardhill::wire::AdviceReplyT *>(value) : nullptr;
   }
+  yardhill::wire::RelayRequestT *AsRelayRequest() {
+    return type == Message::RelayRequest ?
+      reinterpret_cast<yardhill::wire::RelayRequestT *>(value) : nullptr;
+  }
+  const yardhill::wire::RelayRequestT *AsRelayRequest() const {
+    return type == Message::RelayRequest ?
+      reinterpret_cast<const yardhill::wire::RelayRequestT *>(value) : nullptr;
+  }
+  yardhill::wire::RelayReplyT *AsRelayReply() {
+    return type == Message::RelayReply ?
+      reinterpret_cast<yardhill::wire::RelayReplyT *>(value) : nullptr;
+  }
+  const yardhill::wire::RelayReplyT *AsRelayReply() const {
+    return type == Message::RelayReply ?
+      reinterpret_cast<const yardhill::wire::RelayReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -1990,6 +2036,250 @@
 
 flatbuffers::Offset<AdviceReply> CreateAdviceReply(flatbuffers::FlatBufferBuilder &_fbb, const AdviceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RelayRequestT : public flatbuffers::NativeTable {
+  typedef RelayRequest TableType;
+  uint64_t number = 0;
+  uint8_t verb = 0;
+  std::string target{};
+  std::string body{};
+  uint32_t timeout_ms = 0;
+};
+
+struct RelayRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayRequestT NativeTableType;
+  typedef RelayRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_VERB = 6,
+    VT_TARGET = 8,
+    VT_BODY = 10,
+    VT_TIMEOUT_MS = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t verb() const {
+    return GetField<uint8_t>(VT_VERB, 0);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERB, 1) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
+           verifier.EndTable();
+  }
+  RelayRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayRequestBuilder {
+  typedef RelayRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RelayRequest::VT_NUMBER, number, 0);
+  }
+  void add_verb(uint8_t verb) {
+    fbb_.AddElement<uint8_t>(RelayRequest::VT_VERB, verb, 0);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(RelayRequest::VT_TARGET, target);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(RelayRequest::VT_BODY, body);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(RelayRequest::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  explicit RelayRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t verb = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    uint32_t timeout_ms = 0) {
+  RelayRequestBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_body(body);
+  builder_.add_target(target);
+  builder_.add_verb(verb);
+  return builder_.Finish();
+}
+
+struct RelayRequest::Traits {
+  using type = RelayRequest;
+  static auto constexpr Create = CreateRelayRequest;
+};
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t verb = 0,
+    const char *target = nullptr,
+    const char *body = nullptr,
+    uint32_t timeout_ms = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  return yardhill::wire::CreateRelayRequest(
+      _fbb,
+      number,
+      verb,
+      target__,
+      body__,
+      timeout_ms);
+}
+
+flatbuffers::Offset<RelayRequest> CreateRelayRequest(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RelayReplyT : public flatbuffers::NativeTable {
+  typedef RelayReply TableType;
+  uint64_t number = 0;
+  uint32_t status = 0;
+  std::string body{};
+  std::string failure{};
+  bool refused = false;
+};
+
+struct RelayReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayReplyT NativeTableType;
+  typedef RelayReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_STATUS = 6,
+    VT_BODY = 8,
+    VT_FAILURE = 10,
+    VT_REFUSED = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint32_t status() const {
+    return GetField<uint32_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  const flatbuffers::String *failure() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE);
+  }
+  bool refused() const {
+    return GetField<uint8_t>(VT_REFUSED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           VerifyOffset(verifier, VT_FAILURE) &&
+           verifier.VerifyString(failure()) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSED, 1) &&
+           verifier.EndTable();
+  }
+  RelayReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RelayReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RelayReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RelayReplyBuilder {
+  typedef RelayReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RelayReply::VT_NUMBER, number, 0);
+  }
+  void add_status(uint32_t status) {
+    fbb_.AddElement<uint32_t>(RelayReply::VT_STATUS, status, 0);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(RelayReply::VT_BODY, body);
+  }
+  void add_failure(flatbuffers::Offset<flatbuffers::String> failure) {
+    fbb_.AddOffset(RelayReply::VT_FAILURE, failure);
+  }
+  void add_refused(bool refused) {
+    fbb_.AddElement<uint8_t>(RelayReply::VT_REFUSED, static_cast<uint8_t>(refused), 0);
+  }
+  explicit RelayReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayReply> CreateRelayReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint32_t status = 0,
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    flatbuffers::Offset<flatbuffers::String> failure = 0,
+    bool refused = false) {
+  RelayReplyBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_failure(failure);
+  builder_.add_body(body);
+  builder_.add_status(status);
+  builder_.add_refused(refused);
+  return builder_.Finish();
+}
+
+struct RelayReply::Traits {
+  using type = RelayReply;
+  static auto constexpr Create = CreateRelayReply;
+};
+
+inline flatbuffers::Offset<RelayReply> CreateRelayReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint32_t status = 0,
+    const char *body = nullptr,
+    const char *failure = nullptr,
+    bool refused = false) {
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto failure__ = failure ? _fbb.CreateString(failure) : 0;
+  return yardhill::wire::CreateRelayReply(
+      _fbb,
+      number,
+      status,
+      body__,
+      failure__,
+      refused);
+}
+
+flatbuffers::Offset<RelayReply> CreateRelayReply(flatbuffers::FlatBufferBuilder &_fbb, const RelayReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   yardhill::wire::MessageUnion message{};
@@ -2037,6 +2327,12 @@
   const yardhill::wire::AdviceReply *message_as_AdviceReply() const {
     return message_type() == yardhill::wire::Message::AdviceReply ? static_cast<const yardhill::wire::AdviceReply *>(message()) : nullptr;
   }
+  const yardhill::wire::RelayRequest *message_as_RelayRequest() const {
+    return message_type() == yardhill::wire::Message::RelayRequest ? static_cast<const yardhill::wire::RelayRequest *>(message()) : nullptr;
+  }
+  const yardhill::wire::RelayReply *message_as_RelayReply() const {
+    return message_type() == yardhill::wire::Message::RelayReply ? static_cast<const yardhill::wire::RelayReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2085,6 +2381,14 @@
   return message_as_AdviceReply();
 }
 
+template<> inline const yardhill::wire::RelayRequest *Frame::message_as<yardhill::wire::RelayRequest>() const {
+  return message_as_RelayRequest();
+}
+
+template<> inline const yardhill::wire::RelayReply *Frame::message_as<yardhill::wire::RelayReply>() const {
+  return message_as_RelayReply();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2751,6 +3055,82 @@
       _permitted);
 }
 
+inline RelayRequestT *RelayRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayRequest::UnPackTo(RelayRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = verb(); _o->verb = _e; }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = body(); if (_e) _o->body = _e->str(); }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+}
+
+inline flatbuffers::Offset<RelayRequest> RelayRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequest(flatbuffers::FlatBufferBuilder &_fbb, const RelayRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _verb = _o->verb;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
+  auto _timeout_ms = _o->timeout_ms;
+  return yardhill::wire::CreateRelayRequest(
+      _fbb,
+      _number,
+      _verb,
+      _target,
+      _body,
+      _timeout_ms);
+}
+
+inline RelayReplyT *RelayReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RelayReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RelayReply::UnPackTo(RelayReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = body(); if (_e) _o->body = _e->str(); }
+  { auto _e = failure(); if (_e) _o->failure = _e->str(); }
+  { auto _e = refused(); _o->refused = _e; }
+}
+
+inline flatbuffers::Offset<RelayReply> RelayReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RelayReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRelayReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RelayReply> CreateRelayReply(flatbuffers::FlatBufferBuilder &_fbb, const RelayReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RelayReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _status = _o->status;
+  auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
+  auto _failure = _o->failure.empty() ? 0 : _fbb.CreateString(_o->failure);
+  auto _refused = _o->refused;
+  return yardhill::wire::CreateRelayReply(
+      _fbb,
+      _number,
+      _status,
+      _body,
+      _failure,
+      _refused);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -2821,6 +3201,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::AdviceReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::RelayRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RelayReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2876,6 +3264,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::AdviceReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::RelayRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::RelayReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2919,6 +3315,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::AdviceReplyT *>(value);
       return CreateAdviceReply(_fbb, ptr, _rehasher).Union();
     }
+    case Message::RelayRequest: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayRequestT *>(value);
+      return CreateRelayRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::RelayReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::RelayReplyT *>(value);
+      return CreateRelayReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2961,6 +3365,14 @@
       value = new yardhill::wire::AdviceReplyT(*reinterpret_cast<yardhill::wire::AdviceReplyT *>(u.value));
       break;
     }
+    case Message::RelayRequest: {
+      value = new yardhill::wire::RelayRequestT(*reinterpret_cast<yardhill::wire::RelayRequestT *>(u.value));
+      break;
+    }
+    case Message::RelayReply: {
+      value = new yardhill::wire::RelayReplyT(*reinterpret_cast<yardhill::wire::RelayReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3013,6 +3425,16 @@
       delete ptr;
       break;
     }
+    case Message::RelayRequest: {
+      auto ptr = reinterpret_cast<yardhill::wire::RelayRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::RelayReply: {
+      auto ptr = reinterpret_cast<yardhill::wire::RelayReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
