Scheduling: Jobs that can still be in time go before late ones

Change: first what can still end within its objective, then what can still earn a part, then the rest.

--- a/Source/Core/Jobs/JobSpec.cpp
+++ b/Source/Core/Jobs/JobSpec.cpp
@@ -139,21 +139,28 @@
   return std::nullopt;
 }
 
-milliseconds longest_chain(const std::vector<step_spec>& steps)
+std::vector<milliseconds> chains_from(const std::vector<step_spec>& steps)
 {
+  std::vector<milliseconds> chains;
+  chains.reserve(steps.size());
+  for (const step_spec& step : steps)
+    chains.push_back(step.estimate);
   // As many rounds as there are steps settle any order of dependencies.
-  std::vector<milliseconds> ends(steps.size(), milliseconds{0});
   for (std::size_t round = 0; round < steps.size(); ++round)
   {
     for (std::size_t i = 0; i < steps.size(); ++i)
     {
-      milliseconds begins{0};
       for (const std::uint32_t needed : steps[i].depends_on)
-        begins = std::max(begins, ends[needed]);
-      ends[i] = begins + steps[i].estimate;
+        chains[needed] = std::max(chains[needed], steps[needed].estimate + chains[i]);
     }
   }
-  return ends.empty() ? milliseconds{0} : *std::max_element(ends.begin(), ends.end());
+  return chains;
+}
+
+milliseconds longest_chain(const std::vector<step_spec>& steps)
+{
+  const std::vector<milliseconds> chains = chains_from(steps);
+  return chains.empty() ? milliseconds{0} : *std::max_element(chains.begin(), chains.end());
 }
 
 std::string to_row_text(const accepted_job& job)
--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -94,6 +94,8 @@
 // Why the job cannot be taken; none for a sound one.
 std::optional<std::string> first_mistake(const job_spec& spec);
 
+// For each step, the longest chain of estimated work that begins with it.
+std::vector<milliseconds> chains_from(const std::vector<step_spec>& steps);
 // The longest chain of estimated work through the steps.
 milliseconds longest_chain(const std::vector<step_spec>& steps);
 
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -40,6 +40,7 @@
 
 void job_record::set_times()
 {
+  m_chains = jobs::chains_from(m_job.spec.steps);
   const auto chain = jobs::longest_chain(m_job.spec.steps);
   const duration allowed =
       m_policy.latency_target + std::chrono::duration_cast<duration>(chain * m_policy.stretch);
@@ -47,6 +48,14 @@
   m_worthless = m_accepted_at + allowed * k_late_factor;
 }
 
+job_prospect job_record::prospect(std::uint32_t step, time_point now) const
+{
+  const time_point end = now + m_chains[step];
+  if (end <= m_objective)
+    return job_prospect::in_time;
+  return end <= m_worthless ? job_prospect::late : job_prospect::none;
+}
+
 bool job_record::contains(const task_place& place) const
 {
   return place.cycle < m_cycles.size() && place.step < m_cycles[place.cycle].steps.size() &&
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -66,6 +66,13 @@
   std::vector<step_record> steps;
 };
 
+enum class job_prospect
+{
+  in_time, // its full credit
+  late,    // a part
+  none
+};
+
 class job_record
 {
 public:
@@ -84,6 +91,8 @@
   time_point objective() const { return m_objective; }
   time_point worthless() const { return m_worthless; }
   time_point accepted_at() const { return m_accepted_at; }
+  // What a job can still earn if this step starts now.
+  job_prospect prospect(std::uint32_t step, time_point now) const;
 
   std::vector<cycle_record>& cycles() { return m_cycles; }
   step_record& step(const task_place& place) { return m_cycles[place.cycle].steps[place.step]; }
@@ -114,6 +123,7 @@
   time_point m_accepted_at;
   time_point m_objective;
   time_point m_worthless;
+  std::vector<milliseconds> m_chains; // of estimated work, from each step on
   std::vector<cycle_record> m_cycles;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -41,7 +41,8 @@
   }
 }
 
-// By priority; within one, jobs that can still earn something first, the most urgent first.
+// By priority; within one, jobs that can still be in time, then those that can still earn a part:
+// the most urgent first. Otherwise, once some are late, all that follow would be late too.
 std::vector<placer::waiting_step> placer::in_order(time_point now) const
 {
   std::vector<waiting_step> steps;
@@ -63,8 +64,9 @@
               const auto key = [now](const waiting_step& each)
               {
                 const job_record& job = *each.job;
-                return std::tuple(job.policy().priority, now > job.worthless(), job.objective(),
-                                  std::string_view(job.id()), each.cycle, each.step);
+                return std::tuple(job.policy().priority, job.prospect(each.step, now),
+                                  job.objective(), std::string_view(job.id()), each.cycle,
+                                  each.step);
               };
               return key(left) < key(right);
             });
