Scheduling, Node: Takeovers hold back only what may really run on an unheard worker

Ruled out: shorter leases, which would lapse in an outage of 7 s. Change: (1) a silent worker gets a closed claim that lists what may run there; a later owner holds back just that. (2) that a step has begun is written before its first start, beside the call for advice; steps that have not begun wait for nobody. (3) an earlier process of the same instance orders nothing any more.

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -78,6 +78,11 @@
   for (const auto& [place, history] : progress.histories)
     histories.push_back({place.cycle, place.step, place.index, history.failures,
                          history.last_failed, history.checkpoint});
+  json begun = json::array();
+  for (const task_place& step : progress.begun)
+    begun.push_back({step.cycle, step.step});
+  if (!begun.empty())
+    out["begun"] = std::move(begun);
   if (!histories.empty())
     out["tasks"] = std::move(histories);
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -97,6 +102,11 @@
         row.push_back(bits_from(bits.get<std::string>()));
     }
   }
+  if (in.contains("begun"))
+  {
+    for (const json& step : in["begun"])
+      progress.begun.insert({step.at(0), step.at(1), 0});
+  }
   if (in.contains("tasks"))
   {
     for (const json& task : in["tasks"])
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -41,6 +41,33 @@
   return json{{"life", row.life}, {"number", row.number}}.dump();
 }
 
+std::string to_row_text(const scheduling::worker_claim& claim)
+{
+  json out{{"address", claim.address.address}, {"port", claim.address.port}};
+  if (!claim.closed)
+    return out.dump();
+  out["tasks"] = json::array();
+  for (const scheduling::task_ref& task : claim.tasks)
+    out["tasks"].push_back({task.job, task.place.cycle, task.place.step, task.place.index});
+  return out.dump();
+}
+
+common::result<scheduling::worker_claim> worker_claim_from(const std::string& text)
+{
+  return common::parsed(
+      "read_worker_claim", "store",
+      [&text]
+      {
+        const json in = json::parse(text);
+        scheduling::worker_claim claim;
+        claim.address = {in.at("address").get<std::string>(), in.at("port").get<std::uint16_t>()};
+        claim.closed = in.contains("tasks");
+        for (const json& task : in.value("tasks", json::array()))
+          claim.tasks.push_back({task.at(0), {task.at(1), task.at(2), task.at(3)}});
+        return claim;
+      });
+}
+
 std::string to_row_text(const common::endpoint& address)
 {
   return json{{"address", address.address}, {"port", address.port}}.dump();
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -12,6 +12,7 @@
 #include "Common/Error.h"
 #include "Common/InstanceSettings.h"
 #include "Common/Time.h"
+#include "Scheduling/SchedulerMessages.h"
 #include "platform/StoreClient.h"
 
 namespace yardhill::node
@@ -22,7 +23,7 @@
 inline constexpr const char* k_commits_table = "commits";
 inline constexpr const char* k_commit_key = "last";
 inline constexpr const char* k_progress_table = "progress";
-// One row a worker on which runs may have been started: its address.
+// One row a worker on which runs may have been started.
 inline constexpr const char* k_claims_table = "claims";
 
 struct owner_row
@@ -47,6 +48,8 @@
 std::string to_row_text(const owner_row& row);
 common::result<owner_row> owner_row_from(const std::string& text);
 std::string to_row_text(const commit_row& row);
+std::string to_row_text(const scheduling::worker_claim& claim);
+common::result<scheduling::worker_claim> worker_claim_from(const std::string& text);
 std::string to_row_text(const common::endpoint& address);
 common::result<common::endpoint> address_from(const std::string& text);
 common::result<commit_row> commit_row_from(const std::string& text);
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -95,12 +95,12 @@
   }
   if (row.at.table == k_claims_table)
   {
-    if (const auto address = address_from(row.value))
-      m_loaded.claims[common::worker_id(row.at.key)] = *address;
+    if (const auto claim = worker_claim_from(row.value))
+      m_loaded.claims[common::worker_id(row.at.key)] = *claim;
     else
       common::log_process("row_damaged", {{"table", row.at.table},
                                           {"key", row.at.key},
-                                          {"error", common::to_text(address.error())}});
+                                          {"error", common::to_text(claim.error())}});
     return;
   }
   if (row.at.table == k_progress_table)
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -14,9 +14,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Common/Ids.h"
-#include "Common/InstanceSettings.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
+#include "Scheduling/SchedulerMessages.h"
 #include "platform/StoreClient.h"
 
 namespace yardhill::node
@@ -31,7 +31,7 @@
   std::vector<kept_job> jobs; // of this partition, ended ones left out
   std::map<std::string, jobs::job_progress> progress;
   std::vector<std::string> cancelled;
-  std::map<common::worker_id, common::endpoint> claims;
+  std::map<common::worker_id, scheduling::worker_claim> claims;
   adapter::row_version commit_version = 0; // 0: nothing was ever committed
   std::uint64_t commit_number = 0;
   adapter::row_version read_at = 0; // changes of the jobs' table behind this are not in here
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -116,9 +116,11 @@
   // The write holds only if the row is still the one seen, so the earlier owner's latest renewal is
   // that one, and was asked for before it was seen.
   const scheduling::scheduler_options leases;
-  m_earlier_end = m_seen.version == 0
-                      ? common::time_point{}
-                      : m_seen.changed_at + m_options.authority + leases.longest_lease();
+  // An earlier process of this very instance has ended: it orders nothing any more.
+  const common::duration authority =
+      m_seen.row.holder == m_self.name ? common::duration{0} : m_options.authority;
+  m_earlier_end = m_seen.version == 0 ? common::time_point{}
+                                      : m_seen.changed_at + authority + leases.longest_lease();
   owner_row row;
   row.holder = m_self.name;
   row.life = m_self.life;
@@ -184,8 +186,8 @@
   m_scheduler->set_earlier_end(m_earlier_end);
   tell_time(now);
   queues_changed();
-  for (const auto& [id, address] : loaded.claims)
-    m_scheduler->restore_claim(id, address, now);
+  for (const auto& [id, claim] : loaded.claims)
+    m_scheduler->restore_claim(id, claim, now);
   for (const auto& [id, info] : m_parts.worker_entries)
     worker_entry(info);
   add_loaded_jobs(loaded);
@@ -372,7 +374,7 @@
     m_releasing = true;
     common::log_process("partition_release", {{"partition", m_partition}, {"stop", m_stopping}});
   }
-  if (!renew && !(spaced && m_scheduler->has_changes()) && !m_releasing)
+  if (!renew && !(spaced && m_scheduler->has_changes(now)) && !m_releasing)
     return;
   m_commit = next_commit(now, renew);
   send_commit();
@@ -381,9 +383,9 @@
 partition_owner::pending_commit partition_owner::next_commit(common::time_point now, bool renew)
 {
   pending_commit commit;
-  commit.batch = m_scheduler->take_commit(m_options.most_commit_rows);
+  commit.batch = m_scheduler->take_commit(m_options.most_commit_rows, now);
   commit.number = m_commit_number + 1;
-  commit.releases = m_releasing && !m_scheduler->has_changes();
+  commit.releases = m_releasing && !m_scheduler->has_changes(now);
   commit.renews = renew || commit.releases;
   commit.change.conditions.push_back({owner_key(m_partition), m_owner_version});
   commit.change.conditions.push_back({commit_key(m_partition), m_commit_version});
@@ -391,8 +393,8 @@
       {commit_key(m_partition), to_row_text(commit_row{m_self.life, commit.number})});
   for (const auto& [id, text] : commit.batch.rows)
     commit.change.puts.push_back({{k_progress_table, m_partition, id}, text});
-  for (const auto& [id, address] : commit.batch.claims)
-    commit.change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(address)});
+  for (const auto& [id, claim] : commit.batch.claims)
+    commit.change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(claim)});
   for (const common::worker_id& id : commit.batch.releases)
     commit.change.removals.push_back({k_claims_table, m_partition, id.value});
   if (commit.renews)
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -18,7 +18,7 @@
 
 bool suits(const worker_record& worker, const job_record& job, const step_record& step)
 {
-  return worker.present && worker.claimed && worker.claim_written && !worker.info.draining &&
+  return worker.present && worker.claimed && worker.claim_open() && !worker.info.draining &&
          worker.info.service == job.policy().service &&
          worker.has_label(step.spec->required_label) &&
          room_of(*step.spec).fits_in(worker.info.capacity);
@@ -89,6 +89,7 @@
   if (workers.empty())
     return;
   permits.asking = true;
+  m_state.want_begun(job, in); // written while the advice is on its way
   m_under_way[{job.id(), cycle, step}] = is_long;
   const auto expected =
       job.policy().advice->per_call +
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -133,6 +133,8 @@
     {
       const step_record& step = m_cycles[c].steps[s];
       auto& bits = row.emplace_back();
+      if (step.begun != begin_mark::none)
+        progress.begun.insert({c, s, 0});
       for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
       {
         const task_record& task = step.tasks[i];
@@ -162,6 +164,11 @@
       }
     }
   }
+  for (const task_place& place : progress.begun)
+  {
+    if (contains(place))
+      step(place).begun = begin_mark::written;
+  }
   for (const auto& [place, history] : progress.histories)
   {
     if (!contains(place))
@@ -180,12 +187,27 @@
   {
     for (std::uint32_t s = 0; s < m_cycles[c].steps.size(); ++s)
     {
-      for (std::uint32_t i = 0; i < m_cycles[c].steps[s].tasks.size(); ++i)
-      {
-        if (m_cycles[c].steps[s].tasks[i].phase == task_phase::waiting)
-          set_phase({c, s, i}, task_phase::unaccounted);
-      }
+      const step_record& step = m_cycles[c].steps[s];
+      if (step.begun == begin_mark::none)
+        continue;
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+        mark_unaccounted({c, s, i});
     }
   }
 }
+
+void job_record::mark_unaccounted(const task_place& place)
+{
+  if (task(place).phase == task_phase::waiting)
+    set_phase(place, task_phase::unaccounted);
+}
+
+void job_record::advance_begin_marks(begin_mark from, begin_mark to)
+{
+  for (cycle_record& cycle : m_cycles)
+  {
+    for (step_record& step : cycle.steps)
+      step.begun = step.begun == from ? to : step.begun;
+  }
+}
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -50,6 +50,15 @@
   time_point ask_after{};
 };
 
+// Whether the store keeps that tasks of a step may be started.
+enum class begin_mark
+{
+  none,
+  wanted,
+  on_its_way,
+  written
+};
+
 struct step_record
 {
   const jobs::step_spec* spec = nullptr;
@@ -57,6 +66,7 @@
   std::uint32_t waiting = 0;
   std::uint32_t done = 0;
   step_permits permits;
+  begin_mark begun = begin_mark::none;
 
   bool complete() const { return done == tasks.size(); }
 };
@@ -111,8 +121,11 @@
   // What has to outlast this owner, and taking it over from an earlier one.
   jobs::job_progress progress() const;
   void restore(const jobs::job_progress& progress, run_number first_run);
-  // All tasks that are not done may have been started by an earlier owner.
+  // Every task that is not done of a step that has begun may have been started by an earlier owner.
   void mark_unaccounted();
+  void mark_unaccounted(const task_place& place);
+  // Moves the marks of all steps from one state to the next.
+  void advance_begin_marks(begin_mark from, begin_mark to);
 
 private:
   void set_times();
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -52,10 +52,9 @@
   m_state.authority_end = until;
 }
 
-void job_scheduler::restore_claim(const worker_id& id, const common::endpoint& address,
-                                  time_point now)
+void job_scheduler::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
-  m_holder.restore_claim(id, address, now);
+  m_holder.restore_claim(id, claim, now);
 }
 
 void job_scheduler::worker_entry(const worker_info& info, time_point now)
@@ -131,12 +130,31 @@
   m_advice.on_answer(answer, now);
 }
 
-bool job_scheduler::has_changes() const
+bool job_scheduler::has_changes(time_point now) const
 {
   return !m_state.dirty.empty() || !m_state.released.empty() || ends_unwritten() ||
          std::any_of(m_state.workers.begin(), m_state.workers.end(),
-                     [](const auto& each)
-                     { return each.second->claimed && !each.second->claim_written; });
+                     [this, now](const auto& each) { return claim_outdated(*each.second, now); });
+}
+
+bool job_scheduler::claim_outdated(const worker_record& worker, time_point now) const
+{
+  if (!worker.claimed || worker.claim_on_its_way)
+    return false;
+  return worker.claim_closed !=
+         std::optional(worker.wants_closed_claim(m_state.options.close_claim, now));
+}
+
+worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
+{
+  worker_claim claim;
+  claim.address = worker.info.address;
+  claim.closed = worker.wants_closed_claim(m_state.options.close_claim, now);
+  if (!claim.closed)
+    return claim;
+  for (const auto& [task, run] : worker.runs)
+    claim.tasks.push_back(task);
+  return claim;
 }
 
 bool job_scheduler::ends_unwritten() const
@@ -145,13 +163,14 @@
                      [](const auto& each) { return each.second->seen > each.second->durable; });
 }
 
-commit_batch job_scheduler::take_commit(std::size_t most_rows)
+commit_batch job_scheduler::take_commit(std::size_t most_rows, time_point now)
 {
   commit_batch batch;
   while (!m_state.dirty.empty() && batch.rows.size() < most_rows)
   {
     const std::string id = *m_state.dirty.begin();
-    const job_record& job = *m_state.jobs.at(id);
+    job_record& job = *m_state.jobs.at(id);
+    job.advance_begin_marks(begin_mark::wanted, begin_mark::on_its_way);
     batch.rows[id] = jobs::to_row_text(job.progress());
     if (job.ended())
       m_ending.insert(id);
@@ -165,8 +184,10 @@
   {
     if (worker->seen > worker->durable)
       batch.ends[id] = worker->seen;
-    if (worker->claimed && !worker->claim_written && batch.size() < most_rows)
-      batch.claims[id] = worker->info.address;
+    if (!claim_outdated(*worker, now) || batch.size() >= most_rows)
+      continue;
+    batch.claims[id] = claim_of(*worker, now);
+    worker->claim_on_its_way = true;
   }
   return batch;
 }
@@ -188,10 +209,18 @@
     if (worker_record* const worker = m_state.find_worker(id))
       worker->durable = std::max(worker->durable, end);
   }
-  for (const auto& [id, address] : batch.claims)
+  for (const auto& [id, claim] : batch.claims)
   {
     if (worker_record* const worker = m_state.find_worker(id))
-      worker->claim_written = true;
+    {
+      worker->claim_closed = claim.closed;
+      worker->claim_on_its_way = false;
+    }
+  }
+  for (const auto& [id, text] : batch.rows)
+  {
+    if (job_record* const job = m_state.find_job(id))
+      job->advance_begin_marks(begin_mark::on_its_way, begin_mark::written);
   }
   m_state.place_again = true;
   forget_ended();
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -25,9 +25,9 @@
 {
   std::map<std::string, std::string> rows; // progress by job
   std::map<worker_id, end_number> ends;
-  // Workers on which runs may be started once this is written, and workers on which none can be
-  // any more. A later owner asks all claimed ones, whether they have entries then or not.
-  std::map<worker_id, common::endpoint> claims;
+  // Workers on which runs may be started once this is written (or may no longer), and workers on
+  // which none can be any more. A later owner asks all of them, with entries or without.
+  std::map<worker_id, worker_claim> claims;
   std::set<worker_id> releases;
 
   std::size_t size() const { return rows.size() + claims.size() + releases.size(); }
@@ -49,7 +49,7 @@
   void set_authority(time_point until);
 
   // A worker that an earlier owner had claimed.
-  void restore_claim(const worker_id& id, const common::endpoint& address, time_point now);
+  void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
   void worker_entry(const worker_info& info, time_point now);
   void worker_entry_gone(const worker_id& id, time_point now);
 
@@ -72,7 +72,7 @@
 
   // What has changed since the last call; the caller writes it and says how that went.
   // At most `most_rows` rows. With more jobs to write, the ends have to wait for a later batch.
-  commit_batch take_commit(std::size_t most_rows);
+  commit_batch take_commit(std::size_t most_rows, time_point now);
   void commit_done(const commit_batch& batch, bool written);
 
   void tick(time_point now);
@@ -80,7 +80,7 @@
 
   bool fenced() const { return m_state.fenced; }
   // Whether ends or final states wait to be written.
-  bool has_changes() const;
+  bool has_changes(time_point now) const;
   bool knows(const std::string& job) const { return m_state.jobs.contains(job); }
   // Also true for jobs that have ended under this owner and are no longer held in memory.
   bool knew(const std::string& job) const { return knows(job) || m_forgotten.contains(job); }
@@ -95,6 +95,8 @@
 
 private:
   bool ends_unwritten() const;
+  bool claim_outdated(const worker_record& worker, time_point now) const;
+  worker_claim claim_of(const worker_record& worker, time_point now) const;
   // Drops ended jobs that are written and of which nothing runs any more.
   void forget_ended();
   void look_ahead(time_point now);
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -110,6 +110,12 @@
   return best;
 }
 
+bool placer::may_begin(const job_record& job, step_record& step)
+{
+  m_state.want_begun(job, step);
+  return step.begun == begin_mark::written;
+}
+
 void placer::place_step(const waiting_step& each, time_point now)
 {
   job_record& job = *each.job;
@@ -121,7 +127,7 @@
     if (task.phase != task_phase::waiting)
       continue;
     worker_record* const worker = best_worker(job, each, now);
-    if (worker == nullptr)
+    if (worker == nullptr || !may_begin(job, step))
       break;
     start(job, {each.cycle, each.step, index}, std::max(task.last_run, m_state.first_run) + 1,
           *worker, now);
@@ -142,7 +148,7 @@
   job_record& job = *each.job;
   step_record& step = job.cycles()[each.cycle].steps[each.step];
   // Members of an earlier run that have not ended yet would be a second run of the same task.
-  if (step.waiting != step.tasks.size())
+  if (step.waiting != step.tasks.size() || !may_begin(job, step))
     return;
   run_number number = m_state.first_run;
   for (const task_record& task : step.tasks)
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -28,6 +28,8 @@
   };
 
   std::vector<waiting_step> in_order(time_point now) const;
+  // Whether a later owner would know that tasks of the step may run.
+  bool may_begin(const job_record& job, step_record& step);
   void place_step(const waiting_step& each, time_point now);
   void place_gang(const waiting_step& each, time_point now);
   worker_record* best_worker(job_record& job, const waiting_step& each, time_point now) const;
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -22,7 +22,7 @@
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
-  worker->suspect = answer.end == call_end::unanswered;
+  worker->set_suspect(answer.end == call_end::unanswered, now);
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
   if (run == nullptr)
     return;
@@ -84,7 +84,7 @@
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
-  worker->suspect = answer.end == call_end::unanswered;
+  worker->set_suspect(answer.end == call_end::unanswered, now);
   if (answer.end == call_end::other_life)
   {
     m_state.lose_runs(*worker, "another life answered at the worker's address");
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -66,6 +66,14 @@
   std::optional<milliseconds> remaining; // at least this long until a draining worker leaves
 };
 
+// What later owners have to know of a worker on which runs were or may be started.
+struct worker_claim
+{
+  common::endpoint address;
+  bool closed = false;         // nothing but `tasks` may run there
+  std::vector<task_ref> tasks; // of a closed claim
+};
+
 // A time on a worker's own clock, in milliseconds.
 using worker_clock_time = std::chrono::milliseconds;
 
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -27,6 +27,8 @@
   duration hold_refresh = std::chrono::milliseconds{700};
   // A worker that did not answer is asked again after this time.
   duration hold_retry = std::chrono::milliseconds{250};
+  // A worker silent for this long gets a closed claim: two holds without an answer.
+  duration close_claim = std::chrono::milliseconds{700};
   // Starts and stops without an answer are sent again after this time.
   duration order_retry = std::chrono::milliseconds{250};
   // A worker that refused a start as unhealthy gets none for this time.
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -39,6 +39,14 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) + wall_ahead);
 }
 
+void scheduler_state::want_begun(const job_record& job, step_record& step)
+{
+  if (step.begun != begin_mark::none)
+    return;
+  step.begun = begin_mark::wanted;
+  mark_dirty(job);
+}
+
 run_record& scheduler_state::add_run(job_record& job, const task_place& place, run_number number,
                                      worker_record& worker, time_point now)
 {
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -52,6 +52,8 @@
   bool may_act(time_point now) const { return now < authority_end && !fenced; }
 
   void mark_dirty(const job_record& job) { dirty.insert(job.id()); }
+  // Has it written that tasks of the step may be started.
+  void want_begun(const job_record& job, step_record& step);
   // Adds a run that takes room from now on.
   run_record& add_run(job_record& job, const task_place& place, run_number number,
                       worker_record& worker, time_point now);
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -24,13 +24,16 @@
   return *slot;
 }
 
-void worker_holder::restore_claim(const worker_id& id, const common::endpoint& address,
-                                  time_point now)
+void worker_holder::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
   worker_record& worker = new_record(id);
-  worker.info.address = address;
+  worker.info.address = claim.address;
   worker.present = false;
-  worker.claim_written = true;
+  worker.claim_closed = claim.closed;
+  if (claim.closed)
+    m_listed[id] = claim.tasks;
+  else
+    m_unheard.insert(id);
   hold(worker, now);
 }
 
@@ -143,7 +146,7 @@
     common::log_process(lost ? "worker_silent" : "worker_heard", {{"worker", worker->info.id.value},
                                                                   {"end", to_text(answer.end)},
                                                                   {"runs", worker->runs.size()}});
-  worker->suspect = lost;
+  worker->set_suspect(lost, now);
   if (lost)
     return;
   if (answer.clock)
@@ -165,7 +168,11 @@
 void worker_holder::tick(time_point now)
 {
   if (m_accounting && now >= m_state.earlier_end)
-    end_accounting("every earlier lease is over");
+  {
+    m_unheard.clear();
+    m_listed.clear();
+    release_accounted("every earlier lease is over");
+  }
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
   {
     worker_record& worker = *each->second;
@@ -173,7 +180,7 @@
       m_state.lose_runs(worker, "its lease is over");
     if (!worker.present && worker.runs.empty() && !worker.hold_under_way && now >= worker.lease_end)
     {
-      if (worker.claim_written)
+      if (worker.claim_closed)
         m_state.released.insert(each->first);
       each = m_state.workers.erase(each);
       continue;
@@ -187,42 +194,65 @@
 void worker_holder::begin_accounting()
 {
   m_accounting = true;
-  m_unheard.clear();
   for (const auto& [id, worker] : m_state.workers)
-    m_unheard.insert(id);
-  if (m_unheard.empty())
-    end_accounting("no worker is known");
+  {
+    if (!worker->claimed && !worker->claim_closed)
+      m_unheard.insert(id);
+  }
+  for (const auto& [id, tasks] : m_listed)
+  {
+    for (const task_ref& task : tasks)
+    {
+      job_record* const job = m_state.find_job(task.job);
+      if (job != nullptr && job->contains(task.place))
+        job->mark_unaccounted(task.place);
+    }
+  }
+  release_accounted("at the takeover");
 }
 
 void worker_holder::accounted(const worker_id& id)
 {
-  m_unheard.erase(id);
-  if (m_accounting && m_unheard.empty())
-    end_accounting("every worker was heard");
+  const bool known = m_unheard.erase(id) + m_listed.erase(id) > 0;
+  if (m_accounting && known)
+    release_accounted("workers were heard");
 }
 
-void worker_holder::end_accounting(const char* why)
+// Tasks that may run on no worker that is still to be heard.
+void worker_holder::release_accounted(const char* why)
 {
-  m_accounting = false;
+  if (!m_unheard.empty())
+    return;
+  std::set<task_ref> held;
+  for (const auto& [id, tasks] : m_listed)
+    held.insert(tasks.begin(), tasks.end());
   std::size_t released = 0;
   for (const std::string& id : m_state.open)
+    released += release_tasks(*m_state.jobs.at(id), held);
+  m_accounting = !m_listed.empty();
+  m_state.place_again = true;
+  common::log_process("tasks_accounted",
+                      {{"why", why}, {"released", released}, {"held", held.size()}});
+}
+
+std::size_t worker_holder::release_tasks(job_record& job, const std::set<task_ref>& held)
+{
+  std::size_t released = 0;
+  for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
   {
-    job_record& job = *m_state.jobs.at(id);
-    for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+    for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
     {
-      for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+      const step_record& step = job.cycles()[c].steps[s];
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
       {
-        for (std::uint32_t i = 0; i < job.cycles()[c].steps[s].tasks.size(); ++i)
-        {
-          if (job.cycles()[c].steps[s].tasks[i].phase != task_phase::unaccounted)
-            continue;
-          job.set_phase({c, s, i}, task_phase::waiting);
-          ++released;
-        }
+        const task_place place{c, s, i};
+        if (step.tasks[i].phase != task_phase::unaccounted || held.contains({job.id(), place}))
+          continue;
+        job.set_phase(place, task_phase::waiting);
+        ++released;
       }
     }
   }
-  m_state.place_again = true;
-  common::log_process("tasks_accounted", {{"why", why}, {"released", released}});
+  return released;
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -6,7 +6,9 @@
 // Decides when each worker is held: to claim it, to extend its lease, to hear news, to acknowledge
 // ends. Knows which workers have left and when what ran there has surely ended.
 
+#include <map>
 #include <set>
+#include <vector>
 
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
@@ -19,15 +21,15 @@
   worker_holder(scheduler_state& state, run_follower& follower);
 
   // A worker that an earlier owner had claimed; its entry may come later or never.
-  void restore_claim(const worker_id& id, const common::endpoint& address, time_point now);
+  void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
   void on_entry(const worker_info& info, time_point now);
   void on_entry_gone(const worker_id& id, time_point now);
   void on_hold(const hold_answer& answer, time_point now);
   // Issues the holds that are due, and gives up workers whose leases are over.
   void tick(time_point now);
 
-  // From now on, tasks of older jobs wait until each known worker has been heard or whatever
-  // earlier owners ordered is over.
+  // From now on, tasks of older jobs wait until each worker on which they may run has been heard or
+  // whatever earlier owners ordered is over.
   void begin_accounting();
   bool accounting() const { return m_accounting; }
   // The lease of everything that is started or held now ends at this worker time.
@@ -38,12 +40,14 @@
   void hold(worker_record& worker, time_point now);
   bool hold_due(const worker_record& worker, time_point now) const;
   void accounted(const worker_id& id);
-  void end_accounting(const char* why);
+  void release_accounted(const char* why);
+  static std::size_t release_tasks(job_record& job, const std::set<task_ref>& held);
   void gone(worker_record& worker, const char* why);
 
   scheduler_state& m_state;
   run_follower& m_follower;
   bool m_accounting = false;
-  std::set<worker_id> m_unheard;
+  std::set<worker_id> m_unheard;                       // anything of earlier owners may run there
+  std::map<worker_id, std::vector<task_ref>> m_listed; // no more than these may
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -13,6 +13,18 @@
          clock_ahead.value_or(milliseconds{0});
 }
 
+void worker_record::set_suspect(bool silent, time_point now)
+{
+  if (silent && !suspect)
+    silent_since = now;
+  suspect = silent;
+}
+
+bool worker_record::wants_closed_claim(duration patience, time_point now) const
+{
+  return suspect && now - silent_since >= patience;
+}
+
 std::uint32_t worker_record::tasks_of(const job_record& job, std::uint32_t cycle,
                                       std::uint32_t step) const
 {
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -52,10 +52,14 @@
 struct worker_record
 {
   worker_info info;
-  bool present = true;        // its entry is in the store
-  bool claimed = false;       // it has answered a hold with this owner's token
-  bool claim_written = false; // later owners will ask it, so runs may be started there
-  bool suspect = false;       // its last answer did not come
+  bool present = true;  // its entry is in the store
+  bool claimed = false; // it has answered a hold with this owner's token
+  // What the store keeps of it for later owners. Runs are started only while that is an open claim:
+  // anything may run there. A closed one lists what may, and nothing is added to it.
+  std::optional<bool> claim_closed; // as written; none: no claim is
+  bool claim_on_its_way = false;
+  bool suspect = false; // its last answer did not come
+  time_point silent_since{};
   // The worker's clock less ours, from its latest answer.
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
@@ -76,6 +80,10 @@
   std::set<std::pair<task_ref, run_number>> foreign;
 
   worker_clock_time clock_at(time_point now) const;
+  void set_suspect(bool silent, time_point now);
+  // Whether its claim ought to be closed, and whether runs may be started there.
+  bool wants_closed_claim(duration patience, time_point now) const;
+  bool claim_open() const { return claim_closed && !*claim_closed && !claim_on_its_way; }
   common::resources free() const { return info.capacity - used; }
   std::uint32_t tasks_of(const job_record& job, std::uint32_t cycle, std::uint32_t step) const;
   bool has_label(const std::string& label) const;
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -140,7 +140,7 @@
 
 void scheduler_harness::commit()
 {
-  const commit_batch batch = scheduler->take_commit(1000);
+  const commit_batch batch = scheduler->take_commit(1000, now);
   scheduler->commit_done(batch, true);
 }
 
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -1,6 +1,8 @@
 // SPDX-FileCopyrightText: 2026 yardhill contributors
 // SPDX-License-Identifier: Apache-2.0
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Scheduling/SchedulerHarness.h"
@@ -11,6 +13,15 @@
 
 namespace
 {
+// Progress of a job whose first step has begun.
+yardhill::jobs::job_progress begun()
+{
+  yardhill::jobs::job_progress progress;
+  progress.state = yardhill::jobs::job_state::active;
+  progress.begun.insert({0, 0, 0});
+  return progress;
+}
+
 // An owner that has taken over a job of one task from an earlier one.
 struct taken_over : scheduler_harness
 {
@@ -19,7 +30,7 @@
     scheduler->set_earlier_end(now + seconds{16});
     scheduler->worker_entry(worker("w1"), now);
     scheduler->worker_entry(worker("w2"), now);
-    scheduler->restore_job(job("0123456789abcdef", {step_of(1)}), std::nullopt, now);
+    scheduler->restore_job(job("0123456789abcdef", {step_of(1)}), begun(), now);
     scheduler->begin_accounting();
     step();
   }
@@ -87,10 +98,10 @@
 {
   scheduler_harness owner(1000);
   owner.scheduler->set_earlier_end(owner.now + seconds{16});
-  owner.scheduler->restore_claim(worker_id("w9"), {"10.0.0.9", 80}, owner.now);
+  owner.scheduler->restore_claim(worker_id("w9"), {{"10.0.0.9", 80}, false, {}}, owner.now);
   owner.scheduler->worker_entry(scheduler_harness::worker("w1"), owner.now);
   owner.scheduler->restore_job(
-      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), std::nullopt,
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), begun(),
       owner.now);
   owner.scheduler->begin_accounting();
   owner.step();
@@ -115,9 +126,100 @@
       scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
   owner.step();
   BOOST_TEST(owner.starts.empty());
+  owner.commit(); // the claim
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+  owner.commit(); // that the step has begun
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
+// Periyar, scale-2, 29.5 s: the claim of one worker that had left kept every task waiting for 12 s.
+BOOST_FIXTURE_TEST_CASE(a_closed_claim_holds_back_no_more_than_its_tasks, taken_over)
+{
+  scheduler_harness owner(1000);
+  owner.scheduler->set_earlier_end(owner.now + seconds{16});
+  const std::string listed = "0123456789abcdef";
+  const std::string other = "0123456789abcde0";
+  owner.scheduler->restore_claim(worker_id("w9"), {{"10.0.0.9", 80}, true, {{listed, {0, 0, 0}}}},
+                                 owner.now);
+  owner.scheduler->worker_entry(worker("w1"), owner.now);
+  owner.scheduler->restore_job(job(listed, {step_of(1)}), begun(), owner.now);
+  owner.scheduler->restore_job(job(other, {step_of(1)}), begun(), owner.now);
+  owner.scheduler->begin_accounting();
+  owner.step();
+  owner.answer_hold("w1", {});
+  owner.commit();
+  owner.step();
+  BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
+  BOOST_TEST(owner.starts.front().task.job == other);
+  owner.clear();
+  owner.pass(seconds{17});
+  owner.step();
+  BOOST_TEST(std::any_of(owner.starts.begin(), owner.starts.end(),
+                         [&listed](const start_command& each) { return each.task.job == listed; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_step_that_has_not_begun_waits_for_no_worker)
+{
+  scheduler_harness owner(1000);
+  owner.scheduler->set_earlier_end(owner.now + seconds{16});
+  owner.scheduler->worker_entry(scheduler_harness::worker("w1"), owner.now);
+  owner.scheduler->worker_entry(scheduler_harness::worker("w2"), owner.now);
+  owner.scheduler->restore_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), std::nullopt,
+      owner.now);
+  owner.scheduler->begin_accounting();
+  owner.step();
+  owner.answer_hold("w1", {});
+  owner.commit();
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_before_it_is_written_that_the_step_has_begun)
+{
+  scheduler_harness owner;
+  owner.add_worker(scheduler_harness::worker("w1"));
+  owner.scheduler->add_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
   owner.commit();
   owner.step();
   BOOST_TEST(owner.starts.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_worker_gets_a_closed_claim_and_no_starts_until_it_is_open_again)
+{
+  scheduler_harness owner;
+  owner.add_worker(scheduler_harness::worker("w1"));
+  owner.scheduler->add_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
+  owner.answer_start(owner.starts.front(), call_end::unanswered);
+  owner.pass(seconds{1});
+  const commit_batch closing = owner.scheduler->take_commit(1000, owner.now);
+  BOOST_TEST_REQUIRE(closing.claims.contains(worker_id("w1")));
+  BOOST_TEST(closing.claims.at(worker_id("w1")).closed);
+  BOOST_TEST(closing.claims.at(worker_id("w1")).tasks.size() == 1U);
+  owner.scheduler->commit_done(closing, true);
+  owner.scheduler->add_job(
+      scheduler_harness::job("0123456789abcde0", {scheduler_harness::step_of(1)}), owner.now);
+  owner.answer_hold("w1", {scheduler_harness::running(owner.starts.front())});
+  owner.clear();
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+  owner.commit(); // the open claim
+  owner.step();
+  owner.commit(); // that the second job's step has begun
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
