Node, Scheduling: Owners are told of new jobs at once; late speculative tasks get a copy

Change: the instance that had a job kept or cancelled tells the owner over their link; a speculative task whose worker is silent for 0.4 s, or that runs over twice its estimate, is started on a second worker.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -118,7 +118,15 @@
   bool refused = false; // the call has not reached the store
 };
 
+// The sender has just had a job kept, or cancelled, that the receiver's partition runs. The store's
+// feed says the same, a little later or, after a gap, much later.
+struct job_notice
+{
+  std::string id;
+  std::string row; // the job as it is kept; empty: it was cancelled
+};
+
 using peer_message =
     std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover,
-                 advice_request, advice_reply, relay_request, relay_reply>;
+                 advice_request, advice_reply, relay_request, relay_reply, job_notice>;
 } // namespace yardhill::common
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -175,7 +175,7 @@
     return;
   remember_home(job.id, job.home);
   if (partition_owner* const home = partition(job.home))
-    home->job_accepted(job);
+    home->job_kept_here(job);
 }
 
 void caller_gateway::remember_home(const std::string& id, const std::string& home)
@@ -267,7 +267,7 @@
                                        {{"after_ms", steady_now() - what->received}});
                    what->respond({200, "{}", "application/json", {}});
                    if (partition_owner* const owner = partition(home))
-                     owner->job_cancelled(what->id);
+                     owner->job_cancelled_here(what->id);
                  };
                  if (found.cancelled)
                    on_cancelled(true);
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -54,8 +54,10 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io)
 {
-  const node_parts parts{m_io,     m_store,   m_feed_store,     m_store_path, m_workers,
-                         m_advice, m_metrics, m_worker_entries, m_queues};
+  const auto send_to_peer = [this](const std::string& peer, const common::peer_message& message)
+  { m_peers->send(peer, message); };
+  const node_parts parts{m_io,     m_store,   m_feed_store, m_store_path,     m_workers,
+                         m_advice, m_metrics, send_to_peer, m_worker_entries, m_queues};
   m_partitions.push_back(std::make_unique<partition_owner>(
       parts, instance_identity{settings.name, life}, k_whole_cell, ownership_options{}));
 }
@@ -118,6 +120,11 @@
       m_store_path.on_request(peer, *call);
     else if (const auto* answer = std::get_if<common::relay_reply>(&message))
       m_store_path.on_reply(peer, *answer);
+    else if (const auto* notice = std::get_if<common::job_notice>(&message))
+    {
+      for (const auto& each : m_partitions)
+        each->on_notice(*notice);
+    }
   };
   return events;
 }
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -263,6 +263,38 @@
   }
 }
 
+void partition_owner::job_kept_here(const jobs::accepted_job& job)
+{
+  if (owns())
+    job_accepted(job);
+  else if (!m_seen.row.holder.empty())
+    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{job.id, jobs::to_row_text(job)});
+}
+
+void partition_owner::job_cancelled_here(const std::string& id)
+{
+  if (owns())
+    job_cancelled(id);
+  else if (!m_seen.row.holder.empty())
+    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{id, {}});
+}
+
+void partition_owner::on_notice(const common::job_notice& notice)
+{
+  if (notice.row.empty())
+  {
+    job_cancelled(notice.id);
+    return;
+  }
+  const auto job =
+      common::parsed("read_job_notice", notice.id,
+                     [&notice] { return jobs::accepted_job_from(notice.id, notice.row); });
+  if (job)
+    job_accepted(*job);
+  else
+    common::log_request("notice_damaged", notice.id, {{"error", common::to_text(job.error())}});
+}
+
 void partition_owner::job_accepted(const jobs::accepted_job& job)
 {
   if (!owns() || job.home != m_partition || m_scheduler->knew(job.id))
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -68,6 +68,7 @@
   adapter::worker_client& workers;
   advice_pool& advice;
   common::metrics& metrics;
+  std::function<void(const std::string& peer, const common::peer_message&)> send_to_peer;
   // Known workers and queues, as the feeds have them.
   const std::map<std::string, scheduling::worker_info>& worker_entries;
   const jobs::queue_table& queues;
@@ -92,9 +93,11 @@
   void worker_entry(const scheduling::worker_info& info);
   void worker_entry_gone(const common::worker_id& id);
   void queues_changed();
-  // A job that this process has just had kept, so that it need not wait for the feed.
-  void job_accepted(const jobs::accepted_job& job);
-  void job_cancelled(const std::string& id);
+  // A job that has just been kept or cancelled. Another instance that owns the partition is told,
+  // so that nobody need wait for the feed.
+  void job_kept_here(const jobs::accepted_job& job);
+  void job_cancelled_here(const std::string& id);
+  void on_notice(const common::job_notice& notice);
   // What is written of a job here; nothing if this instance does not own it or does not know it.
   std::optional<jobs::job_state> written_state(const std::string& id) const;
 
@@ -133,6 +136,8 @@
   void add_loaded_jobs(const loaded_partition& loaded);
   void follow_jobs(adapter::row_version since);
   void on_job_rows(const std::vector<adapter::row>& rows);
+  void job_accepted(const jobs::accepted_job& job);
+  void job_cancelled(const std::string& id);
   void reload_jobs();
 
   void pump_commits(common::time_point now);
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -187,6 +187,14 @@
   return to;
 }
 
+wire::JobNoticeT to_wire(const job_notice& from)
+{
+  wire::JobNoticeT to;
+  to.id = from.id;
+  to.row = from.row;
+  return to;
+}
+
 template<class wire_type>
 std::string encode_message(wire_type&& message)
 {
@@ -374,6 +382,11 @@
     return peer_message{
         relay_reply{back.number, back.status, back.body, back.failure, back.refused}};
   }
+  case wire::Message::JobNotice:
+  {
+    const wire::JobNoticeT& notice = *parsed.message.AsJobNotice();
+    return peer_message{job_notice{notice.id, notice.row}};
+  }
   case wire::Message::NONE:
     return std::nullopt;
   }
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -80,6 +80,10 @@
 struct RelayReplyBuilder;
 struct RelayReplyT;
 
+struct JobNotice;
+struct JobNoticeBuilder;
+struct JobNoticeT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -97,11 +101,12 @@
   AdviceReply = 9,
   RelayRequest = 10,
   RelayReply = 11,
+  JobNotice = 12,
   MIN = NONE,
-  MAX = RelayReply
+  MAX = JobNotice
 };
 
-inline const Message (&EnumValuesMessage())[12] {
+inline const Message (&EnumValuesMessage())[13] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -114,13 +119,14 @@
     Message::AdviceRequest,
     Message::AdviceReply,
     Message::RelayRequest,
-    Message::RelayReply
+    Message::RelayReply,
+    Message::JobNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -133,13 +139,14 @@
     "AdviceReply",
     "RelayRequest",
     "RelayReply",
+    "JobNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RelayReply)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::JobNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -192,6 +199,10 @@
   static const Message enum_value = Message::RelayReply;
 };
 
+template<> struct MessageTraits<yardhill::wire::JobNotice> {
+  static const Message enum_value = Message::JobNotice;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -240,6 +251,10 @@
   static const Message enum_value = Message::RelayReply;
 };
 
+template<> struct MessageUnionTraits<yardhill::wire::JobNoticeT> {
+  static const Message enum_value = Message::JobNotice;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -358,6 +373,14 @@
     return type == Message::RelayReply ?
       reinterpret_cast<const yardhill::wire::RelayReplyT *>(value) : nullptr;
   }
+  yardhill::wire::JobNoticeT *AsJobNotice() {
+    return type == Message::JobNotice ?
+      reinterpret_cast<yardhill::wire::JobNoticeT *>(value) : nullptr;
+  }
+  const yardhill::wire::JobNoticeT *AsJobNotice() const {
+    return type == Message::JobNotice ?
+      reinterpret_cast<const yardhill::wire::JobNoticeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -2280,6 +2303,89 @@
 
 flatbuffers::Offset<RelayReply> CreateRelayReply(flatbuffers::FlatBufferBuilder &_fbb, const RelayReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct JobNoticeT : public flatbuffers::NativeTable {
+  typedef JobNotice TableType;
+  std::string id{};
+  std::string row{};
+};
+
+struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobNoticeT NativeTableType;
+  typedef JobNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_ROW = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *row() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROW);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_ROW) &&
+           verifier.VerifyString(row()) &&
+           verifier.EndTable();
+  }
+  JobNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobNoticeBuilder {
+  typedef JobNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(JobNotice::VT_ID, id);
+  }
+  void add_row(flatbuffers::Offset<flatbuffers::String> row) {
+    fbb_.AddOffset(JobNotice::VT_ROW, row);
+  }
+  explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobNotice> CreateJobNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> row = 0) {
+  JobNoticeBuilder builder_(_fbb);
+  builder_.add_row(row);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct JobNotice::Traits {
+  using type = JobNotice;
+  static auto constexpr Create = CreateJobNotice;
+};
+
+inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *row = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto row__ = row ? _fbb.CreateString(row) : 0;
+  return yardhill::wire::CreateJobNotice(
+      _fbb,
+      id__,
+      row__);
+}
+
+flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   yardhill::wire::MessageUnion message{};
@@ -2333,6 +2439,9 @@
   const yardhill::wire::RelayReply *message_as_RelayReply() const {
     return message_type() == yardhill::wire::Message::RelayReply ? static_cast<const yardhill::wire::RelayReply *>(message()) : nullptr;
   }
+  const yardhill::wire::JobNotice *message_as_JobNotice() const {
+    return message_type() == yardhill::wire::Message::JobNotice ? static_cast<const yardhill::wire::JobNotice *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2389,6 +2498,10 @@
   return message_as_RelayReply();
 }
 
+template<> inline const yardhill::wire::JobNotice *Frame::message_as<yardhill::wire::JobNotice>() const {
+  return message_as_JobNotice();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3131,6 +3244,35 @@
       _refused);
 }
 
+inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobNotice::UnPackTo(JobNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = row(); if (_e) _o->row = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobNotice> JobNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _row = _o->row.empty() ? 0 : _fbb.CreateString(_o->row);
+  return yardhill::wire::CreateJobNotice(
+      _fbb,
+      _id,
+      _row);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -3209,6 +3351,10 @@
       auto ptr = reinterpret_cast<const yardhill::wire::RelayReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::JobNotice: {
+      auto ptr = reinterpret_cast<const yardhill::wire::JobNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3272,6 +3418,10 @@
       auto ptr = reinterpret_cast<const yardhill::wire::RelayReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::JobNotice: {
+      auto ptr = reinterpret_cast<const yardhill::wire::JobNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3323,6 +3473,10 @@
       auto ptr = reinterpret_cast<const yardhill::wire::RelayReplyT *>(value);
       return CreateRelayReply(_fbb, ptr, _rehasher).Union();
     }
+    case Message::JobNotice: {
+      auto ptr = reinterpret_cast<const yardhill::wire::JobNoticeT *>(value);
+      return CreateJobNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3373,6 +3527,10 @@
       value = new yardhill::wire::RelayReplyT(*reinterpret_cast<yardhill::wire::RelayReplyT *>(u.value));
       break;
     }
+    case Message::JobNotice: {
+      value = new yardhill::wire::JobNoticeT(*reinterpret_cast<yardhill::wire::JobNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3435,6 +3593,11 @@
       delete ptr;
       break;
     }
+    case Message::JobNotice: {
+      auto ptr = reinterpret_cast<yardhill::wire::JobNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -39,6 +39,7 @@
     if (step.waiting > 0)
       m_advice.want(*each.job, each.cycle, each.step, now);
   }
+  place_copies(now);
 }
 
 // By priority; within one, jobs that can still be in time, then those that can still earn a part:
@@ -179,6 +180,53 @@
                       {{"step", each.step}, {"members", members.size()}, {"run", number}});
 }
 
+bool placer::deserves_copy(const run_record& run, time_point now) const
+{
+  if (!run.spec().speculative || run.spec().gang || run.spec().long_running ||
+      run.phase == run_phase::stopping || run.job->ended() ||
+      run.job->task(run.place).runs.size() > 1)
+    return false;
+  const worker_record& worker = *run.worker;
+  if (worker.suspect && now - worker.silent_since >= m_state.options.copy_silent)
+    return true;
+  const auto usual = std::chrono::duration_cast<duration>(run.spec().estimate *
+                                                          m_state.options.copy_overdue_factor);
+  return now - run.begun > usual + m_state.options.copy_overdue_slack;
+}
+
+void placer::place_copies(time_point now)
+{
+  std::vector<run_record*> late;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    for (const auto& [task, run] : worker->runs)
+    {
+      if (deserves_copy(*run, now))
+        late.push_back(run.get());
+    }
+  }
+  for (const run_record* run : late)
+  {
+    job_record& job = *run->job;
+    const task_place place = run->place;
+    const waiting_step where{&job, place.cycle, place.step};
+    worker_record* const worker = best_worker(job, where, now);
+    if (worker == nullptr || worker == run->worker)
+    {
+      m_advice.want(job, place.cycle, place.step, now);
+      continue;
+    }
+    common::log_request("copy_started", job.id(),
+                        {{"step", place.step},
+                         {"task", place.index},
+                         {"beside", run->worker->info.id.value},
+                         {"silent", run->worker->suspect},
+                         {"running_ms", now - run->begun}});
+    m_state.metrics.add(common::retry_reason::worker_lost);
+    start(job, place, job.task(place).last_run + 1, *worker, now);
+  }
+}
+
 void placer::start(job_record& job, const task_place& place, run_number number,
                    worker_record& worker, time_point now)
 {
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -35,6 +35,9 @@
   worker_record* best_worker(job_record& job, const waiting_step& each, time_point now) const;
   bool has_room(const worker_record& worker, const waiting_step& each) const;
   double preference(const worker_record& worker, const step_record& step) const;
+  // Second runs of speculative tasks that are late where they run.
+  void place_copies(time_point now);
+  bool deserves_copy(const run_record& run, time_point now) const;
   void start(job_record& job, const task_place& place, run_number number, worker_record& worker,
              time_point now);
 
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -38,6 +38,12 @@
   // Several runs in a row that failed on one worker keep it out of use for a time.
   unsigned failures_to_pause = 3;
   duration failing_pause = std::chrono::seconds{4};
+  // A speculative step's task gets a second run when its worker has been silent for this long ...
+  duration copy_silent = std::chrono::milliseconds{400};
+  // ... or when it runs this many times its estimate and this much longer: the estimates of short
+  // steps are off by up to a half, slow workers take four times as long and more.
+  double copy_overdue_factor = 2.0;
+  duration copy_overdue_slack = std::chrono::milliseconds{300};
   // Advice without an answer is asked for again after this time.
   duration advice_retry = std::chrono::milliseconds{200};
   // A ticket is not used in the last part of its life: the start has to arrive in time.
