--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -14,6 +14,8 @@
 {
 // Data on the worker's own rack outweighs any difference in free room, which is at most 1.
 constexpr double k_data_rack_weight = 2.0;
+// A slow worker is the last choice.
+constexpr double k_slow_weight = 4.0;
 } // namespace
 
 placer::placer(scheduler_state& state, advice_planner& advice, worker_holder& holder)
@@ -29,6 +31,7 @@
   for (const auto& [id, worker] : m_state.workers)
     free += worker->present && !worker->suspect ? worker->free().cpu_millis : 0;
   m_advice.set_budget(free);
+  avoid_slow_workers(now);
   for (const waiting_step& each : in_order(now))
   {
     const step_record& step = each.job->cycles()[each.cycle].steps[each.step];
@@ -84,12 +87,13 @@
 }
 
 // The fullest worker that still has room, so that others keep room for large tasks.
-double placer::preference(const worker_record& worker, const step_record& step) const
+double placer::preference(const worker_record& worker, const step_record& step,
+                          time_point now) const
 {
   const double used =
       common::dominant_share(worker.used + room_of(*step.spec), worker.info.capacity);
   const bool near = !step.spec->data_rack.empty() && worker.info.rack == step.spec->data_rack;
-  return used + (near ? k_data_rack_weight : 0.0);
+  return used + (near ? k_data_rack_weight : 0.0) - (worker.slow_until > now ? k_slow_weight : 0.0);
 }
 
 worker_record* placer::best_worker(job_record& job, const waiting_step& each, time_point now) const
@@ -102,7 +106,7 @@
     if (worker->suspect || worker->avoid_until > now || !suits(*worker, job, step) ||
         !has_room(*worker, each) || m_advice.ticket(job, step, id, now) == nullptr)
       continue;
-    const double value = preference(*worker, step);
+    const double value = preference(*worker, step, now);
     if (best != nullptr && value <= best_preference)
       continue;
     best = worker.get();
@@ -180,6 +184,21 @@
                       {{"step", each.step}, {"members", members.size()}, {"run", number}});
 }
 
+void placer::avoid_slow_workers(time_point now)
+{
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    const auto late =
+        std::count_if(worker->runs.begin(), worker->runs.end(),
+                      [this, now](const auto& each) { return m_state.overdue(*each.second, now); });
+    if (static_cast<std::size_t>(late) < m_state.options.overdue_to_avoid)
+      continue;
+    if (worker->slow_until <= now)
+      common::log_process("worker_slow", {{"worker", id.value}, {"overdue_runs", late}});
+    worker->slow_until = now + m_state.options.slow_pause;
+  }
+}
+
 bool placer::deserves_copy(const run_record& run, time_point now) const
 {
   if (!run.spec().speculative || run.spec().gang || run.spec().long_running ||
@@ -189,9 +208,7 @@
   const worker_record& worker = *run.worker;
   if (worker.suspect && now - worker.silent_since >= m_state.options.copy_silent)
     return true;
-  const auto usual = std::chrono::duration_cast<duration>(run.spec().estimate *
-                                                          m_state.options.copy_overdue_factor);
-  return now - run.begun > usual + m_state.options.copy_overdue_slack;
+  return m_state.overdue(run, now);
 }
 
 void placer::place_copies(time_point now)
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -34,7 +34,8 @@
   void place_gang(const waiting_step& each, time_point now);
   worker_record* best_worker(job_record& job, const waiting_step& each, time_point now) const;
   bool has_room(const worker_record& worker, const waiting_step& each) const;
-  double preference(const worker_record& worker, const step_record& step) const;
+  double preference(const worker_record& worker, const step_record& step, time_point now) const;
+  void avoid_slow_workers(time_point now);
   // Second runs of speculative tasks that are late where they run.
   void place_copies(time_point now);
   bool deserves_copy(const run_record& run, time_point now) const;
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -22,7 +22,8 @@
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
-  worker->set_suspect(answer.end == call_end::unanswered, now);
+  worker->note_order(answer.end != call_end::unanswered, m_state.options.unanswered_to_suspect,
+                     now);
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
   if (run == nullptr)
     return;
@@ -84,7 +85,8 @@
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
-  worker->set_suspect(answer.end == call_end::unanswered, now);
+  worker->note_order(answer.end != call_end::unanswered, m_state.options.unanswered_to_suspect,
+                     now);
   if (answer.end == call_end::other_life)
   {
     m_state.lose_runs(*worker, "another life answered at the worker's address");
@@ -146,7 +148,11 @@
       task_failed(*job, end, now);
   }
   if (run_record* const run = m_state.find_run(worker.info.id, end.task, end.run))
+  {
+    if (end.how == run_end::done && !run->spec().gang && worker.slow_until <= now)
+      m_state.runtimes.learn(job->accepted().queue, run->spec().estimate, now - run->begun);
     m_state.remove_run(*run);
+  }
   if (end.how == run_end::done)
     check_complete(*job, now);
 }
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -30,7 +30,7 @@
   // A worker silent for this long gets a closed claim: two holds without an answer.
   duration close_claim = std::chrono::milliseconds{700};
   // Starts and stops without an answer are sent again after this time.
-  duration order_retry = std::chrono::milliseconds{250};
+  duration order_retry = std::chrono::milliseconds{300};
   // A worker that refused a start as unhealthy gets none for this time.
   duration unhealthy_pause = std::chrono::milliseconds{1000};
   // A worker that rejected a start for want of room (our ledger differs from its own).
@@ -40,10 +40,12 @@
   duration failing_pause = std::chrono::seconds{4};
   // A speculative step's task gets a second run when its worker has been silent for this long ...
   duration copy_silent = std::chrono::milliseconds{400};
-  // ... or when it runs this many times its estimate and this much longer: the estimates of short
-  // steps are off by up to a half, slow workers take four times as long and more.
-  double copy_overdue_factor = 2.0;
-  duration copy_overdue_slack = std::chrono::milliseconds{300};
+  // ... or when it takes longer than sound runs do (see runtime_model). A worker with this many
+  // such runs counts as slow and gets no starts for the time below, if others have room.
+  std::size_t overdue_to_avoid = 2;
+  duration slow_pause = std::chrono::milliseconds{1000};
+  // Calls in a row without an answer that make a worker suspect; a hold without one does at once.
+  unsigned unanswered_to_suspect = 2;
   // Advice without an answer is asked for again after this time.
   duration advice_retry = std::chrono::milliseconds{200};
   // A ticket is not used in the last part of its life: the start has to arrive in time.
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -33,6 +33,13 @@
   return found->second.get();
 }
 
+bool scheduler_state::overdue(const run_record& run, time_point now) const
+{
+  if (run.spec().long_running || run.spec().fills_idle || run.spec().estimate.count() <= 0)
+    return false;
+  return now - run.begun > runtimes.longest(run.job->accepted().queue, run.spec().estimate);
+}
+
 jobs::wall_time scheduler_state::wall(time_point now) const
 {
   return jobs::wall_time(
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -14,6 +14,7 @@
 
 #include "Common/Metrics.h"
 #include "Scheduling/JobRecord.h"
+#include "Scheduling/RuntimeModel.h"
 #include "Scheduling/SchedulerOptions.h"
 #include "Scheduling/WorkerRecord.h"
 
@@ -28,6 +29,7 @@
 
   scheduler_options options;
   common::metrics& metrics;
+  runtime_model runtimes;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
   std::map<worker_id, std::unique_ptr<worker_record>> workers;
   std::map<std::string, jobs::queue_policy> policies; // by queue
@@ -47,6 +49,8 @@
 
   job_record* find_job(const std::string& id);
   worker_record* find_worker(const worker_id& id);
+  // Whether the run takes longer than sound ones do.
+  bool overdue(const run_record& run, time_point now) const;
   run_record* find_run(const worker_id& worker, const task_ref& task, run_number run);
   jobs::wall_time wall(time_point now) const;
   bool may_act(time_point now) const { return now < authority_end && !fenced; }
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -20,6 +20,13 @@
   suspect = silent;
 }
 
+void worker_record::note_order(bool answered, unsigned most_unanswered, time_point now)
+{
+  unanswered = answered ? 0 : unanswered + 1;
+  if (answered || unanswered >= most_unanswered)
+    set_suspect(!answered, now);
+}
+
 bool worker_record::wants_closed_claim(duration patience, time_point now) const
 {
   return suspect && now - silent_since >= patience;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -64,6 +64,8 @@
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
   time_point avoid_until{};
+  time_point slow_until{}; // last choice until then
+  unsigned unanswered = 0; // orders in a row
   unsigned failures_in_a_row = 0;
 
   bool hold_under_way = false;
@@ -81,6 +83,8 @@
 
   worker_clock_time clock_at(time_point now) const;
   void set_suspect(bool silent, time_point now);
+  // Counts an order's outcome; several unanswered ones in a row make the worker suspect.
+  void note_order(bool answered, unsigned most_unanswered, time_point now);
   // Whether its claim ought to be closed, and whether runs may be started there.
   bool wants_closed_claim(duration patience, time_point now) const;
   bool claim_open() const { return claim_closed && !*claim_closed && !claim_on_its_way; }
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -203,6 +203,11 @@
   owner.step();
   BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
   owner.answer_start(owner.starts.front(), call_end::unanswered);
+  owner.pass(milliseconds{310});
+  owner.step();
+  BOOST_TEST_REQUIRE(owner.starts.size() == 2U); // the same one again
+  BOOST_TEST(owner.starts.back().run == owner.starts.front().run);
+  owner.answer_start(owner.starts.back(), call_end::unanswered);
   owner.pass(seconds{1});
   const commit_batch closing = owner.scheduler->take_commit(1000, owner.now);
   BOOST_TEST_REQUIRE(closing.claims.contains(worker_id("w1")));
