Node: The instance without its sockets, on a clock that is handed in

Cause: ownership, commits and recovery could only be played by real processes; the explorer has to play the same code in virtual time. Change: node_core holds feeds, partitions, advice and gateway; time comes from a timekeeper, calls go through senders. node_service keeps sockets, signals, the loop.

--- a/Source/Core/Http/HttpClient.h
+++ b/Source/Core/Http/HttpClient.h
@@ -16,7 +16,7 @@
 
 #include "Common/InstanceSettings.h"
 #include "Common/Time.h"
-#include "Http/HttpMessage.h"
+#include "Http/RequestSender.h"
 
 namespace yardhill::http
 {
@@ -27,18 +27,18 @@
   std::size_t most_body = 16U << 20; // bytes of an answer
 };
 
-class http_client
+class http_client : public peer_sender
 {
 public:
   http_client(boost::asio::io_context& io, const client_options& options);
-  ~http_client();
+  ~http_client() override;
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
   // `timeout` covers waiting in line, connecting and the answer. `done` is called exactly once,
   // from the event loop.
   void send(const common::endpoint& peer, request call, common::duration timeout,
-            reply_handler done);
+            reply_handler done) override;
   // Closes the idle connections to a peer that is gone.
   void forget(const common::endpoint& peer);
 
--- a/Source/Core/Node/AdviceDesk.cpp
+++ b/Source/Core/Node/AdviceDesk.cpp
@@ -5,8 +5,6 @@
 
 #include <utility>
 
-#include "Node/TableFeed.h"
-
 namespace yardhill::node
 {
 namespace
@@ -16,12 +14,15 @@
 constexpr std::chrono::milliseconds k_timeout_slack{700};
 } // namespace
 
-advice_desk::advice_desk(adapter::advice_client& client) : m_client(client) {}
+advice_desk::advice_desk(common::timekeeper& time, adapter::advice_client& client)
+    : m_time(time), m_client(client)
+{
+}
 
 void advice_desk::ask(scheduling::advice_command question, answer_handler done)
 {
   const auto expected = question.expected;
-  m_waiting.emplace(expected, waiting{std::move(question), std::move(done), steady_now()});
+  m_waiting.emplace(expected, waiting{std::move(question), std::move(done), m_time.now()});
   next();
 }
 
@@ -46,7 +47,7 @@
                {
                  m_busy = false;
                  m_under_way = std::chrono::milliseconds{0};
-                 answer.received = steady_now();
+                 answer.received = m_time.now();
                  next();
                  done(std::move(answer));
                });
--- a/Source/Core/Node/AdviceDesk.h
+++ b/Source/Core/Node/AdviceDesk.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 
+#include "Common/Timekeeper.h"
 #include "platform/AdviceClient.h"
 
 namespace yardhill::node
@@ -18,7 +19,7 @@
 public:
   using answer_handler = std::function<void(scheduling::advice_answer)>;
 
-  explicit advice_desk(adapter::advice_client& client);
+  advice_desk(common::timekeeper& time, adapter::advice_client& client);
 
   void ask(scheduling::advice_command question, answer_handler done);
   // How long the calls in line and under way take together.
@@ -34,6 +35,7 @@
 
   void next();
 
+  common::timekeeper& m_time;
   adapter::advice_client& m_client;
   std::multimap<std::chrono::milliseconds, waiting> m_waiting; // by expected time
   std::chrono::milliseconds m_under_way{0};
--- a/Source/Core/Node/AdvicePool.cpp
+++ b/Source/Core/Node/AdvicePool.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "Common/EventLog.h"
-#include "Node/TableFeed.h"
 
 namespace yardhill::node
 {
@@ -25,7 +24,8 @@
 constexpr std::chrono::seconds k_avoid{2};
 } // namespace
 
-advice_pool::advice_pool(advice_desk& own, sender send) : m_own(own), m_send(std::move(send))
+advice_pool::advice_pool(common::timekeeper& time, advice_desk& own, sender send)
+    : m_time(time), m_own(own), m_send(std::move(send))
 {
   m_helpers.push_back({});
 }
@@ -52,7 +52,7 @@
 
 advice_pool::helper& advice_pool::choose(std::chrono::milliseconds expected)
 {
-  const common::time_point now = steady_now();
+  const common::time_point now = m_time.now();
   const std::size_t first = expected >= scheduling::k_long_advice ? kept_free() : 0;
   helper* best = nullptr;
   for (std::size_t i = first; i < m_helpers.size(); ++i)
@@ -83,7 +83,7 @@
   for (const common::worker_id& worker : question.workers)
     request.workers.push_back(worker.value);
   chosen.backlog += question.expected;
-  const common::time_point overdue = steady_now() + 2 * chosen.backlog + k_overdue_slack;
+  const common::time_point overdue = m_time.now() + 2 * chosen.backlog + k_overdue_slack;
   m_asked[chosen.peer][request.number] = {std::move(question), std::move(done), overdue};
   m_send(chosen.peer, request);
 }
@@ -166,7 +166,7 @@
   answer.asked = each.question.workers;
   answer.answered = reply.answered;
   answer.valid = std::chrono::milliseconds(reply.valid_ms);
-  answer.received = steady_now();
+  answer.received = m_time.now();
   for (const common::advice_reply::permit& permit : reply.permitted)
     answer.permitted.push_back({common::worker_id(permit.worker), permit.ticket});
   each.done(std::move(answer));
--- a/Source/Core/Node/AdvicePool.h
+++ b/Source/Core/Node/AdvicePool.h
@@ -25,7 +25,7 @@
 public:
   using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
 
-  advice_pool(advice_desk& own, sender send);
+  advice_pool(common::timekeeper& time, advice_desk& own, sender send);
 
   void ask(scheduling::advice_command question, advice_desk::answer_handler done);
   // What the instances that can be asked now take at once.
@@ -60,6 +60,7 @@
   void ask_own(helper& self, scheduling::advice_command question, advice_desk::answer_handler done);
   void settle(const std::string& peer, std::chrono::milliseconds expected);
 
+  common::timekeeper& m_time;
   advice_desk& m_own;
   sender m_send;
   std::vector<helper> m_helpers;                                       // the first is this instance
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -39,10 +39,11 @@
 }
 } // namespace
 
-caller_gateway::caller_gateway(job_store& store, const jobs::queue_table& queues,
+caller_gateway::caller_gateway(common::timekeeper& time, job_store& store,
+                               const jobs::queue_table& queues,
                                const std::vector<std::unique_ptr<partition_owner>>& partitions,
                                common::metrics& counts)
-    : m_store(store), m_queues(queues), m_partitions(partitions), m_metrics(counts)
+    : m_time(time), m_store(store), m_queues(queues), m_partitions(partitions), m_metrics(counts)
 {
 }
 
@@ -51,7 +52,7 @@
   m_metrics.add(common::counter::requests);
   auto what = std::make_shared<call>();
   what->respond = std::move(respond);
-  what->received = steady_now();
+  what->received = m_time.now();
   what->patience = patience_from(request.deadline);
   what->body = std::move(request.body);
   const std::string path = request.target.substr(0, request.target.find('?'));
@@ -91,7 +92,7 @@
                        {"reason", common::to_text(why)},
                        {"detail", detail},
                        {"config_version", m_queues.version},
-                       {"after_ms", steady_now() - what.received}});
+                       {"after_ms", m_time.now() - what.received}});
   http::outgoing_answer answer;
   answer.status = status;
   answer.body = adapter::error_body(detail);
@@ -111,7 +112,7 @@
 // come last.
 std::string caller_gateway::home_for() const
 {
-  const common::time_point now = steady_now();
+  const common::time_point now = m_time.now();
   std::string best = m_partitions.front()->partition();
   std::int64_t best_load = std::numeric_limits<std::int64_t>::max();
   for (const auto& each : m_partitions)
@@ -140,8 +141,7 @@
   job.id = what->id;
   job.queue = what->route->name;
   job.home = home_for();
-  job.accepted_at =
-      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  job.accepted_at = m_time.wall();
   job.spec = *std::move(spec);
   const common::time_point deadline = what->received + what->patience - k_answer_margin;
   m_store.accept(job, deadline,
@@ -169,7 +169,7 @@
                        {"steps", job.spec.steps.size()},
                        {"config_version", m_queues.version},
                        {"row_version", result.version},
-                       {"after_ms", steady_now() - what->received}});
+                       {"after_ms", m_time.now() - what->received}});
   what->respond({200, "{}", "application/json", {}});
   if (!result.first)
     return;
@@ -224,7 +224,7 @@
     }
     common::log_request(
         "state_shown", what->id,
-        {{"state", jobs::to_text(*state)}, {"after_ms", steady_now() - what->received}});
+        {{"state", jobs::to_text(*state)}, {"after_ms", m_time.now() - what->received}});
     what->respond({200, adapter::state_body(*state), "application/json", {}});
   };
   const partition_owner* const owner = partition(home);
@@ -264,7 +264,7 @@
                      return;
                    }
                    common::log_request("job_cancelled", what->id,
-                                       {{"after_ms", steady_now() - what->received}});
+                                       {{"after_ms", m_time.now() - what->received}});
                    what->respond({200, "{}", "application/json", {}});
                    if (partition_owner* const owner = partition(home))
                      owner->job_cancelled_here(what->id);
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -22,7 +22,7 @@
 class caller_gateway
 {
 public:
-  caller_gateway(job_store& store, const jobs::queue_table& queues,
+  caller_gateway(common::timekeeper& time, job_store& store, const jobs::queue_table& queues,
                  const std::vector<std::unique_ptr<partition_owner>>& partitions,
                  common::metrics& counts);
 
@@ -55,6 +55,7 @@
   partition_owner* partition(const std::string& name) const;
   void remember_home(const std::string& id, const std::string& home);
 
+  common::timekeeper& m_time;
   job_store& m_store;
   const jobs::queue_table& m_queues;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -6,13 +6,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "Common/Error.h"
 #include "Common/EventLog.h"
 #include "Common/Hash.h"
 #include "Node/OwnerRow.h"
-#include "Node/TableFeed.h"
 
 namespace yardhill::node
 {
@@ -37,10 +34,9 @@
 class acceptance : public std::enable_shared_from_this<acceptance>
 {
 public:
-  acceptance(boost::asio::io_context& io, adapter::store_client& store,
-             const jobs::accepted_job& job, common::time_point deadline,
-             std::function<void(accept_result)> done)
-      : m_timer(io),
+  acceptance(common::timekeeper& time, adapter::store_client& store, const jobs::accepted_job& job,
+             common::time_point deadline, std::function<void(accept_result)> done)
+      : m_time(time),
         m_store(store),
         m_key(job_key(job.id)),
         m_text(jobs::to_row_text(job)),
@@ -62,7 +58,7 @@
     change.conditions.push_back({m_key, m_expected});
     change.puts.push_back({m_key, text});
     const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - steady_now());
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - m_time.now());
     m_store.transact(change, std::min(k_write_timeout, left), std::move(done));
   }
 
@@ -77,7 +73,7 @@
       on_conflict(result);
       return;
     case adapter::store_end::unavailable:
-      if (++m_tries <= k_most_retries && steady_now() + 4 * k_retry_pause < m_deadline)
+      if (++m_tries <= k_most_retries && m_time.now() + 4 * k_retry_pause < m_deadline)
         later([this] { write(); });
       else
         m_done({accept_end::refused, "the store is not available: " + result.detail, false, 0});
@@ -120,7 +116,7 @@
   // holds something else.
   void settle()
   {
-    if (steady_now() + k_retry_pause >= m_deadline)
+    if (m_time.now() + k_retry_pause >= m_deadline)
     {
       m_done({accept_end::unknown, "the store did not answer: " + m_detail, false, 0});
       return;
@@ -152,12 +148,11 @@
 
   void later(std::function<void()> again)
   {
-    m_timer.expires_after(k_retry_pause);
-    m_timer.async_wait([self = shared_from_this(),
-                        again = std::move(again)](const boost::system::error_code&) { again(); });
+    m_time.schedule(k_retry_pause,
+                    [self = shared_from_this(), again = std::move(again)] { again(); });
   }
 
-  boost::asio::steady_timer m_timer;
+  common::timekeeper& m_time;
   adapter::store_client& m_store;
   adapter::row_key m_key;
   std::string m_text;
@@ -199,15 +194,15 @@
   return job_row{row.at.key, *std::move(job)};
 }
 
-job_store::job_store(boost::asio::io_context& io, adapter::store_client& store)
-    : m_io(io), m_store(store)
+job_store::job_store(common::timekeeper& time, adapter::store_client& store)
+    : m_time(time), m_store(store)
 {
 }
 
 void job_store::accept(const jobs::accepted_job& job, common::time_point deadline,
                        std::function<void(accept_result)> done)
 {
-  std::make_shared<acceptance>(m_io, m_store, job, deadline, std::move(done))->write();
+  std::make_shared<acceptance>(m_time, m_store, job, deadline, std::move(done))->write();
 }
 
 void job_store::find(const std::string& id, common::duration timeout,
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -15,8 +15,7 @@
 #include <variant>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-
+#include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
 #include "platform/StoreClient.h"
@@ -70,7 +69,7 @@
 class job_store
 {
 public:
-  job_store(boost::asio::io_context& io, adapter::store_client& store);
+  job_store(common::timekeeper& time, adapter::store_client& store);
 
   // Keeps the job; an answer comes by `deadline`.
   void accept(const jobs::accepted_job& job, common::time_point deadline,
@@ -84,7 +83,7 @@
              std::function<void(std::optional<jobs::job_state>)> done);
 
 private:
-  boost::asio::io_context& m_io;
+  common::timekeeper& m_time;
   adapter::store_client& m_store;
 };
 } // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/NodeCore.cpp
@@ -0,0 +1,223 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/NodeCore.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "Common/EventLog.h"
+#include "platform/OperatorRows.h"
+#include "platform/WireNames.h"
+
+namespace yardhill::node
+{
+namespace
+{
+// Up to some sixty workers are one partition: a queue's policy may permit a step on as few as a
+// third of the workers, and of a zone's sixteen that is now and then none.
+constexpr const char* k_whole_cell = "cell";
+} // namespace
+
+node_core::node_core(const node_settings& settings, const std::string& life,
+                     const node_world& world)
+    : m_world(world),
+      m_store_path(world.time, world.store, settings.store, adapter::store_probe(),
+                   world.send_to_peer),
+      m_direct_path(m_store_path),
+      m_store(m_store_path, world.metrics),
+      m_feed_store(m_direct_path, world.metrics),
+      m_workers(world.workers, world.metrics),
+      m_advice_client(world.workers, settings.advice.value_or(common::endpoint{})),
+      m_advice_desk(world.time, m_advice_client),
+      m_advice(world.time, m_advice_desk, world.send_to_peer),
+      m_jobs(world.time, m_store),
+      m_gateway(world.time, m_jobs, m_queues, m_partitions, world.metrics),
+      m_operator_feed(world.time, m_feed_store, adapter::wire::k_operator_table, {""},
+                      {[this](const auto& rows) { on_operator_rows(rows); },
+                       [this](const auto& rows) { on_operator_rows(rows); },
+                       {}}),
+      m_worker_feed(world.time, m_feed_store, adapter::wire::k_workers_table, {""},
+                    {[this](const auto& rows) { on_worker_rows(rows, true); },
+                     [this](const auto& rows) { on_worker_rows(rows, false); },
+                     {}}),
+      m_owner_feed(world.time, m_feed_store, k_owners_table, {k_whole_cell},
+                   {[this](const auto& rows) { on_owner_rows(rows); },
+                    [this](const auto& rows) { on_owner_rows(rows); },
+                    {}})
+{
+  const node_parts parts{world.time, m_store,       m_feed_store,       m_store_path,     m_workers,
+                         m_advice,   world.metrics, world.send_to_peer, m_worker_entries, m_queues};
+  m_partitions.push_back(std::make_unique<partition_owner>(
+      parts, instance_identity{settings.name, life}, k_whole_cell, ownership_options{}));
+}
+
+node_core::~node_core() = default;
+
+void node_core::start()
+{
+  m_operator_feed.start();
+  m_worker_feed.start();
+  m_owner_feed.start();
+}
+
+void node_core::tick()
+{
+  const common::time_point now = m_world.time.now();
+  const auto healthy =
+      m_owner_feed.loaded() && m_worker_feed.loaded() ? m_owner_feed.healthy_since() : std::nullopt;
+  for (const auto& each : m_partitions)
+    each->tick(now, healthy);
+  m_advice.tick(now);
+  m_store_path.tick(now);
+}
+
+void node_core::handle(http::incoming_request request, http::responder respond)
+{
+  m_gateway.handle(std::move(request), std::move(respond));
+}
+
+bool node_core::ready() const
+{
+  return !m_stopping && m_queues.version != 0 && m_operator_feed.healthy_since().has_value();
+}
+
+void node_core::peer_linked(const std::string& peer)
+{
+  common::log_process("peer_linked", {{"peer", peer}});
+  m_advice.peer_linked(peer);
+  m_store_path.peer_linked(peer);
+  for (const auto& each : m_partitions)
+    each->peer_link(peer, true);
+}
+
+void node_core::peer_unlinked(const std::string& peer)
+{
+  common::log_process("peer_unlinked", {{"peer", peer}});
+  m_advice.peer_unlinked(peer);
+  m_store_path.peer_unlinked(peer);
+  for (const auto& each : m_partitions)
+    each->peer_link(peer, false);
+}
+
+void node_core::peer_received(const std::string& peer, const common::peer_message& message)
+{
+  if (const auto* request = std::get_if<common::advice_request>(&message))
+    m_advice.on_request(peer, *request);
+  else if (const auto* reply = std::get_if<common::advice_reply>(&message))
+    m_advice.on_reply(peer, *reply);
+  else if (const auto* call = std::get_if<common::relay_request>(&message))
+    m_store_path.on_request(peer, *call);
+  else if (const auto* answer = std::get_if<common::relay_reply>(&message))
+    m_store_path.on_reply(peer, *answer);
+  else if (const auto* notice = std::get_if<common::job_notice>(&message))
+  {
+    for (const auto& each : m_partitions)
+      each->on_notice(*notice);
+  }
+}
+
+void node_core::begin_stop()
+{
+  m_stopping = true;
+  for (const auto& each : m_partitions)
+    each->hand_over();
+}
+
+bool node_core::handed_over() const
+{
+  return std::all_of(m_partitions.begin(), m_partitions.end(),
+                     [](const auto& each) { return each->handed_over(); });
+}
+
+void node_core::on_operator_rows(const std::vector<adapter::row>& rows)
+{
+  for (const adapter::row& row : rows)
+  {
+    if (row.at.key == adapter::wire::k_config_key && !row.removed)
+      take_configuration(row);
+  }
+}
+
+void node_core::take_configuration(const adapter::row& row)
+{
+  auto table = adapter::queue_table_from(row.value);
+  if (!table)
+  {
+    common::log_process(
+        "row_damaged",
+        {{"table", row.at.table}, {"key", row.at.key}, {"error", common::to_text(table.error())}});
+    return;
+  }
+  // A late answer must not bring an older version back.
+  if (table->version <= m_queues.version)
+    return;
+  m_queues = *std::move(table);
+  m_world.limits_changed(m_queues.limits);
+  m_world.metrics.add(common::counter::config_changes);
+  m_world.metrics.set(common::gauge::config_version, m_queues.version);
+  common::log_process("configuration_in_force", {{"version", m_queues.version},
+                                                 {"queues", m_queues.routes.size()},
+                                                 {"row_version", row.version}});
+  for (const auto& each : m_partitions)
+    each->queues_changed();
+}
+
+void node_core::on_worker_rows(const std::vector<adapter::row>& rows, bool all)
+{
+  std::set<std::string> present;
+  for (const adapter::row& row : rows)
+  {
+    if (row.removed)
+    {
+      remove_worker(row.at.key);
+      continue;
+    }
+    const auto info = adapter::worker_from(row.at.key, row.value);
+    if (!info)
+    {
+      common::log_process(
+          "row_damaged",
+          {{"table", row.at.table}, {"key", row.at.key}, {"error", common::to_text(info.error())}});
+      continue;
+    }
+    present.insert(row.at.key);
+    m_worker_entries[row.at.key] = *info;
+    for (const auto& each : m_partitions)
+      each->worker_entry(*info);
+  }
+  if (!all)
+    return;
+  std::vector<std::string> gone;
+  for (const auto& [id, info] : m_worker_entries)
+  {
+    if (!present.contains(id))
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone)
+    remove_worker(id);
+}
+
+void node_core::remove_worker(const std::string& id)
+{
+  const auto found = m_worker_entries.find(id);
+  if (found == m_worker_entries.end())
+    return;
+  m_worker_entries.erase(found);
+  for (const auto& each : m_partitions)
+    each->worker_entry_gone(common::worker_id(id));
+}
+
+void node_core::on_owner_rows(const std::vector<adapter::row>& rows)
+{
+  for (const adapter::row& row : rows)
+  {
+    for (const auto& each : m_partitions)
+    {
+      if (each->partition() == row.at.part && !row.removed)
+        each->owner_row_changed(row);
+    }
+  }
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/NodeCore.h
@@ -0,0 +1,88 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// One instance without its sockets: feeds, partitions, advice and the callers' gateway, around a
+// clock and senders that are handed in. The process gives it real ones, the explorer virtual ones.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Http/RequestSender.h"
+#include "Node/CallerGateway.h"
+#include "Node/NodeSettings.h"
+#include "Node/PartitionOwner.h"
+#include "platform/AdviceClient.h"
+
+namespace yardhill::node
+{
+// The world of an instance.
+struct node_world
+{
+  common::timekeeper& time;
+  http::peer_sender& workers; // and the advice service
+  http::peer_sender& store;
+  std::function<void(const std::string& peer, const common::peer_message&)> send_to_peer;
+  // The operator has set other limits for what callers send.
+  std::function<void(const http::listener_limits&)> limits_changed;
+  common::metrics& metrics;
+};
+
+class node_core
+{
+public:
+  node_core(const node_settings& settings, const std::string& life, const node_world& world);
+  ~node_core();
+  node_core(const node_core&) = delete;
+  node_core& operator=(const node_core&) = delete;
+
+  void start();
+  // Called every few hundredths of a second.
+  void tick();
+  void handle(http::incoming_request request, http::responder respond);
+  // Whether callers should be sent here.
+  bool ready() const;
+
+  void peer_linked(const std::string& peer);
+  void peer_unlinked(const std::string& peer);
+  void peer_received(const std::string& peer, const common::peer_message& message);
+
+  // Planned stop: gives back what it owns.
+  void begin_stop();
+  bool handed_over() const;
+
+  // The direct way to the store, for feeds.
+  adapter::store_client& feed_store() { return m_feed_store; }
+
+private:
+  void on_operator_rows(const std::vector<adapter::row>& rows);
+  void take_configuration(const adapter::row& row);
+  void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
+  void on_owner_rows(const std::vector<adapter::row>& rows);
+  void remove_worker(const std::string& id);
+
+  node_world m_world;
+  store_path m_store_path;
+  direct_store_path m_direct_path;
+  adapter::store_client m_store;      // directly or through a peer
+  adapter::store_client m_feed_store; // directly
+  adapter::worker_client m_workers;
+  adapter::advice_client m_advice_client;
+  advice_desk m_advice_desk;
+  advice_pool m_advice;
+  jobs::queue_table m_queues;
+  std::map<std::string, scheduling::worker_info> m_worker_entries;
+  std::vector<std::unique_ptr<partition_owner>> m_partitions;
+  job_store m_jobs;
+  caller_gateway m_gateway;
+  table_feed m_operator_feed;
+  table_feed m_worker_feed;
+  table_feed m_owner_feed;
+  bool m_stopping = false;
+};
+} // namespace yardhill::node
--- a/Source/Core/Node/NodeService.h
+++ b/Source/Core/Node/NodeService.h
@@ -3,26 +3,21 @@
 
 #pragma once
 
-// The process of one instance on the platform: feeds, partitions, listeners and signals around one
+// The process of one instance on the platform: the core's sockets, clock and signals around one
 // event loop.
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include "Node/CallerGateway.h"
-#include "Node/NodeSettings.h"
-#include "Node/PartitionOwner.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpListener.h"
+#include "Node/AsioTimekeeper.h"
+#include "Node/NodeCore.h"
 #include "Node/PeerLinks.h"
-#include "Node/StorePath.h"
-#include "platform/AdviceClient.h"
 
 namespace yardhill::node
 {
@@ -40,13 +35,6 @@
   void run();
 
 private:
-  void start_feeds();
-  void on_operator_rows(const std::vector<adapter::row>& rows);
-  void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
-  void on_owner_rows(const std::vector<adapter::row>& rows);
-  void remove_worker(const std::string& id);
-  link_events on_links();
-  bool ready() const;
   void wait_for_signal();
   void reload();
   void stop();
@@ -56,31 +44,17 @@
   node_settings m_settings;
   std::function<std::optional<node_settings>()> m_reread;
   boost::asio::io_context m_io;
+  asio_timekeeper m_time;
   common::metrics m_metrics;
   http::http_client m_worker_http;
   http::http_client m_store_http;
-  store_path m_store_path;
-  direct_store_path m_direct_path;
-  adapter::store_client m_store;      // directly or through a peer
-  adapter::store_client m_feed_store; // directly
-  adapter::worker_client m_workers;
-  adapter::advice_client m_advice_client;
-  advice_desk m_advice_desk;
-  advice_pool m_advice;
-  jobs::queue_table m_queues;
-  std::map<std::string, scheduling::worker_info> m_worker_entries;
-  std::vector<std::unique_ptr<partition_owner>> m_partitions;
-  job_store m_jobs;
-  caller_gateway m_gateway;
   std::optional<http::http_listener> m_callers;
   std::optional<http::http_listener> m_ready;
   std::optional<http::http_listener> m_metrics_page;
   std::optional<peer_links> m_peers;
-  std::optional<table_feed> m_operator_feed;
-  std::optional<table_feed> m_worker_feed;
-  std::optional<table_feed> m_owner_feed;
+  node_core m_core;
   boost::asio::signal_set m_signals;
-  boost::asio::steady_timer m_timer;
+  common::one_shot_timer m_timer;
   std::optional<common::time_point> m_stopping_since;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -18,9 +18,9 @@
 constexpr std::chrono::milliseconds k_retry{150};
 } // namespace
 
-partition_loader::partition_loader(boost::asio::io_context& io, adapter::store_client& store,
+partition_loader::partition_loader(common::timekeeper& time, adapter::store_client& store,
                                    std::string partition, loaded_handler done)
-    : m_timer(io), m_store(store), m_partition(std::move(partition)), m_done(std::move(done))
+    : m_timer(time), m_store(store), m_partition(std::move(partition)), m_done(std::move(done))
 {
   // The commit's row comes first: from then on only this owner commits.
   m_ranges.push_back({k_commits_table, m_partition, {}, {}, 1});
@@ -61,13 +61,7 @@
                                                   {"table", m_ranges[m_at].table},
                                                   {"end", adapter::to_text(result.end)},
                                                   {"detail", result.detail}});
-    m_timer.expires_after(k_retry);
-    m_timer.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& ended)
-        {
-          if (!ended && !self->m_abandoned)
-            self->read();
-        });
+    m_timer.start(k_retry, [this] { read(); });
     return;
   }
   if (m_loaded.read_at == 0)
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -11,9 +11,8 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "Common/Ids.h"
+#include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
 #include "Scheduling/SchedulerMessages.h"
@@ -42,7 +41,7 @@
 public:
   using loaded_handler = std::function<void(loaded_partition)>;
 
-  partition_loader(boost::asio::io_context& io, adapter::store_client& store, std::string partition,
+  partition_loader(common::timekeeper& time, adapter::store_client& store, std::string partition,
                    loaded_handler done);
 
   // Reads on through failures until everything is there or abandon() is called.
@@ -55,7 +54,7 @@
   void take(const adapter::row& row);
   adapter::row_range range() const;
 
-  boost::asio::steady_timer m_timer;
+  common::one_shot_timer m_timer;
   adapter::store_client& m_store;
   std::string m_partition;
   loaded_handler m_done;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-
 #include "Common/EventLog.h"
 
 namespace yardhill::node
@@ -45,8 +43,8 @@
       m_self(std::move(self)),
       m_partition(std::move(partition)),
       m_options(options),
-      m_step_timer(parts.io),
-      m_retry_timer(parts.io)
+      m_step_timer(parts.time),
+      m_retry_timer(parts.time)
 {
 }
 
@@ -67,7 +65,7 @@
     return;
   }
   const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
-  m_seen = {*parsed, row.version, steady_now()};
+  m_seen = {*parsed, row.version, m_parts.time.now()};
   if (other_owner)
     common::log_process("owner_seen", {{"partition", m_partition},
                                        {"holder", parsed->holder},
@@ -131,7 +129,7 @@
   common::log_process("take_over", {{"partition", m_partition},
                                     {"from", m_seen.row.holder},
                                     {"epoch", row.epoch},
-                                    {"silent_ms", steady_now() - m_seen.changed_at}});
+                                    {"silent_ms", m_parts.time.now() - m_seen.changed_at}});
   m_parts.store.transact(change, m_options.commit_timeout,
                          [this, row](const adapter::transaction_result& result)
                          {
@@ -145,7 +143,7 @@
   if (result.end != adapter::store_end::done)
   {
     m_state = state::watching;
-    m_try_after = steady_now() + m_options.retry_pause;
+    m_try_after = m_parts.time.now() + m_options.retry_pause;
     common::log_process("take_over_failed", {{"partition", m_partition},
                                              {"end", adapter::to_text(result.end)},
                                              {"detail", result.detail}});
@@ -157,8 +155,8 @@
   m_row = row;
   m_token = result.version;
   m_owner_version = result.version;
-  m_seen = {row, result.version, steady_now()};
-  m_last_renewal = steady_now();
+  m_seen = {row, result.version, m_parts.time.now()};
+  m_last_renewal = m_parts.time.now();
   m_ownership = std::make_shared<int>(0);
   load();
 }
@@ -166,7 +164,7 @@
 void partition_owner::load()
 {
   m_state = state::loading;
-  m_loader = std::make_shared<partition_loader>(m_parts.io, m_parts.store, m_partition,
+  m_loader = std::make_shared<partition_loader>(m_parts.time, m_parts.store, m_partition,
                                                 [this](loaded_partition loaded)
                                                 { on_loaded(std::move(loaded)); });
   m_loader->start();
@@ -176,7 +174,7 @@
 {
   m_loader.reset();
   m_state = state::owning;
-  const common::time_point now = steady_now();
+  const common::time_point now = m_parts.time.now();
   m_commit_version = loaded.commit_version;
   m_commit_number = loaded.commit_number;
   const scheduling::scheduler_options options;
@@ -203,7 +201,7 @@
 
 void partition_owner::add_loaded_jobs(const loaded_partition& loaded)
 {
-  const common::time_point now = steady_now();
+  const common::time_point now = m_parts.time.now();
   for (const loaded_partition::kept_job& each : loaded.jobs)
   {
     if (m_scheduler->knew(each.job.id))
@@ -226,7 +224,7 @@
   feed_handlers handlers;
   handlers.changed = [this](const std::vector<adapter::row>& rows) { on_job_rows(rows); };
   handlers.expired = [this] { reload_jobs(); };
-  m_job_feed = std::make_unique<table_feed>(m_parts.io, m_parts.feed_store, k_jobs_table,
+  m_job_feed = std::make_unique<table_feed>(m_parts.time, m_parts.feed_store, k_jobs_table,
                                             job_parts(), std::move(handlers));
   m_job_feed->start_after(since);
 }
@@ -235,7 +233,7 @@
 void partition_owner::reload_jobs()
 {
   m_loader = std::make_shared<partition_loader>(
-      m_parts.io, m_parts.store, m_partition,
+      m_parts.time, m_parts.store, m_partition,
       [this, alive = std::weak_ptr<int>(m_ownership)](const loaded_partition& loaded)
       {
         if (alive.expired())
@@ -299,7 +297,7 @@
 {
   if (!owns() || job.home != m_partition || m_scheduler->knew(job.id))
     return;
-  m_scheduler->add_job(job, steady_now());
+  m_scheduler->add_job(job, m_parts.time.now());
   step_soon();
 }
 
@@ -307,7 +305,7 @@
 {
   if (!owns() || !m_scheduler->knows(id))
     return;
-  m_scheduler->cancel_job(id, steady_now());
+  m_scheduler->cancel_job(id, m_parts.time.now());
   step_soon();
 }
 
@@ -344,7 +342,7 @@
   m_step_due = false;
   m_releasing = false;
   m_state = state::watching;
-  m_try_after = steady_now() + m_options.silence;
+  m_try_after = m_parts.time.now() + m_options.silence;
 }
 
 // ---- What workers and callers bring
@@ -353,7 +351,7 @@
 {
   if (!owns())
     return;
-  m_scheduler->worker_entry(info, steady_now());
+  m_scheduler->worker_entry(info, m_parts.time.now());
   step_soon();
 }
 
@@ -361,7 +359,7 @@
 {
   if (!owns())
     return;
-  m_scheduler->worker_entry_gone(id, steady_now());
+  m_scheduler->worker_entry_gone(id, m_parts.time.now());
   step_soon();
 }
 
@@ -443,7 +441,7 @@
 
 void partition_owner::send_commit()
 {
-  m_commit->sent = steady_now();
+  m_commit->sent = m_parts.time.now();
   m_parts.store.transact(
       m_commit->change, m_options.commit_timeout,
       [this, alive = std::weak_ptr<int>(m_ownership)](const adapter::transaction_result& result)
@@ -514,7 +512,7 @@
   const pending_commit commit = *std::exchange(m_commit, std::nullopt);
   m_commit_number = commit.number;
   m_commit_version = version;
-  m_last_written = steady_now();
+  m_last_written = m_parts.time.now();
   m_scheduler->commit_done(commit.batch, true);
   m_scheduler->set_authority(commit.sent + m_options.authority);
   if (commit.renews)
@@ -522,7 +520,7 @@
     m_owner_version = version;
     m_last_renewal = commit.sent;
   }
-  m_parts.metrics.record(common::timing::store_latency, steady_now() - commit.sent);
+  m_parts.metrics.record(common::timing::store_latency, m_parts.time.now() - commit.sent);
   if (commit.releases)
   {
     lose("given back");
@@ -533,13 +531,12 @@
 
 void partition_owner::retry_commit()
 {
-  m_retry_timer.expires_after(m_options.retry_pause);
-  m_retry_timer.async_wait(
-      [this, alive = std::weak_ptr<int>(m_ownership)](const boost::system::error_code& ended)
-      {
-        if (!ended && !alive.expired() && m_commit)
-          send_commit();
-      });
+  m_retry_timer.start(m_options.retry_pause,
+                      [this]
+                      {
+                        if (m_commit)
+                          send_commit();
+                      });
 }
 
 // ---- Running the scheduler
@@ -558,29 +555,24 @@
   if (m_step_due)
     return;
   m_step_due = true;
-  m_step_timer.expires_after(k_step_delay);
-  m_step_timer.async_wait(
-      [this, alive = std::weak_ptr<int>(m_ownership)](const boost::system::error_code& ended)
-      {
-        if (ended || alive.expired())
-          return;
-        m_step_due = false;
-        step();
-      });
+  m_step_timer.start(k_step_delay,
+                     [this]
+                     {
+                       m_step_due = false;
+                       step();
+                     });
 }
 
 void partition_owner::tell_time(common::time_point now)
 {
-  m_scheduler->set_wall_clock(
-      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
-      now);
+  m_scheduler->set_wall_clock(m_parts.time.wall(), now);
 }
 
 void partition_owner::step()
 {
   if (!owns())
     return;
-  const common::time_point now = steady_now();
+  const common::time_point now = m_parts.time.now();
   tell_time(now);
   m_scheduler->set_advice_slots(m_parts.advice.slots(now));
   m_scheduler->tick(now);
@@ -602,7 +594,7 @@
   {
     if (alive.expired() || !m_scheduler)
       return;
-    (m_scheduler.get()->*handle)(answer, steady_now());
+    (m_scheduler.get()->*handle)(answer, m_parts.time.now());
     step_soon();
   };
 }
@@ -610,7 +602,7 @@
 void partition_owner::carry_out(const scheduling::command& what)
 {
   using scheduling::job_scheduler;
-  const common::time_point now = steady_now();
+  const common::time_point now = m_parts.time.now();
   if (const auto* start = std::get_if<scheduling::start_command>(&what))
     m_parts.workers.start(*start, m_token, now,
                           while_owner<scheduling::start_answer>(&job_scheduler::start_answered));
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -61,7 +61,7 @@
 // What the owners of all partitions share with their process.
 struct node_parts
 {
-  boost::asio::io_context& io;
+  common::timekeeper& time;
   adapter::store_client& store;
   adapter::store_client& feed_store; // for feeds: directly, never through a peer
   const store_path& path;
@@ -186,8 +186,8 @@
   common::time_point m_last_commit{};
   common::time_point m_last_written{};
   common::time_point m_last_renewal{};
-  boost::asio::steady_timer m_step_timer;
-  boost::asio::steady_timer m_retry_timer;
+  common::one_shot_timer m_step_timer;
+  common::one_shot_timer m_retry_timer;
   bool m_step_due = false;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/PeerLinks.cpp
+++ b/Source/Core/Node/PeerLinks.cpp
@@ -18,16 +18,17 @@
 constexpr std::chrono::milliseconds k_retry{500};
 } // namespace
 
-peer_links::peer_links(boost::asio::io_context& io, adapter::store_client& store,
-                       const std::string& name, const std::string& zone,
-                       const common::endpoint& where, link_events events, common::metrics& counts)
+peer_links::peer_links(boost::asio::io_context& io, common::timekeeper& time,
+                       adapter::store_client& store, const std::string& name,
+                       const std::string& zone, const common::endpoint& where, link_events events,
+                       common::metrics& counts)
     : m_io(io),
-      m_timer(io),
+      m_timer(time),
       m_store(store),
       m_name(name),
       m_where(where),
       m_events(std::move(events)),
-      m_feed(io, store, k_instances_table, {""},
+      m_feed(time, store, k_instances_table, {""},
              {[this](const auto& rows) { on_rows(rows); },
               [this](const auto& rows) { on_rows(rows); },
               {}}),
@@ -63,13 +64,7 @@
                    {
                      if (result.end == adapter::store_end::done)
                        return;
-                     m_timer.expires_after(k_retry);
-                     m_timer.async_wait(
-                         [this](const boost::system::error_code& ended)
-                         {
-                           if (!ended)
-                             announce();
-                         });
+                     m_timer.start(k_retry, [this] { announce(); });
                    });
 }
 
--- a/Source/Core/Node/PeerLinks.h
+++ b/Source/Core/Node/PeerLinks.h
@@ -11,7 +11,6 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Node/TableFeed.h"
 #include "Peer/PeerMesh.h"
@@ -32,9 +31,9 @@
 class peer_links
 {
 public:
-  peer_links(boost::asio::io_context& io, adapter::store_client& store, const std::string& name,
-             const std::string& zone, const common::endpoint& where, link_events events,
-             common::metrics& counts);
+  peer_links(boost::asio::io_context& io, common::timekeeper& time, adapter::store_client& store,
+             const std::string& name, const std::string& zone, const common::endpoint& where,
+             link_events events, common::metrics& counts);
 
   // Enters this instance into the table and follows it.
   void start();
@@ -45,7 +44,7 @@
   void on_rows(const std::vector<adapter::row>& rows);
 
   boost::asio::io_context& m_io;
-  boost::asio::steady_timer m_timer;
+  common::one_shot_timer m_timer;
   adapter::store_client& m_store;
   std::string m_name;
   common::endpoint m_where;
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -5,10 +5,7 @@
 
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
 #include "Common/EventLog.h"
-#include "Node/TableFeed.h"
 
 namespace yardhill::node
 {
@@ -33,9 +30,9 @@
 }
 } // namespace
 
-store_path::store_path(boost::asio::io_context& io, http::http_client& client,
+store_path::store_path(common::timekeeper& time, http::peer_sender& client,
                        const common::endpoint& store, http::request probe, sender send_to_peer)
-    : m_io(io),
+    : m_time(time),
       m_client(client),
       m_store(store),
       m_probe(std::move(probe)),
@@ -48,13 +45,13 @@
   if (!turned_away(answer))
   {
     if (m_bad_since)
-      common::log_process("store_heard", {{"silent_ms", steady_now() - *m_bad_since}});
+      common::log_process("store_heard", {{"silent_ms", m_time.now() - *m_bad_since}});
     m_bad_since.reset();
     return;
   }
   if (m_bad_since)
     return;
-  m_bad_since = steady_now();
+  m_bad_since = m_time.now();
   m_last_probe = *m_bad_since;
   common::log_process("store_lost", {{"status", answer.status}, {"failure", answer.failure}});
 }
@@ -77,14 +74,14 @@
     relay(std::move(call), timeout, std::move(done));
     return;
   }
-  const common::time_point began = steady_now();
+  const common::time_point began = m_time.now();
   const http::request copy = call;
   send_directly(std::move(call), timeout,
                 [this, copy, timeout, began, done = std::move(done)](http::reply answer)
                 {
                   const bool harmless = copy.verb == http::method::get || answer.status == 503 ||
                                         (!answer.answered() && answer.refused);
-                  const common::duration left = timeout - (steady_now() - began);
+                  const common::duration left = timeout - (m_time.now() - began);
                   if (turned_away(answer) && harmless && left.count() > 0)
                     relay(copy, left, done);
                   else
@@ -94,7 +91,7 @@
 
 void store_path::relay(http::request call, common::duration timeout, http::reply_handler done)
 {
-  const common::time_point now = steady_now();
+  const common::time_point now = m_time.now();
   for (const std::string& peer : m_peers)
   {
     if (m_avoid[peer] > now)
@@ -110,7 +107,7 @@
     m_send_to_peer(peer, request);
     return;
   }
-  boost::asio::post(m_io, [done = std::move(done)] { done(no_way()); });
+  m_time.post([done = std::move(done)] { done(no_way()); });
 }
 
 void store_path::peer_linked(const std::string& peer)
@@ -159,7 +156,7 @@
   if (found.empty())
     return; // given up before
   if (reply.status == 0 && reply.refused)
-    m_avoid[peer] = steady_now() + k_avoid;
+    m_avoid[peer] = m_time.now() + k_avoid;
   found.mapped().done({reply.status, reply.body, reply.failure, reply.refused});
 }
 
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -14,11 +14,8 @@
 #include <set>
 #include <string>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include "Common/PeerMessages.h"
-#include "Http/HttpClient.h"
+#include "Common/Timekeeper.h"
 #include "Http/RequestSender.h"
 
 namespace yardhill::node
@@ -28,7 +25,7 @@
 public:
   using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
 
-  store_path(boost::asio::io_context& io, http::http_client& client, const common::endpoint& store,
+  store_path(common::timekeeper& time, http::peer_sender& client, const common::endpoint& store,
              http::request probe, sender send_to_peer);
 
   // Sent once, directly or through a peer. Sent a second time through a peer only if the direct
@@ -58,8 +55,8 @@
   void note(const http::reply& answer);
   void relay(http::request call, common::duration timeout, http::reply_handler done);
 
-  boost::asio::io_context& m_io;
-  http::http_client& m_client;
+  common::timekeeper& m_time;
+  http::peer_sender& m_client;
   common::endpoint m_store;
   http::request m_probe;
   sender m_send_to_peer;
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-
 #include "Common/EventLog.h"
 
 namespace yardhill::node
@@ -23,18 +21,13 @@
 constexpr std::chrono::milliseconds k_retry_most{500};
 } // namespace
 
-common::time_point steady_now()
-{
-  return common::time_point(std::chrono::duration_cast<common::duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 class table_feed::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-  implementation(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+  implementation(common::timekeeper& time, adapter::store_client& store, std::string table,
                  std::vector<std::string> parts, feed_handlers handlers)
-      : m_timer(io),
+      : m_time(time),
+        m_timer(time),
         m_store(store),
         m_table(std::move(table)),
         m_parts(std::move(parts)),
@@ -150,7 +143,7 @@
     m_retry = k_retry_first;
     if (m_healthy_since)
       return;
-    m_healthy_since = steady_now();
+    m_healthy_since = m_time.now();
     common::log_process("feed_heard", {{"table", m_table}});
   }
 
@@ -166,17 +159,12 @@
 
   void retry(std::function<void()> again)
   {
-    m_timer.expires_after(m_retry);
+    m_timer.start(m_retry, std::move(again));
     m_retry = std::min(m_retry * 2, k_retry_most);
-    m_timer.async_wait(
-        [self = shared_from_this(), again = std::move(again)](const boost::system::error_code&)
-        {
-          if (!self->m_stopped)
-            again();
-        });
   }
 
-  boost::asio::steady_timer m_timer;
+  common::timekeeper& m_time;
+  common::one_shot_timer m_timer;
   adapter::store_client& m_store;
   std::string m_table;
   std::vector<std::string> m_parts;
@@ -191,9 +179,9 @@
   bool m_stopped = false;
 };
 
-table_feed::table_feed(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+table_feed::table_feed(common::timekeeper& time, adapter::store_client& store, std::string table,
                        std::vector<std::string> parts, feed_handlers handlers)
-    : m_implementation(std::make_shared<implementation>(io, store, std::move(table),
+    : m_implementation(std::make_shared<implementation>(time, store, std::move(table),
                                                         std::move(parts), std::move(handlers)))
 {
 }
--- a/Source/Core/Node/TableFeed.h
+++ b/Source/Core/Node/TableFeed.h
@@ -13,8 +13,7 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "Common/Timekeeper.h"
 #include "platform/StoreClient.h"
 
 namespace yardhill::node
@@ -32,7 +31,7 @@
 class table_feed
 {
 public:
-  table_feed(boost::asio::io_context& io, adapter::store_client& store, std::string table,
+  table_feed(common::timekeeper& time, adapter::store_client& store, std::string table,
              std::vector<std::string> parts, feed_handlers handlers);
   ~table_feed();
   table_feed(const table_feed&) = delete;
@@ -49,7 +48,4 @@
   class implementation;
   std::shared_ptr<implementation> m_implementation;
 };
-
-// The steady clock as the core's time.
-common::time_point steady_now();
 } // namespace yardhill::node
