--- a/Source/Core/Model/AdviceModel.cpp
+++ b/Source/Core/Model/AdviceModel.cpp
@@ -20,14 +20,15 @@
 constexpr std::uint64_t k_share_steps = 1000;
 } // namespace
 
-advice_model::advice_model(common::timekeeper& time, const advice_settings& settings)
-    : m_time(time), m_settings(settings)
+advice_model::advice_model(common::timekeeper& time, std::uint64_t seed,
+                           const advice_settings& settings)
+    : m_time(time), m_seed(seed), m_settings(settings)
 {
 }
 
 bool advice_model::permits(const std::string& step, const std::string& worker) const
 {
-  return static_cast<double>(common::stable_hash(step + "/" + worker) % k_share_steps) <
+  return static_cast<double>(common::stable_hash(step + "/" + worker, m_seed) % k_share_steps) <
          m_settings.permitted_share * static_cast<double>(k_share_steps);
 }
 
--- a/Source/Core/Model/AdviceModel.h
+++ b/Source/Core/Model/AdviceModel.h
@@ -25,7 +25,8 @@
 class advice_model
 {
 public:
-  advice_model(common::timekeeper& time, const advice_settings& settings);
+  // The policy follows from the seed.
+  advice_model(common::timekeeper& time, std::uint64_t seed, const advice_settings& settings);
 
   // A call of that machine; the calls of one machine are answered in turn.
   void handle(const std::string& machine, const http::request& call, http::reply_handler done);
@@ -44,6 +45,7 @@
   http::reply answer(const std::string& body);
 
   common::timekeeper& m_time;
+  std::uint64_t m_seed;
   advice_settings m_settings;
   std::map<std::string, common::time_point> m_free_at; // by machine
   std::map<std::string, issued> m_tickets;
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -158,7 +158,7 @@
 cell::cell(std::uint64_t seed, omission without)
     : m_random(seed),
       m_network(m_time, seed + 1),
-      m_advice(m_time, {}),
+      m_advice(m_time, seed, {}),
       m_store(m_time),
       m_without(without),
       m_seed(seed),
@@ -318,6 +318,8 @@
       step.depends_on.push_back(static_cast<std::uint32_t>(i - 1));
     step.long_running = lasting;
     step.gang = !lasting && draw(8) == 0;
+    if (step.gang) // small enough for the few workers that a policy may leave it
+      step.demand.cpu_millis = 500;
     step.speculative = !lasting && !step.gang && draw(6) == 0;
     step.checkpointing = draw(2) == 0;
     spec.steps.push_back(step);
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -9,8 +9,9 @@
 {
 namespace
 {
-// An acknowledged cancellation has to have reached the workers by then.
-constexpr std::chrono::milliseconds k_cancel_time{3000};
+// An acknowledged cancellation has to have reached the workers by then; an owner that is cut off does
+// not hear of it and may go on for its authority (4.5 s) beyond the usual 3 s.
+constexpr std::chrono::milliseconds k_cancel_time{7500};
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& what)
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -217,6 +217,9 @@
 
 void placer::place_copies(time_point now)
 {
+  // Another owner may have heard how the first run ended.
+  if (!m_state.surely_owner(now))
+    return;
   std::vector<run_record*> late;
   for (const auto& [id, worker] : m_state.workers)
   {
