--- a/Source/Core/Common/FieldReader.cpp
+++ b/Source/Core/Common/FieldReader.cpp
@@ -132,6 +132,17 @@
   return fallback;
 }
 
+std::string field_reader::optional_text(const char* name)
+{
+  const json* value = find(name, false, "text");
+  if (value == nullptr)
+    return {};
+  if (value->is_string())
+    return value->get<std::string>();
+  problem(name, "is not a text", "a text, which may be empty");
+  return {};
+}
+
 std::int64_t field_reader::integer(const char* name, integer_range range,
                                    std::optional<std::int64_t> fallback)
 {
--- a/Source/Core/Common/FieldReader.h
+++ b/Source/Core/Common/FieldReader.h
@@ -43,6 +43,8 @@
   // A getter without fallback takes the field as required.
   std::string text(const char* name);
   std::string text(const char* name, const std::string& fallback);
+  // A text that may be empty or missing.
+  std::string optional_text(const char* name);
   std::int64_t integer(const char* name, integer_range range,
                        std::optional<std::int64_t> fallback = std::nullopt);
   double number(const char* name, number_range range,
--- a/Source/Core/Model/AdviceModel.cpp
+++ b/Source/Core/Model/AdviceModel.cpp
@@ -36,12 +36,13 @@
                           http::reply_handler done)
 {
   const json body = json::parse(call.body, nullptr, false);
-  const std::size_t named = body.is_object() ? body.value(wire::k_workers, json::array()).size() : 0;
+  const std::size_t named =
+      body.is_object() ? body.value(wire::k_workers, json::array()).size() : 0;
   const common::duration takes = m_settings.per_call + m_settings.per_worker * named;
   common::time_point& free_at = m_free_at[machine];
   free_at = std::max(free_at, m_time.now()) + takes;
-  m_time.schedule(free_at - m_time.now(), [this, text = call.body, done = std::move(done)]
-                  { done(answer(text)); });
+  m_time.schedule(free_at - m_time.now(),
+                  [this, text = call.body, done = std::move(done)] { done(answer(text)); });
 }
 
 http::reply advice_model::answer(const std::string& body)
@@ -60,15 +61,18 @@
     m_tickets[ticket] = {step, worker, m_time.now() + m_settings.valid};
     good.push_back({worker, ticket});
   }
-  return {200, json{{wire::k_good, std::move(good)}, {wire::k_valid_ms, m_settings.valid.count()}}.dump(),
-          {}, false};
+  return {
+      200,
+      json{{wire::k_good, std::move(good)}, {wire::k_valid_ms, m_settings.valid.count()}}.dump(),
+      {},
+      false};
 }
 
 bool advice_model::valid(const std::string& ticket, const std::string& step,
                          const std::string& worker) const
 {
   const auto found = m_tickets.find(ticket);
-  return found != m_tickets.end() && found->second.step == step &&
-         found->second.worker == worker && m_time.now() <= found->second.until;
+  return found != m_tickets.end() && found->second.step == step && found->second.worker == worker &&
+         m_time.now() <= found->second.until;
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/AdviceModel.h
+++ b/Source/Core/Model/AdviceModel.h
@@ -19,7 +19,7 @@
   std::chrono::milliseconds per_call{19};
   std::chrono::microseconds per_worker{280};
   std::chrono::milliseconds valid{2500};
-  double permitted_share = 0.7;
+  double permitted_share = 0.85;
 };
 
 class advice_model
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -55,10 +55,10 @@
 {
   const auto route = [](const char* name, const char* prefix, int priority)
   {
-    return json{{wire::k_name, name},           {wire::k_host, "jobs.example"},
-                {wire::k_prefix, prefix},       {wire::k_service, "service"},
-                {wire::k_priority, priority},   {wire::k_max_attempts, k_max_attempts},
-                {wire::k_stretch, 1.5},         {wire::k_latency_target_ms, 250}};
+    return json{{wire::k_name, name},         {wire::k_host, "jobs.example"},
+                {wire::k_prefix, prefix},     {wire::k_service, "service"},
+                {wire::k_priority, priority}, {wire::k_max_attempts, k_max_attempts},
+                {wire::k_stretch, 1.5},       {wire::k_latency_target_ms, 250}};
   };
   json urgent = route("urgent", "/u/", 0);
   urgent[wire::k_advice] = {
@@ -263,8 +263,9 @@
                         });
     }
   };
-  const node::node_world world{*which.time, *which.sender, *which.sender,
-                               send,        [](const http::listener_limits&) {}, *which.metrics};
+  const node::node_world world{
+      *which.time,   *which.sender, *which.sender, send, [](const http::listener_limits&) {},
+      *which.metrics};
   which.core =
       std::make_unique<node::node_core>(settings, "life-" + std::to_string(++m_lives), world);
   which.core->start();
@@ -382,8 +383,8 @@
   const auto again = [this, id, prefix, body, tries]
   {
     if (tries > 0)
-      m_time.schedule(milliseconds(500), [this, id, prefix, body, tries]
-                      { submit(id, prefix, body, tries - 1); });
+      m_time.schedule(milliseconds(500),
+                      [this, id, prefix, body, tries] { submit(id, prefix, body, tries - 1); });
   };
   if (where == nullptr)
   {
@@ -391,19 +392,19 @@
     return;
   }
   const auto answered = std::make_shared<bool>(false);
-  where->time->schedule(
-      duration{0},
-      [this, where, id, prefix, body, again, answered]
-      {
-        where->core->handle({http::method::post, "jobs.example", prefix + id, body, "3000"},
-                            [this, id, again, answered](const http::outgoing_answer& answer)
-                            {
-                              *answered = true;
-                              m_judge.answered(id, answer.status);
-                              if (answer.status == 503)
-                                again();
-                            });
-      });
+  where->time->schedule(duration{0},
+                        [this, where, id, prefix, body, again, answered]
+                        {
+                          where->core->handle(
+                              {http::method::post, "jobs.example", prefix + id, body, "3000"},
+                              [this, id, again, answered](const http::outgoing_answer& answer)
+                              {
+                                *answered = true;
+                                m_judge.answered(id, answer.status);
+                                if (answer.status == 503)
+                                  again();
+                              });
+                        });
   // Silence: the process died or froze. The caller tries once more, elsewhere.
   m_time.schedule(milliseconds(3100),
                   [this, id, again, answered]
@@ -421,18 +422,18 @@
   const auto answered = std::make_shared<bool>(false);
   m_judge.cancel_asked(id);
   if (where != nullptr)
-    where->time->schedule(
-        duration{0},
-        [this, where, id, prefix, answered]
-        {
-          where->core->handle({http::method::remove, "jobs.example", prefix + id, "", "3000"},
-                              [this, id, answered](const http::outgoing_answer& answer)
-                              {
-                                *answered = answer.status == 200 || answer.status == 410;
-                                if (answer.status == 200)
-                                  m_judge.cancelled(id, m_time.now());
-                              });
-        });
+    where->time->schedule(duration{0},
+                          [this, where, id, prefix, answered]
+                          {
+                            where->core->handle(
+                                {http::method::remove, "jobs.example", prefix + id, "", "3000"},
+                                [this, id, answered](const http::outgoing_answer& answer)
+                                {
+                                  *answered = answer.status == 200 || answer.status == 410;
+                                  if (answer.status == 200)
+                                    m_judge.cancelled(id, m_time.now());
+                                });
+                          });
   m_time.schedule(milliseconds(1500),
                   [this, id, prefix, tries, answered]
                   {
@@ -446,24 +447,23 @@
   for (const auto& [id, prefix] : m_prefixes)
   {
     instance* const where = any_up();
-    where->core->handle(
-        {http::method::get, "jobs.example", prefix + id, "", "3000"},
-        [this, id = id](const http::outgoing_answer& answer)
-        {
-          if (answer.status != 200)
-            return;
-          const std::string name = json::parse(answer.body).at(wire::k_state);
-          for (const jobs::job_state each :
-               {jobs::job_state::queued, jobs::job_state::active, jobs::job_state::completed,
-                jobs::job_state::failed})
-          {
-            if (jobs::to_text(each) == name)
-              m_states[id] = each;
-          }
-          if (!m_states.contains(id))
-            m_states[id] = jobs::job_state::cancelled;
-          m_judge.shown(id, m_states[id]);
-        });
+    where->core->handle({http::method::get, "jobs.example", prefix + id, "", "3000"},
+                        [this, id = id](const http::outgoing_answer& answer)
+                        {
+                          if (answer.status != 200)
+                            return;
+                          const std::string name = json::parse(answer.body).at(wire::k_state);
+                          for (const jobs::job_state each :
+                               {jobs::job_state::queued, jobs::job_state::active,
+                                jobs::job_state::completed, jobs::job_state::failed})
+                          {
+                            if (jobs::to_text(each) == name)
+                              m_states[id] = each;
+                          }
+                          if (!m_states.contains(id))
+                            m_states[id] = jobs::job_state::cancelled;
+                          m_judge.shown(id, m_states[id]);
+                        });
   }
 }
 
@@ -492,9 +492,9 @@
 {
   using kind = void (cell::*)();
   static constexpr std::array<kind, 12> k_kinds{
-      &cell::kill_owner,  &cell::kill_all,    &cell::freeze_one,   &cell::cut_from_store,
-      &cell::store_away,  &cell::lose_answers, &cell::lose_orders, &cell::late_orders,
-      &cell::crash_worker, &cell::cut_worker, &cell::cut_zone,     &cell::forget_history};
+      &cell::kill_owner,   &cell::kill_all,     &cell::freeze_one,  &cell::cut_from_store,
+      &cell::store_away,   &cell::lose_answers, &cell::lose_orders, &cell::late_orders,
+      &cell::crash_worker, &cell::cut_worker,   &cell::cut_zone,    &cell::forget_history};
   (this->*k_kinds[draw(k_kinds.size())])();
 }
 
@@ -655,8 +655,7 @@
 {
   const worker& which = m_workers[draw(m_workers.size())];
   note("cut off " + which.settings.id);
-  std::vector<std::pair<std::string, std::string>> pairs{
-      {which.settings.address.address, "store"}};
+  std::vector<std::pair<std::string, std::string>> pairs{{which.settings.address.address, "store"}};
   for (const instance& each : m_instances)
     pairs.emplace_back(each.name, which.settings.address.address);
   cut_for(pairs, draw_time(milliseconds(1000), milliseconds(12000)));
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -9,8 +9,8 @@
 {
 namespace
 {
-// An acknowledged cancellation has to have reached the workers by then; an owner that is cut off does
-// not hear of it and may go on for its authority (4.5 s) beyond the usual 3 s.
+// An acknowledged cancellation has to have reached the workers by then; an owner that is cut off
+// does not hear of it and may go on for its authority (4.5 s) beyond the usual 3 s.
 constexpr std::chrono::milliseconds k_cancel_time{7500};
 } // namespace
 
@@ -91,9 +91,9 @@
   if (job.cancelled_at && start.at > *job.cancelled_at + k_cancel_time)
     violate("UNASKED", start.task, "started after its job was cancelled");
   if (!spec.speculative && !task.active.empty())
-    violate("TWICE", start.task, "run " + std::to_string(start.run) + " on " + start.worker +
-                                     " beside run " + std::to_string(task.active.begin()->first) +
-                                     " on " + task.active.begin()->second);
+    violate("TWICE", start.task,
+            "run " + std::to_string(start.run) + " on " + start.worker + " beside run " +
+                std::to_string(task.active.begin()->first) + " on " + task.active.begin()->second);
   if (!spec.speculative && !spec.long_running && task.done_acknowledged)
     violate("TWICE", start.task, "started after its end was acknowledged");
   if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running)
--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -43,7 +43,8 @@
   while (at != std::string::npos)
   {
     const std::size_t next = target.find('&', at + 1);
-    const std::string pair = target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+    const std::string pair =
+        target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
     const std::size_t equals = pair.find('=');
     if (equals != std::string::npos)
       query[pair.substr(0, equals)] = unescaped(pair.substr(equals + 1));
@@ -224,9 +225,8 @@
       row[wire::k_gone] = true;
     rows.push_back(std::move(row));
   }
-  return json{{wire::k_rows, std::move(rows)},
-              {wire::k_row_version, m_version},
-              {"now_ms", clock_ms()}}
+  return json{
+      {wire::k_rows, std::move(rows)}, {wire::k_row_version, m_version}, {"now_ms", clock_ms()}}
       .dump();
 }
 
@@ -247,14 +247,14 @@
   const auto wait = std::chrono::milliseconds(std::stol(value_of(query, wire::k_wait_ms, "0")));
   m_feeds.push_back({table, since, std::move(done), 0});
   const auto entry = std::prev(m_feeds.end());
-  entry->timeout = m_time.schedule(wait,
-                                   [this, entry]
-                                   {
-                                     const waiting_feed feed = std::move(*entry);
-                                     m_feeds.erase(entry);
-                                     feed.done(
-                                         {200, feed_answer(feed.table, feed.since), {}, false});
-                                   });
+  entry->timeout =
+      m_time.schedule(wait,
+                      [this, entry]
+                      {
+                        const waiting_feed feed = std::move(*entry);
+                        m_feeds.erase(entry);
+                        feed.done({200, feed_answer(feed.table, feed.since), {}, false});
+                      });
 }
 
 void store_model::answer_feeds()
--- a/Source/Core/Model/VirtualNetwork.cpp
+++ b/Source/Core/Model/VirtualNetwork.cpp
@@ -40,7 +40,10 @@
   const auto found = m_servers.find({to.address, to.port});
   if (found == m_servers.end() || !found->second.answer)
   {
-    m_time.schedule(delay(), [done = std::move(done)] { done({0, {}, "connection refused", true}); });
+    m_time.schedule(delay(),
+                    [done = std::move(done)] {
+                      done({0, {}, "connection refused", true});
+                    });
     return;
   }
   const served& target = found->second;
@@ -54,15 +57,17 @@
     handler(std::move(reply));
   };
   const bool unreachable = cut(from, target.name);
-  m_time.schedule(timeout, [answer, unreachable]
-                  { answer({0, {}, "no answer in time", unreachable}); });
+  m_time.schedule(timeout,
+                  [answer, unreachable] {
+                    answer({0, {}, "no answer in time", unreachable});
+                  });
   if (unreachable)
     return;
   const bool to_store = target.name == "store";
   const bool late = !to_store && happens(troubles.orders_late);
   const bool lost = late || happens(to_store ? troubles.answers_lost : troubles.orders_lost);
-  const duration way = late ? duration(std::chrono::milliseconds(2000 + m_random() % 10000))
-                            : delay();
+  const duration way =
+      late ? duration(std::chrono::milliseconds(2000 + m_random() % 10000)) : delay();
   m_time.schedule(way,
                   [this, from, to, call, lost, answer]
                   {
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -51,21 +51,21 @@
 
 std::int64_t worker_model::clock_ms() const
 {
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      m_time.now().time_since_epoch());
+  const auto now =
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_time.now().time_since_epoch());
   return std::llround(static_cast<double>(now.count()) * m_settings.clock_rate) +
          m_settings.clock_ahead.count();
 }
 
 std::string worker_model::entry(bool draining) const
 {
-  json out{{wire::k_service, m_settings.service},
-           {wire::k_address,
-            m_settings.address.address + ":" + std::to_string(m_settings.address.port)},
-           {wire::k_zone, m_settings.zone},
-           {wire::k_state, draining ? wire::k_draining : "ready"},
-           {wire::k_labels, {"a", m_settings.rack}},
-           {wire::k_clock_ms, clock_ms()}};
+  json out{
+      {wire::k_service, m_settings.service},
+      {wire::k_address, m_settings.address.address + ":" + std::to_string(m_settings.address.port)},
+      {wire::k_zone, m_settings.zone},
+      {wire::k_state, draining ? wire::k_draining : "ready"},
+      {wire::k_labels, {"a", m_settings.rack}},
+      {wire::k_clock_ms, clock_ms()}};
   out[wire::k_capacity] = {{wire::k_cpu, m_settings.capacity.cpu_millis},
                            {wire::k_memory, m_settings.capacity.memory_mib},
                            {wire::k_accelerators, m_settings.capacity.accelerators}};
@@ -151,10 +151,9 @@
   const run_course course = m_course(task, number, m_settings.id);
   active_run& run = m_runs[task];
   run.number = number;
-  run.end_event = m_time.schedule(course.takes,
-                                  [this, task, course] {
-                                    finish(task, course.fails ? run_end::failed : run_end::done);
-                                  });
+  run.end_event =
+      m_time.schedule(course.takes, [this, task, course]
+                      { finish(task, course.fails ? run_end::failed : run_end::done); });
   check_room(task);
   return {200, json{{wire::k_clock_ms, clock_ms()}}.dump(), {}, false};
 }
@@ -183,8 +182,8 @@
     running->second.stopping = true;
     running->second.checkpoint = "c" + std::to_string(m_last_end + 1) + m_settings.id;
     m_time.cancel(running->second.end_event);
-    running->second.end_event = m_time.schedule(
-        m_settings.stop_time, [this, task] { finish(task, run_end::stopped); });
+    running->second.end_event =
+        m_time.schedule(m_settings.stop_time, [this, task] { finish(task, run_end::stopped); });
   }
   return {200, json{{wire::k_clock_ms, clock_ms()}}.dump(), {}, false};
 }
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -60,7 +60,7 @@
   settings.callers = address_field(fields, "callers_address");
   settings.ready = address_field(fields, "ready_address");
   settings.store = address_field(fields, "store_address");
-  const std::string advice = fields.text("advice_address", "");
+  const std::string advice = fields.optional_text("advice_address");
   if (!advice.empty())
     settings.advice = address_field(fields, "advice_address");
   settings.metrics.address = fields.text("own_address");
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -62,4 +62,31 @@
   BOOST_TEST(accepted > range.count * 30);
 }
 
+// Without the claims of workers a new owner would not know whom to ask: seeds have to show it, or
+// the explorer is blind there.
+BOOST_AUTO_TEST_CASE(leaving_out_the_claims_of_workers_is_noticed)
+{
+  std::size_t noticed = 0;
+  for (std::uint64_t seed = 1; seed <= 120 && noticed == 0; ++seed)
+    noticed += explore_cell(seed, omission::claims_forgotten).violations.empty() ? 0 : 1;
+  BOOST_TEST(noticed > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_out_that_steps_have_begun_is_noticed)
+{
+  std::size_t noticed = 0;
+  for (std::uint64_t seed = 1; seed <= 120 && noticed == 0; ++seed)
+    noticed += explore_cell(seed, omission::begun_forgotten).violations.empty() ? 0 : 1;
+  BOOST_TEST(noticed > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_same_seed_gives_the_same_play)
+{
+  const exploration one = explore_cell(7);
+  const exploration again = explore_cell(7);
+  BOOST_TEST(one.starts == again.starts);
+  BOOST_TEST(one.accepted == again.accepted);
+  BOOST_TEST(one.troubles == again.troubles, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -0,0 +1,142 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Model/VirtualTime.h"
+#include "Node/StorePath.h"
+
+using namespace yardhill;
+using std::chrono::milliseconds;
+
+namespace
+{
+// Calls that wait for the test to answer them.
+struct held_calls : http::peer_sender
+{
+  struct held
+  {
+    http::request call;
+    http::reply_handler done;
+  };
+  std::deque<held> calls;
+
+  void send(const common::endpoint&, http::request call, common::duration,
+            http::reply_handler done) override
+  {
+    calls.push_back({std::move(call), std::move(done)});
+  }
+
+  void answer(const http::reply& reply)
+  {
+    const held first = std::move(calls.front());
+    calls.pop_front();
+    first.done(reply);
+  }
+};
+
+struct path_under_test
+{
+  model::virtual_time time;
+  held_calls direct;
+  std::deque<common::relay_request> relayed;
+  node::store_path path{time,
+                        direct,
+                        {"10.0.0.1", 80},
+                        {http::method::get, "/probe", {}, {}},
+                        [this](const std::string&, const common::peer_message& message)
+                        { relayed.push_back(std::get<common::relay_request>(message)); }};
+  std::optional<http::reply> got;
+
+  void call(http::method verb)
+  {
+    got.reset();
+    path.send({verb, "/call", {}, {}}, milliseconds{900},
+              [this](const http::reply& reply) { got = reply; });
+  }
+};
+
+const http::reply k_ok{200, "fine", {}, false};
+const http::reply k_reset{0, {}, "reset", false};
+const http::reply k_busy{503, {}, {}, false};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StorePathTest)
+
+BOOST_FIXTURE_TEST_CASE(a_good_way_is_direct, path_under_test)
+{
+  path.peer_linked("peer");
+  call(http::method::post);
+  direct.answer(k_ok);
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+  BOOST_TEST(relayed.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_whose_answer_was_lost_is_not_sent_again, path_under_test)
+{
+  path.peer_linked("peer");
+  call(http::method::post);
+  direct.answer(k_reset);
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(!got->answered());
+  BOOST_TEST(relayed.empty());
+  BOOST_TEST(path.bad_since().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_that_was_turned_away_goes_through_a_peer, path_under_test)
+{
+  path.peer_linked("peer");
+  call(http::method::post);
+  direct.answer(k_busy);
+  BOOST_TEST(!got.has_value());
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  path.on_reply("peer", {relayed.front().number, 200, "fine", {}, false});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_any_way_calls_fail_at_once, path_under_test)
+{
+  call(http::method::get);
+  direct.answer(k_reset);
+  time.run_until(time.now() + milliseconds{1});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->refused);
+  call(http::method::post);
+  time.run_until(time.now() + milliseconds{1});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->refused);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_probe_finds_the_direct_way_again, path_under_test)
+{
+  call(http::method::post);
+  direct.answer(k_reset);
+  time.run_until(time.now() + milliseconds{600});
+  path.tick(time.now());
+  BOOST_TEST_REQUIRE(direct.calls.size() == 1U);
+  BOOST_TEST(direct.calls.front().call.target == "/probe");
+  direct.answer(k_ok);
+  BOOST_TEST(!path.bad_since().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_peer_that_has_no_way_either_says_so, path_under_test)
+{
+  call(http::method::post);
+  direct.answer(k_reset);
+  std::optional<common::relay_reply> answer;
+  node::store_path other(time, direct, {"10.0.0.1", 80}, {http::method::get, "/probe", {}, {}},
+                         [&answer](const std::string&, const common::peer_message& message)
+                         { answer = std::get<common::relay_reply>(message); });
+  other.send({http::method::post, "/call", {}, {}}, milliseconds{900}, [](const http::reply&) {});
+  direct.answer(k_reset);
+  other.on_request("peer", {7, static_cast<std::uint8_t>(http::method::post), "/call", {}, 500});
+  BOOST_TEST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->number == 7U);
+  BOOST_TEST(answer->refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -90,4 +90,33 @@
   BOOST_TEST(frame_length(fine).value_or(0) == 256U);
 }
 
+BOOST_AUTO_TEST_CASE(messages_between_instances_on_the_platform_survive_the_way)
+{
+  advice_request question{7, "job", 1, 2, 450, {"w1", "w2"}};
+  auto frame = decode(bytes_of(encode(peer_message{question})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  const auto asked = std::get<advice_request>(std::get<peer_message>(*frame));
+  BOOST_TEST(asked.number == 7U);
+  BOOST_TEST(asked.workers == question.workers, boost::test_tools::per_element());
+
+  frame = decode(bytes_of(encode(peer_message{advice_reply{7, true, 2500, {{"w1", "ticket"}}}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  const auto reply = std::get<advice_reply>(std::get<peer_message>(*frame));
+  BOOST_TEST(reply.answered);
+  BOOST_TEST_REQUIRE(reply.permitted.size() == 1U);
+  BOOST_TEST(reply.permitted.front().ticket == "ticket");
+
+  frame = decode(bytes_of(encode(peer_message{relay_request{8, 1, "/call?x=1", "body", 900}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<relay_request>(std::get<peer_message>(*frame)).target == "/call?x=1");
+
+  frame = decode(bytes_of(encode(peer_message{relay_reply{8, 0, "", "no way", true}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<relay_reply>(std::get<peer_message>(*frame)).refused);
+
+  frame = decode(bytes_of(encode(peer_message{job_notice{"id", "row"}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).row == "row");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -227,8 +227,8 @@
   BOOST_TEST(owner.starts.size() == 1U);
 }
 
-// Explorer, seed 266: an owner cut off with its zone gave up a run on a silent worker and started the
-// task again, while its successor had heard that worker and acknowledged the end.
+// Explorer, seed 266: an owner cut off with its zone gave up a run on a silent worker and started
+// the task again, while its successor had heard that worker and acknowledged the end.
 BOOST_AUTO_TEST_CASE(a_task_given_up_unheard_starts_again_only_by_a_fresh_word_of_the_store)
 {
   scheduler_harness owner;
