Node: Workers' entries are fetched every 0.4 s; counters in the log

Change: after news the workers' feed waits 0.4 s; a line of counters every 10 s shows such things from now on.

--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -32,6 +32,7 @@
   handovers,
   owner_lost,
   store_reads,
+  store_feeds,
   store_writes,
   store_rows_written,
   store_bytes,
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -18,6 +18,9 @@
 // Up to some sixty workers are one partition: a queue's policy may permit a step on as few as a
 // third of the workers, and of a zone's sixteen that is now and then none.
 constexpr const char* k_whole_cell = "cell";
+// Workers renew their entries all the time, 32 times a second at 48 workers, and each call to the
+// store is priced. A new, leaving or vanished worker is heard of this much later.
+constexpr std::chrono::milliseconds k_gather_workers{400};
 } // namespace
 
 node_core::node_core(const node_settings& settings, const std::string& life,
@@ -41,7 +44,8 @@
       m_worker_feed(world.time, m_feed_store, adapter::wire::k_workers_table, {""},
                     {[this](const auto& rows) { on_worker_rows(rows, true); },
                      [this](const auto& rows) { on_worker_rows(rows, false); },
-                     {}}),
+                     {},
+                     k_gather_workers}),
       m_owner_feed(world.time, m_feed_store, k_owners_table, {k_whole_cell},
                    {[this](const auto& rows) { on_owner_rows(rows); },
                     [this](const auto& rows) { on_owner_rows(rows); },
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t k_most_answer = 16U << 20U;
 // The platform hands new callers on for two more checks of a second each after a stop begins.
 constexpr std::chrono::milliseconds k_least_stop{2300};
+constexpr std::chrono::seconds k_counters_period{10};
 // Before the platform kills the process.
 constexpr std::chrono::milliseconds k_stop_reserve{700};
 } // namespace
@@ -132,6 +133,24 @@
   return m_core.handed_over() && since >= k_least_stop && m_callers->requests_in_flight() == 0;
 }
 
+// So that a log alone tells how busy an instance was.
+void node_service::log_counters()
+{
+  if (m_time.now() - m_counters_logged < k_counters_period)
+    return;
+  m_counters_logged = m_time.now();
+  using common::counter;
+  common::log_process("counters", {{"requests", m_metrics.value(counter::requests)},
+                                   {"jobs_accepted", m_metrics.value(counter::tasks_accepted)},
+                                   {"starts", m_metrics.value(counter::attempts_started)},
+                                   {"store_reads", m_metrics.value(counter::store_reads)},
+                                   {"store_feeds", m_metrics.value(counter::store_feeds)},
+                                   {"store_writes", m_metrics.value(counter::store_writes)},
+                                   {"worker_calls", m_metrics.value(counter::worker_calls)},
+                                   {"peer_messages", m_metrics.value(counter::peer_messages)},
+                                   {"log_lines_dropped", common::dropped_log_lines()}});
+}
+
 void node_service::tick()
 {
   if (stopped(m_time.now()))
@@ -140,6 +159,7 @@
     return;
   }
   m_core.tick();
+  log_counters();
   common::flush_event_log();
   m_timer.start(k_tick, [this] { tick(); });
 }
--- a/Source/Core/Node/NodeService.h
+++ b/Source/Core/Node/NodeService.h
@@ -39,6 +39,7 @@
   void reload();
   void stop();
   bool stopped(common::time_point now) const;
+  void log_counters();
   void tick();
 
   node_settings m_settings;
@@ -55,6 +56,7 @@
   node_core m_core;
   boost::asio::signal_set m_signals;
   common::one_shot_timer m_timer;
+  common::time_point m_counters_logged{};
   std::optional<common::time_point> m_stopping_since;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -134,8 +134,12 @@
     m_since = std::max(*m_since, result.version);
     if (!result.rows.empty())
       m_handlers.changed(result.rows);
-    if (!m_stopped)
+    if (m_stopped)
+      return;
+    if (result.rows.empty() || m_handlers.gather.count() == 0)
       wait_for_changes();
+    else
+      m_timer.start(m_handlers.gather, [this] { wait_for_changes(); });
   }
 
   void succeeded()
--- a/Source/Core/Node/TableFeed.h
+++ b/Source/Core/Node/TableFeed.h
@@ -26,6 +26,8 @@
   // Where given, called instead of reading the table again when the history was lost; the feed
   // has ended then.
   std::function<void()> expired;
+  // Changes that come within this time of others are fetched together with them.
+  common::duration gather{0};
 };
 
 class table_feed
