--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 const std::string k_no_ticket;
+// An answer that comes later than its time and this was held up on its way: its tickets are older.
+constexpr milliseconds k_answer_way{200};
 } // namespace
 
 advice_planner::advice_planner(scheduler_state& state) : m_state(state) {}
@@ -82,7 +84,7 @@
     return;
   const bool is_long = job.policy().advice->per_call >= k_long_advice;
   const auto taken = std::count_if(m_under_way.begin(), m_under_way.end(),
-                                   [is_long](const auto& each) { return each.second == is_long; });
+                                   [is_long](const auto& each) { return each.second.is_long == is_long; });
   if (static_cast<std::size_t>(taken) >= (is_long ? m_slots.long_calls : m_slots.short_calls))
     return;
   std::vector<worker_id> workers = worth_asking(job, in, ahead, now);
@@ -90,10 +92,10 @@
     return;
   permits.asking = true;
   m_state.want_begun(job, in); // written while the advice is on its way
-  m_under_way[{job.id(), cycle, step}] = is_long;
   const auto expected =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
+  m_under_way[{job.id(), cycle, step}] = {is_long, now + expected + k_answer_way};
   m_state.commands.emplace_back(
       advice_command{{job.id(), cycle, step}, std::move(workers), expected});
 }
@@ -141,7 +143,10 @@
 
 void advice_planner::on_answer(const advice_answer& answer, time_point now)
 {
-  m_under_way.erase(answer.step);
+  time_point issued = answer.received;
+  const auto asked = m_under_way.extract(answer.step);
+  if (!asked.empty())
+    issued = std::min(issued, asked.mapped().answer_due);
   m_state.place_again = true;
   job_record* const job = m_state.find_job(answer.step.job);
   if (job == nullptr || !job->contains({answer.step.cycle, answer.step.step, 0}))
@@ -155,7 +160,7 @@
   }
   for (const worker_id& worker : answer.asked)
     permits.permitted[worker] = false;
-  const time_point until = answer.received + answer.valid - m_state.options.ticket_margin;
+  const time_point until = issued + answer.valid - m_state.options.ticket_margin;
   for (const admission_ticket& each : answer.permitted)
   {
     permits.permitted[each.worker] = true;
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -37,7 +37,12 @@
   scheduler_state& m_state;
   std::int64_t m_budget = 0;
   advice_slots m_slots;
-  std::map<step_ref, bool> m_under_way; // whether it is a long call
+  struct question
+  {
+    bool is_long = false;
+    time_point answer_due;
+  };
+  std::map<step_ref, question> m_under_way;
 };
 
 // Whether a task of the step may run on the worker at all, its present load left aside.
