--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -83,8 +83,9 @@
   if (!job.policy().advice || permits.asking || now < permits.ask_after)
     return;
   const bool is_long = job.policy().advice->per_call >= k_long_advice;
-  const auto taken = std::count_if(m_under_way.begin(), m_under_way.end(),
-                                   [is_long](const auto& each) { return each.second.is_long == is_long; });
+  const auto taken =
+      std::count_if(m_under_way.begin(), m_under_way.end(),
+                    [is_long](const auto& each) { return each.second.is_long == is_long; });
   if (static_cast<std::size_t>(taken) >= (is_long ? m_slots.long_calls : m_slots.short_calls))
     return;
   std::vector<worker_id> workers = worth_asking(job, in, ahead, now);
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -227,6 +227,16 @@
   forget_ended();
 }
 
+void job_scheduler::drop_old_ids()
+{
+  while (!m_forgotten_since.empty() &&
+         m_now - m_forgotten_since.front().first > m_state.options.remember_ended)
+  {
+    m_forgotten.erase(m_forgotten_since.front().second);
+    m_forgotten_since.pop_front();
+  }
+}
+
 void job_scheduler::forget_ended()
 {
   for (auto each = m_ending.begin(); each != m_ending.end();)
@@ -239,6 +249,7 @@
     }
     m_state.jobs.erase(found);
     m_forgotten.insert(*each);
+    m_forgotten_since.emplace_back(m_now, *each);
     each = m_ending.erase(each);
   }
 }
@@ -255,6 +266,8 @@
 
 void job_scheduler::tick(time_point now)
 {
+  m_now = now;
+  drop_old_ids();
   if (m_state.fenced)
     return;
   m_holder.tick(now);
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -7,8 +7,10 @@
 //
 // No I/O, no clock, no randomness: the same events at the same times give the same commands.
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +99,7 @@
   bool ends_unwritten() const;
   bool claim_outdated(const worker_record& worker, time_point now) const;
   worker_claim claim_of(const worker_record& worker, time_point now) const;
+  void drop_old_ids();
   // Drops ended jobs that are written and of which nothing runs any more.
   void forget_ended();
   void look_ahead(time_point now);
@@ -107,7 +110,10 @@
   worker_holder m_holder;
   advice_planner m_advice;
   placer m_placer;
-  std::set<std::string> m_ending;    // ended jobs that are still held
-  std::set<std::string> m_forgotten; // ended under this owner
+  std::set<std::string> m_ending; // ended jobs that are still held
+  // Ended under this owner not long ago, with when it was dropped; in order of time beside it.
+  std::set<std::string> m_forgotten;
+  std::deque<std::pair<time_point, std::string>> m_forgotten_since;
+  time_point m_now{}; // of the latest tick
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -49,6 +49,9 @@
   // A task whose run was given up unheard is started again only while the store's word is this
   // fresh: no instance takes over within 1.4 s of a renewal, so none has heard of that run's end.
   duration fresh_word = std::chrono::milliseconds{1200};
+  // The ids of ended jobs are remembered this long, so that a late notice or a reading that began
+  // before their end does not start them again: far longer than any call may take.
+  duration remember_ended = std::chrono::minutes{5};
   // Advice without an answer is asked for again after this time.
   duration advice_retry = std::chrono::milliseconds{200};
   // A ticket is not used in the last part of its life: the start has to arrive in time.
