Node: A job read back or told late is not started again by a later owner

The write was unclear, was settled by reading the row back, and the owner, by then another one, was told of a new job. A notice held up by a freeze would do the same. Ruled out: progress not written before its ends were acknowledged (state_shown completed at 4.92 s, from the store). Change: notices carry the row's version; an owner takes none that is not newer than its own reading of all jobs.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -123,7 +123,8 @@
 struct job_notice
 {
   std::string id;
-  std::string row; // the job as it is kept; empty: it was cancelled
+  std::string row;           // the job as it is kept; empty: it was cancelled
+  std::uint64_t version = 0; // of the kept row
 };
 
 using peer_message =
--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -128,6 +128,13 @@
     m_time.schedule(k_retry, [this, id, body, tries] { submit(id, body, tries - 1); });
 }
 
+// Some callers send the same job once more, seconds after it was taken.
+void caller_model::submit_late(const std::string& id, const std::string& body)
+{
+  m_time.schedule(draw_time(milliseconds(500), milliseconds(9000)),
+                  [this, id, body] { submit(id, body, 0); });
+}
+
 void caller_model::submit(const std::string& id, const std::string& body, unsigned tries)
 {
   const auto answered = std::make_shared<bool>(false);
@@ -139,6 +146,8 @@
                               m_judge.answered(id, answer.status);
                               if (answer.status == 503)
                                 submit_again(id, body, tries);
+                              else if (tries > 0 && draw(6) == 0)
+                                submit_late(id, body);
                             });
   if (!sent)
   {
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -42,6 +42,7 @@
   jobs::job_spec random_spec();
   void submit(const std::string& id, const std::string& body, unsigned tries);
   void submit_again(const std::string& id, const std::string& body, unsigned tries);
+  void submit_late(const std::string& id, const std::string& body);
   void cancel(const std::string& id, unsigned tries);
   void on_state(const std::string& id, const http::outgoing_answer& answer);
   std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -175,7 +175,7 @@
     return;
   remember_home(job.id, job.home);
   if (partition_owner* const home = partition(job.home))
-    home->job_kept_here(job);
+    home->job_kept_here(job, result.version);
 }
 
 void caller_gateway::remember_home(const std::string& id, const std::string& home)
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -137,11 +137,12 @@
       later([this] { settle(); });
       return;
     }
-    const bool kept = std::any_of(result.conflicting.begin(), result.conflicting.end(),
-                                  [](const adapter::row& row)
-                                  { return !row.value.empty() && row.value != k_refused_text; });
-    if (kept)
-      m_done({accept_end::accepted, "settled by reading it back", true, 0});
+    const auto kept = std::find_if(result.conflicting.begin(), result.conflicting.end(),
+                                   [](const adapter::row& row)
+                                   { return !row.value.empty() && row.value != k_refused_text; });
+    // It may be an earlier submission's row, even of a job that has ended since.
+    if (kept != result.conflicting.end())
+      m_done({accept_end::accepted, "settled by reading it back", true, kept->version});
     else
       m_done({accept_end::refused, "settled: it is not kept", false, 0});
   }
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -156,6 +156,7 @@
   m_loader.reset();
   m_state = state::owning;
   const common::time_point now = m_parts.time.now();
+  m_read_at = loaded.read_at;
   start_commits(loaded);
   const scheduling::scheduler_options options;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
@@ -237,16 +238,17 @@
     if (std::holds_alternative<cancel_mark>(kept->content))
       job_cancelled(kept->id);
     else if (const auto* job = std::get_if<jobs::accepted_job>(&kept->content))
-      job_accepted(*job);
+      job_accepted(*job, row.version);
   }
 }
 
-void partition_owner::job_kept_here(const jobs::accepted_job& job)
+void partition_owner::job_kept_here(const jobs::accepted_job& job, adapter::row_version version)
 {
   if (owns())
-    job_accepted(job);
+    job_accepted(job, version);
   else if (!m_seen.row.holder.empty())
-    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{job.id, jobs::to_row_text(job)});
+    m_parts.send_to_peer(m_seen.row.holder,
+                         common::job_notice{job.id, jobs::to_row_text(job), version});
 }
 
 void partition_owner::job_cancelled_here(const std::string& id)
@@ -254,7 +256,7 @@
   if (owns())
     job_cancelled(id);
   else if (!m_seen.row.holder.empty())
-    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{id, {}});
+    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{id, {}, 0});
 }
 
 void partition_owner::on_notice(const common::job_notice& notice)
@@ -268,14 +270,14 @@
       common::parsed("read_job_notice", notice.id,
                      [&notice] { return jobs::accepted_job_from(notice.id, notice.row); });
   if (job)
-    job_accepted(*job);
+    job_accepted(*job, notice.version);
   else
     common::log_request("notice_damaged", notice.id, {{"error", common::to_text(job.error())}});
 }
 
-void partition_owner::job_accepted(const jobs::accepted_job& job)
+void partition_owner::job_accepted(const jobs::accepted_job& job, adapter::row_version version)
 {
-  if (!owns() || job.home != m_partition || m_scheduler->knew(job.id))
+  if (!owns() || version <= m_read_at || job.home != m_partition || m_scheduler->knew(job.id))
     return;
   m_scheduler->add_job(job, m_parts.time.now());
   step_soon();
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -95,7 +95,7 @@
   void queues_changed();
   // A job that has just been kept or cancelled. Another instance that owns the partition is told,
   // so that nobody need wait for the feed.
-  void job_kept_here(const jobs::accepted_job& job);
+  void job_kept_here(const jobs::accepted_job& job, adapter::row_version version);
   void job_cancelled_here(const std::string& id);
   void on_notice(const common::job_notice& notice);
   // What is written of a job here; nothing if this instance does not own it or does not know it.
@@ -125,7 +125,8 @@
   void add_loaded_jobs(const loaded_partition& loaded);
   void follow_jobs(adapter::row_version since);
   void on_job_rows(const std::vector<adapter::row>& rows);
-  void job_accepted(const jobs::accepted_job& job);
+  // Jobs kept before this owner read all jobs are known, or have ended under an earlier owner.
+  void job_accepted(const jobs::accepted_job& job, adapter::row_version version);
   void job_cancelled(const std::string& id);
   void reload_jobs();
 
@@ -165,6 +166,7 @@
   std::shared_ptr<partition_loader> m_loader;
   std::unique_ptr<table_feed> m_job_feed;
   scheduling::fencing_token m_token = 0;
+  adapter::row_version m_read_at = 0; // all jobs up to here were read at the takeover
   owner_row m_row;
   std::unique_ptr<commit_writer> m_commits;
   common::time_point m_last_commit{};
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -192,6 +192,7 @@
   wire::JobNoticeT to;
   to.id = from.id;
   to.row = from.row;
+  to.version = from.version;
   return to;
 }
 
@@ -385,7 +386,7 @@
   case wire::Message::JobNotice:
   {
     const wire::JobNoticeT& notice = *parsed.message.AsJobNotice();
-    return peer_message{job_notice{notice.id, notice.row}};
+    return peer_message{job_notice{notice.id, notice.row, notice.version}};
   }
   case wire::Message::NONE:
     return std::nullopt;
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -2307,6 +2307,7 @@
   typedef JobNotice TableType;
   std::string id{};
   std::string row{};
+  uint64_t version = 0;
 };
 
 struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2315,7 +2316,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_ROW = 6
+    VT_ROW = 6,
+    VT_VERSION = 8
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2323,12 +2325,16 @@
   const flatbuffers::String *row() const {
     return GetPointer<const flatbuffers::String *>(VT_ROW);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyOffset(verifier, VT_ROW) &&
            verifier.VerifyString(row()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
   JobNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2346,6 +2352,9 @@
   void add_row(flatbuffers::Offset<flatbuffers::String> row) {
     fbb_.AddOffset(JobNotice::VT_ROW, row);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(JobNotice::VT_VERSION, version, 0);
+  }
   explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2360,8 +2369,10 @@
 inline flatbuffers::Offset<JobNotice> CreateJobNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
-    flatbuffers::Offset<flatbuffers::String> row = 0) {
+    flatbuffers::Offset<flatbuffers::String> row = 0,
+    uint64_t version = 0) {
   JobNoticeBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_row(row);
   builder_.add_id(id);
   return builder_.Finish();
@@ -2375,13 +2386,15 @@
 inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
-    const char *row = nullptr) {
+    const char *row = nullptr,
+    uint64_t version = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto row__ = row ? _fbb.CreateString(row) : 0;
   return yardhill::wire::CreateJobNotice(
       _fbb,
       id__,
-      row__);
+      row__,
+      version);
 }
 
 flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3255,6 +3268,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = row(); if (_e) _o->row = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
 }
 
 inline flatbuffers::Offset<JobNotice> JobNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3267,10 +3281,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _row = _o->row.empty() ? 0 : _fbb.CreateString(_o->row);
+  auto _version = _o->version;
   return yardhill::wire::CreateJobNotice(
       _fbb,
       _id,
-      _row);
+      _row,
+      _version);
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -114,9 +114,10 @@
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<relay_reply>(std::get<peer_message>(*frame)).refused);
 
-  frame = decode(bytes_of(encode(peer_message{job_notice{"id", "row"}})));
+  frame = decode(bytes_of(encode(peer_message{job_notice{"id", "row", 9}})));
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).row == "row");
+  BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).version == 9U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
