Scheduling, Jobs: Each failed run counts once, in whatever order its end is heard of

Ruled out: ends acknowledged without being written (the store was away; nothing had been acknowledged). Change: the numbers of failed runs are kept, in memory and in the row.

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -76,8 +76,8 @@
   out["done"] = std::move(cycles);
   json histories = json::array();
   for (const auto& [place, history] : progress.histories)
-    histories.push_back({place.cycle, place.step, place.index, history.failures,
-                         history.last_failed, history.checkpoint});
+    histories.push_back(
+        {place.cycle, place.step, place.index, history.failed_runs, history.checkpoint});
   json begun = json::array();
   for (const task_place& step : progress.begun)
     begun.push_back({step.cycle, step.step});
@@ -110,8 +110,7 @@
   if (in.contains("tasks"))
   {
     for (const json& task : in["tasks"])
-      progress.histories[{task.at(0), task.at(1), task.at(2)}] = {task.at(3), task.at(4),
-                                                                  task.at(5)};
+      progress.histories[{task.at(0), task.at(1), task.at(2)}] = {task.at(3), task.at(4)};
   }
   return progress;
 }
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -39,9 +39,10 @@
 // What is kept of one task besides its being done.
 struct task_history
 {
-  std::uint32_t failures = 0;    // ends by its own fault, counted against the attempts
-  std::uint32_t last_failed = 0; // number of the run whose failure was counted last
-  std::string checkpoint;        // where the next run continues; empty: from the start
+  // Numbers of the runs that ended by its own fault: they count against the attempts, each once,
+  // in whatever order their ends are heard of.
+  std::vector<std::uint32_t> failed_runs;
+  std::string checkpoint; // where the next run continues; empty: from the start
 
   bool operator==(const task_history&) const = default;
 };
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -139,8 +139,9 @@
       {
         const task_record& task = step.tasks[i];
         bits.push_back(task.phase == task_phase::done);
-        if (task.phase != task_phase::done && (task.failures > 0 || !task.checkpoint.empty()))
-          progress.histories[{c, s, i}] = {task.failures, task.last_failed, task.checkpoint};
+        if (task.phase != task_phase::done &&
+            (!task.failed_runs.empty() || !task.checkpoint.empty()))
+          progress.histories[{c, s, i}] = {task.failed_runs, task.checkpoint};
       }
     }
   }
@@ -174,10 +175,10 @@
     if (!contains(place))
       continue;
     task_record& kept = task(place);
-    kept.failures = history.failures;
-    kept.last_failed = history.last_failed;
+    kept.failed_runs = history.failed_runs;
     kept.checkpoint = history.checkpoint;
-    kept.last_run = std::max(kept.last_run, history.last_failed);
+    for (const run_number run : history.failed_runs)
+      kept.last_run = std::max(kept.last_run, run);
   }
 }
 
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -29,9 +29,8 @@
 struct task_record
 {
   task_phase phase = task_phase::waiting;
-  run_number last_run = 0;    // the highest number used
-  run_number last_failed = 0; // the run whose failure was counted last
-  std::uint32_t failures = 0;
+  run_number last_run = 0; // the highest number used
+  std::vector<run_number> failed_runs;
   std::string checkpoint;
   // A run of it was given up unheard. Another owner may have heard how it ended.
   bool lost = false;
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -136,7 +136,7 @@
                          {"run", end.run},
                          {"worker", worker.info.id.value},
                          {"how", to_text(end.how)},
-                         {"failures", task.failures},
+                         {"failures", task.failed_runs.size()},
                          {"checkpoint", !end.checkpoint.empty()}});
   // A job that has ended stays as it is; its last runs only give their room back.
   if (!job->ended())
@@ -201,11 +201,13 @@
   if (step.spec->gang)
     counted.index = 0;
   task_record& task = job.task(counted);
-  if (task.phase == task_phase::done || end.run <= task.last_failed)
+  // Tasks that last are started again however often they fail.
+  const bool counted_already = std::find(task.failed_runs.begin(), task.failed_runs.end(),
+                                         end.run) != task.failed_runs.end();
+  if (task.phase == task_phase::done || step.spec->long_running || counted_already)
     return;
-  task.last_failed = end.run;
-  ++task.failures;
-  if (!step.spec->long_running && task.failures >= job.policy().max_attempts)
+  task.failed_runs.push_back(end.run);
+  if (task.failed_runs.size() >= job.policy().max_attempts)
   {
     m_state.end_job(job, jobs::job_state::failed, now);
     return;
--- a/Source/UnitTests/Scheduling/EndedJobsTest.cpp
+++ b/Source/UnitTests/Scheduling/EndedJobsTest.cpp
@@ -29,4 +29,31 @@
   BOOST_TEST(!owner.scheduler->knew(id));
 }
 
+// Thies, hunt-28fa-19: two workers' lists were heard in the reverse order of the runs, the earlier
+// failure was taken for counted, and a third attempt of two was made.
+BOOST_AUTO_TEST_CASE(failures_count_in_whatever_order_they_are_heard_of)
+{
+  const std::string id = "0123456789abcdef";
+  scheduler_harness owner(2000);
+  yardhill::jobs::queue_policy policy;
+  policy.max_attempts = 2;
+  owner.set_policy(policy);
+  owner.scheduler->set_earlier_end(owner.now + std::chrono::seconds{16});
+  owner.scheduler->worker_entry(scheduler_harness::worker("w1"), owner.now);
+  owner.scheduler->worker_entry(scheduler_harness::worker("w2"), owner.now);
+  yardhill::jobs::job_progress progress;
+  progress.state = yardhill::jobs::job_state::active;
+  progress.begun.insert({0, 0, 0});
+  owner.scheduler->restore_job(scheduler_harness::job(id, {scheduler_harness::step_of(1)}),
+                               progress, owner.now);
+  owner.scheduler->begin_accounting();
+  owner.step();
+  owner.answer_hold("w2", {}, {{1, {id, {0, 0, 0}}, 1002, run_end::failed, ""}});
+  owner.answer_hold("w1", {}, {{1, {id, {0, 0, 0}}, 1001, run_end::failed, ""}});
+  BOOST_TEST((owner.scheduler->state_of(id) == yardhill::jobs::job_state::failed));
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
