--- a/Source/Yardhill/Instance.cpp
+++ b/Source/Yardhill/Instance.cpp
@@ -53,7 +53,7 @@
 {
   const common::named_text file = read_file(path);
   common::problem_list problems;
-  const auto settings = node::parse_node_settings(file.text, file.file, problems);
+  auto settings = node::parse_node_settings(file.text, file.file, problems);
   print_problems(problems);
   return settings;
 }
