Node, Peer: Instances know when they are cut off: not ready, and callers refused at once

An instance there found its way to the store bad after 0.9 s only, then sent each call through a peer that was as silent, for the rest of the caller's 3 s; 17 answers came after the deadline (3,016 to 3,030 ms after the request), because a relayed call got 100 ms more than its own time. It called itself ready until its feed's time-out of 3.5 s, so that the platform kept sending it callers. Ruled out: the acceptance's own settling (it ended in time but for the relayed call). Change: peer_monitor tells which peers live (an owner asks them four times a second, an instance in doubt of the store as well; four tenths of a second without an answer is silence). A call that takes longer than a slow store does casts doubt on the way; with silent other zones the instance is isolated: not ready, refusals at once, connections closed so that the next try goes elsewhere. While the store is away for all, instances stay ready. One lost answer is no lost way if a later call was answered. Relayed calls end within their time. Silent peers count as unlinked for ownership, advice.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -127,7 +127,19 @@
   std::uint64_t version = 0; // of the kept row
 };
 
-using peer_message =
-    std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover,
-                 advice_request, advice_reply, relay_request, relay_reply, job_notice>;
+// Whether the receiver lives and reaches the store. Sent by an instance that doubts its own way
+// there.
+struct way_question
+{
+  bool often = false; // the sender owns a partition and asks all the time
+};
+
+struct way_report
+{
+  bool has_way = false; // the sender's direct calls to the store are answered
+};
+
+using peer_message = std::variant<heartbeat, forward_request, forward_answer, config_push,
+                                  config_pull, handover, advice_request, advice_reply,
+                                  relay_request, relay_reply, job_notice, way_question, way_report>;
 } // namespace yardhill::common
--- a/Source/Core/Http/HttpListener.cpp
+++ b/Source/Core/Http/HttpListener.cpp
@@ -137,7 +137,7 @@
     for (const auto& [name, value] : answer.headers)
       m_answer.set(name, value);
     m_answer.body() = std::move(answer.body);
-    m_answer.keep_alive(m_parser_keeps_alive && !m_state->closing);
+    m_answer.keep_alive(m_parser_keeps_alive && !m_state->closing && !answer.close);
     m_answer.prepare_payload();
     m_stream.expires_after(k_write_timeout);
     bhttp::async_write(m_stream, m_answer,
--- a/Source/Core/Http/HttpListener.h
+++ b/Source/Core/Http/HttpListener.h
@@ -33,6 +33,7 @@
   std::string body;
   std::string content_type = "application/json";
   header_list headers;
+  bool close = false; // the connection, once the answer is sent
 };
 
 using responder = std::function<void(outgoing_answer)>;
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -272,10 +272,10 @@
     if (!here->up())
       continue;
     here->time->schedule(milliseconds(20),
-                         [here = here, name = there->name, up]
+                         [here = here, name = there->name, zone = there->zone, up]
                          {
                            if (up)
-                             here->core->peer_linked(name);
+                             here->core->peer_linked(name, zone);
                            else
                              here->core->peer_unlinked(name);
                          });
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -39,11 +39,16 @@
 }
 } // namespace
 
-caller_gateway::caller_gateway(common::timekeeper& time, job_store& store,
+caller_gateway::caller_gateway(common::timekeeper& time, job_store& store, const store_path& path,
                                const jobs::queue_table& queues,
                                const std::vector<std::unique_ptr<partition_owner>>& partitions,
                                common::metrics& counts)
-    : m_time(time), m_store(store), m_queues(queues), m_partitions(partitions), m_metrics(counts)
+    : m_time(time),
+      m_store(store),
+      m_path(path),
+      m_queues(queues),
+      m_partitions(partitions),
+      m_metrics(counts)
 {
 }
 
@@ -98,6 +103,8 @@
   answer.body = adapter::error_body(detail);
   if (status == 503 || status == 429)
     answer.headers.emplace_back("Retry-After", k_come_back_s);
+  // The caller's next try then opens a connection, which the platform takes to another zone.
+  answer.close = m_path.isolated();
   what.respond(std::move(answer));
 }
 
@@ -131,6 +138,11 @@
 
 void caller_gateway::submit(const std::shared_ptr<call>& what)
 {
+  if (m_path.isolated())
+  {
+    refuse(*what, 503, refusal_reason::store_unavailable, "cut off from the store and other zones");
+    return;
+  }
   auto spec = adapter::submission_from(what->body);
   if (!spec)
   {
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -22,7 +22,8 @@
 class caller_gateway
 {
 public:
-  caller_gateway(common::timekeeper& time, job_store& store, const jobs::queue_table& queues,
+  caller_gateway(common::timekeeper& time, job_store& store, const store_path& path,
+                 const jobs::queue_table& queues,
                  const std::vector<std::unique_ptr<partition_owner>>& partitions,
                  common::metrics& counts);
 
@@ -57,6 +58,7 @@
 
   common::timekeeper& m_time;
   job_store& m_store;
+  const store_path& m_path;
   const jobs::queue_table& m_queues;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   common::metrics& m_metrics;
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -26,7 +26,10 @@
 node_core::node_core(const node_settings& settings, const std::string& life,
                      const node_world& world)
     : m_world(world),
-      m_store_path(world.time, world.store, settings.store, adapter::store_probe(),
+      m_peers(world.time, settings.zone, world.send_to_peer,
+              {[this](const std::string& peer) { peer_reachable(peer); },
+               [this](const std::string& peer) { peer_unreachable(peer); }}),
+      m_store_path(world.time, world.store, settings.store, adapter::store_probe(), m_peers,
                    world.send_to_peer),
       m_direct_path(m_store_path),
       m_store(m_store_path, world.metrics),
@@ -36,7 +39,7 @@
       m_advice_desk(world.time, m_advice_client),
       m_advice(world.time, m_advice_desk, world.send_to_peer),
       m_jobs(world.time, m_store),
-      m_gateway(world.time, m_jobs, m_queues, m_partitions, world.metrics),
+      m_gateway(world.time, m_jobs, m_store_path, m_queues, m_partitions, world.metrics),
       m_operator_feed(world.time, m_feed_store, adapter::wire::k_operator_table, {""},
                       {[this](const auto& rows) { on_operator_rows(rows); },
                        [this](const auto& rows) { on_operator_rows(rows); },
@@ -75,6 +78,7 @@
     each->tick(now, healthy);
   m_advice.tick(now);
   m_store_path.tick(now);
+  m_peers.tick(now, owns_any(), m_store_path.in_doubt());
 }
 
 void node_core::handle(http::incoming_request request, http::responder respond)
@@ -84,30 +88,47 @@
 
 bool node_core::ready() const
 {
-  return !m_stopping && m_queues.version != 0 && m_operator_feed.healthy_since().has_value();
+  if (m_stopping || m_queues.version == 0 || m_store_path.isolated())
+    return false;
+  // While the store is away for all, other instances serve callers no better.
+  return m_operator_feed.healthy_since().has_value() || !m_peers.way_through();
 }
 
-void node_core::peer_linked(const std::string& peer)
+void node_core::peer_linked(const std::string& peer, const std::string& zone)
+{
+  common::log_process("peer_linked", {{"peer", peer}, {"zone", zone}});
+  m_peers.linked(peer, zone);
+}
+
+void node_core::peer_unlinked(const std::string& peer)
+{
+  common::log_process("peer_unlinked", {{"peer", peer}});
+  m_peers.unlinked(peer);
+}
+
+void node_core::peer_reachable(const std::string& peer)
 {
-  common::log_process("peer_linked", {{"peer", peer}});
   m_advice.peer_linked(peer);
-  m_store_path.peer_linked(peer);
   for (const auto& each : m_partitions)
     each->peer_link(peer, true);
 }
 
-void node_core::peer_unlinked(const std::string& peer)
+void node_core::peer_unreachable(const std::string& peer)
 {
-  common::log_process("peer_unlinked", {{"peer", peer}});
   m_advice.peer_unlinked(peer);
-  m_store_path.peer_unlinked(peer);
+  m_store_path.peer_unreachable(peer);
   for (const auto& each : m_partitions)
     each->peer_link(peer, false);
 }
 
 void node_core::peer_received(const std::string& peer, const common::peer_message& message)
 {
-  if (const auto* request = std::get_if<common::advice_request>(&message))
+  m_peers.heard(peer);
+  if (const auto* question = std::get_if<common::way_question>(&message))
+    m_peers.on_question(peer, *question, !m_store_path.in_doubt());
+  else if (const auto* report = std::get_if<common::way_report>(&message))
+    m_peers.on_report(peer, *report);
+  else if (const auto* request = std::get_if<common::advice_request>(&message))
     m_advice.on_request(peer, *request);
   else if (const auto* reply = std::get_if<common::advice_reply>(&message))
     m_advice.on_reply(peer, *reply);
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -48,7 +48,7 @@
   // Whether callers should be sent here.
   bool ready() const;
 
-  void peer_linked(const std::string& peer);
+  void peer_linked(const std::string& peer, const std::string& zone);
   void peer_unlinked(const std::string& peer);
   void peer_received(const std::string& peer, const common::peer_message& message);
 
@@ -61,6 +61,8 @@
   adapter::store_client& feed_store() { return m_feed_store; }
 
 private:
+  void peer_reachable(const std::string& peer);
+  void peer_unreachable(const std::string& peer);
   void on_operator_rows(const std::vector<adapter::row>& rows);
   void take_configuration(const adapter::row& row);
   void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
@@ -68,6 +70,7 @@
   void remove_worker(const std::string& id);
 
   node_world m_world;
+  peer_monitor m_peers;
   store_path m_store_path;
   direct_store_path m_direct_path;
   adapter::store_client m_store;      // directly or through a peer
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -69,7 +69,8 @@
                       {{"zone", m_settings.zone}, {"store", common::to_text(m_settings.store)}});
   m_peers.emplace(m_io, m_time, m_core.feed_store(), m_settings.name, m_settings.zone,
                   m_settings.peers,
-                  link_events{[this](const std::string& peer) { m_core.peer_linked(peer); },
+                  link_events{[this](const std::string& peer, const std::string& zone)
+                              { m_core.peer_linked(peer, zone); },
                               [this](const std::string& peer) { m_core.peer_unlinked(peer); },
                               [this](const std::string& peer, const common::peer_message& message)
                               { m_core.peer_received(peer, message); }},
--- a/Source/Core/Node/PeerLinks.cpp
+++ b/Source/Core/Node/PeerLinks.cpp
@@ -35,8 +35,10 @@
       m_mesh({peer::k_protocol_version, common::instance_id(name), common::zone_id(zone),
               where.address, where.port},
              // The mesh has a thread of its own.
-             {[this](const common::instance_id& id, const common::zone_id&)
-              { boost::asio::post(m_io, [this, id] { m_events.linked(id.value); }); },
+             {[this](const common::instance_id& id, const common::zone_id& peer_zone) {
+                boost::asio::post(m_io, [this, id, peer_zone]
+                                  { m_events.linked(id.value, peer_zone.value); });
+              },
               [this](const common::instance_id& id)
               { boost::asio::post(m_io, [this, id] { m_events.unlinked(id.value); }); },
               [this](const common::instance_id& id, common::peer_message message)
--- a/Source/Core/Node/PeerLinks.h
+++ b/Source/Core/Node/PeerLinks.h
@@ -23,7 +23,7 @@
 struct link_events
 {
   // Peers by their instance's name.
-  std::function<void(const std::string& peer)> linked;
+  std::function<void(const std::string& peer, const std::string& zone)> linked;
   std::function<void(const std::string& peer)> unlinked;
   std::function<void(const std::string& peer, const common::peer_message&)> received;
 };
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -3,7 +3,9 @@
 
 #include "Node/StorePath.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "Common/EventLog.h"
 
@@ -14,10 +16,11 @@
 // How often a bad direct way is tried, and how long an answer may take then.
 constexpr std::chrono::milliseconds k_probe_period{500};
 constexpr std::chrono::milliseconds k_probe_timeout{450};
-// A peer that has no way to the store itself is not asked for this time.
-constexpr std::chrono::milliseconds k_avoid{500};
-// Added to a relayed call's own timeout: the way to the peer and back.
-constexpr std::chrono::milliseconds k_relay_slack{100};
+// Taken off a relayed call's own timeout: the way to the peer and back.
+constexpr std::chrono::milliseconds k_relay_way{50};
+// The store answers in 4 ms, in 240 when it is slow (sixty times). With a longer silence a peer may
+// know better.
+constexpr std::chrono::milliseconds k_doubt{250};
 
 http::reply no_way()
 {
@@ -31,25 +34,29 @@
 } // namespace
 
 store_path::store_path(common::timekeeper& time, http::peer_sender& client,
-                       const common::endpoint& store, http::request probe, sender send_to_peer)
+                       const common::endpoint& store, http::request probe, peer_monitor& peers,
+                       sender send_to_peer)
     : m_time(time),
       m_client(client),
       m_store(store),
       m_probe(std::move(probe)),
-      m_send_to_peer(std::move(send_to_peer))
+      m_send_to_peer(std::move(send_to_peer)),
+      m_peers(peers)
 {
 }
 
-void store_path::note(const http::reply& answer)
+void store_path::note(const http::reply& answer, common::time_point began)
 {
   if (!turned_away(answer))
   {
+    m_last_heard = m_time.now();
     if (m_bad_since)
       common::log_process("store_heard", {{"silent_ms", m_time.now() - *m_bad_since}});
     m_bad_since.reset();
     return;
   }
-  if (m_bad_since)
+  // A single lost answer, if the store has answered a later call.
+  if (m_bad_since || (!answer.answered() && m_last_heard > began))
     return;
   m_bad_since = m_time.now();
   m_last_probe = *m_bad_since;
@@ -60,64 +67,81 @@
                                http::reply_handler done)
 {
   m_client.send(m_store, std::move(call), timeout,
-                [this, done = std::move(done)](http::reply answer)
+                [this, began = m_time.now(), done = std::move(done)](http::reply answer)
                 {
-                  note(answer);
+                  note(answer, began);
                   done(std::move(answer));
                 });
 }
 
-void store_path::send(http::request call, common::duration timeout, http::reply_handler done)
+// Calls of feeds wait for news; these are answered at once if the store is well.
+void store_path::send_watched(http::request call, common::duration timeout,
+                              http::reply_handler done)
+{
+  const std::uint64_t number = ++m_number;
+  m_under_way[number] = m_time.now();
+  send_directly(std::move(call), timeout,
+                [this, number, done = std::move(done)](http::reply answer)
+                {
+                  m_under_way.erase(number);
+                  done(std::move(answer));
+                });
+}
+
+bool store_path::in_doubt() const
 {
   if (m_bad_since)
+    return true;
+  if (m_under_way.empty())
+    return false;
+  const common::time_point silent_since = std::max(m_under_way.begin()->second, m_last_heard);
+  return m_time.now() - silent_since > k_doubt;
+}
+
+void store_path::send(http::request call, common::duration timeout, http::reply_handler done)
+{
+  // A slow store is slow for the peers as well; they say so.
+  if (m_bad_since || isolated() || (in_doubt() && m_peers.way_through()))
   {
     relay(std::move(call), timeout, std::move(done));
     return;
   }
   const common::time_point began = m_time.now();
   const http::request copy = call;
-  send_directly(std::move(call), timeout,
-                [this, copy, timeout, began, done = std::move(done)](http::reply answer)
-                {
-                  const bool harmless = copy.verb == http::method::get || answer.status == 503 ||
-                                        (!answer.answered() && answer.refused);
-                  const common::duration left = timeout - (m_time.now() - began);
-                  if (turned_away(answer) && harmless && left.count() > 0)
-                    relay(copy, left, done);
-                  else
-                    done(std::move(answer));
-                });
+  send_watched(std::move(call), timeout,
+               [this, copy, timeout, began, done = std::move(done)](http::reply answer)
+               {
+                 const bool harmless = copy.verb == http::method::get || answer.status == 503 ||
+                                       (!answer.answered() && answer.refused);
+                 const common::duration left = timeout - (m_time.now() - began);
+                 if (turned_away(answer) && harmless && left.count() > 0)
+                   relay(copy, left, done);
+                 else
+                   done(std::move(answer));
+               });
 }
 
 void store_path::relay(http::request call, common::duration timeout, http::reply_handler done)
 {
-  const common::time_point now = m_time.now();
-  for (const std::string& peer : m_peers)
+  const auto peer = m_peers.way_through();
+  if (!peer || timeout <= k_relay_way)
   {
-    if (m_avoid[peer] > now)
-      continue;
-    common::relay_request request;
-    request.number = ++m_number;
-    request.verb = static_cast<std::uint8_t>(call.verb);
-    request.target = std::move(call.target);
-    request.body = std::move(call.body);
-    request.timeout_ms = static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
-    m_relayed[request.number] = {std::move(done), peer, now + timeout + k_relay_slack};
-    m_send_to_peer(peer, request);
+    m_time.post([done = std::move(done)] { done(no_way()); });
     return;
   }
-  m_time.post([done = std::move(done)] { done(no_way()); });
-}
-
-void store_path::peer_linked(const std::string& peer)
-{
-  m_peers.insert(peer);
+  common::relay_request request;
+  request.number = ++m_number;
+  request.verb = static_cast<std::uint8_t>(call.verb);
+  request.target = std::move(call.target);
+  request.body = std::move(call.body);
+  request.timeout_ms = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout - k_relay_way).count());
+  m_relayed[request.number] = {std::move(done), *peer, m_time.now() + timeout};
+  m_send_to_peer(*peer, request);
 }
 
-void store_path::peer_unlinked(const std::string& peer)
+void store_path::peer_unreachable(const std::string& peer)
 {
-  m_peers.erase(peer);
   for (auto& [number, each] : m_relayed)
   {
     if (each.peer == peer)
@@ -156,7 +180,7 @@
   if (found.empty())
     return; // given up before
   if (reply.status == 0 && reply.refused)
-    m_avoid[peer] = m_time.now() + k_avoid;
+    m_peers.avoid(peer);
   found.mapped().done({reply.status, reply.body, reply.failure, reply.refused});
 }
 
@@ -170,6 +194,7 @@
       ++each;
       continue;
     }
+    m_peers.avoid(each->second.peer);
     overdue.push_back(std::move(each->second.done));
     each = m_relayed.erase(each);
   }
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -5,18 +5,19 @@
 
 // The way to the store: directly, or through a peer while the store turns this instance away.
 //
-// While neither works, calls fail at once, so that callers are refused instead of kept waiting.
+// While neither works, calls fail at once, so that callers are refused instead of kept waiting. The
+// direct way is in doubt as soon as a call takes longer than the store ever does when it is slow.
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
 #include "Http/RequestSender.h"
+#include "Node/PeerMonitor.h"
 
 namespace yardhill::node
 {
@@ -26,7 +27,7 @@
   using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
 
   store_path(common::timekeeper& time, http::peer_sender& client, const common::endpoint& store,
-             http::request probe, sender send_to_peer);
+             http::request probe, peer_monitor& peers, sender send_to_peer);
 
   // Sent once, directly or through a peer. Sent a second time through a peer only if the direct
   // call has certainly not been carried out, or changes nothing.
@@ -34,8 +35,7 @@
   // Directly in any case; the outcome tells about the direct way.
   void send_directly(http::request call, common::duration timeout, http::reply_handler done);
 
-  void peer_linked(const std::string& peer);
-  void peer_unlinked(const std::string& peer);
+  void peer_unreachable(const std::string& peer);
   void on_request(const std::string& peer, const common::relay_request& request);
   void on_reply(const std::string& peer, const common::relay_reply& reply);
   // Gives up relayed calls that are overdue; probes a direct way that is bad.
@@ -43,6 +43,10 @@
 
   // Since when direct calls fail; none while they do not.
   std::optional<common::time_point> bad_since() const { return m_bad_since; }
+  // Whether direct calls fail or the latest ones are overdue.
+  bool in_doubt() const;
+  // Whether this instance reaches neither the store nor another zone.
+  bool isolated() const { return in_doubt() && m_peers.cut_off(); }
 
 private:
   struct relayed
@@ -52,7 +56,8 @@
     common::time_point overdue;
   };
 
-  void note(const http::reply& answer);
+  void note(const http::reply& answer, common::time_point began);
+  void send_watched(http::request call, common::duration timeout, http::reply_handler done);
   void relay(http::request call, common::duration timeout, http::reply_handler done);
 
   common::timekeeper& m_time;
@@ -62,8 +67,9 @@
   sender m_send_to_peer;
   std::optional<common::time_point> m_bad_since;
   common::time_point m_last_probe{};
-  std::set<std::string> m_peers;
-  std::map<std::string, common::time_point> m_avoid; // peers without a way, until then
+  common::time_point m_last_heard{};
+  peer_monitor& m_peers;
+  std::map<std::uint64_t, common::time_point> m_under_way; // direct calls, by when they began
   std::map<std::uint64_t, relayed> m_relayed;
   std::uint64_t m_number = 0;
 };
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -196,6 +196,20 @@
   return to;
 }
 
+wire::WayQuestionT to_wire(const way_question& from)
+{
+  wire::WayQuestionT to;
+  to.often = from.often;
+  return to;
+}
+
+wire::WayReportT to_wire(const way_report& from)
+{
+  wire::WayReportT to;
+  to.has_way = from.has_way;
+  return to;
+}
+
 template<class wire_type>
 std::string encode_message(wire_type&& message)
 {
@@ -388,6 +402,10 @@
     const wire::JobNoticeT& notice = *parsed.message.AsJobNotice();
     return peer_message{job_notice{notice.id, notice.row, notice.version}};
   }
+  case wire::Message::WayQuestion:
+    return peer_message{way_question{parsed.message.AsWayQuestion()->often}};
+  case wire::Message::WayReport:
+    return peer_message{way_report{parsed.message.AsWayReport()->has_way}};
   case wire::Message::NONE:
     return std::nullopt;
   }
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -84,6 +84,14 @@
 struct JobNoticeBuilder;
 struct JobNoticeT;
 
+struct WayQuestion;
+struct WayQuestionBuilder;
+struct WayQuestionT;
+
+struct WayReport;
+struct WayReportBuilder;
+struct WayReportT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -102,11 +110,13 @@
   RelayRequest = 10,
   RelayReply = 11,
   JobNotice = 12,
+  WayQuestion = 13,
+  WayReport = 14,
   MIN = NONE,
-  MAX = JobNotice
+  MAX = WayReport
 };
 
-inline const Message (&EnumValuesMessage())[13] {
+inline const Message (&EnumValuesMessage())[15] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -120,13 +130,15 @@
     Message::AdviceReply,
     Message::RelayRequest,
     Message::RelayReply,
-    Message::JobNotice
+    Message::JobNotice,
+    Message::WayQuestion,
+    Message::WayReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[14] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -140,13 +152,15 @@
     "RelayRequest",
     "RelayReply",
     "JobNotice",
+    "WayQuestion",
+    "WayReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::JobNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::WayReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -203,6 +217,14 @@
   static const Message enum_value = Message::JobNotice;
 };
 
+template<> struct MessageTraits<yardhill::wire::WayQuestion> {
+  static const Message enum_value = Message::WayQuestion;
+};
+
+template<> struct MessageTraits<yardhill::wire::WayReport> {
+  static const Message enum_value = Message::WayReport;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -255,6 +277,14 @@
   static const Message enum_value = Message::JobNotice;
 };
 
+template<> struct MessageUnionTraits<yardhill::wire::WayQuestionT> {
+  static const Message enum_value = Message::WayQuestion;
+};
+
+template<> struct MessageUnionTraits<yardhill::wire::WayReportT> {
+  static const Message enum_value = Message::WayReport;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -381,6 +411,22 @@
     return type == Message::JobNotice ?
       reinterpret_cast<const yardhill::wire::JobNoticeT *>(value) : nullptr;
   }
+  yardhill::wire::WayQuestionT *AsWayQuestion() {
+    return type == Message::WayQuestion ?
+      reinterpret_cast<yardhill::wire::WayQuestionT *>(value) : nullptr;
+  }
+  const yardhill::wire::WayQuestionT *AsWayQuestion() const {
+    return type == Message::WayQuestion ?
+      reinterpret_cast<const yardhill::wire::WayQuestionT *>(value) : nullptr;
+  }
+  yardhill::wire::WayReportT *AsWayReport() {
+    return type == Message::WayReport ?
+      reinterpret_cast<yardhill::wire::WayReportT *>(value) : nullptr;
+  }
+  const yardhill::wire::WayReportT *AsWayReport() const {
+    return type == Message::WayReport ?
+      reinterpret_cast<const yardhill::wire::WayReportT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -2399,6 +2445,122 @@
 
 flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct WayQuestionT : public flatbuffers::NativeTable {
+  typedef WayQuestion TableType;
+  bool often = false;
+};
+
+struct WayQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WayQuestionT NativeTableType;
+  typedef WayQuestionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OFTEN = 4
+  };
+  bool often() const {
+    return GetField<uint8_t>(VT_OFTEN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OFTEN, 1) &&
+           verifier.EndTable();
+  }
+  WayQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WayQuestionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WayQuestion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WayQuestionBuilder {
+  typedef WayQuestion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_often(bool often) {
+    fbb_.AddElement<uint8_t>(WayQuestion::VT_OFTEN, static_cast<uint8_t>(often), 0);
+  }
+  explicit WayQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WayQuestion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WayQuestion>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WayQuestion> CreateWayQuestion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool often = false) {
+  WayQuestionBuilder builder_(_fbb);
+  builder_.add_often(often);
+  return builder_.Finish();
+}
+
+struct WayQuestion::Traits {
+  using type = WayQuestion;
+  static auto constexpr Create = CreateWayQuestion;
+};
+
+flatbuffers::Offset<WayQuestion> CreateWayQuestion(flatbuffers::FlatBufferBuilder &_fbb, const WayQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WayReportT : public flatbuffers::NativeTable {
+  typedef WayReport TableType;
+  bool has_way = false;
+};
+
+struct WayReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WayReportT NativeTableType;
+  typedef WayReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HAS_WAY = 4
+  };
+  bool has_way() const {
+    return GetField<uint8_t>(VT_HAS_WAY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_WAY, 1) &&
+           verifier.EndTable();
+  }
+  WayReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WayReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WayReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WayReportBuilder {
+  typedef WayReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_has_way(bool has_way) {
+    fbb_.AddElement<uint8_t>(WayReport::VT_HAS_WAY, static_cast<uint8_t>(has_way), 0);
+  }
+  explicit WayReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WayReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WayReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WayReport> CreateWayReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool has_way = false) {
+  WayReportBuilder builder_(_fbb);
+  builder_.add_has_way(has_way);
+  return builder_.Finish();
+}
+
+struct WayReport::Traits {
+  using type = WayReport;
+  static auto constexpr Create = CreateWayReport;
+};
+
+flatbuffers::Offset<WayReport> CreateWayReport(flatbuffers::FlatBufferBuilder &_fbb, const WayReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   yardhill::wire::MessageUnion message{};
@@ -2455,6 +2617,12 @@
   const yardhill::wire::JobNotice *message_as_JobNotice() const {
     return message_type() == yardhill::wire::Message::JobNotice ? static_cast<const yardhill::wire::JobNotice *>(message()) : nullptr;
   }
+  const yardhill::wire::WayQuestion *message_as_WayQuestion() const {
+    return message_type() == yardhill::wire::Message::WayQuestion ? static_cast<const yardhill::wire::WayQuestion *>(message()) : nullptr;
+  }
+  const yardhill::wire::WayReport *message_as_WayReport() const {
+    return message_type() == yardhill::wire::Message::WayReport ? static_cast<const yardhill::wire::WayReport *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2515,6 +2683,14 @@
   return message_as_JobNotice();
 }
 
+template<> inline const yardhill::wire::WayQuestion *Frame::message_as<yardhill::wire::WayQuestion>() const {
+  return message_as_WayQuestion();
+}
+
+template<> inline const yardhill::wire::WayReport *Frame::message_as<yardhill::wire::WayReport>() const {
+  return message_as_WayReport();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3289,6 +3465,58 @@
       _version);
 }
 
+inline WayQuestionT *WayQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WayQuestionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WayQuestion::UnPackTo(WayQuestionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = often(); _o->often = _e; }
+}
+
+inline flatbuffers::Offset<WayQuestion> WayQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWayQuestion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WayQuestion> CreateWayQuestion(flatbuffers::FlatBufferBuilder &_fbb, const WayQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WayQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _often = _o->often;
+  return yardhill::wire::CreateWayQuestion(
+      _fbb,
+      _often);
+}
+
+inline WayReportT *WayReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WayReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WayReport::UnPackTo(WayReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = has_way(); _o->has_way = _e; }
+}
+
+inline flatbuffers::Offset<WayReport> WayReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWayReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WayReport> CreateWayReport(flatbuffers::FlatBufferBuilder &_fbb, const WayReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WayReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _has_way = _o->has_way;
+  return yardhill::wire::CreateWayReport(
+      _fbb,
+      _has_way);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -3371,6 +3599,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::JobNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::WayQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayQuestion *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::WayReport: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3438,6 +3674,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::JobNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::WayQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayQuestion *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::WayReport: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3493,6 +3737,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::JobNoticeT *>(value);
       return CreateJobNotice(_fbb, ptr, _rehasher).Union();
     }
+    case Message::WayQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayQuestionT *>(value);
+      return CreateWayQuestion(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::WayReport: {
+      auto ptr = reinterpret_cast<const yardhill::wire::WayReportT *>(value);
+      return CreateWayReport(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3547,6 +3799,14 @@
       value = new yardhill::wire::JobNoticeT(*reinterpret_cast<yardhill::wire::JobNoticeT *>(u.value));
       break;
     }
+    case Message::WayQuestion: {
+      value = new yardhill::wire::WayQuestionT(*reinterpret_cast<yardhill::wire::WayQuestionT *>(u.value));
+      break;
+    }
+    case Message::WayReport: {
+      value = new yardhill::wire::WayReportT(*reinterpret_cast<yardhill::wire::WayReportT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3614,6 +3874,16 @@
       delete ptr;
       break;
     }
+    case Message::WayQuestion: {
+      auto ptr = reinterpret_cast<yardhill::wire::WayQuestionT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::WayReport: {
+      auto ptr = reinterpret_cast<yardhill::wire::WayReportT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -42,14 +42,32 @@
   model::virtual_time time;
   held_calls direct;
   std::deque<common::relay_request> relayed;
+  unsigned questions = 0;
+  node::peer_monitor peers{time,
+                           "zone",
+                           [this](const std::string&, const common::peer_message&) { ++questions; },
+                           {[](const std::string&) {},
+                            [this](const std::string& peer) { path.peer_unreachable(peer); }}};
   node::store_path path{time,
                         direct,
                         {"10.0.0.1", 80},
                         {http::method::get, "/probe", {}, {}},
+                        peers,
                         [this](const std::string&, const common::peer_message& message)
                         { relayed.push_back(std::get<common::relay_request>(message)); }};
   std::optional<http::reply> got;
 
+  void pass(milliseconds span)
+  {
+    const auto end = time.now() + span;
+    while (time.now() < end)
+    {
+      time.run_until(time.now() + milliseconds{25});
+      path.tick(time.now());
+      peers.tick(time.now(), false, path.in_doubt());
+    }
+  }
+
   void call(http::method verb)
   {
     got.reset();
@@ -67,7 +85,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_good_way_is_direct, path_under_test)
 {
-  path.peer_linked("peer");
+  peers.linked("peer", "other zone");
   call(http::method::post);
   direct.answer(k_ok);
   BOOST_TEST_REQUIRE(got.has_value());
@@ -77,7 +95,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_write_whose_answer_was_lost_is_not_sent_again, path_under_test)
 {
-  path.peer_linked("peer");
+  peers.linked("peer", "other zone");
   call(http::method::post);
   direct.answer(k_reset);
   BOOST_TEST_REQUIRE(got.has_value());
@@ -88,7 +106,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_write_that_was_turned_away_goes_through_a_peer, path_under_test)
 {
-  path.peer_linked("peer");
+  peers.linked("peer", "other zone");
   call(http::method::post);
   direct.answer(k_busy);
   BOOST_TEST(!got.has_value());
@@ -129,6 +147,7 @@
   direct.answer(k_reset);
   std::optional<common::relay_reply> answer;
   node::store_path other(time, direct, {"10.0.0.1", 80}, {http::method::get, "/probe", {}, {}},
+                         peers,
                          [&answer](const std::string&, const common::peer_message& message)
                          { answer = std::get<common::relay_reply>(message); });
   other.send({http::method::post, "/call", {}, {}}, milliseconds{900}, [](const http::reply&) {});
@@ -139,4 +158,84 @@
   BOOST_TEST(answer->refused);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_relayed_call_ends_within_its_own_time, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  direct.answer(k_busy);
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  BOOST_TEST(relayed.front().timeout_ms < 900U);
+  pass(milliseconds{925});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(!got->answered());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_answer_is_no_lost_way_if_a_later_call_was_answered, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  const auto first = direct.calls.front();
+  direct.calls.pop_front();
+  pass(milliseconds{25});
+  call(http::method::post);
+  direct.answer(k_ok);
+  first.done(k_reset);
+  BOOST_TEST(!path.bad_since().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_store_and_silent_other_zones_mean_isolation, path_under_test)
+{
+  peers.linked("near", "zone");
+  peers.linked("far", "other zone");
+  call(http::method::post);
+  pass(milliseconds{350});
+  BOOST_TEST(path.in_doubt());
+  BOOST_TEST(!path.isolated());
+  BOOST_TEST(questions > 0U);
+  for (int i = 0; i < 20; ++i)
+  {
+    pass(milliseconds{25});
+    peers.heard("near");
+    peers.on_report("near", {false});
+  }
+  BOOST_TEST(path.isolated());
+  // Nothing is sent any more, so callers can be refused truthfully.
+  const auto sent = direct.calls.size();
+  call(http::method::post);
+  pass(milliseconds{25});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->refused);
+  BOOST_TEST(direct.calls.size() == sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slow_store_is_no_isolation, path_under_test)
+{
+  peers.linked("far", "other zone");
+  call(http::method::post);
+  for (int i = 0; i < 30; ++i)
+  {
+    pass(milliseconds{25});
+    peers.heard("far");
+    peers.on_report("far", {false});
+  }
+  BOOST_TEST(path.in_doubt());
+  BOOST_TEST(!path.isolated());
+  call(http::method::post);
+  BOOST_TEST(direct.calls.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(calls_in_doubt_go_through_a_peer_that_reaches_the_store, path_under_test)
+{
+  peers.linked("far", "other zone");
+  call(http::method::post);
+  for (int i = 0; i < 12; ++i)
+  {
+    pass(milliseconds{25});
+    peers.heard("far");
+    peers.on_report("far", {true});
+  }
+  call(http::method::post);
+  BOOST_TEST(relayed.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -118,6 +118,14 @@
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).row == "row");
   BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).version == 9U);
+
+  frame = decode(bytes_of(encode(peer_message{way_question{true}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<way_question>(std::get<peer_message>(*frame)).often);
+
+  frame = decode(bytes_of(encode(peer_message{way_report{true}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<way_report>(std::get<peer_message>(*frame)).has_way);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
