Scheduling: Tasks move off workers that drain, and their claims are closed at once

Change: a draining worker gets nothing new, so its claim is closed with the list of what runs there, and written again as that shrinks. Lasting tasks, and tasks that save their work and would not end in time, are stopped and started elsewhere once another worker has room and a ticket (evacuator). An isolated instance tries no takeover.

--- a/Source/Core/Common/Reason.cpp
+++ b/Source/Core/Common/Reason.cpp
@@ -44,6 +44,7 @@
     "start_refused",
     "start_unclear",
     "worker_lost",
+    "worker_leaving",
     "attempt_failed",
     "preempted",
     "store_unavailable",
--- a/Source/Core/Common/Reason.h
+++ b/Source/Core/Common/Reason.h
@@ -46,6 +46,7 @@
   start_refused,
   start_unclear,
   worker_lost,
+  worker_leaving, // a run was moved off a worker that drains
   attempt_failed,
   preempted,
   store_unavailable,
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -70,7 +70,8 @@
 bool partition_owner::should_take(common::time_point now,
                                   std::optional<common::time_point> feed_healthy_since) const
 {
-  if (!feed_healthy_since || m_stopping || now < m_try_after || m_parts.queues.version == 0)
+  if (!feed_healthy_since || m_stopping || now < m_try_after || m_parts.queues.version == 0 ||
+      m_parts.path.isolated())
     return false;
   const common::time_point heard = std::max(m_seen.changed_at, *feed_healthy_since);
   if (m_seen.version != 0 && m_seen.row.holder == m_self.name && m_seen.row.life != m_self.life)
--- /dev/null
+++ b/Source/Core/Scheduling/Evacuator.cpp
@@ -0,0 +1,75 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/Evacuator.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+evacuator::evacuator(scheduler_state& state, advice_planner& advice, placer& places)
+    : m_state(state), m_advice(advice), m_placer(places)
+{
+}
+
+void evacuator::tick(time_point now)
+{
+  if (!m_state.may_act(now))
+    return;
+  std::erase_if(m_reserved, [now](const auto& each) { return each.second <= now; });
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->info.draining && worker->present && worker->claimed && !worker->suspect)
+      evacuate(*worker, now);
+  }
+}
+
+// What would end in time anyway stays, and so does what would have to begin again from its start.
+bool evacuator::worth_moving(const run_record& run, time_point now) const
+{
+  const jobs::step_spec& step = run.spec();
+  if (run.phase != run_phase::running || step.gang || run.job->ended())
+    return false;
+  if (step.long_running)
+    return true;
+  return step.checkpointing && run.begun + step.estimate > now + m_state.options.drain_least;
+}
+
+bool evacuator::too_many_away(const run_record& run) const
+{
+  const step_record& step = run.job->step(run.place);
+  if (!step.spec->limits_unavailable)
+    return false;
+  std::uint32_t away = 0;
+  for (const task_record& task : step.tasks)
+    away += task.runs.empty() || task.runs.front()->phase == run_phase::stopping ? 1 : 0;
+  return away >= std::max(1U, step.spec->most_unavailable);
+}
+
+void evacuator::evacuate(worker_record& worker, time_point now)
+{
+  for (const auto& [ref, run] : worker.runs)
+  {
+    if (!worth_moving(*run, now) || too_many_away(*run))
+      continue;
+    const worker_record* const target = m_placer.worker_for(*run->job, run->place, now);
+    if (target == nullptr)
+    {
+      m_advice.want(*run->job, run->place.cycle, run->place.step, now);
+      continue;
+    }
+    if (!m_reserved.emplace(target->info.id, now + m_state.options.move_time).second)
+      continue;
+    common::log_request("run_moved_off", ref.job,
+                        {{"step", ref.place.step},
+                         {"task", ref.place.index},
+                         {"run", run->number},
+                         {"worker", worker.info.id.value},
+                         {"room_at", target->info.id.value}});
+    m_state.metrics.add(common::retry_reason::worker_leaving);
+    m_state.order_stop(*run, now);
+  }
+}
+} // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -16,7 +16,8 @@
       m_follower(m_state),
       m_holder(m_state, m_follower),
       m_advice(m_state),
-      m_placer(m_state, m_advice, m_holder)
+      m_placer(m_state, m_advice, m_holder),
+      m_evacuator(m_state, m_advice, m_placer)
 {
   m_state.first_run = first_run;
 }
@@ -142,8 +143,9 @@
 {
   if (!worker.claimed || worker.claim_on_its_way)
     return false;
-  return worker.claim_closed !=
-         std::optional(worker.wants_closed_claim(m_state.options.close_claim, now));
+  const bool closed = worker.wants_closed_claim(m_state.options.close_claim, now);
+  return worker.claim_closed != std::optional(closed) ||
+         (closed && worker.runs.size() < worker.claim_tasks);
 }
 
 worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
@@ -215,6 +217,7 @@
     if (worker_record* const worker = m_state.find_worker(id))
     {
       worker->claim_closed = claim.closed;
+      worker->claim_tasks = claim.tasks.size();
       worker->claim_on_its_way = false;
     }
   }
@@ -274,6 +277,7 @@
   m_follower.repeat_orders(now);
   m_state.place_again = false;
   m_placer.place(now);
+  m_evacuator.tick(now);
   // After what waits already, since the calls that can be under way are few.
   look_ahead(now);
 }
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/Evacuator.h"
 #include "Scheduling/Placer.h"
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
@@ -110,6 +111,7 @@
   worker_holder m_holder;
   advice_planner m_advice;
   placer m_placer;
+  evacuator m_evacuator;
   std::set<std::string> m_ending; // ended jobs that are still held
   // Ended under this owner not long ago, with when it was dropped; in order of time beside it.
   std::set<std::string> m_forgotten;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -115,6 +115,11 @@
   return best;
 }
 
+worker_record* placer::worker_for(job_record& job, const task_place& place, time_point now) const
+{
+  return best_worker(job, {&job, place.cycle, place.step}, now);
+}
+
 bool placer::may_begin(const job_record& job, step_record& step)
 {
   m_state.want_begun(job, step);
@@ -233,8 +238,7 @@
   {
     job_record& job = *run->job;
     const task_place place = run->place;
-    const waiting_step where{&job, place.cycle, place.step};
-    worker_record* const worker = best_worker(job, where, now);
+    worker_record* const worker = worker_for(job, place, now);
     if (worker == nullptr || worker == run->worker)
     {
       m_advice.want(job, place.cycle, place.step, now);
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -18,6 +18,8 @@
 
   // One pass over all waiting steps.
   void place(time_point now);
+  // Where a task would be started now; null if no worker has room and a ticket.
+  worker_record* worker_for(job_record& job, const task_place& place, time_point now) const;
 
 private:
   struct waiting_step
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -44,6 +44,12 @@
   // such runs counts as slow and gets no starts for the time below, if others have room.
   std::size_t overdue_to_avoid = 2;
   duration slow_pause = std::chrono::milliseconds{1000};
+  // A worker that drains serves on for at least this long (the platform's drain_ms), so what should
+  // end sooner stays there.
+  duration drain_least = std::chrono::milliseconds{2000};
+  // From ordering a task's stop until it has begun elsewhere: the longest stop (900 ms) and two
+  // answers. Until then nothing else is moved to the same worker.
+  duration move_time = std::chrono::milliseconds{1100};
   // Calls in a row without an answer that make a worker suspect; a hold without one does at once.
   unsigned unanswered_to_suspect = 2;
   // A task whose run was given up unheard is started again only while the store's word is this
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -57,6 +57,7 @@
   // What the store keeps of it for later owners. Runs are started only while that is an open claim:
   // anything may run there. A closed one lists what may, and nothing is added to it.
   std::optional<bool> claim_closed; // as written; none: no claim is
+  std::size_t claim_tasks = 0;      // listed in a closed one, as written
   bool claim_on_its_way = false;
   bool suspect = false; // its last answer did not come
   time_point silent_since{};
@@ -85,7 +86,8 @@
   void set_suspect(bool silent, time_point now);
   // Counts an order's outcome; several unanswered ones in a row make the worker suspect.
   void note_order(bool answered, unsigned most_unanswered, time_point now);
-  // Whether its claim ought to be closed, and whether runs may be started there.
+  // Whether its claim ought to be closed: nothing is started on a silent or leaving worker, so what
+  // runs there can be told. And whether runs may be started there.
   bool wants_closed_claim(duration patience, time_point now) const;
   bool claim_open() const { return claim_closed && !*claim_closed && !claim_on_its_way; }
   common::resources free() const { return info.capacity - used; }
