Node: An old row of an ended ownership does not bring it back

An instance gave its partition back while its feed of owners was behind (the store had just forgotten its history). The feed then showed a renewal of that very ownership; as it named this process, it was taken for a takeover whose answer had been lost, and the instance went on as the owner, by no word of the store, with run numbers it had used before and without waiting for its earlier leases, beside the next owner. Ruled out: the release (written once, its answer seen), the new owner, the workers' model. Change: only the row of a takeover that is known to have got no answer (same process, same epoch, first renewal) counts as one that came true; an owner takes its own renewals as seen at once.

--- a/Source/Core/Node/CommitWriter.cpp
+++ b/Source/Core/Node/CommitWriter.cpp
@@ -145,7 +145,8 @@
 
 void commit_writer::done(adapter::row_version version)
 {
-  const pending written = *std::exchange(m_pending, std::nullopt);
+  pending written = *std::exchange(m_pending, std::nullopt);
+  written.commit.version = version;
   m_position.number = written.number;
   m_position.commit_version = version;
   if (written.commit.owner)
--- a/Source/Core/Node/CommitWriter.h
+++ b/Source/Core/Node/CommitWriter.h
@@ -33,8 +33,9 @@
 struct written_commit
 {
   scheduling::commit_batch batch;
-  std::optional<owner_row> owner; // if the owner's row was written with it
-  common::time_point sent;        // when the store was asked; the word is at least that fresh
+  std::optional<owner_row> owner;   // if the owner's row was written with it
+  adapter::row_version version = 0; // of the rows written
+  common::time_point sent;          // when the store was asked; the word is at least that fresh
 };
 
 struct commit_handlers
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -53,12 +53,11 @@
                                        {"holder", parsed->holder},
                                        {"epoch", parsed->epoch},
                                        {"version", row.version}});
-  const bool mine = parsed->life == m_self.life && !parsed->holder.empty();
   if ((m_state == state::owning || m_state == state::loading) && parsed->life != m_self.life &&
       row.version > m_token)
     lose("the owner's row names another instance");
-  // A write of ours whose answer was lost has come true.
-  if (m_state == state::watching && mine && !m_stopping)
+  // Not so for a row of an ownership that has ended: the feed may be far behind.
+  if (m_state == state::watching && !m_stopping && is_unclear_takeover(*parsed))
   {
     adapter::transaction_result result;
     result.end = adapter::store_end::done;
@@ -67,6 +66,12 @@
   }
 }
 
+bool partition_owner::is_unclear_takeover(const owner_row& row) const
+{
+  return m_unclear_takeover && row.life == m_self.life && row.holder == m_self.name &&
+         row.epoch == m_unclear_takeover->epoch && row.renewal == 0;
+}
+
 bool partition_owner::should_take(common::time_point now,
                                   std::optional<common::time_point> feed_healthy_since) const
 {
@@ -127,6 +132,8 @@
   {
     m_state = state::watching;
     m_try_after = m_parts.time.now() + m_options.retry_pause;
+    if (result.end == adapter::store_end::unclear)
+      m_unclear_takeover = row;
     common::log_process("take_over_failed", {{"partition", m_partition},
                                              {"end", adapter::to_text(result.end)},
                                              {"detail", result.detail}});
@@ -135,6 +142,7 @@
     return;
   }
   m_parts.metrics.add(common::counter::takeovers);
+  m_unclear_takeover.reset();
   m_row = row;
   m_token = result.version;
   m_seen = {row, result.version, m_parts.time.now()};
@@ -414,7 +422,11 @@
   m_scheduler->commit_done(commit.batch, true);
   m_scheduler->set_authority(commit.sent + m_options.authority, commit.sent);
   if (commit.owner)
+  {
     m_last_renewal = commit.sent;
+    // The feed shows it later, or not at all.
+    m_seen = {*commit.owner, commit.version, m_last_written};
+  }
   if (commit.owner && commit.owner->holder.empty())
     lose("given back");
   else
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -116,6 +116,8 @@
     owning
   };
 
+  // Whether the row is what a takeover of ours wrote that got no answer.
+  bool is_unclear_takeover(const owner_row& row) const;
   bool should_take(common::time_point now,
                    std::optional<common::time_point> feed_healthy_since) const;
   void acquire();
@@ -155,6 +157,8 @@
   state m_state = state::watching;
   seen_owner m_seen;
   common::time_point m_try_after{};
+  // A takeover whose write got no answer: it may have been done, or may be later.
+  std::optional<owner_row> m_unclear_takeover;
   std::set<std::string> m_unlinked;   // peers whose link has broken and not come back
   common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
