Common: A timer that has fired takes nothing back

A timer kept the number of its call after that had been made, and took it back when destroyed. A reading of the partition, held by a call to the store that is still under way when its process ends, is destroyed after the clock. The same order holds in a real process that stops with such a call under way. Ruled out: the explorer's own teardown (processes are destroyed before the clock, their calls after it, as in the event loop). Change: the number is dropped when the call is made.

--- a/Source/Core/Common/Timekeeper.h
+++ b/Source/Core/Common/Timekeeper.h
@@ -48,7 +48,15 @@
   void start(duration delay, std::function<void()> what)
   {
     cancel();
-    m_entry = m_time.schedule(delay, std::move(what));
+    // Once it has been called there is nothing to take back, and the timekeeper may be gone first.
+    m_entry = m_time.schedule(delay,
+                              [this, what = std::move(what)]
+                              {
+                                m_entry.reset();
+                                // It may destroy this timer.
+                                const auto call = what;
+                                call();
+                              });
   }
 
   void cancel()
