Node, Scheduling: Owners are replaced sooner; what a later owner may rely on is counted right

Found on the way by reading: a commit without a renewal extended an owner's authority and its fresh word of the store, but others go by renewals alone, so both could outlast what a later owner assumes by up to the period of renewals. Change: renewals every 0.5 s (they ride on commits), takeover 0.8 s after the last one if the owner is silent; fresh words come from renewals only (0.65 s); a later owner counts the earlier authority from the latest renewal plus one period.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -103,10 +103,10 @@
   // that one, and was asked for before it was seen.
   const scheduling::scheduler_options leases;
   // An earlier process of this very instance has ended: it orders nothing any more.
-  const common::duration authority =
-      m_seen.row.holder == m_self.name ? common::duration{0} : m_options.authority;
-  m_earlier_end = m_seen.version == 0 ? common::time_point{}
-                                      : m_seen.changed_at + authority + leases.longest_lease();
+  const common::time_point orders_end = m_seen.row.holder == m_self.name
+                                            ? m_seen.changed_at
+                                            : m_options.orders_end(m_seen.changed_at);
+  m_earlier_end = m_seen.version == 0 ? common::time_point{} : orders_end + leases.longest_lease();
   owner_row row;
   row.holder = m_self.name;
   row.life = m_self.life;
@@ -420,13 +420,14 @@
 {
   m_last_written = m_parts.time.now();
   m_scheduler->commit_done(commit.batch, true);
-  m_scheduler->set_authority(commit.sent + m_options.authority, commit.sent);
   if (commit.owner)
   {
     m_last_renewal = commit.sent;
     // The feed shows it later, or not at all.
     m_seen = {*commit.owner, commit.version, m_last_written};
   }
+  // Other instances go by the renewals alone.
+  m_scheduler->set_authority(commit.sent + m_options.authority, m_last_renewal);
   if (commit.owner && commit.owner->holder.empty())
     lose("given back");
   else
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -32,12 +32,14 @@
 struct ownership_options
 {
   // The owner's row is renewed this often; pending counts in it may be 2 s old (the platform's
-  // bound), and watchers notice a dead owner by it.
-  common::duration renew_period = std::chrono::milliseconds{1000};
-  // An owner that has not renewed its row for this long is replaced: three renewals missed.
+  // bound), and watchers notice a dead owner by it. Renewals ride on commits; what they cost is a
+  // feed's answer to each instance.
+  common::duration renew_period = std::chrono::milliseconds{500};
+  // An owner that has not renewed its row for this long is replaced: the store may be slow.
   common::duration silence = std::chrono::milliseconds{3000};
-  // The same once the link to it is broken as well: one renewal missed.
-  common::duration silence_unlinked = std::chrono::milliseconds{1400};
+  // The same once it is silent, or the link to it broken, as well: one renewal missed. Longer than
+  // the scheduler's fresh_word.
+  common::duration silence_unlinked = std::chrono::milliseconds{800};
   // How long an owner goes on giving orders after it asked the store for its latest success. With
   // the leases (7.5 s) it covers an outage of 7 s; a new owner waits for both together where it
   // cannot ask a worker.
@@ -50,6 +52,13 @@
   common::duration relayed_most = std::chrono::milliseconds{700};
   // Rows of one commit; the platform takes 100 entries.
   std::size_t most_commit_rows = 90;
+
+  // When an owner whose renewal was seen at `renewed` has surely given its last order: a commit
+  // that extends its authority comes less than a renewal period after its latest renewal.
+  common::time_point orders_end(common::time_point renewed) const
+  {
+    return renewed + renew_period + authority;
+  }
 };
 
 struct instance_identity
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -48,7 +48,8 @@
   // The time of day at `now`.
   void set_wall_clock(jobs::wall_time wall, time_point now);
   void set_advice_slots(const advice_slots& slots) { m_advice.set_slots(slots); }
-  // Orders may be given until this time, by a word of the store that was asked for at `confirmed`.
+  // Orders may be given until this time; the latest renewal of the ownership that the store has
+  // answered was asked for at `confirmed`.
   void set_authority(time_point until, time_point confirmed);
 
   // A worker that an earlier owner had claimed.
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -25,6 +25,9 @@
   duration hold_wait = std::chrono::milliseconds{1000};
   // While ends wait to be written, leases are still extended this often.
   duration hold_refresh = std::chrono::milliseconds{700};
+  // A worker that has not answered its first hold is asked again after this time: after a takeover
+  // tasks wait for it.
+  duration first_hold_retry = std::chrono::milliseconds{50};
   // A worker that did not answer is asked again after this time.
   duration hold_retry = std::chrono::milliseconds{250};
   // A worker silent for this long gets a closed claim: two holds without an answer.
@@ -52,9 +55,9 @@
   duration move_time = std::chrono::milliseconds{1100};
   // Calls in a row without an answer that make a worker suspect; a hold without one does at once.
   unsigned unanswered_to_suspect = 2;
-  // A task whose run was given up unheard is started again only while the store's word is this
-  // fresh: no instance takes over within 1.4 s of a renewal, so none has heard of that run's end.
-  duration fresh_word = std::chrono::milliseconds{1200};
+  // A task whose run was given up unheard is started again only while the latest renewal is this
+  // fresh: no instance takes over within 0.8 s of one, so none has heard of that run's end.
+  duration fresh_word = std::chrono::milliseconds{650};
   // The ids of ended jobs are remembered this long, so that a late notice or a reading that began
   // before their end does not start them again: far longer than any call may take.
   duration remember_ended = std::chrono::minutes{5};
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -39,7 +39,7 @@
   std::set<worker_id> released; // claimed workers that are gone, to be written
   // Until when this owner may order anything; it is extended by the store's word.
   time_point authority_end{};
-  time_point confirmed{};   // when the store's latest word was asked for
+  time_point confirmed{};   // when the latest renewal was asked for
   time_point earlier_end{}; // of what earlier owners ordered on workers not heard since
   bool fenced = false;      // a worker obeys a later owner
   bool place_again = true;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -115,6 +115,8 @@
   if (worker.hold_under_way)
     return false;
   const duration since = now - worker.last_hold;
+  if (!worker.claimed && worker.present)
+    return since >= m_state.options.first_hold_retry;
   if (!worker.claimed || worker.suspect)
     return since >= m_state.options.hold_retry;
   if (worker.durable > worker.acknowledged)
