Scheduling: Lists are asked for at once when a copy of a start is out of date

A start's answer was lost, its copies were rejected as out of date every 0.3 s (the run had ended there already), and the answer that told its end was lost as well, so that the end was heard with the next hold 1.6 s later. Ruled out: advice and room (first starts 40 ms after acceptance), the commits. Change: such a rejection says that the worker has news: a second hold asks for the lists at once. Lists that were overtaken by later ones (by the worker's clock) are left out.

--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -64,9 +64,12 @@
   if (end == call_end::bad_ticket)
     run.job->step(run.place).permits.tickets.erase(worker.info.id);
   // Of a start that was sent more than once an earlier copy may have been carried out; the
-  // worker's lists will tell.
+  // worker's lists will tell. Its run has even ended if the number is out of date now.
   if (run.sends > 1 && end != call_end::unhealthy)
+  {
+    worker.ask_at_once |= end == call_end::outdated;
     return;
+  }
   if (run.sends > 1 || run.phase == run_phase::stopping)
     return;
   job_record& job = *run.job;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -9,6 +9,12 @@
 
 namespace yardhill::scheduling
 {
+namespace
+{
+// The one that waits for news, and one that asks at once. Each holds a connection of the worker.
+constexpr unsigned k_most_holds = 2;
+} // namespace
+
 worker_holder::worker_holder(scheduler_state& state, run_follower& follower)
     : m_state(state), m_follower(follower)
 {
@@ -60,7 +66,7 @@
                                          {"memory_mib", info.capacity.memory_mib},
                                          {"draining", info.draining},
                                          {"new", news}});
-  if (!worker.claimed && !worker.hold_under_way)
+  if (!worker.claimed && worker.holds_under_way == 0)
     hold(worker, now);
 }
 
@@ -103,18 +109,21 @@
     order.lease_end = extended_lease(worker, now);
   const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable &&
                        worker.durable == worker.acknowledged;
-  if (settled)
+  if (settled && !worker.ask_at_once)
     order.wait = std::chrono::duration_cast<milliseconds>(m_state.options.hold_wait);
-  worker.hold_under_way = true;
+  worker.ask_at_once = false;
+  ++worker.holds_under_way;
   worker.last_hold = now;
   m_state.commands.emplace_back(std::move(order));
 }
 
 bool worker_holder::hold_due(const worker_record& worker, time_point now) const
 {
-  if (worker.hold_under_way)
-    return false;
   const duration since = now - worker.last_hold;
+  if (worker.ask_at_once)
+    return worker.holds_under_way < k_most_holds;
+  if (worker.holds_under_way > 0)
+    return false;
   if (!worker.claimed && worker.present)
     return since >= m_state.options.first_hold_retry;
   if (!worker.claimed || worker.suspect)
@@ -137,7 +146,7 @@
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
-  worker->hold_under_way = false;
+  worker->holds_under_way -= worker->holds_under_way > 0 ? 1 : 0;
   if (answer.end == call_end::other_life)
   {
     gone(*worker, "another life answered at the worker's address");
@@ -162,6 +171,9 @@
     worker->lease_end = now + m_state.options.longest_lease();
     m_state.place_again = true;
   }
+  if (answer.clock && *answer.clock < worker->listed_at)
+    return; // a later answer was faster
+  worker->listed_at = answer.clock.value_or(worker->listed_at);
   // The answer shows which acknowledgement has arrived: ends up to it are listed no more.
   worker->acknowledged = std::max(worker->acknowledged, answer.acknowledged);
   m_follower.on_lists(*worker, answer, now);
@@ -181,7 +193,8 @@
     worker_record& worker = *each->second;
     if (!worker.runs.empty() && now >= worker.lease_end)
       m_state.lose_runs(worker, "its lease is over");
-    if (!worker.present && worker.runs.empty() && !worker.hold_under_way && now >= worker.lease_end)
+    if (!worker.present && worker.runs.empty() && worker.holds_under_way == 0 &&
+        now >= worker.lease_end)
     {
       if (worker.claim_closed)
         m_state.released.insert(each->first);
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -69,9 +69,10 @@
   unsigned unanswered = 0; // orders in a row
   unsigned failures_in_a_row = 0;
 
-  bool hold_under_way = false;
+  unsigned holds_under_way = 0;
+  bool ask_at_once = false; // it has news that the hold under way may have lost
   time_point last_hold{};
-  bool hold_answered = true; // the latest one
+  worker_clock_time listed_at{}; // of the latest lists taken in; answers may overtake each other
 
   end_number seen = 0;         // the highest end taken into memory
   end_number durable = 0;      // the highest end whose effect the store keeps
--- /dev/null
+++ b/Source/UnitTests/Scheduling/LostAnswersTest.cpp
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Scheduling/SchedulerHarness.h"
+
+using namespace yardhill::scheduling;
+using std::chrono::milliseconds;
+
+namespace
+{
+constexpr const char* k_job = "0123456789abcdef";
+
+// A task runs on w1, where a hold waits for news.
+struct held_worker : scheduler_harness
+{
+  held_worker()
+  {
+    add_worker(worker("w1"));
+    scheduler->add_job(job(k_job, {step_of(1)}), now);
+    step();
+    commit();
+    step();
+    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    step();
+    BOOST_TEST_REQUIRE(holds.size() == 1U);
+  }
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LostAnswersTest)
+
+// Thies, trouble-1, 12.4 to 13.9 s: a start's answer was lost, then the answer with its end. Each
+// copy of the start was rejected as out of date, and the end was heard 1.6 s later.
+BOOST_FIXTURE_TEST_CASE(a_copy_of_a_start_that_is_out_of_date_has_the_lists_asked_for_at_once,
+                        held_worker)
+{
+  answer_start(starts.front(), call_end::unanswered);
+  pass(milliseconds{310});
+  step();
+  BOOST_TEST_REQUIRE(starts.size() == 2U);
+  answer_start(starts.back(), call_end::outdated);
+  step();
+  BOOST_TEST_REQUIRE(holds.size() == 2U);
+  BOOST_TEST(holds.back().wait.count() == 0);
+  pass(milliseconds{5});
+  answer_hold("w1", {}, {ended(1, starts.front(), run_end::done)});
+  BOOST_TEST((scheduler->state_of(k_job) == yardhill::jobs::job_state::completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_was_overtaken_is_left_out, held_worker)
+{
+  answer_start(starts.front(), call_end::done);
+  const worker_clock_time before = clock();
+  pass(milliseconds{50});
+  answer_hold("w1", {}, {ended(1, starts.front(), run_end::failed)});
+  clear();
+  hold_answer late;
+  late.worker = worker_id("w1");
+  late.end = call_end::done;
+  late.clock = before;
+  late.running = {running({worker_id("w1"), {}, {k_job, {0, 0, 0}}, 1, {}, {}, {}, {}})};
+  late.sent = now - milliseconds{60};
+  scheduler->hold_answered(late, now);
+  step();
+  BOOST_TEST_REQUIRE(starts.size() == 1U); // the task is not taken for running
+  BOOST_TEST(starts.front().run == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
