Node: A partition's rows are read at once after the commit's row

Ruled out: the conditional write itself (0.3 s), the parsing. Change: the commit's row is read first, since from then on only the new owner commits; all other ranges follow together, each with its own retries. Jobs that have ended are told apart at the end and listed, for the removal of their rows.

--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -43,8 +43,7 @@
 
 std::string to_row_text(const scheduling::worker_claim& claim)
 {
-  json out{
-      {"address", claim.address.address}, {"port", claim.address.port}, {"zone", claim.zone}};
+  json out{{"address", claim.address.address}, {"port", claim.address.port}, {"zone", claim.zone}};
   if (!claim.closed)
     return out.dump();
   out["tasks"] = json::array();
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -18,64 +18,84 @@
 constexpr std::chrono::milliseconds k_retry{150};
 } // namespace
 
+partition_loader::reading::reading(common::timekeeper& time, adapter::row_range what)
+    : range(std::move(what)), retry(time)
+{
+}
+
 partition_loader::partition_loader(common::timekeeper& time, adapter::store_client& store,
                                    std::string partition, loaded_handler done)
-    : m_timer(time), m_store(store), m_partition(std::move(partition)), m_done(std::move(done))
+    : m_time(time), m_store(store), m_partition(std::move(partition)), m_done(std::move(done))
 {
   // The commit's row comes first: from then on only this owner commits.
-  m_ranges.push_back({k_commits_table, m_partition, {}, {}, 1});
-  m_ranges.push_back({k_claims_table, m_partition, {}, {}, 500});
-  m_ranges.push_back({k_progress_table, m_partition, {}, {}, 500});
+  add({k_commits_table, m_partition, {}, {}, 1});
+  add({k_claims_table, m_partition, {}, {}, 500});
+  add({k_progress_table, m_partition, {}, {}, 500});
   for (const std::string& part : job_parts())
-    m_ranges.push_back({k_jobs_table, part, {}, {}, 500});
+    add({k_jobs_table, part, {}, {}, 500});
+}
+
+void partition_loader::add(adapter::row_range range)
+{
+  m_readings.push_back(std::make_unique<reading>(m_time, std::move(range)));
 }
 
 void partition_loader::start()
 {
-  read();
+  m_open = m_readings.size();
+  read(*m_readings.front());
 }
 
 void partition_loader::abandon()
 {
   m_abandoned = true;
-  m_timer.cancel();
+  for (const auto& each : m_readings)
+    each->retry.cancel();
 }
 
-void partition_loader::read()
+void partition_loader::read(reading& which)
 {
-  adapter::row_range range = m_ranges[m_at];
-  range.first = m_first_key;
-  m_store.read(range, k_read_timeout,
-               [self = shared_from_this()](const adapter::rows_result& result)
+  m_store.read(which.range, k_read_timeout,
+               [self = shared_from_this(), &which](const adapter::rows_result& result)
                {
                  if (!self->m_abandoned)
-                   self->on_page(result);
+                   self->on_page(which, result);
                });
 }
 
-void partition_loader::on_page(const adapter::rows_result& result)
+void partition_loader::on_page(reading& which, const adapter::rows_result& result)
 {
   if (result.end != adapter::store_end::done)
   {
     common::log_process("partition_read_failed", {{"partition", m_partition},
-                                                  {"table", m_ranges[m_at].table},
+                                                  {"table", which.range.table},
                                                   {"end", adapter::to_text(result.end)},
                                                   {"detail", result.detail}});
-    m_timer.start(k_retry, [this] { read(); });
+    which.retry.start(k_retry, [this, &which] { read(which); });
     return;
   }
   if (m_loaded.read_at == 0)
     m_loaded.read_at = result.version;
   for (const adapter::row& row : result.rows)
     take(row);
-  const bool more = result.more && !result.rows.empty() && m_ranges[m_at].most > 1;
-  m_first_key = more ? result.rows.back().at.key + std::string(1, '\x01') : std::string();
-  if (!more)
-    ++m_at;
-  if (m_at < m_ranges.size())
-    read();
-  else
-    m_done(std::move(m_loaded));
+  if (!result.more || result.rows.empty() || which.range.most == 1)
+  {
+    on_range_read();
+    return;
+  }
+  // The next key in byte order.
+  which.range.first = result.rows.back().at.key + std::string(1, '\x01');
+  read(which);
+}
+
+void partition_loader::on_range_read()
+{
+  const bool first = m_open == m_readings.size();
+  --m_open;
+  if (m_open == 0)
+    m_done(loaded());
+  for (std::size_t i = 1; first && i < m_readings.size(); ++i)
+    read(*m_readings[i]);
 }
 
 void partition_loader::take(const adapter::row& row)
@@ -115,8 +135,23 @@
   auto* const job = std::get_if<jobs::accepted_job>(&kept->content);
   if (job == nullptr || job->home != m_partition)
     return;
-  const auto progress = m_loaded.progress.find(job->id);
-  if (progress == m_loaded.progress.end() || !jobs::is_final(progress->second.state))
-    m_loaded.jobs.push_back({std::move(*job), row.version});
+  m_loaded.jobs.push_back({std::move(*job), row.version});
+}
+
+loaded_partition partition_loader::loaded()
+{
+  std::erase_if(m_loaded.jobs,
+                [this](const loaded_partition::kept_job& each)
+                {
+                  const auto progress = m_loaded.progress.find(each.job.id);
+                  return progress != m_loaded.progress.end() &&
+                         jobs::is_final(progress->second.state);
+                });
+  for (const auto& [id, progress] : m_loaded.progress)
+  {
+    if (jobs::is_final(progress.state))
+      m_loaded.ended.push_back(id);
+  }
+  return std::move(m_loaded);
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -28,6 +28,8 @@
     adapter::row_version version = 0;
   };
   std::vector<kept_job> jobs; // of this partition, ended ones left out
+  // Their rows can go after a while. Marks of refusals stay: a job may take their place.
+  std::vector<std::string> ended;
   std::map<std::string, jobs::job_progress> progress;
   std::vector<std::string> cancelled;
   std::map<common::worker_id, scheduling::worker_claim> claims;
@@ -44,24 +46,36 @@
   partition_loader(common::timekeeper& time, adapter::store_client& store, std::string partition,
                    loaded_handler done);
 
-  // Reads on through failures until everything is there or abandon() is called.
+  // Reads on through failures until everything is there or abandon() is called. All ranges but the
+  // first are read at once: a slow store takes a quarter of a second for each.
   void start();
   void abandon();
 
 private:
-  void read();
-  void on_page(const adapter::rows_result& result);
+  // One range, page by page.
+  struct reading
+  {
+    reading(common::timekeeper& time, adapter::row_range what);
+
+    adapter::row_range range;
+    common::one_shot_timer retry;
+  };
+
+  void add(adapter::row_range range);
+  void read(reading& which);
+  void on_page(reading& which, const adapter::rows_result& result);
+  void on_range_read();
   void take(const adapter::row& row);
-  adapter::row_range range() const;
+  // What was read, without the jobs that have ended.
+  loaded_partition loaded();
 
-  common::one_shot_timer m_timer;
+  common::timekeeper& m_time;
   adapter::store_client& m_store;
   std::string m_partition;
   loaded_handler m_done;
   loaded_partition m_loaded;
-  std::vector<adapter::row_range> m_ranges; // in the order in which they are read
-  std::size_t m_at = 0;
-  std::string m_first_key;
+  std::vector<std::unique_ptr<reading>> m_readings; // the first one is read before the others
+  std::size_t m_open = 0;                           // readings that are not through
   bool m_abandoned = false;
 };
 } // namespace yardhill::node
