Node: Rows of ended jobs are removed after twice the time that callers may ask for them

Weighed: removal with the end's commit (callers may ask for status_s), by expiry (the store has none). Change: row_sweeper removes the job's row and its mark of cancelling, then, once that is certain, its progress: an owner that found the job without its progress would run it again. A takeover hands the ended jobs that it finds to the sweeper. A state that is asked for and not written is looked up by the job's own row, so that a removed job is 410 and not queued. Marks of refusals stay: a job may have taken their place.

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -246,30 +246,41 @@
 
 void caller_gateway::show_from_store(const std::shared_ptr<call>& what)
 {
-  const auto read = [this, what](const std::string& home)
+  const auto home = m_homes.find(what->id);
+  if (home == m_homes.end())
+  {
+    show_kept(what);
+    return;
+  }
+  m_store.state(home->second, what->id, k_read_timeout,
+                [this, what](const written_state& written)
+                {
+                  if (!written.answered)
+                    refuse(*what, 503, refusal_reason::store_unavailable,
+                           "the store did not answer");
+                  else if (written.state)
+                    show_state(*what, *written.state);
+                  else
+                    show_kept(what); // not begun yet, or ended and removed long ago
+                });
+}
+
+void caller_gateway::show_kept(const std::shared_ptr<call>& what)
+{
+  const auto show = [this, what](const found_job& found)
   {
-    m_store.state(home, what->id, k_read_timeout,
-                  [this, what](std::optional<jobs::job_state> state)
+    remember_home(what->id, found.job->home);
+    m_store.state(found.job->home, what->id, k_read_timeout,
+                  [this, what](const written_state& written)
                   {
-                    if (state)
-                      show_state(*what, *state);
+                    if (written.answered)
+                      show_state(*what, written.state.value_or(jobs::job_state::queued));
                     else
                       refuse(*what, 503, refusal_reason::store_unavailable,
                              "the store did not answer");
                   });
   };
-  const auto home = m_homes.find(what->id);
-  if (home != m_homes.end())
-  {
-    read(home->second);
-    return;
-  }
-  with_job(what,
-           [this, what, read](const found_job& found)
-           {
-             remember_home(what->id, found.job->home);
-             read(found.job->home);
-           });
+  with_job(what, show);
 }
 
 void caller_gateway::cancel(const std::shared_ptr<call>& what)
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -48,6 +48,8 @@
   void show(const std::shared_ptr<call>& what);
   void show_state(const call& what, jobs::job_state state);
   void show_from_store(const std::shared_ptr<call>& what);
+  // Of a job that nobody here knows: its row, then what is written of it.
+  void show_kept(const std::shared_ptr<call>& what);
   void cancel(const std::shared_ptr<call>& what);
   void on_cancelled(const call& what, const std::string& home, bool kept);
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -25,11 +25,6 @@
 constexpr unsigned k_most_retries = 3;
 constexpr std::chrono::milliseconds k_retry_pause{60};
 
-adapter::row_key job_key(const std::string& id)
-{
-  return {k_jobs_table, job_part(id), id};
-}
-
 // One submission on its way into the store.
 class acceptance : public std::enable_shared_from_this<acceptance>
 {
@@ -178,6 +173,16 @@
   return "j" + std::to_string(common::stable_hash(id) % k_job_parts);
 }
 
+adapter::row_key job_key(const std::string& id)
+{
+  return {k_jobs_table, job_part(id), id};
+}
+
+adapter::row_key cancel_key(const std::string& id)
+{
+  return {k_jobs_table, job_part(id), id + k_cancel_suffix};
+}
+
 std::optional<job_row> job_row_from(const adapter::row& row)
 {
   const std::size_t suffix = row.at.key.find(k_cancel_suffix);
@@ -231,32 +236,30 @@
                        std::function<void(bool)> done)
 {
   adapter::transaction change;
-  change.puts.push_back({{k_jobs_table, job_part(id), id + k_cancel_suffix}, "cancel"});
+  change.puts.push_back({cancel_key(id), "cancel"});
   m_store.transact(change, timeout,
                    [done = std::move(done)](const adapter::transaction_result& result)
                    { done(result.end == adapter::store_end::done); });
 }
 
 void job_store::state(const std::string& partition, const std::string& id, common::duration timeout,
-                      std::function<void(std::optional<jobs::job_state>)> done)
+                      std::function<void(written_state)> done)
 {
   m_store.read({k_progress_table, partition, id, id + "~", 1}, timeout,
                [done = std::move(done), id](const adapter::rows_result& result)
                {
-                 if (result.end != adapter::store_end::done)
-                 {
-                   done(std::nullopt);
-                   return;
-                 }
-                 if (result.rows.empty())
+                 written_state written;
+                 written.answered = result.end == adapter::store_end::done;
+                 if (written.answered && !result.rows.empty())
                  {
-                   done(jobs::job_state::queued);
-                   return;
+                   const auto progress = common::parsed_or_none(
+                       "read_progress", id,
+                       [&result] { return jobs::job_progress_from(result.rows.front().value); });
+                   written.answered = progress.has_value();
+                   if (progress)
+                     written.state = progress->state;
                  }
-                 const auto progress = common::parsed_or_none(
-                     "read_progress", id,
-                     [&result] { return jobs::job_progress_from(result.rows.front().value); });
-                 done(progress ? std::optional(progress->state) : std::nullopt);
+                 done(written);
                });
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -28,6 +28,9 @@
 // the whole store (600 to 1,200 a second) is the bound instead.
 std::vector<std::string> job_parts();
 std::string job_part(const std::string& id);
+// A job's own row, and the mark that it is cancelled.
+adapter::row_key job_key(const std::string& id);
+adapter::row_key cancel_key(const std::string& id);
 
 // What a row of the jobs' table says.
 struct refused_mark // written in place of a job whose acceptance stayed unclear
@@ -66,6 +69,13 @@
   bool cancelled = false;
 };
 
+// What the partition's owner has written of a job.
+struct written_state
+{
+  bool answered = false;                // by the store, with a sound row if any
+  std::optional<jobs::job_state> state; // none: nothing is written
+};
+
 class job_store
 {
 public:
@@ -77,10 +87,9 @@
   void find(const std::string& id, common::duration timeout, std::function<void(found_job)> done);
   // `done` is told whether the mark is kept.
   void cancel(const std::string& id, common::duration timeout, std::function<void(bool)> done);
-  // The state that the partition's owner has written last; queued if there is none yet. Nothing if
-  // the store did not answer.
+  // The state that the partition's owner has written last.
   void state(const std::string& partition, const std::string& id, common::duration timeout,
-             std::function<void(std::optional<jobs::job_state>)> done);
+             std::function<void(written_state)> done);
 
 private:
   common::timekeeper& m_time;
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -21,6 +21,8 @@
 // Workers renew their entries all the time, 32 times a second at 48 workers, and each call to the
 // store is priced. A new, leaving or vanished worker is heard of this much later.
 constexpr std::chrono::milliseconds k_gather_workers{400};
+// Rows of ended jobs stay this many times as long as callers may ask for them.
+constexpr int k_keep_factor = 2;
 } // namespace
 
 node_core::node_core(const node_settings& settings, const std::string& life,
@@ -57,8 +59,10 @@
 {
   const node_parts parts{world.time, m_store,       m_feed_store,       m_store_path,     m_workers,
                          m_advice,   world.metrics, world.send_to_peer, m_worker_entries, m_queues};
+  ownership_options options;
+  options.keep_ended = k_keep_factor * settings.keep_status;
   m_partitions.push_back(std::make_unique<partition_owner>(
-      parts, instance_identity{settings.name, life}, k_whole_cell, ownership_options{}));
+      parts, instance_identity{settings.name, life}, k_whole_cell, options));
 }
 
 node_core::~node_core() = default;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -167,6 +167,9 @@
   const common::time_point now = m_parts.time.now();
   m_read_at = loaded.read_at;
   start_commits(loaded);
+  m_sweeper =
+      std::make_unique<row_sweeper>(m_parts.time, m_parts.store, m_partition, m_options.keep_ended);
+  m_sweeper->ended(loaded.ended);
   const scheduling::scheduler_options options;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
@@ -327,6 +330,7 @@
   m_ownership.reset();
   m_scheduler.reset();
   m_commits.reset();
+  m_sweeper.reset();
   m_step_timer.cancel();
   m_step_due = false;
   m_releasing = false;
@@ -449,8 +453,11 @@
 {
   if (m_state == state::watching && should_take(now, feed_healthy_since))
     acquire();
-  if (m_state == state::owning)
-    step();
+  if (m_state != state::owning)
+    return;
+  m_sweeper->ended(m_scheduler->take_ended());
+  m_sweeper->tick();
+  step();
 }
 
 void partition_owner::step_soon()
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -22,6 +22,7 @@
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 #include "Node/PartitionLoader.h"
+#include "Node/RowSweeper.h"
 #include "Node/StorePath.h"
 #include "Node/TableFeed.h"
 #include "Scheduling/JobScheduler.h"
@@ -50,6 +51,9 @@
   // An owner that reaches the store only through a peer for this long gives its partition back:
   // another instance hears of new jobs at once.
   common::duration relayed_most = std::chrono::milliseconds{700};
+  // The rows of an ended job stay this long: twice what callers may ask for it (the platform's
+  // status_s), so that a submission repeated late still meets its row.
+  common::duration keep_ended = std::chrono::seconds{240};
   // Rows of one commit; the platform takes 100 entries.
   std::size_t most_commit_rows = 90;
 
@@ -182,6 +186,7 @@
   adapter::row_version m_read_at = 0; // all jobs up to here were read at the takeover
   owner_row m_row;
   std::unique_ptr<commit_writer> m_commits;
+  std::unique_ptr<row_sweeper> m_sweeper;
   common::time_point m_last_commit{};
   common::time_point m_last_written{};
   common::time_point m_last_renewal{};
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -255,6 +255,7 @@
     m_forgotten[*each] = found->second->state();
     m_state.jobs.erase(found);
     m_forgotten_since.emplace_back(m_now, *each);
+    m_just_ended.push_back(*each);
     each = m_ending.erase(each);
   }
 }
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Scheduling/AdvicePlanner.h"
@@ -84,6 +85,8 @@
 
   // Whether orders may be given: no other owner can have come long ago.
   bool may_act(time_point now) const { return m_state.may_act(now); }
+  // Jobs whose end has been written since the last call.
+  std::vector<std::string> take_ended() { return std::exchange(m_just_ended, {}); }
   bool fenced() const { return m_state.fenced; }
   // Whether ends or final states wait to be written.
   bool has_changes(time_point now) const;
@@ -121,6 +124,7 @@
   // Ended under this owner not long ago, with when it was dropped; in order of time beside it.
   std::map<std::string, jobs::job_state> m_forgotten;
   std::deque<std::pair<time_point, std::string>> m_forgotten_since;
+  std::vector<std::string> m_just_ended;
   time_point m_now{}; // of the latest tick
 };
 } // namespace yardhill::scheduling
