Explain, Yardhill: yardhill explain ID FILE... tells what became of a request, and why

The command reads the logs of all instances, tells the outcome (refused, in time, late, failed, cancelled), the cause in one sentence, the request's lines in order, and what happened to instances and to the request's workers in its longest wait.

--- /dev/null
+++ b/Source/UnitTests/Explain/ExplanationTest.cpp
@@ -0,0 +1,101 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Explain/Explanation.h"
+
+using namespace yardhill::explain;
+using std::chrono::milliseconds;
+
+namespace
+{
+constexpr const char* k_id = "0123456789abcdef";
+
+// A line of `process`, so many milliseconds after noon.
+log_line line(int at_ms, const std::string& process, const std::string& rest)
+{
+  char time[64];
+  std::snprintf(time, sizeof time, "2026-12-02T12:00:%02d.%03d+00:00", at_ms / 1000, at_ms % 1000);
+  const auto read = log_line_from("host-1 {\"time\":\"" + std::string(time) + "\",\"process\":\"" +
+                                  process + "\"," + rest + "}");
+  BOOST_TEST_REQUIRE(read.has_value());
+  return *read;
+}
+
+std::string of_request(const std::string& event, const std::string& rest = "")
+{
+  return "\"event\":\"" + event + "\",\"request\":\"" + k_id + "\"" + rest;
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ExplanationTest)
+
+BOOST_AUTO_TEST_CASE(other_lines_are_passed_over)
+{
+  BOOST_TEST(!log_line_from("").has_value());
+  BOOST_TEST(!log_line_from("a line of another program").has_value());
+  BOOST_TEST(!log_line_from("{\"event\":\"no time\"}").has_value());
+  BOOST_TEST(!log_line_from("{\"time\":\"2026-13-02T12:00:00.000\",\"event\":\"x\"}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_is_told_with_its_reason)
+{
+  const auto told =
+      explain(k_id, {line(10, "a",
+                          of_request("refused", ",\"status\":503,\"reason\":\"store_unavailable\","
+                                                "\"detail\":\"no way\",\"after_ms\":900.0"))});
+  BOOST_TEST((told.how == outcome::refused));
+  BOOST_TEST(told.cause == "refused with 503, store_unavailable: no way, after 0.90 s");
+}
+
+BOOST_AUTO_TEST_CASE(a_late_job_is_told_with_what_happened_in_its_longest_wait)
+{
+  const std::vector<log_line> log{
+      line(9000, "c", "\"event\":\"worker_silent\",\"worker\":\"w9\""), // not one of its workers
+      line(100, "a", of_request("job_accepted")),
+      line(140, "b", of_request("tasks_started", ",\"step\":0")),
+      line(500, "b", "\"event\":\"partition_lost\",\"why\":\"stopped\""),
+      line(5000, "c", "\"event\":\"tasks_accounted\""),
+      line(4000, "a", of_request("state_shown")),
+      line(5200, "c", of_request("tasks_started", ",\"step\":1")),
+      line(6000, "c",
+           of_request("job_ended", ",\"state\":\"completed\",\"before_objective_ms\":-3000.0")),
+      line(7000, "c", "\"event\":\"store_lost\""), // after its end
+  };
+  const auto told = explain(k_id, log);
+  BOOST_TEST((told.how == outcome::late));
+  BOOST_TEST(told.longest_wait.count() == 5060);
+  BOOST_TEST_REQUIRE(told.meanwhile.size() == 2U);
+  BOOST_TEST(told.meanwhile[0].event == "partition_lost");
+  BOOST_TEST(told.meanwhile[1].event == "tasks_accounted");
+  BOOST_TEST(told.lines.size() == 5U);
+  BOOST_TEST(to_text(told).find("|    4.900  c  tasks_accounted") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_job_is_told_with_where_its_runs_failed)
+{
+  const auto failed = [](int at, const char* worker)
+  {
+    return line(
+        at, "a",
+        of_request("run_ended", std::string(",\"how\":\"failed\",\"worker\":\"") + worker + "\""));
+  };
+  const auto told =
+      explain(k_id, {line(0, "a", of_request("job_accepted")), failed(500, "w1"), failed(900, "w2"),
+                     line(901, "a", of_request("job_ended", ",\"state\":\"failed\""))});
+  BOOST_TEST((told.how == outcome::failed));
+  BOOST_TEST(told.cause.find("2 runs failed on 2 workers") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_no_line_names_is_unknown)
+{
+  const auto told = explain(k_id, {line(0, "a", "\"event\":\"started\"")});
+  BOOST_TEST((told.how == outcome::unknown));
+  BOOST_TEST(told.lines.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/Yardhill/Main.cpp
+++ b/Source/Yardhill/Main.cpp
@@ -33,6 +33,7 @@
   status   show a task, or an instance
   cancel   cancel a task
   drain    stop an instance as planned, or take a worker out of use
+  explain  tell what became of a request, out of the instances' logs
   replay   feed a recorded trace to the decision core, in virtual time
   load     send many tasks and check each answer
 
@@ -46,7 +47,7 @@
   yardhill::cli::subcommand_function run;
 };
 
-constexpr std::array<subcommand, 12> k_subcommands{{
+constexpr std::array<subcommand, 13> k_subcommands{{
     {"instance", yardhill::cli::instance},
     {"serve", yardhill::cli::serve},
     {"check", yardhill::cli::check},
@@ -57,6 +58,7 @@
     {"status", yardhill::cli::status},
     {"cancel", yardhill::cli::cancel},
     {"drain", yardhill::cli::drain},
+    {"explain", yardhill::cli::explain},
     {"replay", yardhill::cli::replay},
     {"load", yardhill::cli::load},
 }};
--- a/Source/Yardhill/Subcommands.h
+++ b/Source/Yardhill/Subcommands.h
@@ -29,6 +29,7 @@
 int status(const arguments& given);
 int cancel(const arguments& given);
 int drain(const arguments& given);
+int explain(const arguments& given);
 int replay(const arguments& given);
 int load(const arguments& given);
 } // namespace yardhill::cli
