--- /dev/null
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -0,0 +1,303 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Model/CellTroubles.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include "Node/OwnerRow.h"
+
+namespace yardhill::model
+{
+namespace
+{
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A worker whose entry is not renewed for this long is taken off the list.
+constexpr milliseconds k_entry_lapse{4500};
+constexpr milliseconds k_link_break{1500};
+// A planned stop's grace; a process that is not through by then is killed.
+constexpr seconds k_stop_grace{6};
+// Until an instance that is stopped looks again whether it has handed over.
+constexpr milliseconds k_hand_over_period{50};
+} // namespace
+
+cell_troubles::cell_troubles(explored_cell& cell, omission without)
+    : m_cell(cell), m_without(without)
+{
+}
+
+void cell_troubles::note(const std::string& what)
+{
+  const auto at = std::chrono::duration_cast<milliseconds>(m_cell.time().now() - m_cell.begin());
+  m_told.push_back(std::to_string(at.count()) + " ms: " + what);
+}
+
+void cell_troubles::draw()
+{
+  const std::uint64_t count = 2 + m_cell.draw(5);
+  for (std::uint64_t i = 0; i < count; ++i)
+    m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(18000)),
+                           [this] { befall(); });
+}
+
+void cell_troubles::befall()
+{
+  using kind = void (cell_troubles::*)();
+  static constexpr std::array<kind, 14> k_kinds{
+      &cell_troubles::kill_owner,   &cell_troubles::kill_all,       &cell_troubles::stop_one,
+      &cell_troubles::freeze_one,   &cell_troubles::cut_from_store, &cell_troubles::store_away,
+      &cell_troubles::lose_answers, &cell_troubles::lose_orders,    &cell_troubles::late_orders,
+      &cell_troubles::crash_worker, &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
+      &cell_troubles::cut_zone,     &cell_troubles::forget_history};
+  (this->*k_kinds[m_cell.draw(k_kinds.size())])();
+}
+
+void cell_troubles::kill_instance(explored_instance& which, duration down)
+{
+  if (!which.up())
+    return;
+  m_cell.end_instance(which);
+  start_again(which, down);
+}
+
+void cell_troubles::start_again(explored_instance& which, duration after)
+{
+  m_cell.time().schedule(after,
+                         [this, &which]
+                         {
+                           if (!which.up())
+                             m_cell.start_instance(which);
+                         });
+}
+
+// A planned stop: the process ends once it has handed over, or when its grace is over.
+void cell_troubles::stop_one()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  note("stop " + which->name);
+  which->core->begin_stop();
+  wait_for_hand_over(*which, m_cell.time().now() + k_stop_grace);
+}
+
+void cell_troubles::wait_for_hand_over(explored_instance& which, time_point latest)
+{
+  if (!which.up())
+    return; // killed meanwhile
+  if (which.core->handed_over() || m_cell.time().now() >= latest)
+  {
+    kill_instance(which, m_cell.draw_time(milliseconds(100), milliseconds(1000)));
+    return;
+  }
+  m_cell.time().schedule(k_hand_over_period,
+                         [this, &which, latest] { wait_for_hand_over(which, latest); });
+}
+
+void cell_troubles::kill_owner()
+{
+  for (explored_instance& each : m_cell.instances())
+  {
+    if (!each.up() || !each.core->owns_any())
+      continue;
+    note("kill owner " + each.name);
+    forget_mechanism();
+    kill_instance(each, m_cell.draw_time(milliseconds(300), milliseconds(5000)));
+    return;
+  }
+}
+
+void cell_troubles::kill_all()
+{
+  note("kill all instances");
+  forget_mechanism();
+  for (explored_instance& each : m_cell.instances())
+    kill_instance(each, m_cell.draw_time(milliseconds(300), milliseconds(2000)));
+}
+
+void cell_troubles::freeze_one()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(500), milliseconds(9000));
+  note("freeze " + which->name);
+  which->time->freeze_until(m_cell.time().now() + time);
+}
+
+void cell_troubles::cut_for(const cut_pairs& pairs, duration time)
+{
+  for (const auto& pair : pairs)
+    m_cell.network().troubles.cuts.insert(pair);
+  for (explored_instance& one : m_cell.instances())
+  {
+    for (explored_instance& other : m_cell.instances())
+    {
+      if (&one < &other && m_cell.network().cut(one.name, other.name))
+        m_cell.time().schedule(k_link_break,
+                               [this, &one, &other] { m_cell.link(one, other, false); });
+    }
+  }
+  m_cell.time().schedule(std::min<duration>(k_entry_lapse, time),
+                         [this]
+                         {
+                           for (explored_worker& each : m_cell.workers())
+                             m_cell.update_entry(each);
+                         });
+  m_cell.time().schedule(time,
+                         [this, pairs]
+                         {
+                           for (const auto& pair : pairs)
+                             m_cell.network().troubles.cuts.erase(pair);
+                           for (explored_instance& one : m_cell.instances())
+                           {
+                             for (explored_instance& other : m_cell.instances())
+                             {
+                               if (&one < &other && !m_cell.network().cut(one.name, other.name))
+                                 m_cell.link(one, other, true);
+                             }
+                           }
+                           m_cell.time().schedule(milliseconds(1500),
+                                                  [this]
+                                                  {
+                                                    for (explored_worker& each : m_cell.workers())
+                                                      m_cell.update_entry(each);
+                                                  });
+                         });
+}
+
+void cell_troubles::cut_from_store()
+{
+  explored_instance& which = m_cell.instances()[m_cell.draw(m_cell.instances().size())];
+  note("cut from the store: " + which.name);
+  cut_for({{which.name, "store"}}, m_cell.draw_time(milliseconds(1000), milliseconds(9000)));
+}
+
+void cell_troubles::store_away()
+{
+  note("store away");
+  cut_pairs pairs;
+  for (const explored_instance& each : m_cell.instances())
+    pairs.emplace_back(each.name, "store");
+  for (const explored_worker& each : m_cell.workers())
+    pairs.emplace_back(each.settings.address.address, "store");
+  cut_for(pairs, m_cell.draw_time(milliseconds(1000), milliseconds(7500)));
+}
+
+void cell_troubles::lose_answers()
+{
+  note("answers of the store are lost");
+  m_cell.network().troubles.answers_lost = 0.3;
+  m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.answers_lost = 0.0; });
+}
+
+void cell_troubles::lose_orders()
+{
+  note("answers of workers are lost");
+  m_cell.network().troubles.orders_lost = 0.1;
+  m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.orders_lost = 0.0; });
+}
+
+void cell_troubles::late_orders()
+{
+  note("orders are carried out late");
+  m_cell.network().troubles.orders_late = 0.05;
+  m_cell.time().schedule(seconds(5), [this] { m_cell.network().troubles.orders_late = 0.0; });
+}
+
+void cell_troubles::crash_worker()
+{
+  explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  note("crash " + which.settings.id);
+  which.model.reset();
+  m_cell.time().schedule(k_entry_lapse,
+                         [this, &which]
+                         {
+                           if (!which.model)
+                             m_cell.update_entry(which);
+                         });
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(8000)),
+                         [this, &which] { replace_worker(which); });
+}
+
+// It says that it leaves, serves on for a while, and is gone with all that runs there.
+void cell_troubles::drain_worker()
+{
+  explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model || which.draining)
+    return;
+  note("drain " + which.settings.id);
+  which.draining = true;
+  m_cell.update_entry(which);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(6000)),
+                         [this, &which, id = which.settings.id]
+                         {
+                           if (!which.model || which.settings.id != id)
+                             return; // it has crashed meanwhile
+                           which.model.reset();
+                           m_cell.remove_entry(which);
+                           m_cell.time().schedule(seconds(1),
+                                                  [this, &which] { replace_worker(which); });
+                         });
+}
+
+void cell_troubles::replace_worker(explored_worker& which)
+{
+  if (which.model)
+    return;
+  m_cell.remove_entry(which);
+  m_cell.start_worker(which);
+}
+
+void cell_troubles::cut_worker()
+{
+  const explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  note("cut off " + which.settings.id);
+  cut_pairs pairs{{which.settings.address.address, "store"}};
+  for (const explored_instance& each : m_cell.instances())
+    pairs.emplace_back(each.name, which.settings.address.address);
+  cut_for(pairs, m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+}
+
+void cell_troubles::cut_zone()
+{
+  const std::string zone = "zone-" + std::to_string(m_cell.draw(explored_cell::k_zones));
+  note("cut " + zone);
+  std::map<std::string, bool> inside{{"store", false}, {"advice", false}};
+  for (const explored_instance& each : m_cell.instances())
+    inside[each.name] = each.zone == zone;
+  for (const explored_worker& each : m_cell.workers())
+    inside[each.settings.address.address] = each.settings.zone == zone;
+  cut_pairs pairs;
+  for (const auto& [one, one_inside] : inside)
+  {
+    for (const auto& [other, other_inside] : inside)
+    {
+      if (one < other && one_inside != other_inside)
+        pairs.emplace_back(one, other);
+    }
+  }
+  cut_for(pairs, m_cell.draw_time(milliseconds(2000), milliseconds(7000)));
+}
+
+void cell_troubles::forget_history()
+{
+  note("the store forgets its history");
+  m_cell.store().forget_history();
+}
+
+// What a new owner would find if the mechanism were not there.
+void cell_troubles::forget_mechanism()
+{
+  if (m_without == omission::none)
+    return;
+  m_cell.store().forget_rows(m_without == omission::claims_forgotten ? node::k_claims_table
+                                                                     : node::k_progress_table);
+}
+} // namespace yardhill::model
--- /dev/null
+++ b/Source/Core/Model/CellTroubles.h
@@ -0,0 +1,58 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What befalls an explored cell: troubles drawn from its seed, at any moment, also over each other.
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Model/CellExplorer.h"
+#include "Model/ExploredCell.h"
+
+namespace yardhill::model
+{
+class cell_troubles
+{
+public:
+  cell_troubles(explored_cell& cell, omission without);
+
+  // Schedules two to six troubles for the first seconds of the play.
+  void draw();
+  // What has happened so far.
+  const std::vector<std::string>& told() const { return m_told; }
+
+private:
+  using cut_pairs = std::vector<std::pair<std::string, std::string>>;
+
+  void befall();
+  void kill_owner();
+  void kill_all();
+  void stop_one();
+  void freeze_one();
+  void cut_from_store();
+  void store_away();
+  void lose_answers();
+  void lose_orders();
+  void late_orders();
+  void crash_worker();
+  void drain_worker();
+  void cut_worker();
+  void cut_zone();
+  void forget_history();
+
+  void kill_instance(explored_instance& which, duration down);
+  void start_again(explored_instance& which, duration after);
+  void wait_for_hand_over(explored_instance& which, time_point latest);
+  void cut_for(const cut_pairs& pairs, duration time);
+  void replace_worker(explored_worker& which);
+  void forget_mechanism();
+  void note(const std::string& what);
+
+  explored_cell& m_cell;
+  omission m_without;
+  std::vector<std::string> m_told;
+};
+} // namespace yardhill::model
--- /dev/null
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -0,0 +1,239 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Model/ExploredCell.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Common/Hash.h"
+#include "platform/WireNames.h"
+
+namespace yardhill::model
+{
+namespace
+{
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace wire = adapter::wire;
+
+constexpr std::size_t k_instances = 4;
+constexpr std::size_t k_workers = 9;
+constexpr milliseconds k_tick{25};
+const common::endpoint k_store_address{"10.200.0.1", 80};
+const common::endpoint k_advice_address{"10.200.0.2", 80};
+
+std::string configuration()
+{
+  const auto route = [](const char* name, const char* prefix, int priority)
+  {
+    return json{{wire::k_name, name},         {wire::k_host, k_host},
+                {wire::k_prefix, prefix},     {wire::k_service, "service"},
+                {wire::k_priority, priority}, {wire::k_max_attempts, k_max_attempts},
+                {wire::k_stretch, 1.5},       {wire::k_latency_target_ms, 250}};
+  };
+  json urgent = route("urgent", k_urgent_prefix, 0);
+  urgent[wire::k_advice] = {
+      {wire::k_decide_ms, 19.0}, {wire::k_each_ms, 0.28}, {wire::k_valid_ms, 2500}};
+  return json{{wire::k_version, 1}, {wire::k_routes, {urgent, route("plain", k_plain_prefix, 1)}}}
+      .dump();
+}
+} // namespace
+
+explored_cell::explored_cell(std::uint64_t seed)
+    : m_random(seed),
+      m_network(m_time, seed + 1),
+      m_advice(m_time, seed, {}),
+      m_store(m_time),
+      m_callers(m_time, seed + 2, m_judge,
+                [this](http::incoming_request request, http::responder respond)
+                { return carry(std::move(request), std::move(respond)); }),
+      m_seed(seed),
+      m_begin(m_time.now())
+{
+  m_network.serve(k_store_address, "store",
+                  [this](const std::string&, const http::request& call, http::reply_handler done)
+                  { m_store.handle(call, std::move(done)); });
+  m_network.serve(
+      k_advice_address, "advice",
+      [this](const std::string& from, const http::request& call, http::reply_handler done)
+      { m_advice.handle(from, call, std::move(done)); });
+  m_store.put({wire::k_operator_table, "", wire::k_config_key}, configuration());
+  add_workers();
+  m_instances.resize(k_instances);
+  for (std::size_t i = 0; i < k_instances; ++i)
+  {
+    m_instances[i].name = "instance-" + std::to_string(i);
+    m_instances[i].zone = "zone-" + std::to_string(i % k_zones);
+    start_instance(m_instances[i]);
+  }
+}
+
+void explored_cell::add_workers()
+{
+  m_workers.resize(k_workers);
+  for (std::size_t i = 0; i < k_workers; ++i)
+  {
+    worker_settings& settings = m_workers[i].settings;
+    settings.address = {"10.1.0." + std::to_string(i + 1), 80};
+    settings.zone = "zone-" + std::to_string(i % k_zones);
+    settings.rack = "rack-" + std::to_string(i % k_zones);
+    settings.capacity.cpu_millis = 4000 * static_cast<std::int64_t>(1 + i % 3);
+    settings.capacity.memory_mib = 16000;
+    settings.clock_ahead = milliseconds(static_cast<std::int64_t>(draw(100000)));
+    settings.clock_rate = 1.0 - 0.002 * static_cast<double>(draw(11));
+    start_worker(m_workers[i]);
+  }
+}
+
+void explored_cell::start_worker(explored_worker& which)
+{
+  const std::string place = which.settings.address.address;
+  which.draining = false;
+  which.settings.id = "worker-" + place + "-" + std::to_string(++which.life);
+  which.model = std::make_unique<worker_model>(
+      m_time, which.settings, m_advice, m_judge,
+      [this](const task_ref& task, run_number run, const std::string& id)
+      {
+        const std::string key = task.job + std::to_string(task.place.step) +
+                                std::to_string(task.place.index) + std::to_string(run) + id;
+        const std::uint64_t luck = common::stable_hash(key, m_seed);
+        run_course course;
+        course.takes = milliseconds(static_cast<std::int64_t>(200 + luck % 1500));
+        course.fails = luck / 2000 % 25 == 0;
+        if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
+          course.takes = seconds(1 + static_cast<std::int64_t>(luck % 20));
+        return course;
+      });
+  which.model->set_specs(m_callers.specs());
+  m_network.serve(which.settings.address, place,
+                  [&which](const std::string&, const http::request& call, http::reply_handler done)
+                  {
+                    if (which.model)
+                      which.model->handle(call, std::move(done));
+                  });
+  update_entry(which);
+}
+
+void explored_cell::update_entry(explored_worker& which)
+{
+  const adapter::row_key at{wire::k_workers_table, "", which.settings.id};
+  const bool reaches = which.model && !m_network.cut(which.settings.address.address, "store");
+  if (!reaches)
+  {
+    remove_entry(which);
+    return;
+  }
+  m_store.put(at, which.model->entry(which.draining));
+  which.listed = true;
+}
+
+void explored_cell::remove_entry(explored_worker& which)
+{
+  if (which.listed)
+    m_store.remove({wire::k_workers_table, "", which.settings.id});
+  which.listed = false;
+}
+
+void explored_cell::end_instance(explored_instance& which)
+{
+  which.core.reset();
+  which.sender.reset();
+  which.time.reset();
+  for (explored_instance& other : m_instances)
+  {
+    if (other.up())
+      link(other, which, false);
+  }
+}
+
+duration explored_cell::draw_time(milliseconds least, milliseconds most)
+{
+  return least + milliseconds(static_cast<std::int64_t>(
+                     draw(static_cast<std::uint64_t>((most - least).count()))));
+}
+
+void explored_cell::start_instance(explored_instance& which)
+{
+  which.time = std::make_unique<process_time>(m_time);
+  which.sender = std::make_unique<network_sender>(m_network, *which.time, which.name);
+  which.metrics = std::make_unique<common::metrics>();
+  node::node_settings settings;
+  settings.name = which.name;
+  settings.zone = which.zone;
+  settings.store = k_store_address;
+  settings.advice = k_advice_address;
+  const auto send = [this, &which](const std::string& peer, const common::peer_message& message)
+  {
+    for (explored_instance& other : m_instances)
+    {
+      if (other.name != peer)
+        continue;
+      m_network.message(which.name, peer,
+                        [&other, from = which.name, message]
+                        {
+                          if (other.up())
+                            other.time->schedule(duration{0}, [&other, from, message]
+                                                 { other.core->peer_received(from, message); });
+                        });
+    }
+  };
+  const node::node_world world{
+      *which.time,   *which.sender, *which.sender, send, [](const http::listener_limits&) {},
+      *which.metrics};
+  which.core =
+      std::make_unique<node::node_core>(settings, "life-" + std::to_string(++m_lives), world);
+  which.core->start();
+  tick(which);
+  for (explored_instance& other : m_instances)
+  {
+    if (&other != &which && other.up())
+      link(which, other, true);
+  }
+}
+
+void explored_cell::link(explored_instance& one, explored_instance& other, bool up)
+{
+  for (const auto& [here, there] : {std::pair(&one, &other), std::pair(&other, &one)})
+  {
+    if (!here->up())
+      continue;
+    here->time->schedule(milliseconds(20),
+                         [here = here, name = there->name, zone = there->zone, up]
+                         {
+                           if (up)
+                             here->core->peer_linked(name, zone);
+                           else
+                             here->core->peer_unlinked(name);
+                         });
+  }
+}
+
+void explored_cell::tick(explored_instance& which)
+{
+  which.core->tick();
+  which.time->schedule(k_tick, [this, &which] { tick(which); });
+}
+
+explored_instance* explored_cell::any_up()
+{
+  std::vector<explored_instance*> up;
+  for (explored_instance& each : m_instances)
+  {
+    if (each.up())
+      up.push_back(&each);
+  }
+  return up.empty() ? nullptr : up[draw(up.size())];
+}
+
+bool explored_cell::carry(http::incoming_request request, http::responder respond)
+{
+  explored_instance* const where = any_up();
+  if (where == nullptr)
+    return false;
+  where->time->schedule(duration{0},
+                        [where, request = std::move(request), respond = std::move(respond)]
+                        { where->core->handle(request, respond); });
+  return true;
+}
+} // namespace yardhill::model
--- /dev/null
+++ b/Source/Core/Model/ExploredCell.h
@@ -0,0 +1,101 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// A whole cell in virtual time: four instances as they run in production against models of the
+// store, the workers, the advice service, the network and the callers.
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Model/AdviceModel.h"
+#include "Model/CallerModel.h"
+#include "Model/RunJudge.h"
+#include "Model/StoreModel.h"
+#include "Model/VirtualNetwork.h"
+#include "Model/VirtualTime.h"
+#include "Model/WorkerModel.h"
+#include "Node/NodeCore.h"
+
+namespace yardhill::model
+{
+// One instance's process.
+struct explored_instance
+{
+  std::string name;
+  std::string zone;
+  std::unique_ptr<process_time> time;
+  std::unique_ptr<network_sender> sender;
+  std::unique_ptr<common::metrics> metrics;
+  std::unique_ptr<node::node_core> core; // last: it goes first
+
+  bool up() const { return core != nullptr; }
+};
+
+struct explored_worker
+{
+  worker_settings settings;
+  std::unique_ptr<worker_model> model;
+  unsigned life = 0;
+  bool listed = false;
+  bool draining = false;
+};
+
+class explored_cell
+{
+public:
+  static constexpr std::size_t k_zones = 3;
+
+  explicit explored_cell(std::uint64_t seed);
+  explored_cell(const explored_cell&) = delete;
+  explored_cell& operator=(const explored_cell&) = delete;
+
+  virtual_time& time() { return m_time; }
+  virtual_network& network() { return m_network; }
+  store_model& store() { return m_store; }
+  run_judge& judge() { return m_judge; }
+  caller_model& callers() { return m_callers; }
+  std::vector<explored_worker>& workers() { return m_workers; }
+  std::vector<explored_instance>& instances() { return m_instances; }
+  time_point begin() const { return m_begin; }
+
+  // From the seed.
+  std::uint64_t draw(std::uint64_t below) { return m_random() % below; }
+  duration draw_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
+  explored_instance* any_up();
+
+  void start_instance(explored_instance& which);
+  // Ends its process as it is; the others' links to it break.
+  void end_instance(explored_instance& which);
+  // Both ends of a link are told that it is up, or broken.
+  void link(explored_instance& one, explored_instance& other, bool up);
+  void start_worker(explored_worker& which);
+  // The worker's entry comes, changes or goes, as the worker and its way to the store are.
+  void update_entry(explored_worker& which);
+  void remove_entry(explored_worker& which);
+
+private:
+  void add_workers();
+  void tick(explored_instance& which);
+  // Brings a caller's request to an instance that is up.
+  bool carry(http::incoming_request request, http::responder respond);
+
+  virtual_time m_time;
+  std::mt19937_64 m_random;
+  virtual_network m_network;
+  advice_model m_advice;
+  store_model m_store;
+  run_judge m_judge;
+  caller_model m_callers;
+  std::vector<explored_worker> m_workers;
+  std::vector<explored_instance> m_instances;
+  std::uint64_t m_lives = 0;
+  std::uint64_t m_seed;
+  time_point m_begin;
+};
+} // namespace yardhill::model
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -217,7 +217,7 @@
       remove_worker(row.at.key);
       continue;
     }
-    const auto info = adapter::worker_from(row.at.key, row.value);
+    auto info = adapter::worker_from(row.at.key, row.value);
     if (!info)
     {
       common::log_process(
@@ -225,6 +225,7 @@
           {{"table", row.at.table}, {"key", row.at.key}, {"error", common::to_text(info.error())}});
       continue;
     }
+    info->entry_version = row.version;
     present.insert(row.at.key);
     m_worker_entries[row.at.key] = *info;
     for (const auto& each : m_partitions)
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -45,10 +45,13 @@
 
 void worker_holder::on_entry(const worker_info& info, time_point now)
 {
-  // Another life at the same address: the earlier one has ended, with all that ran there.
+  // A later life at the same address: the earlier one has ended, with all that ran there. Which one
+  // is later is sure only by their entries, since feeds may be behind; else a hold's answer tells.
   for (auto& [id, worker] : m_state.workers)
   {
-    if (id != info.id && worker->info.address == info.address)
+    const bool earlier =
+        worker->info.entry_version != 0 && worker->info.entry_version < info.entry_version;
+    if (id != info.id && worker->info.address == info.address && earlier)
       gone(*worker, "another life has its address");
   }
   worker_record* const known = m_state.find_worker(info.id);
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -249,4 +249,51 @@
   BOOST_TEST(owner.starts.size() == 1U);
 }
 
+// Explorer, seed 1736: a new owner whose feed of workers was behind heard of a worker's earlier
+// life after it had asked the present one, took that for gone, and started its tasks elsewhere.
+BOOST_AUTO_TEST_CASE(the_entry_of_an_earlier_life_does_not_end_a_later_one)
+{
+  scheduler_harness owner(1000);
+  owner.scheduler->set_earlier_end(owner.now + seconds{16});
+  owner.scheduler->restore_claim(worker_id("life-2"), {{"10.0.0.9", 80}, "", false, {}}, owner.now);
+  owner.scheduler->restore_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), begun(),
+      owner.now);
+  owner.scheduler->begin_accounting();
+  owner.step();
+  listed_run run;
+  run.task = {"0123456789abcdef", {0, 0, 0}};
+  run.run = 7;
+  owner.answer_hold("life-2", {run});
+  owner.add_worker(scheduler_harness::worker("w1"));
+  worker_info earlier = scheduler_harness::worker("life-1");
+  earlier.address = {"10.0.0.9", 80};
+  earlier.entry_version = 50;
+  owner.scheduler->worker_entry(earlier, owner.now);
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_entry_of_a_later_life_ends_an_earlier_one)
+{
+  scheduler_harness owner;
+  worker_info first = scheduler_harness::worker("life-1");
+  first.entry_version = 50;
+  owner.add_worker(first);
+  owner.scheduler->add_job(
+      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
+  worker_info second = scheduler_harness::worker("life-2");
+  second.address = first.address;
+  second.entry_version = 60;
+  owner.add_worker(second);
+  BOOST_TEST_REQUIRE(owner.starts.size() == 2U);
+  BOOST_TEST(owner.starts.back().worker.value == "life-2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
