Node, Model: What is seen of an owner is a class of its own; checkpoints count once they are listed

A worker had listed a run's checkpoint while it was stopping and crashed before the end; the judge knew checkpoints from ends only. Now a checkpoint counts from when the worker saves it; one of another task still does not.

--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -119,8 +119,7 @@
   m_tasks[start.task].active[start.run] = start.worker;
 }
 
-void run_judge::ended(const task_ref& task, run_number run, const std::string& worker, run_end how,
-                      const std::string& checkpoint)
+void run_judge::ended(const task_ref& task, run_number run, const std::string& worker, run_end how)
 {
   seen_task& seen = m_tasks[task];
   const auto found = seen.active.find(run);
@@ -128,8 +127,11 @@
     seen.active.erase(found);
   if (how == run_end::done)
     seen.done.insert(run);
-  if (!checkpoint.empty())
-    seen.checkpoints.insert(checkpoint);
+}
+
+void run_judge::saved(const task_ref& task, const std::string& checkpoint)
+{
+  m_tasks[task].checkpoints.insert(checkpoint);
 }
 
 void run_judge::acknowledged(const task_ref& task, run_number run, run_end how)
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -45,8 +45,9 @@
 
   // What workers do. `gone`: the worker has died with all its runs.
   void started(const observed_start& start);
-  void ended(const task_ref& task, run_number run, const std::string& worker, run_end how,
-             const std::string& checkpoint);
+  void ended(const task_ref& task, run_number run, const std::string& worker, run_end how);
+  // A run's work is saved; its checkpoint is listed from now on, whatever becomes of the worker.
+  void saved(const task_ref& task, const std::string& checkpoint);
   void acknowledged(const task_ref& task, run_number run, run_end how);
   void worker_gone(const std::string& worker);
   void overloaded(const std::string& worker, const std::string& what);
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -181,6 +181,7 @@
   {
     running->second.stopping = true;
     running->second.checkpoint = "c" + std::to_string(m_last_end + 1) + m_settings.id;
+    m_judge.saved(task, running->second.checkpoint);
     m_time.cancel(running->second.end_event);
     running->second.end_event =
         m_time.schedule(m_settings.stop_time, [this, task] { finish(task, run_end::stopped); });
@@ -198,7 +199,7 @@
   m_past[task] = std::max(m_past[task], run.number);
   ++m_last_end;
   m_ends[m_last_end] = {m_last_end, task, run.number, how, run.checkpoint};
-  m_judge.ended(task, run.number, m_settings.id, how, run.checkpoint);
+  m_judge.ended(task, run.number, m_settings.id, how);
   for (const waiting_hold& each : std::exchange(m_holds, {}))
   {
     m_time.cancel(each.timeout);
--- /dev/null
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -0,0 +1,83 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/OwnerWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::node
+{
+owner_watch::owner_watch(const common::timekeeper& time, instance_identity self,
+                         std::string partition, const ownership_options& options)
+    : m_time(time), m_self(std::move(self)), m_partition(std::move(partition)), m_options(options)
+{
+}
+
+std::optional<owner_row> owner_watch::take_in(const adapter::row& row)
+{
+  if (row.version < m_seen.version)
+    return std::nullopt;
+  const auto parsed = owner_row_from(row.value);
+  if (!parsed)
+  {
+    common::log_process("row_damaged", {{"table", k_owners_table},
+                                        {"partition", m_partition},
+                                        {"error", common::to_text(parsed.error())}});
+    return std::nullopt;
+  }
+  const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
+  m_seen = {*parsed, row.version, m_time.now()};
+  if (other_owner)
+    common::log_process("owner_seen", {{"partition", m_partition},
+                                       {"holder", parsed->holder},
+                                       {"epoch", parsed->epoch},
+                                       {"version", row.version}});
+  return *parsed;
+}
+
+void owner_watch::written(const owner_row& row, adapter::row_version version)
+{
+  m_unclear_takeover.reset();
+  m_seen = {row, version, m_time.now()};
+}
+
+void owner_watch::peer_link(const std::string& peer, bool linked)
+{
+  if (linked)
+    m_unlinked.erase(peer);
+  else
+    m_unlinked.insert(peer);
+}
+
+bool owner_watch::is_unclear_takeover(const owner_row& row) const
+{
+  return m_unclear_takeover && row.life == m_self.life && row.holder == m_self.name &&
+         row.epoch == m_unclear_takeover->epoch && row.renewal == 0;
+}
+
+// It has ended, so it orders nothing any more.
+bool owner_watch::earlier_process_of_ours() const
+{
+  return m_seen.row.holder == m_self.name && m_seen.row.life != m_self.life;
+}
+
+bool owner_watch::takeover_due(common::time_point now, common::time_point feed_healthy_since) const
+{
+  if (now < m_try_after)
+    return false;
+  if (m_seen.version == 0 || m_seen.row.holder.empty() || earlier_process_of_ours())
+    return true;
+  const common::time_point heard = std::max(m_seen.changed_at, feed_healthy_since);
+  const common::duration patience =
+      m_unlinked.contains(m_seen.row.holder) ? m_options.silence_unlinked : m_options.silence;
+  return now - heard > patience;
+}
+
+common::time_point owner_watch::orders_end() const
+{
+  return earlier_process_of_ours() ? m_seen.changed_at : m_options.orders_end(m_seen.changed_at);
+}
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/Core/Node/OwnerWatch.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What an instance has seen of a partition's owner, and whether it should take the partition over.
+// No I/O.
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "Common/Timekeeper.h"
+#include "Node/OwnerRow.h"
+#include "Node/OwnershipOptions.h"
+
+namespace yardhill::node
+{
+struct instance_identity
+{
+  std::string name;
+  std::string life; // new at each start of the process
+};
+
+class owner_watch
+{
+public:
+  owner_watch(const common::timekeeper& time, instance_identity self, std::string partition,
+              const ownership_options& options);
+
+  const seen_owner& seen() const { return m_seen; }
+  // The row as the feed or a conflict shows it; nothing if it is older than what was seen, or
+  // damaged.
+  std::optional<owner_row> take_in(const adapter::row& row);
+  // A row that this instance has written itself.
+  void written(const owner_row& row, adapter::row_version version);
+  // The link to that instance has come up or has broken, or it is silent.
+  void peer_link(const std::string& peer, bool linked);
+
+  // A takeover whose write got no answer: it may have been done, or may be later.
+  void takeover_unclear(const owner_row& row) { m_unclear_takeover = row; }
+  // Whether the row is what such a takeover wrote.
+  bool is_unclear_takeover(const owner_row& row) const;
+  // No takeover is tried for this time.
+  void pause(common::duration time) { m_try_after = m_time.now() + time; }
+  // Whether the partition should be taken over now. `feed_healthy_since`: of the owners' feed.
+  bool takeover_due(common::time_point now, common::time_point feed_healthy_since) const;
+  // When the owner that was seen has given its last order, if it is replaced now.
+  common::time_point orders_end() const;
+
+private:
+  bool earlier_process_of_ours() const;
+
+  const common::timekeeper& m_time;
+  instance_identity m_self;
+  std::string m_partition;
+  ownership_options m_options;
+  seen_owner m_seen;
+  common::time_point m_try_after{};
+  std::optional<owner_row> m_unclear_takeover;
+  std::set<std::string> m_unlinked; // peers whose link has broken and not come back
+};
+} // namespace yardhill::node
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -26,6 +26,7 @@
       m_self(std::move(self)),
       m_partition(std::move(partition)),
       m_options(options),
+      m_watch(parts.time, m_self, m_partition, options),
       m_step_timer(parts.time)
 {
 }
@@ -36,64 +37,29 @@
 
 void partition_owner::owner_row_changed(const adapter::row& row)
 {
-  if (row.version < m_seen.version)
+  const auto seen = m_watch.take_in(row);
+  if (!seen)
     return;
-  const auto parsed = owner_row_from(row.value);
-  if (!parsed)
-  {
-    common::log_process("row_damaged", {{"table", k_owners_table},
-                                        {"partition", m_partition},
-                                        {"error", common::to_text(parsed.error())}});
-    return;
-  }
-  const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
-  m_seen = {*parsed, row.version, m_parts.time.now()};
-  if (other_owner)
-    common::log_process("owner_seen", {{"partition", m_partition},
-                                       {"holder", parsed->holder},
-                                       {"epoch", parsed->epoch},
-                                       {"version", row.version}});
-  if ((m_state == state::owning || m_state == state::loading) && parsed->life != m_self.life &&
+  if ((m_state == state::owning || m_state == state::loading) && seen->life != m_self.life &&
       row.version > m_token)
     lose("the owner's row names another instance");
+  // A write of ours whose answer was lost has come true.
   // Not so for a row of an ownership that has ended: the feed may be far behind.
-  if (m_state == state::watching && !m_stopping && is_unclear_takeover(*parsed))
+  if (m_state == state::watching && !m_stopping && m_watch.is_unclear_takeover(*seen))
   {
     adapter::transaction_result result;
     result.end = adapter::store_end::done;
     result.version = row.version;
-    on_acquired(*parsed, result);
+    on_acquired(*seen, result);
   }
 }
 
-bool partition_owner::is_unclear_takeover(const owner_row& row) const
-{
-  return m_unclear_takeover && row.life == m_self.life && row.holder == m_self.name &&
-         row.epoch == m_unclear_takeover->epoch && row.renewal == 0;
-}
-
 bool partition_owner::should_take(common::time_point now,
                                   std::optional<common::time_point> feed_healthy_since) const
 {
-  if (!feed_healthy_since || m_stopping || now < m_try_after || m_parts.queues.version == 0 ||
-      m_parts.path.isolated())
+  if (!feed_healthy_since || m_stopping || m_parts.queues.version == 0 || m_parts.path.isolated())
     return false;
-  const common::time_point heard = std::max(m_seen.changed_at, *feed_healthy_since);
-  if (m_seen.version != 0 && m_seen.row.holder == m_self.name && m_seen.row.life != m_self.life)
-    return true; // an earlier process of this very instance: it has ended
-  if (m_seen.version == 0 || m_seen.row.holder.empty())
-    return true;
-  const common::duration patience =
-      m_unlinked.contains(m_seen.row.holder) ? m_options.silence_unlinked : m_options.silence;
-  return now - heard > patience;
-}
-
-void partition_owner::peer_link(const std::string& peer, bool linked)
-{
-  if (linked)
-    m_unlinked.erase(peer);
-  else
-    m_unlinked.insert(peer);
+  return m_watch.takeover_due(now, *feed_healthy_since);
 }
 
 void partition_owner::acquire()
@@ -101,23 +67,21 @@
   m_state = state::acquiring;
   // The write holds only if the row is still the one seen, so the earlier owner's latest renewal is
   // that one, and was asked for before it was seen.
+  const seen_owner& earlier = m_watch.seen();
   const scheduling::scheduler_options leases;
-  // An earlier process of this very instance has ended: it orders nothing any more.
-  const common::time_point orders_end = m_seen.row.holder == m_self.name
-                                            ? m_seen.changed_at
-                                            : m_options.orders_end(m_seen.changed_at);
-  m_earlier_end = m_seen.version == 0 ? common::time_point{} : orders_end + leases.longest_lease();
+  m_earlier_end =
+      earlier.version == 0 ? common::time_point{} : m_watch.orders_end() + leases.longest_lease();
   owner_row row;
   row.holder = m_self.name;
   row.life = m_self.life;
-  row.epoch = m_seen.row.epoch + 1;
+  row.epoch = earlier.row.epoch + 1;
   adapter::transaction change;
-  change.conditions.push_back({owner_key(m_partition), m_seen.version});
+  change.conditions.push_back({owner_key(m_partition), earlier.version});
   change.puts.push_back({owner_key(m_partition), to_row_text(row)});
   common::log_process("take_over", {{"partition", m_partition},
-                                    {"from", m_seen.row.holder},
+                                    {"from", earlier.row.holder},
                                     {"epoch", row.epoch},
-                                    {"silent_ms", m_parts.time.now() - m_seen.changed_at}});
+                                    {"silent_ms", m_parts.time.now() - earlier.changed_at}});
   m_parts.store.transact(change, k_takeover_timeout,
                          [this, row](const adapter::transaction_result& result)
                          {
@@ -131,9 +95,9 @@
   if (result.end != adapter::store_end::done)
   {
     m_state = state::watching;
-    m_try_after = m_parts.time.now() + m_options.retry_pause;
+    m_watch.pause(m_options.retry_pause);
     if (result.end == adapter::store_end::unclear)
-      m_unclear_takeover = row;
+      m_watch.takeover_unclear(row);
     common::log_process("take_over_failed", {{"partition", m_partition},
                                              {"end", adapter::to_text(result.end)},
                                              {"detail", result.detail}});
@@ -142,10 +106,9 @@
     return;
   }
   m_parts.metrics.add(common::counter::takeovers);
-  m_unclear_takeover.reset();
   m_row = row;
   m_token = result.version;
-  m_seen = {row, result.version, m_parts.time.now()};
+  m_watch.written(row, result.version);
   m_last_renewal = m_parts.time.now();
   m_ownership = std::make_shared<int>(0);
   load();
@@ -258,8 +221,8 @@
 {
   if (owns())
     job_accepted(job, version);
-  else if (!m_seen.row.holder.empty())
-    m_parts.send_to_peer(m_seen.row.holder,
+  else if (!seen().row.holder.empty())
+    m_parts.send_to_peer(seen().row.holder,
                          common::job_notice{job.id, jobs::to_row_text(job), version});
 }
 
@@ -267,8 +230,8 @@
 {
   if (owns())
     job_cancelled(id);
-  else if (!m_seen.row.holder.empty())
-    m_parts.send_to_peer(m_seen.row.holder, common::job_notice{id, {}, 0});
+  else if (!seen().row.holder.empty())
+    m_parts.send_to_peer(seen().row.holder, common::job_notice{id, {}, 0});
 }
 
 void partition_owner::on_notice(const common::job_notice& notice)
@@ -321,7 +284,7 @@
                                          {"why", why},
                                          {"epoch", m_row.epoch},
                                          {"token", m_token},
-                                         {"holder", m_seen.row.holder}});
+                                         {"holder", seen().row.holder}});
   m_parts.metrics.add(common::counter::owner_lost);
   if (m_loader)
     m_loader->abandon();
@@ -335,7 +298,7 @@
   m_step_due = false;
   m_releasing = false;
   m_state = state::watching;
-  m_try_after = m_parts.time.now() + m_options.silence;
+  m_watch.pause(m_options.silence);
 }
 
 // ---- What workers and callers bring
@@ -428,7 +391,7 @@
   {
     m_last_renewal = commit.sent;
     // The feed shows it later, or not at all.
-    m_seen = {*commit.owner, commit.version, m_last_written};
+    m_watch.written(*commit.owner, commit.version);
   }
   // Other instances go by the renewals alone.
   m_scheduler->set_authority(commit.sent + m_options.authority, m_last_renewal);
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -13,14 +13,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "Jobs/QueueTable.h"
 #include "Node/AdvicePool.h"
 #include "Node/CommitWriter.h"
 #include "Node/JobStore.h"
-#include "Node/OwnerRow.h"
+#include "Node/OwnerWatch.h"
 #include "Node/PartitionLoader.h"
 #include "Node/RowSweeper.h"
 #include "Node/StorePath.h"
@@ -30,47 +29,6 @@
 
 namespace yardhill::node
 {
-struct ownership_options
-{
-  // The owner's row is renewed this often; pending counts in it may be 2 s old (the platform's
-  // bound), and watchers notice a dead owner by it. Renewals ride on commits; what they cost is a
-  // feed's answer to each instance.
-  common::duration renew_period = std::chrono::milliseconds{500};
-  // An owner that has not renewed its row for this long is replaced: the store may be slow.
-  common::duration silence = std::chrono::milliseconds{3000};
-  // The same once it is silent, or the link to it broken, as well: one renewal missed. Longer than
-  // the scheduler's fresh_word.
-  common::duration silence_unlinked = std::chrono::milliseconds{800};
-  // How long an owner goes on giving orders after it asked the store for its latest success. With
-  // the leases (7.5 s) it covers an outage of 7 s; a new owner waits for both together where it
-  // cannot ask a worker.
-  common::duration authority = std::chrono::milliseconds{4500};
-  // Commits are at least this far apart, so that ends share them: 25 a second and partition.
-  common::duration commit_spacing = std::chrono::milliseconds{40};
-  common::duration retry_pause = std::chrono::milliseconds{200};
-  // An owner that reaches the store only through a peer for this long gives its partition back:
-  // another instance hears of new jobs at once.
-  common::duration relayed_most = std::chrono::milliseconds{700};
-  // The rows of an ended job stay this long: twice what callers may ask for it (the platform's
-  // status_s), so that a submission repeated late still meets its row.
-  common::duration keep_ended = std::chrono::seconds{240};
-  // Rows of one commit; the platform takes 100 entries.
-  std::size_t most_commit_rows = 90;
-
-  // When an owner whose renewal was seen at `renewed` has surely given its last order: a commit
-  // that extends its authority comes less than a renewal period after its latest renewal.
-  common::time_point orders_end(common::time_point renewed) const
-  {
-    return renewed + renew_period + authority;
-  }
-};
-
-struct instance_identity
-{
-  std::string name;
-  std::string life; // new at each start of the process
-};
-
 // What the owners of all partitions share with their process.
 struct node_parts
 {
@@ -98,11 +56,11 @@
 
   const std::string& partition() const { return m_partition; }
   bool owns() const { return m_state == state::owning; }
-  const seen_owner& seen() const { return m_seen; }
+  const seen_owner& seen() const { return m_watch.seen(); }
 
   void owner_row_changed(const adapter::row& row);
   // The link to that instance has come up or has broken.
-  void peer_link(const std::string& peer, bool linked);
+  void peer_link(const std::string& peer, bool linked) { m_watch.peer_link(peer, linked); }
   void worker_entry(const scheduling::worker_info& info);
   void worker_entry_gone(const common::worker_id& id);
   void queues_changed();
@@ -129,8 +87,6 @@
     owning
   };
 
-  // Whether the row is what a takeover of ours wrote that got no answer.
-  bool is_unclear_takeover(const owner_row& row) const;
   bool should_take(common::time_point now,
                    std::optional<common::time_point> feed_healthy_since) const;
   void acquire();
@@ -168,11 +124,7 @@
   std::string m_partition;
   ownership_options m_options;
   state m_state = state::watching;
-  seen_owner m_seen;
-  common::time_point m_try_after{};
-  // A takeover whose write got no answer: it may have been done, or may be later.
-  std::optional<owner_row> m_unclear_takeover;
-  std::set<std::string> m_unlinked;   // peers whose link has broken and not come back
+  owner_watch m_watch;
   common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
   bool m_releasing = false; // this ownership is given back once everything is written
--- /dev/null
+++ b/Source/UnitTests/Node/OwnerWatchTest.cpp
@@ -0,0 +1,94 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <boost/test/unit_test.hpp>
+
+#include "Model/VirtualTime.h"
+#include "Node/OwnerWatch.h"
+#include "Scheduling/SchedulerOptions.h"
+
+using namespace yardhill;
+using std::chrono::milliseconds;
+
+namespace
+{
+struct watched_owner
+{
+  model::virtual_time time;
+  common::time_point healthy = time.now();
+  node::ownership_options options;
+  node::owner_watch watch{time, {"instance-1", "life-1"}, "cell", options};
+
+  void see(const std::string& holder, const std::string& life, adapter::row_version version)
+  {
+    node::owner_row row;
+    row.holder = holder;
+    row.life = life;
+    watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), version});
+  }
+
+  bool due() const { return watch.takeover_due(time.now(), healthy); }
+  void pass(common::duration span) { time.run_until(time.now() + span); }
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OwnerWatchTest)
+
+BOOST_FIXTURE_TEST_CASE(a_partition_without_an_owner_is_taken_at_once, watched_owner)
+{
+  BOOST_TEST(due());
+  see("", "life-2", 5);
+  BOOST_TEST(due());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_linked_owner_has_more_time_than_a_silent_one, watched_owner)
+{
+  see("instance-2", "life-2", 5);
+  pass(options.silence_unlinked + milliseconds{1});
+  BOOST_TEST(!due());
+  watch.peer_link("instance-2", false);
+  BOOST_TEST(due());
+  watch.peer_link("instance-2", true);
+  BOOST_TEST(!due());
+  pass(options.silence);
+  BOOST_TEST(due());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_renewal_gives_time_anew, watched_owner)
+{
+  see("instance-2", "life-2", 5);
+  watch.peer_link("instance-2", false);
+  pass(milliseconds{700});
+  see("instance-2", "life-2", 6);
+  pass(milliseconds{700});
+  BOOST_TEST(!due());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_earlier_process_of_this_instance_has_ended, watched_owner)
+{
+  see("instance-1", "life-0", 5);
+  BOOST_TEST(due());
+  BOOST_TEST((watch.orders_end() == watch.seen().changed_at));
+}
+
+// A commit without a renewal extends an owner's authority, but others see renewals alone.
+BOOST_FIXTURE_TEST_CASE(an_owner_may_give_orders_for_its_authority_after_its_last_commit,
+                        watched_owner)
+{
+  see("instance-2", "life-2", 5);
+  BOOST_TEST(
+      (watch.orders_end() >= watch.seen().changed_at + options.renew_period + options.authority));
+  // What the scheduler calls a fresh word must be over before anybody takes over.
+  BOOST_TEST((scheduling::scheduler_options{}.fresh_word < options.silence_unlinked));
+}
+
+BOOST_FIXTURE_TEST_CASE(older_and_damaged_rows_are_left_out, watched_owner)
+{
+  see("instance-2", "life-2", 5);
+  see("instance-3", "life-3", 4);
+  BOOST_TEST(watch.seen().row.holder == "instance-2");
+  BOOST_TEST(!watch.take_in({{node::k_owners_table, "cell", "owner"}, "no json", 6}).has_value());
+  BOOST_TEST(watch.seen().row.holder == "instance-2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
