UnitTests, Scheduling: The harness starts jobs itself; a name moves out as the linter asks

The lines that hand a job in and have it started stood in five test files; start_job of the harness holds them now.

--- a/Source/Core/Scheduling/ZoneChooser.cpp
+++ b/Source/Core/Scheduling/ZoneChooser.cpp
@@ -67,7 +67,7 @@
     if (m_state.usable(*worker, now) && worker->slow_until <= now && suits(*worker, job, record))
       room[worker->info.zone] += tasks_that_fit(room_of(spec), worker->free(), most);
   }
-  const std::string so_far = zone_so_far(in);
+  std::string so_far = zone_so_far(in);
   if (!so_far.empty() && room[so_far] >= wanted)
     return so_far;
   const auto best = std::max_element(room.begin(), room.end(),
--- a/Source/UnitTests/Scheduling/DrainTest.cpp
+++ b/Source/UnitTests/Scheduling/DrainTest.cpp
@@ -19,10 +19,7 @@
   void play(const yardhill::jobs::step_spec& spec)
   {
     add_worker(worker("w1"));
-    scheduler->add_job(job(k_job, {spec}), now);
-    step();
-    commit();
-    step();
+    start_job(k_job, spec);
     BOOST_TEST_REQUIRE(starts.size() == 1U);
     answer_start(starts.front(), call_end::done);
     answer_hold("w1", {running(starts.front())});
@@ -90,10 +87,7 @@
 {
   scheduler_harness alone;
   alone.add_worker(scheduler_harness::worker("w1"));
-  alone.scheduler->add_job(scheduler_harness::job(k_job, {lasting()}), alone.now);
-  alone.step();
-  alone.commit();
-  alone.step();
+  alone.start_job(k_job, lasting());
   alone.answer_start(alone.starts.front(), call_end::done);
   worker_info leaving = scheduler_harness::worker("w1");
   leaving.draining = true;
--- a/Source/UnitTests/Scheduling/LostAnswersTest.cpp
+++ b/Source/UnitTests/Scheduling/LostAnswersTest.cpp
@@ -20,10 +20,7 @@
   held_worker()
   {
     add_worker(worker("w1"));
-    scheduler->add_job(job(k_job, {step_of(1)}), now);
-    step();
-    commit();
-    step();
+    start_job(k_job, step_of(1));
     BOOST_TEST_REQUIRE(starts.size() == 1U);
     step();
     BOOST_TEST_REQUIRE(holds.size() == 1U);
--- a/Source/UnitTests/Scheduling/PendingTest.cpp
+++ b/Source/UnitTests/Scheduling/PendingTest.cpp
@@ -17,10 +17,7 @@
   started_job()
   {
     add_worker(worker("w1"));
-    scheduler->add_job(job(k_job, {step_of(1)}), now);
-    step();
-    commit();
-    step();
+    start_job(k_job, step_of(1));
     BOOST_TEST_REQUIRE(starts.size() == 1U);
   }
 
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -109,6 +109,14 @@
   holds.clear();
 }
 
+void scheduler_harness::start_job(const std::string& id, const jobs::step_spec& spec)
+{
+  scheduler->add_job(job(id, {spec}), now);
+  step();
+  commit(); // that the step has begun
+  step();
+}
+
 worker_clock_time scheduler_harness::clock() const
 {
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch() - k_clock_behind);
--- a/Source/UnitTests/Scheduling/SchedulerHarness.h
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.h
@@ -42,6 +42,8 @@
   void set_policy(const jobs::queue_policy& policy);
   // A worker that has answered its first hold and runs nothing.
   void add_worker(const worker_info& info);
+  // A job of one step whose tasks are started as far as there is room.
+  void start_job(const std::string& id, const jobs::step_spec& step);
 
   // The worker's clock: half a minute behind ours.
   worker_clock_time clock() const;
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -282,11 +282,7 @@
   worker_info first = scheduler_harness::worker("life-1");
   first.entry_version = 50;
   owner.add_worker(first);
-  owner.scheduler->add_job(
-      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
-  owner.step();
-  owner.commit();
-  owner.step();
+  owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
   BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
   worker_info second = scheduler_harness::worker("life-2");
   second.address = first.address;
--- a/Source/UnitTests/Scheduling/ZoneTest.cpp
+++ b/Source/UnitTests/Scheduling/ZoneTest.cpp
@@ -151,19 +151,13 @@
   for (const start_command& each : std::vector<start_command>(starts))
     answer_start(each, call_end::unanswered);
   clear();
-  scheduler->add_job(job("0123456789abcde0", {step_of(2)}), now);
-  step();
-  commit();
-  step();
+  start_job("0123456789abcde0", step_of(2));
   BOOST_TEST_REQUIRE(starts.size() == 2U);
   BOOST_TEST(used().count("w1") + used().count("w3") == 0U);
   answer_hold("w1", {});
   answer_hold("w3", {});
   clear();
-  scheduler->add_job(job("0123456789abcde1", {step_of(7)}), now);
-  step();
-  commit();
-  step();
+  start_job("0123456789abcde1", step_of(7));
   BOOST_TEST(used().count("w1") + used().count("w3") > 0U);
 }
 
