Scheduling: A zone that answered nothing is tried again after 2 s

A zone that leaves four orders in a row unanswered gets nothing until one of its workers is heard; but workers without runs are not asked anything, so if the silent ones are gone, an idle zone stayed unused for ever. Change: the silence counts for 2 s after the latest unanswered order. ZoneTest: the new case failed without the change, passes with it.

--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -59,6 +59,9 @@
   // started there until one of them is heard. Where a fifth of all answers is lost (the most at the
   // sites) that happens by chance once in 600 orders, and lasts until the next hold's answer.
   unsigned unanswered_to_leave_zone = 4;
+  // After so long without another such order the zone is tried again: those that did not answer
+  // may be gone, and nobody else there is asked anything.
+  duration zone_retry = std::chrono::seconds{2};
   // A task whose run was given up unheard is started again only while the latest renewal is this
   // fresh: no instance takes over within 0.8 s of one, so none has heard of that run's end.
   duration fresh_word = std::chrono::milliseconds{650};
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -41,7 +41,9 @@
     note_heard(worker);
     return;
   }
-  if (++unanswered_in_zone[worker.info.zone] == options.unanswered_to_leave_zone)
+  zone_silence& silence = zone_silences[worker.info.zone];
+  silence.latest = now;
+  if (++silence.orders == options.unanswered_to_leave_zone)
     common::log_process("zone_silent", {{"zone", worker.info.zone}});
 }
 
@@ -49,8 +51,10 @@
 {
   if (worker.suspect || worker.avoid_until > now)
     return false;
-  const auto silent = unanswered_in_zone.find(worker.info.zone);
-  return silent == unanswered_in_zone.end() || silent->second < options.unanswered_to_leave_zone;
+  const auto silence = zone_silences.find(worker.info.zone);
+  return silence == zone_silences.end() ||
+         silence->second.orders < options.unanswered_to_leave_zone ||
+         now - silence->second.latest > options.zone_retry;
 }
 
 bool scheduler_state::overdue(const run_record& run, time_point now) const
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -44,7 +44,12 @@
   bool fenced = false;      // a worker obeys a later owner
   bool place_again = true;
   // Orders in a row that no worker of the zone has answered.
-  std::map<std::string, unsigned> unanswered_in_zone;
+  struct zone_silence
+  {
+    unsigned orders = 0;
+    time_point latest{};
+  };
+  std::map<std::string, zone_silence> zone_silences;
   // Time of day less the steady clock, for timed jobs.
   std::chrono::milliseconds wall_ahead{0};
   // Numbers of runs begin above this: an earlier owner may have used any up to it.
@@ -63,7 +68,7 @@
   // Counts an order's outcome for its worker and for the worker's zone.
   void note_order(worker_record& worker, bool answered, time_point now);
   // The worker was heard, so its zone is not cut off from here.
-  void note_heard(const worker_record& worker) { unanswered_in_zone.erase(worker.info.zone); }
+  void note_heard(const worker_record& worker) { zone_silences.erase(worker.info.zone); }
   // Whether anything new may be given to the worker now, as far as its health goes.
   bool usable(const worker_record& worker, time_point now) const;
   void mark_dirty(const job_record& job) { dirty.insert(job.id()); }
--- a/Source/UnitTests/Scheduling/ZoneTest.cpp
+++ b/Source/UnitTests/Scheduling/ZoneTest.cpp
@@ -161,4 +161,21 @@
   BOOST_TEST(used().count("w1") + used().count("w3") > 0U);
 }
 
+// Found by reading: workers without runs are not asked anything, so if those that did not answer
+// are gone, nobody there would ever be heard.
+BOOST_FIXTURE_TEST_CASE(a_zone_whose_silent_workers_are_gone_is_tried_again, two_zones)
+{
+  add_workers();
+  place(step_of(4));
+  for (const start_command& each : std::vector<start_command>(starts))
+    answer_start(each, call_end::unanswered);
+  clear();
+  start_job("0123456789abcde0", step_of(20)); // more than zone b has room for
+  BOOST_TEST(used().count("w1") + used().count("w3") == 0U);
+  pass(options.zone_retry + milliseconds{1});
+  clear();
+  step();
+  BOOST_TEST(used().count("w1") + used().count("w3") > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
