Node: Silent peers are asked until they are heard

Change: as long as a linked peer is silent, peers are asked. PeerMonitorTest: the new case failed without the change, passes with it.

--- a/Source/Core/Node/PeerMonitor.cpp
+++ b/Source/Core/Node/PeerMonitor.cpp
@@ -136,7 +136,9 @@
   // One last question tells the peers that no more will come.
   const bool stopped = m_was_owner && !owner;
   m_was_owner = owner;
-  if (stopped || ((owner || in_doubt) && now - m_last_asked >= k_ask_period))
+  const bool any_silent = std::any_of(m_peers.begin(), m_peers.end(),
+                                      [](const auto& each) { return each.second.silent; });
+  if (stopped || ((owner || in_doubt || any_silent) && now - m_last_asked >= k_ask_period))
     ask_all(now, owner);
 }
 
--- a/Source/Core/Node/PeerMonitor.h
+++ b/Source/Core/Node/PeerMonitor.h
@@ -7,8 +7,8 @@
 //
 // A broken link tells of a dead process at once, but of a machine behind a cut only after its
 // time-out. So an owner asks all peers all the time, and an instance that doubts its own way to the
-// store asks them as long as it does. A peer that leaves a question unanswered, or an owner that
-// stops asking, counts as silent until its next message.
+// store, or knows of silent peers, asks them as long as it does. A peer that leaves a question
+// unanswered, or an owner that stops asking, counts as silent until its next message.
 
 #include <functional>
 #include <map>
--- a/Source/UnitTests/Node/PeerMonitorTest.cpp
+++ b/Source/UnitTests/Node/PeerMonitorTest.cpp
@@ -94,6 +94,23 @@
   BOOST_TEST(!std::get<common::way_question>(sent.back()).often);
 }
 
+// Found by reading: two instances that own nothing have little to say to each other, so after a
+// short cut each took the other for silent until the next trouble.
+BOOST_FIXTURE_TEST_CASE(silent_peers_are_asked_until_they_are_heard, monitor_under_test)
+{
+  peers.linked("peer", "other");
+  pass(milliseconds{800}, false, true);
+  BOOST_TEST_REQUIRE(events.size() == 2U);
+  sent.clear();
+  pass(milliseconds{600});
+  BOOST_TEST(!sent.empty());
+  peers.heard("peer");
+  peers.on_report("peer", {true});
+  sent.clear();
+  pass(milliseconds{600});
+  BOOST_TEST(sent.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(own_pauses_are_not_held_against_peers, monitor_under_test)
 {
   peers.linked("peer", "other");
