--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -22,8 +22,9 @@
 
 // What may wait for a reader of standard output that is slow; more is dropped and counted.
 constexpr std::size_t k_most_buffered = 256U << 10U;
-// Lines are written together once this many bytes wait, or on flush.
-constexpr std::size_t k_write_at = 8U << 10U;
+// Lines are written together once this many bytes wait, or on flush. A pipe takes up to 4 KiB whole
+// (POSIX: PIPE_BUF is 512 or more, 4,096 on Linux); of more, a reader may see a torn line.
+constexpr std::size_t k_most_written = 4U << 10U;
 
 // Collects lines and writes them without ever blocking.
 class stdout_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
@@ -44,7 +45,7 @@
     spdlog::memory_buf_t formatted;
     formatter_->format(message, formatted);
     m_buffer.append(formatted.data(), formatted.size());
-    if (m_buffer.size() >= k_write_at)
+    if (m_buffer.size() >= k_most_written)
       flush_();
   }
 
@@ -52,7 +53,8 @@
   {
     while (!m_buffer.empty())
     {
-      const ssize_t written = ::write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
+      const ssize_t written =
+          ::write(STDOUT_FILENO, m_buffer.data(), bytes_to_write(m_buffer, k_most_written));
       if (written <= 0)
         return;
       m_buffer.erase(0, static_cast<std::size_t>(written));
@@ -131,6 +133,14 @@
 }
 } // namespace
 
+std::size_t bytes_to_write(std::string_view lines, std::size_t most)
+{
+  if (lines.size() <= most)
+    return lines.size();
+  const std::size_t last_end = lines.rfind('\n', most - 1);
+  return last_end == std::string_view::npos ? most : last_end + 1;
+}
+
 void open_event_log(const std::string& process)
 {
   open_log_state& log = state();
