--- a/Source/Core/Node/PeerMonitor.cpp
+++ b/Source/Core/Node/PeerMonitor.cpp
@@ -13,7 +13,7 @@
 {
 namespace
 {
-// Four questions a second and peer: 0.03 % of a small machine's processor time with six peers.
+// Four questions a second and peer: two missed are still noticed before a renewal is overdue.
 constexpr std::chrono::milliseconds k_ask_period{250};
 // An answer takes 3 ms between zones; a machine that is 5 times slower, or whose processor share is
 // spent for a tenth of a second, still answers within this time.
