Scheduling: Another life's answer ends a worker in one place

Cause: an answer from another life (421) to a start or a stop ended the runs in run_follower, in two copies, and left the lease and the claim as they were; only a hold's did all of it. The claim of a worker that was surely gone was kept for the rest of its lease. Ruled out: that tasks were held back by it; a start or stop only goes to a worker that was heard. Change: worker_holder::on_other_life, called for all three. Test: TakeoverTest a_start_that_another_life_rejects_ends_the_earlier_one_with_its_claim; failed before (no release in the commit), passes now. Conclusion: one way to end a life; tests of Scheduling, Node and Model pass.

--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -115,12 +115,18 @@
 
 void job_scheduler::start_answered(const start_answer& answer, time_point now)
 {
-  m_follower.on_start(answer, now);
+  if (answer.end == call_end::other_life)
+    m_holder.on_other_life(answer.worker);
+  else
+    m_follower.on_start(answer, now);
 }
 
 void job_scheduler::stop_answered(const stop_answer& answer, time_point now)
 {
-  m_follower.on_stop(answer, now);
+  if (answer.end == call_end::other_life)
+    m_holder.on_other_life(answer.worker);
+  else
+    m_follower.on_stop(answer, now);
 }
 
 void job_scheduler::hold_answered(const hold_answer& answer, time_point now)
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -37,10 +37,6 @@
   case call_end::unanswered:
     m_state.metrics.add(common::retry_reason::start_unclear);
     return;
-  case call_end::other_life:
-    m_state.lose_runs(*worker, "another life answered at the worker's address");
-    worker->present = false;
-    return;
   default:
     start_refused(*run, answer.end, now);
   }
@@ -89,12 +85,6 @@
   if (worker == nullptr)
     return;
   m_state.note_order(*worker, answer.end != call_end::unanswered, now);
-  if (answer.end == call_end::other_life)
-  {
-    m_state.lose_runs(*worker, "another life answered at the worker's address");
-    worker->present = false;
-    return;
-  }
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
   if (run != nullptr && answer.end == call_end::done)
     run->stop_answered = now;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -92,6 +92,12 @@
   accounted(worker.info.id);
 }
 
+void worker_holder::on_other_life(const worker_id& id)
+{
+  if (worker_record* const worker = m_state.find_worker(id))
+    gone(*worker, "another life answered at the worker's address");
+}
+
 worker_clock_time worker_holder::extended_lease(worker_record& worker, time_point now)
 {
   worker.lease_end = std::max(worker.lease_end, now + m_state.options.longest_lease());
@@ -152,7 +158,7 @@
   worker->holds_under_way -= worker->holds_under_way > 0 ? 1 : 0;
   if (answer.end == call_end::other_life)
   {
-    gone(*worker, "another life answered at the worker's address");
+    on_other_life(answer.worker);
     return;
   }
   const bool lost = answer.end != call_end::done;
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -25,6 +25,8 @@
   void on_entry(const worker_info& info, time_point now);
   void on_entry_gone(const worker_id& id, time_point now);
   void on_hold(const hold_answer& answer, time_point now);
+  // Another life has answered a call at the worker's address: the one meant has ended.
+  void on_other_life(const worker_id& id);
   // Issues the holds that are due, and gives up workers whose leases are over.
   void tick(time_point now);
 
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -292,4 +292,20 @@
   BOOST_TEST(owner.starts.back().worker.value == "life-2");
 }
 
+// A start, a stop and a hold alike may find that another life has the worker's address.
+BOOST_AUTO_TEST_CASE(a_start_that_another_life_rejects_ends_the_earlier_one_with_its_claim)
+{
+  scheduler_harness owner;
+  owner.add_worker(scheduler_harness::worker("w1"));
+  owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
+  BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
+  owner.answer_start(owner.starts.front(), call_end::other_life);
+  hold_answer unheard;
+  unheard.worker = worker_id("w1");
+  unheard.end = call_end::unanswered;
+  owner.scheduler->hold_answered(unheard, owner.now);
+  owner.step();
+  BOOST_TEST(owner.scheduler->take_commit(1000, owner.now).releases.contains(worker_id("w1")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
