--- a/Source/Core/Common/InstanceSettings.cpp
+++ b/Source/Core/Common/InstanceSettings.cpp
@@ -4,6 +4,7 @@
 #include "Common/InstanceSettings.h"
 
 #include <array>
+#include <charconv>
 
 #include "Common/FieldReader.h"
 
@@ -139,6 +140,20 @@
   return where.address + ":" + std::to_string(where.port);
 }
 
+std::optional<endpoint> endpoint_from(const std::string& text)
+{
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0)
+    return std::nullopt;
+  endpoint where;
+  where.address = text.substr(0, colon);
+  const char* const end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data() + colon + 1, end, where.port);
+  if (error != std::errc() || last != end)
+    return std::nullopt;
+  return where;
+}
+
 std::optional<instance_settings>
 parse_instance_settings(const std::string& text, const std::string& file, problem_list& problems)
 {
--- a/Source/Core/Common/InstanceSettings.h
+++ b/Source/Core/Common/InstanceSettings.h
@@ -25,6 +25,8 @@
 };
 
 std::string to_text(const endpoint& where);
+// "10.128.0.9:8080"; none for a text that is not an address with a port.
+std::optional<endpoint> endpoint_from(const std::string& text);
 
 struct peer_setting
 {
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -3,8 +3,6 @@
 
 #include "Node/NodeSettings.h"
 
-#include <charconv>
-
 #include "Common/FieldReader.h"
 
 namespace yardhill::node
@@ -16,24 +14,10 @@
 
 constexpr const char* k_address_form = "an address and a port, such as 10.1.0.13:8161";
 
-std::optional<endpoint> endpoint_from(const std::string& text)
-{
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0)
-    return std::nullopt;
-  endpoint where;
-  where.address = text.substr(0, colon);
-  const char* const end = text.data() + text.size();
-  const auto [last, error] = std::from_chars(text.data() + colon + 1, end, where.port);
-  if (error != std::errc() || last != end)
-    return std::nullopt;
-  return where;
-}
-
 endpoint address_field(field_reader& fields, const char* name)
 {
   const std::string text = fields.text(name);
-  const auto where = endpoint_from(text);
+  const auto where = common::endpoint_from(text);
   if (!where && !text.empty())
     fields.problem(name, "\"" + text + "\" is not an address", k_address_form);
   return where.value_or(endpoint{});
