Scheduling, Node: Gauges and waiting times of instances on the platform

Cause: queued, active, workers_usable, partitions_owned and the four waiting times were named on the metrics page of an instance on the platform and always 0; only the earlier path set them. Change: partition_load (split out of job_scheduler) is told in the owner's row and as gauges; the first start of a job records the time since its acceptance, by kind. Conclusion: the metrics page says who owns, what waits and how long first starts take.

--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -81,6 +81,7 @@
       m_owner_feed.loaded() && m_worker_feed.loaded() ? m_owner_feed.healthy_since() : std::nullopt;
   for (const auto& each : m_partitions)
     each->tick(now, healthy);
+  m_world.metrics.set(common::gauge::partitions_owned, owns_any() ? 1 : 0);
   m_advice.tick(now);
   m_store_path.tick(now);
   m_states.tick(now);
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -338,9 +338,13 @@
   owner_row row = m_row;
   if (release)
     row.holder.clear();
-  row.pending = m_scheduler->pending();
-  row.waiting_cpu = m_scheduler->waiting_cpu();
-  row.free_cpu = m_scheduler->free_cpu();
+  const scheduling::partition_load load = m_scheduler->load();
+  row.pending = load.pending;
+  row.waiting_cpu = load.waiting_cpu;
+  row.free_cpu = load.free_cpu;
+  m_parts.metrics.set(common::gauge::queued, load.queued_jobs());
+  m_parts.metrics.set(common::gauge::active, load.open_jobs - load.queued_jobs());
+  m_parts.metrics.set(common::gauge::workers_usable, load.usable_workers);
   return row;
 }
 
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Jobs/JobProgress.h"
@@ -116,6 +117,8 @@
   // Whether a task is known to have begun: by a worker's answer or lists, or by an earlier owner.
   bool known_begun() const { return m_known_begun; }
   void note_begun() { m_known_begun = true; }
+  // True of the first order of a start only, and not if a task had begun before this owner.
+  bool first_start() { return !std::exchange(m_start_ordered, true) && !m_known_begun; }
   bool ended() const { return jobs::is_final(m_state); }
   void set_state(jobs::job_state state) { m_state = state; }
 
@@ -158,6 +161,7 @@
   jobs::queue_policy m_policy;
   jobs::job_state m_state = jobs::job_state::queued;
   bool m_known_begun = false;
+  bool m_start_ordered = false;
   time_point m_accepted_at;
   time_point m_objective;
   time_point m_worthless;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -304,42 +304,4 @@
   const auto ended = m_forgotten.find(job);
   return ended == m_forgotten.end() ? std::nullopt : std::optional(ended->second);
 }
-
-std::map<std::string, std::uint64_t> job_scheduler::pending() const
-{
-  std::map<std::string, std::uint64_t> counts;
-  for (const std::string& id : m_state.open)
-  {
-    const job_record& job = *m_state.jobs.at(id);
-    if (!job.known_begun())
-      ++counts[job.accepted().queue];
-  }
-  return counts;
-}
-
-std::int64_t job_scheduler::waiting_cpu() const
-{
-  std::int64_t sum = 0;
-  for (const std::string& id : m_state.open)
-  {
-    job_record& job = *m_state.jobs.at(id);
-    for (const cycle_record& cycle : job.cycles())
-    {
-      for (const step_record& step : cycle.steps)
-        sum += static_cast<std::int64_t>(step.waiting) * room_of(*step.spec).cpu_millis;
-    }
-  }
-  return sum;
-}
-
-std::int64_t job_scheduler::free_cpu() const
-{
-  std::int64_t sum = 0;
-  for (const auto& [id, worker] : m_state.workers)
-  {
-    if (worker->present && worker->claimed && !worker->suspect && !worker->info.draining)
-      sum += worker->free().cpu_millis;
-  }
-  return sum;
-}
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -17,6 +17,7 @@
 
 #include "Scheduling/AdvicePlanner.h"
 #include "Scheduling/Evacuator.h"
+#include "Scheduling/PartitionLoad.h"
 #include "Scheduling/Placer.h"
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
@@ -97,11 +98,7 @@
   bool unwritten(const std::string& job) const { return m_state.dirty.contains(job); }
   // Also of jobs that have ended under this owner; the state of those is written.
   std::optional<jobs::job_state> state_of(const std::string& job) const;
-  // Accepted jobs none of whose tasks has begun, by queue.
-  std::map<std::string, std::uint64_t> pending() const;
-  // Processor time, in thousandths of a core, that waiting tasks ask for, and what workers have.
-  std::int64_t waiting_cpu() const;
-  std::int64_t free_cpu() const;
+  partition_load load() const { return load_of(m_state); }
 
 private:
   bool ends_unwritten() const;
--- /dev/null
+++ b/Source/Core/Scheduling/PartitionLoad.cpp
@@ -0,0 +1,50 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/PartitionLoad.h"
+
+namespace yardhill::scheduling
+{
+namespace
+{
+std::int64_t waiting_cpu_of(const job_record& job)
+{
+  std::int64_t sum = 0;
+  for (const cycle_record& cycle : job.cycles())
+  {
+    for (const step_record& step : cycle.steps)
+      sum += static_cast<std::int64_t>(step.waiting) * room_of(*step.spec).cpu_millis;
+  }
+  return sum;
+}
+} // namespace
+
+std::uint64_t partition_load::queued_jobs() const
+{
+  std::uint64_t sum = 0;
+  for (const auto& [queue, jobs] : pending)
+    sum += jobs;
+  return sum;
+}
+
+partition_load load_of(const scheduler_state& state)
+{
+  partition_load load;
+  load.open_jobs = state.open.size();
+  for (const std::string& id : state.open)
+  {
+    const job_record& job = *state.jobs.at(id);
+    if (!job.known_begun())
+      ++load.pending[job.accepted().queue];
+    load.waiting_cpu += waiting_cpu_of(job);
+  }
+  for (const auto& [id, worker] : state.workers)
+  {
+    if (!worker->present || !worker->claimed || worker->suspect || worker->info.draining)
+      continue;
+    ++load.usable_workers;
+    load.free_cpu += worker->free().cpu_millis;
+  }
+  return load;
+}
+} // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -16,6 +16,17 @@
 constexpr double k_data_rack_weight = 2.0;
 // A slow worker is the last choice.
 constexpr double k_slow_weight = 4.0;
+
+// By which measure the time from a job's acceptance to its first start is told.
+common::timing waiting_kind(const job_record& job, const jobs::step_spec& step)
+{
+  if (step.gang)
+    return common::timing::waiting_gang;
+  if (step.long_running)
+    return common::timing::waiting_service;
+  return job.policy().priority == 0 ? common::timing::waiting_interactive
+                                    : common::timing::waiting_batch;
+}
 } // namespace
 
 placer::placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
@@ -282,6 +293,8 @@
   run.start_expires = m_holder.extended_lease(worker, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
   m_state.metrics.add(common::counter::attempts_started);
+  if (job.first_start())
+    m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
       run.start_expires, job.task(place).checkpoint, run.ticket});
--- a/Source/UnitTests/Scheduling/PendingTest.cpp
+++ b/Source/UnitTests/Scheduling/PendingTest.cpp
@@ -23,7 +23,7 @@
 
   std::uint64_t pending()
   {
-    const auto counts = scheduler->pending();
+    const auto counts = scheduler->load().pending;
     return counts.empty() ? 0 : counts.begin()->second;
   }
 };
@@ -66,7 +66,7 @@
   owner.scheduler->restore_job(
       scheduler_harness::job("0123456789abcde0", {scheduler_harness::step_of(2)}), progress,
       owner.now);
-  BOOST_TEST(owner.scheduler->pending().begin()->second == 1U);
+  BOOST_TEST(owner.scheduler->load().pending.begin()->second == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
