Model, Http: Workers over their lives by themselves; a listener hands on any header

Change: worker_fleet holds what explored_cell did for its workers, for the stand-in that follows; http_listener hands on the header that it is told (workers need the expected instance, callers' listeners the deadline); the judge counts active runs.

--- a/Source/Core/Http/HttpListener.cpp
+++ b/Source/Core/Http/HttpListener.cpp
@@ -29,7 +29,7 @@
 struct listener_state
 {
   listener_limits limits;
-  std::string deadline_header;
+  std::string noted_header;
   request_handler handle;
   std::size_t connections = 0;
   std::size_t in_flight = 0;
@@ -117,7 +117,7 @@
     request.verb = method_of(message.method());
     request.host = std::string(message[bhttp::field::host]);
     request.target = std::string(message.target());
-    request.deadline = std::string(message[m_state->deadline_header]);
+    request.noted_header = std::string(message[m_state->noted_header]);
     request.body = std::move(message.body());
     ++m_state->in_flight;
     m_counted = true;
@@ -166,13 +166,13 @@
 class http_listener::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-  implementation(asio::io_context& io, const common::endpoint& where, std::string deadline_header,
+  implementation(asio::io_context& io, const common::endpoint& where, std::string noted_header,
                  request_handler handle)
       : m_acceptor(io, tcp::endpoint(asio::ip::make_address(where.address), where.port)),
         m_pause(io),
         m_state(std::make_shared<listener_state>())
   {
-    m_state->deadline_header = std::move(deadline_header);
+    m_state->noted_header = std::move(noted_header);
     m_state->handle = std::move(handle);
   }
 
@@ -221,8 +221,8 @@
 };
 
 http_listener::http_listener(asio::io_context& io, const common::endpoint& where,
-                             std::string deadline_header, request_handler handle)
-    : m_implementation(std::make_shared<implementation>(io, where, std::move(deadline_header),
+                             std::string noted_header, request_handler handle)
+    : m_implementation(std::make_shared<implementation>(io, where, std::move(noted_header),
                                                         std::move(handle)))
 {
   m_implementation->accept();
--- a/Source/Core/Http/HttpListener.h
+++ b/Source/Core/Http/HttpListener.h
@@ -24,7 +24,7 @@
   std::string host;
   std::string target;
   std::string body;
-  std::string deadline; // text of the caller's deadline header, empty if there was none
+  std::string noted_header; // text of the one header that the listener looks for; empty if none
 };
 
 struct outgoing_answer
@@ -42,10 +42,10 @@
 class http_listener
 {
 public:
-  // Throws boost::system::system_error when the address cannot be listened on. `deadline_header`
-  // is the name of the header that is handed on as `deadline`.
+  // Throws boost::system::system_error when the address cannot be listened on. `noted_header`
+  // is the name of the header that is handed on.
   http_listener(boost::asio::io_context& io, const common::endpoint& where,
-                std::string deadline_header, request_handler handle);
+                std::string noted_header, request_handler handle);
   ~http_listener();
   http_listener(const http_listener&) = delete;
   http_listener& operator=(const http_listener&) = delete;
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -145,7 +145,7 @@
   m_cell.time().schedule(std::min<duration>(k_entry_lapse, time),
                          [this]
                          {
-                           for (explored_worker& each : m_cell.workers())
+                           for (fleet_worker& each : m_cell.workers())
                              m_cell.update_entry(each);
                          });
   m_cell.time().schedule(time,
@@ -164,7 +164,7 @@
                            m_cell.time().schedule(milliseconds(1500),
                                                   [this]
                                                   {
-                                                    for (explored_worker& each : m_cell.workers())
+                                                    for (fleet_worker& each : m_cell.workers())
                                                       m_cell.update_entry(each);
                                                   });
                          });
@@ -183,8 +183,8 @@
   cut_pairs pairs;
   for (const explored_instance& each : m_cell.instances())
     pairs.emplace_back(each.name, "store");
-  for (const explored_worker& each : m_cell.workers())
-    pairs.emplace_back(each.settings.address.address, "store");
+  for (const fleet_worker& each : m_cell.workers())
+    pairs.emplace_back(each.machine, "store");
   cut_for(pairs, m_cell.draw_time(milliseconds(1000), milliseconds(7500)));
 }
 
@@ -211,11 +211,11 @@
 
 void cell_troubles::crash_worker()
 {
-  explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
   if (!which.model)
     return;
   note("crash " + which.settings.id);
-  which.model.reset();
+  worker_fleet::end_life(which);
   m_cell.time().schedule(k_entry_lapse,
                          [this, &which]
                          {
@@ -229,7 +229,7 @@
 // It says that it leaves, serves on for a while, and is gone with all that runs there.
 void cell_troubles::drain_worker()
 {
-  explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
   if (!which.model || which.draining)
     return;
   note("drain " + which.settings.id);
@@ -240,28 +240,27 @@
                          {
                            if (!which.model || which.settings.id != id)
                              return; // it has crashed meanwhile
-                           which.model.reset();
-                           m_cell.remove_entry(which);
+                           worker_fleet::end_life(which);
+                           m_cell.fleet().remove_entry(which);
                            m_cell.time().schedule(seconds(1),
                                                   [this, &which] { replace_worker(which); });
                          });
 }
 
-void cell_troubles::replace_worker(explored_worker& which)
+void cell_troubles::replace_worker(fleet_worker& which)
 {
   if (which.model)
     return;
-  m_cell.remove_entry(which);
   m_cell.start_worker(which);
 }
 
 void cell_troubles::cut_worker()
 {
-  const explored_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  const fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
   note("cut off " + which.settings.id);
-  cut_pairs pairs{{which.settings.address.address, "store"}};
+  cut_pairs pairs{{which.machine, "store"}};
   for (const explored_instance& each : m_cell.instances())
-    pairs.emplace_back(each.name, which.settings.address.address);
+    pairs.emplace_back(each.name, which.machine);
   cut_for(pairs, m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
 }
 
@@ -272,8 +271,8 @@
   std::map<std::string, bool> inside{{"store", false}, {"advice", false}};
   for (const explored_instance& each : m_cell.instances())
     inside[each.name] = each.zone == zone;
-  for (const explored_worker& each : m_cell.workers())
-    inside[each.settings.address.address] = each.settings.zone == zone;
+  for (const fleet_worker& each : m_cell.workers())
+    inside[each.machine] = each.settings.zone == zone;
   cut_pairs pairs;
   for (const auto& [one, one_inside] : inside)
   {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -47,7 +47,7 @@
   void start_again(explored_instance& which, duration after);
   void wait_for_hand_over(explored_instance& which, time_point latest);
   void cut_for(const cut_pairs& pairs, duration time);
-  void replace_worker(explored_worker& which);
+  void replace_worker(fleet_worker& which);
   void forget_mechanism();
   void note(const std::string& what);
 
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -49,6 +49,11 @@
                 [this](http::incoming_request request, http::responder respond)
                 { return carry(std::move(request), std::move(respond)); }),
       m_seed(seed),
+      m_fleet(
+          m_time, m_store, m_advice, m_judge,
+          [this](const task_ref& task, run_number run, const std::string& worker)
+          { return course_of(task, run, worker); },
+          m_callers.specs()),
       m_begin(m_time.now())
 {
   m_network.serve(k_store_address, "store",
@@ -71,10 +76,9 @@
 
 void explored_cell::add_workers()
 {
-  m_workers.resize(k_workers);
   for (std::size_t i = 0; i < k_workers; ++i)
   {
-    worker_settings& settings = m_workers[i].settings;
+    worker_settings settings;
     settings.address = {"10.1.0." + std::to_string(i + 1), 80};
     settings.zone = "zone-" + std::to_string(i % k_zones);
     settings.rack = "rack-" + std::to_string(i % k_zones);
@@ -82,57 +86,41 @@
     settings.capacity.memory_mib = 16000;
     settings.clock_ahead = milliseconds(static_cast<std::int64_t>(draw(100000)));
     settings.clock_rate = 1.0 - 0.002 * static_cast<double>(draw(11));
-    start_worker(m_workers[i]);
+    fleet_worker& added = m_fleet.add(settings.address.address, settings);
+    m_network.serve(
+        settings.address, added.machine,
+        [&added](const std::string&, const http::request& call, http::reply_handler done)
+        { worker_fleet::handle(added, call, std::move(done)); });
+    update_entry(added);
   }
 }
 
-void explored_cell::start_worker(explored_worker& which)
+run_course explored_cell::course_of(const task_ref& task, run_number run,
+                                    const std::string& worker) const
 {
-  const std::string place = which.settings.address.address;
-  which.draining = false;
-  which.settings.id = "worker-" + place + "-" + std::to_string(++which.life);
-  which.model = std::make_unique<worker_model>(
-      m_time, which.settings, m_advice, m_judge,
-      [this](const task_ref& task, run_number run, const std::string& id)
-      {
-        const std::string key = task.job + std::to_string(task.place.step) +
-                                std::to_string(task.place.index) + std::to_string(run) + id;
-        const std::uint64_t luck = common::stable_hash(key, m_seed);
-        run_course course;
-        course.takes = milliseconds(static_cast<std::int64_t>(200 + luck % 1500));
-        course.fails = luck / 2000 % 25 == 0;
-        if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
-          course.takes = seconds(1 + static_cast<std::int64_t>(luck % 20));
-        return course;
-      });
-  which.model->set_specs(m_callers.specs());
-  m_network.serve(which.settings.address, place,
-                  [&which](const std::string&, const http::request& call, http::reply_handler done)
-                  {
-                    if (which.model)
-                      which.model->handle(call, std::move(done));
-                  });
-  update_entry(which);
+  const std::string key = task.job + std::to_string(task.place.step) +
+                          std::to_string(task.place.index) + std::to_string(run) + worker;
+  const std::uint64_t luck = common::stable_hash(key, m_seed);
+  run_course course;
+  course.takes = milliseconds(static_cast<std::int64_t>(200 + luck % 1500));
+  course.fails = luck / 2000 % 25 == 0;
+  if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
+    course.takes = seconds(1 + static_cast<std::int64_t>(luck % 20));
+  return course;
 }
 
-void explored_cell::update_entry(explored_worker& which)
+void explored_cell::start_worker(fleet_worker& which)
 {
-  const adapter::row_key at{wire::k_workers_table, "", which.settings.id};
-  const bool reaches = which.model && !m_network.cut(which.settings.address.address, "store");
-  if (!reaches)
-  {
-    remove_entry(which);
-    return;
-  }
-  m_store.put(at, which.model->entry(which.draining));
-  which.listed = true;
+  m_fleet.begin_life(which);
+  update_entry(which);
 }
 
-void explored_cell::remove_entry(explored_worker& which)
+void explored_cell::update_entry(fleet_worker& which)
 {
-  if (which.listed)
-    m_store.remove({wire::k_workers_table, "", which.settings.id});
-  which.listed = false;
+  if (which.model && !m_network.cut(which.machine, "store"))
+    m_fleet.write_entry(which);
+  else
+    m_fleet.remove_entry(which);
 }
 
 void explored_cell::end_instance(explored_instance& which)
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -19,7 +19,7 @@
 #include "Model/StoreModel.h"
 #include "Model/VirtualNetwork.h"
 #include "Model/VirtualTime.h"
-#include "Model/WorkerModel.h"
+#include "Model/WorkerFleet.h"
 #include "Node/NodeCore.h"
 
 namespace yardhill::model
@@ -37,15 +37,6 @@
   bool up() const { return core != nullptr; }
 };
 
-struct explored_worker
-{
-  worker_settings settings;
-  std::unique_ptr<worker_model> model;
-  unsigned life = 0;
-  bool listed = false;
-  bool draining = false;
-};
-
 class explored_cell
 {
 public:
@@ -60,7 +51,8 @@
   store_model& store() { return m_store; }
   run_judge& judge() { return m_judge; }
   caller_model& callers() { return m_callers; }
-  std::vector<explored_worker>& workers() { return m_workers; }
+  worker_fleet& fleet() { return m_fleet; }
+  std::deque<fleet_worker>& workers() { return m_fleet.workers(); }
   std::vector<explored_instance>& instances() { return m_instances; }
   time_point begin() const { return m_begin; }
 
@@ -74,13 +66,14 @@
   void end_instance(explored_instance& which);
   // Both ends of a link are told that it is up, or broken.
   void link(explored_instance& one, explored_instance& other, bool up);
-  void start_worker(explored_worker& which);
+  void start_worker(fleet_worker& which);
   // The worker's entry comes, changes or goes, as the worker and its way to the store are.
-  void update_entry(explored_worker& which);
-  void remove_entry(explored_worker& which);
+  void update_entry(fleet_worker& which);
 
 private:
   void add_workers();
+  // How a run goes follows from the seed.
+  run_course course_of(const task_ref& task, run_number run, const std::string& worker) const;
   void tick(explored_instance& which);
   // Brings a caller's request to an instance that is up.
   bool carry(http::incoming_request request, http::responder respond);
@@ -92,10 +85,10 @@
   store_model m_store;
   run_judge m_judge;
   caller_model m_callers;
-  std::vector<explored_worker> m_workers;
+  std::uint64_t m_seed;
+  worker_fleet m_fleet;
   std::vector<explored_instance> m_instances;
   std::uint64_t m_lives = 0;
-  std::uint64_t m_seed;
   time_point m_begin;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -170,6 +170,14 @@
   }
 }
 
+std::size_t run_judge::active_runs() const
+{
+  std::size_t runs = 0;
+  for (const auto& [task, seen] : m_tasks)
+    runs += seen.active.size();
+  return runs;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -58,6 +58,8 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   std::size_t starts() const { return m_starts; }
   std::size_t accepted_jobs() const;
+  // Runs that have begun and not ended, on workers that live.
+  std::size_t active_runs() const;
 
 private:
   struct seen_job
--- /dev/null
+++ b/Source/Core/Model/WorkerFleet.cpp
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Model/WorkerFleet.h"
+
+#include <utility>
+
+#include "platform/WireNames.h"
+
+namespace yardhill::model
+{
+namespace
+{
+adapter::row_key entry_of(const fleet_worker& which)
+{
+  return {adapter::wire::k_workers_table, "", which.settings.id};
+}
+} // namespace
+
+worker_fleet::worker_fleet(common::timekeeper& time, store_model& store, const advice_model& advice,
+                           run_judge& judge, worker_model::course_function course,
+                           const std::map<std::string, jobs::job_spec>& specs)
+    : m_time(time),
+      m_store(store),
+      m_advice(advice),
+      m_judge(judge),
+      m_course(std::move(course)),
+      m_specs(specs)
+{
+}
+
+fleet_worker& worker_fleet::add(const std::string& machine, const worker_settings& settings)
+{
+  fleet_worker& added = m_workers.emplace_back();
+  added.settings = settings;
+  added.machine = machine;
+  begin_life(added);
+  return added;
+}
+
+void worker_fleet::begin_life(fleet_worker& which)
+{
+  remove_entry(which);
+  which.draining = false;
+  which.settings.id = "worker-" + which.machine + "-" + std::to_string(++which.life);
+  which.model = std::make_unique<worker_model>(m_time, which.settings, m_advice, m_judge, m_course);
+  which.model->set_specs(m_specs);
+}
+
+void worker_fleet::end_life(fleet_worker& which)
+{
+  which.model.reset();
+}
+
+void worker_fleet::write_entry(fleet_worker& which)
+{
+  m_store.put(entry_of(which), which.model->entry(which.draining));
+  which.listed = true;
+}
+
+void worker_fleet::remove_entry(fleet_worker& which)
+{
+  if (which.listed)
+    m_store.remove(entry_of(which));
+  which.listed = false;
+}
+
+void worker_fleet::handle(fleet_worker& which, const http::request& call, http::reply_handler done)
+{
+  if (which.model)
+    which.model->handle(call, std::move(done));
+}
+} // namespace yardhill::model
--- /dev/null
+++ b/Source/Core/Model/WorkerFleet.h
@@ -0,0 +1,61 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// Workers over their lives: each life has an id and a fresh memory, and keeps its entry in the
+// store.
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Model/StoreModel.h"
+#include "Model/WorkerModel.h"
+
+namespace yardhill::model
+{
+// A machine that runs one life of a worker after the other.
+struct fleet_worker
+{
+  worker_settings settings; // with the id of its present or latest life
+  std::string machine;
+  std::unique_ptr<worker_model> model; // none between two lives
+  unsigned life = 0;
+  bool listed = false;
+  bool draining = false;
+};
+
+class worker_fleet
+{
+public:
+  // `specs`: the jobs' steps, for the room that runs take.
+  worker_fleet(common::timekeeper& time, store_model& store, const advice_model& advice,
+               run_judge& judge, worker_model::course_function course,
+               const std::map<std::string, jobs::job_spec>& specs);
+
+  // Begins the machine's first life, without an entry. Workers stay where they are in memory.
+  fleet_worker& add(const std::string& machine, const worker_settings& settings);
+  // The latest life's entry goes, if it is still there, and a new life without one begins.
+  void begin_life(fleet_worker& which);
+  // All that runs there dies; its entry stays until it is removed or a new life begins.
+  static void end_life(fleet_worker& which);
+  // As it is now; `draining` says that it leaves.
+  void write_entry(fleet_worker& which);
+  void remove_entry(fleet_worker& which);
+  // A call that reaches the machine; nobody answers between two lives.
+  static void handle(fleet_worker& which, const http::request& call, http::reply_handler done);
+
+  std::deque<fleet_worker>& workers() { return m_workers; }
+
+private:
+  common::timekeeper& m_time;
+  store_model& m_store;
+  const advice_model& m_advice;
+  run_judge& m_judge;
+  worker_model::course_function m_course;
+  const std::map<std::string, jobs::job_spec>& m_specs;
+  std::deque<fleet_worker> m_workers;
+};
+} // namespace yardhill::model
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -59,7 +59,7 @@
   auto what = std::make_shared<call>();
   what->respond = std::move(respond);
   what->received = m_time.now();
-  what->patience = patience_from(request.deadline);
+  what->patience = patience_from(request.noted_header);
   what->body = std::move(request.body);
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (m_queues.version == 0)
