--- /dev/null
+++ b/Source/StandIns/CellStandIn.cpp
@@ -0,0 +1,301 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "StandIns/CellStandIn.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Http/HttpListener.h"
+#include "Model/AdviceModel.h"
+#include "Model/RunJudge.h"
+#include "Model/StoreModel.h"
+#include "Model/WorkerFleet.h"
+#include "Node/AsioTimekeeper.h"
+#include "platform/Ingress.h"
+#include "platform/WireNames.h"
+
+namespace yardhill::stand_ins
+{
+namespace
+{
+using http::incoming_request;
+using http::outgoing_answer;
+using http::responder;
+using nlohmann::json;
+using std::chrono::milliseconds;
+namespace wire = adapter::wire;
+
+// Ports after the first one.
+constexpr std::uint16_t k_advice_port = 1;
+constexpr std::uint16_t k_admin_port = 2;
+constexpr std::uint16_t k_first_worker_port = 10;
+// What the sites' pages allow a job at most; the judge counts failures up to it.
+constexpr std::uint32_t k_max_attempts = 3;
+constexpr std::uint32_t k_racks_per_zone = 2;
+// Tasks that last run until they are stopped or killed.
+constexpr std::chrono::hours k_lasting{24};
+constexpr std::uint64_t k_policy_seed = 1;
+
+http::request model_call(const incoming_request& request)
+{
+  http::request call;
+  call.verb = request.verb;
+  call.target = request.target;
+  call.body = request.body;
+  if (!request.noted_header.empty())
+    call.headers.emplace_back(wire::k_expected_instance, request.noted_header);
+  return call;
+}
+
+http::reply_handler model_answer(responder respond)
+{
+  return [respond = std::move(respond)](const http::reply& reply) {
+    respond({reply.status, reply.body, "application/json", {}});
+  };
+}
+
+// Divided at slashes, without the first.
+std::vector<std::string> path_words(const std::string& target)
+{
+  std::vector<std::string> words;
+  std::size_t begin = 1;
+  while (begin <= target.size())
+  {
+    const std::size_t end = std::min(target.find('/', begin), target.size());
+    words.push_back(target.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return words;
+}
+
+std::optional<jobs::job_state> state_named(const std::string& name)
+{
+  using jobs::job_state;
+  for (const job_state each : {job_state::queued, job_state::active, job_state::completed,
+                               job_state::failed, job_state::cancelled})
+  {
+    if (jobs::to_text(each) == name)
+      return each;
+  }
+  return std::nullopt;
+}
+} // namespace
+
+class cell_stand_in::implementation
+{
+public:
+  implementation(boost::asio::io_context& io, cell_options options)
+      : m_options(std::move(options)),
+        m_time(io),
+        m_store(m_time),
+        m_advice(m_time, k_policy_seed, {}),
+        m_fleet(
+            m_time, m_store, m_advice, m_judge,
+            [this](const model::task_ref& task, model::run_number, const std::string&)
+            { return course_of(task); },
+            m_specs)
+  {
+    listen(io, 0,
+           [this](const incoming_request& request, responder respond)
+           { call_store(request, std::move(respond)); });
+    // All instances have one address here, so their calls are answered in turn together.
+    listen(io, k_advice_port,
+           [this](const incoming_request& request, responder respond) {
+             m_advice.handle("instances", model_call(request), model_answer(std::move(respond)));
+           });
+    listen(io, k_admin_port,
+           [this](const incoming_request& request, const responder& respond)
+           { respond(administer(request)); });
+    for (std::uint32_t i = 0; i < m_options.workers; ++i)
+      add_worker(io, i);
+  }
+
+private:
+  using admin_call = outgoing_answer (implementation::*)(const std::vector<std::string>& words,
+                                                         const std::string& body);
+
+  common::endpoint address_of(std::uint32_t port) const
+  {
+    return {"127.0.0.1", static_cast<std::uint16_t>(m_options.first_port + port)};
+  }
+
+  void listen(boost::asio::io_context& io, std::uint32_t port, http::request_handler handle)
+  {
+    m_listeners.push_back(std::make_unique<http::http_listener>(
+        io, address_of(port), wire::k_expected_instance, std::move(handle)));
+  }
+
+  void add_worker(boost::asio::io_context& io, std::uint32_t number)
+  {
+    model::worker_settings settings;
+    settings.address = address_of(k_first_worker_port + number);
+    const std::size_t zones = m_options.zones.size();
+    settings.zone = m_options.zones[number % zones];
+    settings.rack = settings.zone + "-r" + std::to_string(number / zones % k_racks_per_zone);
+    settings.service = m_options.service;
+    settings.capacity = m_options.capacity;
+    model::fleet_worker& worker = m_fleet.add(std::to_string(number), settings);
+    m_fleet.write_entry(worker);
+    listen(io, k_first_worker_port + number,
+           [this, &worker](const incoming_request& request, responder respond)
+           {
+             ++m_worker_calls;
+             if (m_silent.contains(worker.machine))
+               m_unanswered.push_back(std::move(respond));
+             else
+               model::worker_fleet::handle(worker, model_call(request),
+                                           model_answer(std::move(respond)));
+           });
+  }
+
+  model::run_course course_of(const model::task_ref& task) const
+  {
+    model::run_course course;
+    const auto spec = m_specs.find(task.job);
+    if (spec == m_specs.end())
+      return course;
+    const jobs::step_spec& step = spec->second.steps.at(task.place.step);
+    course.takes = step.long_running ? common::duration(k_lasting)
+                                     : std::chrono::duration_cast<common::duration>(
+                                           step.estimate * m_options.run_time_share);
+    return course;
+  }
+
+  void call_store(const incoming_request& request, responder respond)
+  {
+    ++m_store_calls;
+    if (m_store_fault == "unavailable")
+      respond({503, "{}", "application/json", {}});
+    else if (m_store_fault == "silent")
+      m_unanswered.push_back(std::move(respond));
+    else if (m_store_fault == "loses_answers")
+      m_store.handle(model_call(request), [](const http::reply&) {});
+    else
+      m_store.handle(model_call(request), model_answer(std::move(respond)));
+  }
+
+  outgoing_answer administer(const incoming_request& request)
+  {
+    static const std::map<std::string, admin_call> k_calls{
+        {"configuration", &implementation::put_configuration},
+        {"jobs", &implementation::note_job},
+        {"store", &implementation::set_store_fault},
+        {"workers", &implementation::befall_worker},
+        {"report", &implementation::report}};
+    const std::vector<std::string> words = path_words(request.target);
+    const auto found = k_calls.find(words.front());
+    if (found == k_calls.end())
+      return {404, "no such call", "text/plain", {}};
+    try
+    {
+      return (this->*found->second)(words, request.body);
+    }
+    catch (const std::exception& error)
+    {
+      return {400, error.what(), "text/plain", {}};
+    }
+  }
+
+  outgoing_answer put_configuration(const std::vector<std::string>&, const std::string& body)
+  {
+    m_store.put({wire::k_operator_table, "", wire::k_config_key}, body);
+    return {};
+  }
+
+  outgoing_answer note_job(const std::vector<std::string>& words, const std::string& body)
+  {
+    const std::string& id = words.at(1);
+    const std::string what = words.size() > 2 ? words[2] : "";
+    if (what.empty())
+    {
+      const auto spec = adapter::submission_from(body);
+      if (!spec)
+        return {400, common::to_text(spec.error()), "text/plain", {}};
+      m_specs[id] = *spec;
+      m_judge.submitted(id, *spec, k_max_attempts);
+    }
+    else if (what == "answers")
+      m_judge.answered(id, static_cast<unsigned>(std::stoul(words.at(3))));
+    else if (what == "states")
+      m_judge.shown(id, state_named(words.at(3)).value());
+    else if (what == "cancel")
+      m_judge.cancel_asked(id);
+    else
+      return {404, "no such call", "text/plain", {}};
+    return {};
+  }
+
+  outgoing_answer set_store_fault(const std::vector<std::string>& words, const std::string&)
+  {
+    static constexpr std::array<const char*, 4> k_faults{"works", "unavailable", "silent",
+                                                         "loses_answers"};
+    if (std::find(k_faults.begin(), k_faults.end(), words.at(1)) == k_faults.end())
+      return {400, "no such fault", "text/plain", {}};
+    m_store_fault = words[1];
+    return {};
+  }
+
+  outgoing_answer befall_worker(const std::vector<std::string>& words, const std::string&)
+  {
+    model::fleet_worker& worker = m_fleet.workers().at(std::stoul(words.at(1)));
+    const std::string& what = words.at(2);
+    if (what == "crash")
+      model::worker_fleet::end_life(worker);
+    else if (what == "replace")
+    {
+      m_fleet.begin_life(worker);
+      m_fleet.write_entry(worker);
+    }
+    else if (what == "drain" && worker.model)
+    {
+      worker.draining = true;
+      m_fleet.write_entry(worker);
+    }
+    else if (what == "silence")
+      m_silent.insert(worker.machine);
+    else if (what == "speak")
+      m_silent.erase(worker.machine);
+    else
+      return {400, "no such fault", "text/plain", {}};
+    return {};
+  }
+
+  outgoing_answer report(const std::vector<std::string>&, const std::string&)
+  {
+    const json out{{"starts", m_judge.starts()},         {"accepted", m_judge.accepted_jobs()},
+                   {"violations", m_judge.violations()}, {"runs", m_judge.active_runs()},
+                   {"store_calls", m_store_calls},       {"worker_calls", m_worker_calls}};
+    return {200, out.dump(), "application/json", {}};
+  }
+
+  cell_options m_options;
+  node::asio_timekeeper m_time;
+  model::run_judge m_judge;
+  model::store_model m_store;
+  model::advice_model m_advice;
+  std::map<std::string, jobs::job_spec> m_specs;
+  model::worker_fleet m_fleet;
+  std::string m_store_fault = "works";
+  std::set<std::string> m_silent; // machines of workers that answer nobody
+  // Their connections stay open, as those to a machine without power do.
+  std::vector<responder> m_unanswered;
+  std::uint64_t m_store_calls = 0;
+  std::uint64_t m_worker_calls = 0;
+  std::vector<std::unique_ptr<http::http_listener>> m_listeners; // last: they go first
+};
+
+cell_stand_in::cell_stand_in(boost::asio::io_context& io, const cell_options& options)
+    : m_implementation(std::make_unique<implementation>(io, options))
+{
+}
+
+cell_stand_in::~cell_stand_in() = default;
+} // namespace yardhill::stand_ins
--- a/Source/StandIns/Main.cpp
+++ b/Source/StandIns/Main.cpp
@@ -8,12 +8,16 @@
 #include <cstdio>
 #include <exception>
 #include <map>
+#include <sstream>
 #include <string>
 #include <utility>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <docopt/docopt.h>
 #include <pplx/threadpool.h>
 
+#include "StandIns/CellStandIn.h"
 #include "StandIns/PlatformStandIn.h"
 #include "StandIns/WorkerStandIn.h"
 
@@ -22,10 +26,22 @@
 constexpr const char* k_usage = R"(Stand-ins for tests and the demo.
 
 Usage:
+  yardhill-standins cell --first-port PORT --zones NAMES --workers N [--cpu-millis N]
+                         [--memory-mib N] [--service NAME] [--run-time SHARE]
   yardhill-standins platform --port PORT [--writes N] [--reads N] [--list-lag MS]
   yardhill-standins workers --zone ZONE --admin-port PORT [--settings FILE] <file>...
 
+`cell` is the users' platform: store, advice and all workers, as its pages describe them. `platform`
+and `workers` are what `yardhill serve` runs on.
+
 Options:
+  --first-port PORT  of the store; then advice, admin; from the tenth on, the workers
+  --zones NAMES      divided by commas; workers take turns
+  --workers N        how many workers in all
+  --cpu-millis N     thousandths of a core of each worker [default: 16000]
+  --memory-mib N     memory of each worker [default: 32768]
+  --service NAME     whose workers they are [default: service]
+  --run-time SHARE   how long tasks run, as a share of their estimates [default: 1.0]
   --port PORT        where the platform listens, on 127.0.0.1
   --writes N         writes a second that the table service takes [default: 300]
   --reads N          reads a second that it takes [default: 2000]
@@ -37,6 +53,25 @@
 
 constexpr std::size_t k_threads = 4;
 
+void run_cell(const std::map<std::string, docopt::value>& parsed)
+{
+  yardhill::stand_ins::cell_options options;
+  options.first_port = static_cast<std::uint16_t>(std::stoul(parsed.at("--first-port").asString()));
+  std::istringstream zones(parsed.at("--zones").asString());
+  for (std::string zone; std::getline(zones, zone, ',');)
+    options.zones.push_back(zone);
+  options.workers = static_cast<std::uint32_t>(std::stoul(parsed.at("--workers").asString()));
+  options.capacity.cpu_millis = std::stol(parsed.at("--cpu-millis").asString());
+  options.capacity.memory_mib = std::stol(parsed.at("--memory-mib").asString());
+  options.service = parsed.at("--service").asString();
+  options.run_time_share = std::stod(parsed.at("--run-time").asString());
+  boost::asio::io_context io(1);
+  const yardhill::stand_ins::cell_stand_in cell(io, options);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+}
+
 void wait_for_stop()
 {
   sigset_t signals;
@@ -62,6 +97,11 @@
   try
   {
     const auto parsed = docopt::docopt(k_usage, {argv + 1, argv + argc}, true);
+    if (parsed.at("cell").asBool())
+    {
+      run_cell(parsed);
+      return 0;
+    }
     block_stop_signals();
     crossplat::threadpool::initialize_with_threads(k_threads);
     if (parsed.at("platform").asBool())
--- a/Source/UnitTests/Platform/IngressTest.cpp
+++ b/Source/UnitTests/Platform/IngressTest.cpp
@@ -32,6 +32,43 @@
   BOOST_TEST(!spec->steps[0].limits_unavailable);
 }
 
+BOOST_AUTO_TEST_CASE(a_job_survives_the_way_to_an_instance)
+{
+  jobs::job_spec spec;
+  spec.payload = "text";
+  spec.steps.resize(2);
+  spec.steps[0].count = 4;
+  spec.steps[0].demand = {500, 256, 1};
+  spec.steps[0].estimate = milliseconds{900};
+  spec.steps[0].data_rack = "r1-3";
+  spec.steps[1].depends_on = {0};
+  spec.steps[1].gang = true;
+  spec.steps[1].limits_unavailable = true;
+  spec.steps[1].required_label = "big";
+  spec.repeats = 3;
+  spec.interval = milliseconds{500};
+  const auto read = adapter::submission_from(adapter::submission_body(spec));
+  BOOST_TEST_REQUIRE(read.has_value());
+  jobs::accepted_job sent;
+  sent.spec = spec;
+  jobs::accepted_job arrived;
+  arrived.spec = *read;
+  BOOST_TEST(jobs::to_row_text(sent) == jobs::to_row_text(arrived));
+}
+
+BOOST_AUTO_TEST_CASE(states_survive_the_way_to_a_caller)
+{
+  using jobs::job_state;
+  for (const job_state each : {job_state::queued, job_state::active, job_state::completed,
+                               job_state::failed, job_state::cancelled})
+  {
+    const std::string body = adapter::state_body(each);
+    const std::size_t begin = body.rfind(':') + 2;
+    BOOST_TEST((adapter::state_from(body.substr(begin, body.rfind('"') - begin)) == each), body);
+  }
+  BOOST_TEST(!adapter::state_from("none").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(malformed_submissions_are_refused_with_what_is_wrong)
 {
   const std::string long_payload(4001, 'x');
--- a/Source/Yardhill/Check.cpp
+++ b/Source/Yardhill/Check.cpp
@@ -3,7 +3,9 @@
 
 // yardhill check: settings and workload files, checked whole.
 
+#include <array>
 #include <cstdio>
+#include <utility>
 
 #include <docopt/docopt.h>
 #include <nlohmann/json.hpp>
@@ -11,6 +13,8 @@
 #include "Common/ConfigParser.h"
 #include "Common/FieldReader.h"
 #include "Common/InstanceSettings.h"
+#include "Load/YardFile.h"
+#include "Node/NodeSettings.h"
 #include "Yardhill/Files.h"
 #include "Yardhill/Subcommands.h"
 
@@ -23,8 +27,10 @@
 Usage:
   yardhill check [--json] <file>...
 
-Files with a "cell", "teams" or "workloads" section are checked together as one set; any other
-file is taken for an instance's settings. Every mistake is printed in one run.
+Files with a "cell", "teams" or "workloads" section are checked together as one set; a file with
+"kinds" is a yard for "yardhill job", one with "callers_address" the settings of an instance on the
+platform; any other file is taken for settings of "yardhill serve". Every mistake is printed in one
+run.
 
 Options:
   --json  print the mistakes as a JSON list
@@ -32,13 +38,49 @@
 Exit codes: 0 no mistake; 2 mistakes.
 )";
 
-bool belongs_to_set(const common::named_text& file, common::problem_list& problems)
+using file_checker = void (*)(const common::named_text& file, common::problem_list& problems);
+
+void check_yard(const common::named_text& file, common::problem_list& problems)
+{
+  load::parse_yard(file.text, file.file, problems);
+}
+
+void check_platform_settings(const common::named_text& file, common::problem_list& problems)
+{
+  node::parse_node_settings(file.text, file.file, problems);
+}
+
+void check_settings(const common::named_text& file, common::problem_list& problems)
+{
+  common::parse_instance_settings(file.text, file.file, problems);
+}
+
+// A section that tells what a file is; null: it is part of the declared set.
+constexpr std::array<std::pair<const char*, file_checker>, 5> k_sections{
+    {{"cell", nullptr},
+     {"teams", nullptr},
+     {"workloads", nullptr},
+     {"kinds", check_yard},
+     {"callers_address", check_platform_settings}}};
+
+// Adds the file to the set, or checks it by itself.
+void check_file(const common::named_text& file, std::vector<common::named_text>& set,
+                common::problem_list& problems)
 {
   const auto document = common::parse_with_comments(file.text, file.file, problems);
-  if (!document || !document->is_object())
-    return false;
-  return document->contains("cell") || document->contains("teams") ||
-         document->contains("workloads");
+  if (!document)
+    return;
+  for (const auto& [section, checker] : k_sections)
+  {
+    if (!document->is_object() || !document->contains(section))
+      continue;
+    if (checker == nullptr)
+      set.push_back(file);
+    else
+      checker(file, problems);
+    return;
+  }
+  check_settings(file, problems);
 }
 
 void print_json(const common::problem_list& problems)
@@ -59,13 +101,7 @@
   common::problem_list problems;
   std::vector<common::named_text> set;
   for (const common::named_text& file : read_files(parsed.at("<file>").asStringList()))
-  {
-    const std::size_t before = problems.size();
-    if (belongs_to_set(file, problems))
-      set.push_back(file);
-    else if (problems.size() == before)
-      common::parse_instance_settings(file.text, file.file, problems);
-  }
+    check_file(file, set, problems);
   if (!set.empty())
     common::parse_cell_config(set, problems);
   if (parsed.at("--json").asBool())
--- a/Source/Yardhill/Main.cpp
+++ b/Source/Yardhill/Main.cpp
@@ -24,6 +24,7 @@
 
 Commands:
   instance run an instance on the platform
+  job      hand jobs to instances on the platform, or play a whole yard's load
   serve    run an entry instance
   check    check settings and workload files
   apply    put a set of files into force
@@ -47,8 +48,9 @@
   yardhill::cli::subcommand_function run;
 };
 
-constexpr std::array<subcommand, 13> k_subcommands{{
+constexpr std::array<subcommand, 14> k_subcommands{{
     {"instance", yardhill::cli::instance},
+    {"job", yardhill::cli::job},
     {"serve", yardhill::cli::serve},
     {"check", yardhill::cli::check},
     {"apply", yardhill::cli::apply},
--- a/Source/Yardhill/Subcommands.h
+++ b/Source/Yardhill/Subcommands.h
@@ -31,5 +31,6 @@
 int drain(const arguments& given);
 int explain(const arguments& given);
 int replay(const arguments& given);
+int job(const arguments& given);
 int load(const arguments& given);
 } // namespace yardhill::cli
