--- a/Source/Core/Load/LoadRunner.cpp
+++ b/Source/Core/Load/LoadRunner.cpp
@@ -64,6 +64,12 @@
     return;
   }
   job.detail = answer.detail;
+  if (answer.unreached && ++job.unreached <= m_options.most_unreached)
+  {
+    --job.tries;
+    m_time.post([this, &job] { hand_in(job); });
+    return;
+  }
   const bool refused = answer.status == 429 || answer.status == 503;
   job.refusals += refused ? 1 : 0;
   job.unanswered += answer.status == 0 ? 1 : 0;
--- a/Source/Core/Load/LoadRunner.h
+++ b/Source/Core/Load/LoadRunner.h
@@ -24,6 +24,7 @@
   unsigned tries = 0; // of handing it in
   unsigned refusals = 0;
   unsigned unanswered = 0;
+  unsigned unreached = 0; // tries that met no instance; not counted among them
   std::optional<common::duration> accepted;
   std::optional<common::duration> begun; // first shown as begun or ended
   std::optional<common::duration> ended;
@@ -37,6 +38,8 @@
   // As the sites' callers: they wait this long, and try this often after the first time.
   common::duration patience = std::chrono::seconds{3};
   unsigned retries = 4;
+  // In front of the instances, the platform hands a caller on whom one does not take.
+  unsigned most_unreached = 20;
   common::duration retry_pause = std::chrono::seconds{1};
   // How often a caller asks for a state: what the measured times are good for.
   common::duration ask_period = std::chrono::milliseconds{100};
--- a/Source/UnitTests/Load/LoadRunnerTest.cpp
+++ b/Source/UnitTests/Load/LoadRunnerTest.cpp
@@ -33,7 +33,8 @@
     {
       answer = {200, R"({"state":"completed"})", {}, false};
     }
-    const common::duration after = answer.answered() ? milliseconds{1} : timeout;
+    const bool at_once = answer.answered() || answer.refused;
+    const common::duration after = at_once ? milliseconds{1} : timeout;
     time.schedule(after, [answer, done = std::move(done)] { done(answer); });
   }
 
@@ -95,6 +96,15 @@
   BOOST_TEST(load::all_served({report}));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_instance_that_is_not_there_costs_no_time, one_caller)
+{
+  instances.answers = {{0, {}, "connect: refused", true}, {200, "{}", {}, false}};
+  const load::kind_report report = play();
+  BOOST_TEST(report.completed == 1U);
+  BOOST_TEST(report.unanswered == 0U);
+  BOOST_TEST((report.to_end.front() < milliseconds{10}));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_job_that_is_wrong_is_not_handed_in_again, one_caller)
 {
   instances.answers = {{400, R"({"error":"no steps"})", {}, false}};
--- a/Tools/cluster/cluster.py
+++ b/Tools/cluster/cluster.py
@@ -53,16 +53,67 @@
     raise RuntimeError(f"waited {seconds} s in vain: {what}")
 
 
-class Cluster:
+class ProcessGroup:
+    """Processes of one test or demo with a directory of their own; ends what it started."""
+
+    def __init__(self):
+        self.directory = tempfile.TemporaryDirectory(prefix="yardhill-")
+        self.path = pathlib.Path(self.directory.name)
+        self.processes = {}
+
+    def spawn(self, name, arguments):
+        log = open(self.path / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen([str(word) for word in arguments], stdout=log,
+                                                stderr=log, stdin=subprocess.DEVNULL)
+        return self.processes[name]
+
+    def run(self, *arguments):
+        return subprocess.run([str(word) for word in (YARDHILL, *arguments)], text=True,
+                              capture_output=True, check=False)
+
+    def lives(self, name):
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    def kill(self, name, how=signal.SIGKILL):
+        self.processes[name].send_signal(how)
+
+    def wait_end(self, name):
+        return self.processes[name].wait(GENEROUS_SECONDS)
+
+    def process_cost(self, name):
+        """(processor seconds, resident KiB) of a process so far."""
+        pid = self.processes[name].pid
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        resident = [line for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+                    if line.startswith("VmRSS")]
+        return ticks / os.sysconf("SC_CLK_TCK"), int(resident[0].split()[1])
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.directory.cleanup()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+
+class Cluster(ProcessGroup):
     """A platform, workers of each zone, and instances; ports are offset so that several can run."""
 
     def __init__(self, yard="periyar", zones=None, instances_per_zone=2, workers_per_zone=None,
                  port_offset=0, timing=None, partitions=None, writes=300):
-        self.directory = tempfile.TemporaryDirectory(prefix="yardhill-")
-        self.path = pathlib.Path(self.directory.name)
+        super().__init__()
         self.offset = port_offset
         self.platform_port = 17000 + port_offset
-        self.processes = {}
         self.instances = {}
         cell = strip_comments((ROOT / f"Data/{yard}/cell.jsonc").read_text())
         if zones is not None:
@@ -107,12 +158,6 @@
     def admin_url(self, zone):
         return f"http://127.0.0.1:{self.admin[zone]}"
 
-    def spawn(self, name, arguments):
-        log = open(self.path / f"{name}.log", "ab")
-        self.processes[name] = subprocess.Popen([str(word) for word in arguments], stdout=log,
-                                                stderr=log, stdin=subprocess.DEVNULL)
-        return self.processes[name]
-
     def start_platform(self):
         self.spawn("platform", [STAND_INS, "platform", "--port", self.platform_port, "--writes",
                                 self.writes])
@@ -164,10 +209,6 @@
     def wait_ready(self, name):
         wait_until(f"{name} to be ready", lambda: http("GET", self.url(name) + "/readyz")[0] == 200)
 
-    def run(self, *arguments):
-        return subprocess.run([str(word) for word in (YARDHILL, *arguments)], text=True,
-                              capture_output=True, check=False)
-
     def owner_of(self, zone):
         """The name of the living instance that owns the zone's first partition."""
         for name, own in self.instances.items():
@@ -180,16 +221,6 @@
                         return name
         return None
 
-    def lives(self, name):
-        process = self.processes.get(name)
-        return process is not None and process.poll() is None
-
-    def kill(self, name, how=signal.SIGKILL):
-        self.processes[name].send_signal(how)
-
-    def wait_end(self, name):
-        return self.processes[name].wait(GENEROUS_SECONDS)
-
     def set_faults(self, url, **faults):
         status, _, body = http("POST", url + "/faults", faults)
         if status != 200:
@@ -208,27 +239,3 @@
 
     def store_load(self):
         return json.loads(http("GET", self.platform_url() + "/load")[2])
-
-    def process_cost(self, name):
-        """(processor seconds, resident KiB) of a process so far."""
-        pid = self.processes[name].pid
-        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-        ticks = int(fields[11]) + int(fields[12])
-        resident = [line for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
-                    if line.startswith("VmRSS")]
-        return ticks / os.sysconf("SC_CLK_TCK"), int(resident[0].split()[1])
-
-    def stop(self):
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-        for process in self.processes.values():
-            process.wait()
-        self.directory.cleanup()
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        self.stop()
