--- a/Tools/cluster/cluster.py
+++ b/Tools/cluster/cluster.py
@@ -27,10 +27,12 @@
     return json.loads(re.sub(r"(^|[^:\"])//.*", r"\1", text))
 
 
-def http(method, url, body=None, timeout=GENEROUS_SECONDS):
+def http(method, url, body=None, timeout=GENEROUS_SECONDS, host=None):
     """Returns (status, headers, bytes); status 0 when nobody answered."""
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data, method=method)
+    if host is not None:
+        request.add_header("Host", host)
     if data is not None:
         request.add_header("Content-Type", "application/json")
     try:
