--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -129,6 +129,11 @@
   return m_counters.at(static_cast<std::size_t>(which)).load(std::memory_order_relaxed);
 }
 
+std::uint64_t metrics::value(gauge which) const
+{
+  return m_gauges.at(static_cast<std::size_t>(which)).load(std::memory_order_relaxed);
+}
+
 std::uint64_t metrics::value(refusal_reason why) const
 {
   return m_refusals.at(static_cast<std::size_t>(why)).load(std::memory_order_relaxed);
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -84,6 +84,7 @@
   void record(timing which, duration value);
 
   std::uint64_t value(counter which) const;
+  std::uint64_t value(gauge which) const;
   std::uint64_t value(refusal_reason why) const;
   std::uint64_t value(retry_reason why) const;
   // The smallest bucket bound that `quantile` (0 to 1) of the recorded values do not exceed.
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -23,7 +23,7 @@
 const common::endpoint k_store_address{"10.200.0.1", 80};
 const common::endpoint k_advice_address{"10.200.0.2", 80};
 
-std::string configuration()
+std::string configuration(std::uint64_t version)
 {
   const auto route = [](const char* name, const char* prefix, int priority)
   {
@@ -35,7 +35,8 @@
   json urgent = route("urgent", k_urgent_prefix, 0);
   urgent[wire::k_advice] = {
       {wire::k_decide_ms, 19.0}, {wire::k_each_ms, 0.28}, {wire::k_valid_ms, 2500}};
-  return json{{wire::k_version, 1}, {wire::k_routes, {urgent, route("plain", k_plain_prefix, 1)}}}
+  return json{{wire::k_version, version},
+              {wire::k_routes, {urgent, route("plain", k_plain_prefix, 1)}}}
       .dump();
 }
 } // namespace
@@ -63,7 +64,7 @@
       k_advice_address, "advice",
       [this](const std::string& from, const http::request& call, http::reply_handler done)
       { m_advice.handle(from, call, std::move(done)); });
-  m_store.put({wire::k_operator_table, "", wire::k_config_key}, configuration());
+  configure(1);
   add_workers();
   m_instances.resize(k_instances);
   for (std::size_t i = 0; i < k_instances; ++i)
@@ -74,6 +75,11 @@
   }
 }
 
+void explored_cell::configure(std::uint64_t version)
+{
+  m_store.put({wire::k_operator_table, "", wire::k_config_key}, configuration(version));
+}
+
 void explored_cell::add_workers()
 {
   for (std::size_t i = 0; i < k_workers; ++i)
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -61,6 +61,8 @@
   duration draw_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
   explored_instance* any_up();
 
+  // The operator's next version, with the same queues.
+  void configure(std::uint64_t version);
   void start_instance(explored_instance& which);
   // Ends its process as it is; the others' links to it break.
   void end_instance(explored_instance& which);
--- /dev/null
+++ b/Source/Core/Node/JobIntake.cpp
@@ -0,0 +1,160 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/JobIntake.h"
+
+#include <utility>
+
+#include "Common/Error.h"
+#include "Common/EventLog.h"
+#include "Node/JobStore.h"
+
+namespace yardhill::node
+{
+namespace
+{
+// Cancellations of unknown jobs that are remembered; about 200 KB when full. Those of jobs that
+// have ended come in here as well; a job that comes after its own is at most seconds behind.
+constexpr std::size_t k_most_early = 4096;
+} // namespace
+
+job_intake::job_intake(common::timekeeper& time, adapter::store_client& feed_store,
+                       std::string partition, scheduling::fencing_token token,
+                       std::function<void()> changed)
+    : m_time(time),
+      m_feed_store(feed_store),
+      m_partition(std::move(partition)),
+      m_token(token),
+      m_changed(std::move(changed))
+{
+}
+
+job_intake::~job_intake()
+{
+  if (m_loader)
+    m_loader->abandon();
+}
+
+void job_intake::begin(scheduling::job_scheduler& scheduler, const loaded_partition& loaded)
+{
+  m_scheduler = &scheduler;
+  m_read_at = loaded.read_at;
+  add_loaded(loaded);
+}
+
+void job_intake::add_loaded(const loaded_partition& loaded)
+{
+  const common::time_point now = m_time.now();
+  for (const loaded_partition::kept_job& each : loaded.jobs)
+  {
+    if (m_scheduler->knew(each.job.id))
+      continue;
+    const auto progress = loaded.progress.find(each.job.id);
+    // Jobs that were kept after the takeover have not been started by anyone.
+    if (each.version > m_token)
+      m_scheduler->add_job(each.job, now);
+    else if (progress == loaded.progress.end())
+      m_scheduler->restore_job(each.job, std::nullopt, now);
+    else
+      m_scheduler->restore_job(each.job, progress->second, now);
+    apply_early_cancellation(each.job.id);
+  }
+  for (const std::string& id : loaded.cancelled)
+    m_scheduler->cancel_job(id, now);
+}
+
+void job_intake::follow_feed()
+{
+  feed_handlers handlers;
+  handlers.changed = [this](const std::vector<adapter::row>& rows) { on_rows(rows); };
+  handlers.expired = [this] { read_again(); };
+  m_feed = std::make_unique<table_feed>(m_time, m_feed_store, k_jobs_table, job_parts(),
+                                        std::move(handlers));
+  m_feed->start_after(m_read_at);
+}
+
+void job_intake::ask_again()
+{
+  if (m_feed)
+    m_feed->ask_again();
+}
+
+// The feed cannot say what it missed, so everything is read again; jobs known here are left alone.
+void job_intake::read_again()
+{
+  m_loader = std::make_shared<partition_loader>(m_time, m_feed_store, m_partition,
+                                                [this](const loaded_partition& loaded)
+                                                {
+                                                  add_loaded(loaded);
+                                                  m_read_at = loaded.read_at;
+                                                  follow_feed();
+                                                  m_changed();
+                                                });
+  m_loader->start();
+}
+
+void job_intake::on_rows(const std::vector<adapter::row>& rows)
+{
+  for (const adapter::row& row : rows)
+  {
+    if (row.removed)
+      continue;
+    const auto kept = job_row_from(row);
+    if (!kept)
+      continue;
+    if (std::holds_alternative<cancel_mark>(kept->content))
+      job_cancelled(kept->id);
+    else if (const auto* job = std::get_if<jobs::accepted_job>(&kept->content))
+      job_kept(*job, row.version);
+  }
+}
+
+void job_intake::on_notice(const common::job_notice& notice)
+{
+  if (notice.row.empty())
+  {
+    job_cancelled(notice.id);
+    return;
+  }
+  const auto job =
+      common::parsed("read_job_notice", notice.id,
+                     [&notice] { return jobs::accepted_job_from(notice.id, notice.row); });
+  if (job)
+    job_kept(*job, notice.version);
+  else
+    common::log_request("notice_damaged", notice.id, {{"error", common::to_text(job.error())}});
+}
+
+void job_intake::job_kept(const jobs::accepted_job& job, adapter::row_version version)
+{
+  if (m_scheduler == nullptr || version <= m_read_at || job.home != m_partition ||
+      m_scheduler->knew(job.id))
+    return;
+  m_scheduler->add_job(job, m_time.now());
+  apply_early_cancellation(job.id);
+  m_changed();
+}
+
+void job_intake::job_cancelled(const std::string& id)
+{
+  if (m_scheduler != nullptr && m_scheduler->knows(id))
+  {
+    m_scheduler->cancel_job(id, m_time.now());
+    m_changed();
+    return;
+  }
+  if (!m_early.insert(id).second)
+    return;
+  m_early_in_order.push_back(id);
+  if (m_early_in_order.size() <= k_most_early)
+    return;
+  m_early.erase(m_early_in_order.front());
+  m_early_in_order.pop_front();
+}
+
+void job_intake::apply_early_cancellation(const std::string& id)
+{
+  if (m_early.contains(id))
+    m_scheduler->cancel_job(id, m_time.now());
+}
+} // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -77,6 +77,8 @@
 void node_core::tick()
 {
   const common::time_point now = m_world.time.now();
+  if (m_store_path.back_since() > m_feeds_asked)
+    ask_feeds_again();
   const auto healthy =
       m_owner_feed.loaded() && m_worker_feed.loaded() ? m_owner_feed.healthy_since() : std::nullopt;
   for (const auto& each : m_partitions)
@@ -88,6 +90,16 @@
   m_peers.tick(now, owns_any(), m_store_path.in_doubt());
 }
 
+void node_core::ask_feeds_again()
+{
+  m_feeds_asked = m_store_path.back_since();
+  m_operator_feed.ask_again();
+  m_worker_feed.ask_again();
+  m_owner_feed.ask_again();
+  for (const auto& each : m_partitions)
+    each->store_heard();
+}
+
 void node_core::handle(http::incoming_request request, http::responder respond)
 {
   m_gateway.handle(std::move(request), std::move(respond));
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -68,6 +68,8 @@
   void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
   void on_owner_rows(const std::vector<adapter::row>& rows);
   void remove_worker(const std::string& id);
+  // Calls of feeds may wait for seconds for a store that has come back meanwhile.
+  void ask_feeds_again();
 
   node_world m_world;
   peer_monitor m_peers;
@@ -88,6 +90,7 @@
   table_feed m_operator_feed;
   table_feed m_worker_feed;
   table_feed m_owner_feed;
+  common::time_point m_feeds_asked{}; // again, after a silence of the store
   bool m_stopping = false;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -117,6 +117,8 @@
 void partition_owner::load()
 {
   m_state = state::loading;
+  m_intake = std::make_unique<job_intake>(m_parts.time, m_parts.feed_store, m_partition, m_token,
+                                          [this] { step_soon(); });
   m_loader = std::make_shared<partition_loader>(m_parts.time, m_parts.store, m_partition,
                                                 [this](loaded_partition loaded)
                                                 { on_loaded(std::move(loaded)); });
@@ -128,7 +130,6 @@
   m_loader.reset();
   m_state = state::owning;
   const common::time_point now = m_parts.time.now();
-  m_read_at = loaded.read_at;
   start_commits(loaded);
   m_sweeper =
       std::make_unique<row_sweeper>(m_parts.time, m_parts.store, m_partition, m_options.keep_ended);
@@ -144,83 +145,21 @@
     m_scheduler->restore_claim(id, claim, now);
   for (const auto& [id, info] : m_parts.worker_entries)
     worker_entry(info);
-  add_loaded_jobs(loaded);
+  m_intake->begin(*m_scheduler, loaded);
   m_scheduler->begin_accounting();
   common::log_process("partition_owned", {{"partition", m_partition},
                                           {"epoch", m_row.epoch},
                                           {"token", m_token},
                                           {"jobs", loaded.jobs.size()},
                                           {"load_ms", now - m_last_renewal}});
-  follow_jobs(loaded.read_at);
+  m_intake->follow_feed();
   step_soon();
 }
 
-void partition_owner::add_loaded_jobs(const loaded_partition& loaded)
-{
-  const common::time_point now = m_parts.time.now();
-  for (const loaded_partition::kept_job& each : loaded.jobs)
-  {
-    if (m_scheduler->knew(each.job.id))
-      continue;
-    const auto progress = loaded.progress.find(each.job.id);
-    // Jobs that were kept after the takeover have not been started by anyone.
-    if (each.version > m_token)
-      m_scheduler->add_job(each.job, now);
-    else if (progress == loaded.progress.end())
-      m_scheduler->restore_job(each.job, std::nullopt, now);
-    else
-      m_scheduler->restore_job(each.job, progress->second, now);
-  }
-  for (const std::string& id : loaded.cancelled)
-    m_scheduler->cancel_job(id, now);
-}
-
-void partition_owner::follow_jobs(adapter::row_version since)
-{
-  feed_handlers handlers;
-  handlers.changed = [this](const std::vector<adapter::row>& rows) { on_job_rows(rows); };
-  handlers.expired = [this] { reload_jobs(); };
-  m_job_feed = std::make_unique<table_feed>(m_parts.time, m_parts.feed_store, k_jobs_table,
-                                            job_parts(), std::move(handlers));
-  m_job_feed->start_after(since);
-}
-
-// The feed cannot say what it missed, so everything is read again; jobs known here are left alone.
-void partition_owner::reload_jobs()
-{
-  m_loader = std::make_shared<partition_loader>(
-      m_parts.time, m_parts.store, m_partition,
-      [this, alive = std::weak_ptr<int>(m_ownership)](const loaded_partition& loaded)
-      {
-        if (alive.expired())
-          return;
-        add_loaded_jobs(loaded);
-        follow_jobs(loaded.read_at);
-        step_soon();
-      });
-  m_loader->start();
-}
-
-void partition_owner::on_job_rows(const std::vector<adapter::row>& rows)
-{
-  for (const adapter::row& row : rows)
-  {
-    if (row.removed)
-      continue;
-    const auto kept = job_row_from(row);
-    if (!kept)
-      continue;
-    if (std::holds_alternative<cancel_mark>(kept->content))
-      job_cancelled(kept->id);
-    else if (const auto* job = std::get_if<jobs::accepted_job>(&kept->content))
-      job_accepted(*job, row.version);
-  }
-}
-
 void partition_owner::job_kept_here(const jobs::accepted_job& job, adapter::row_version version)
 {
   if (owns())
-    job_accepted(job, version);
+    m_intake->job_kept(job, version);
   else if (!seen().row.holder.empty())
     m_parts.send_to_peer(seen().row.holder,
                          common::job_notice{job.id, jobs::to_row_text(job), version});
@@ -229,41 +168,15 @@
 void partition_owner::job_cancelled_here(const std::string& id)
 {
   if (owns())
-    job_cancelled(id);
+    m_intake->job_cancelled(id);
   else if (!seen().row.holder.empty())
     m_parts.send_to_peer(seen().row.holder, common::job_notice{id, {}, 0});
 }
 
 void partition_owner::on_notice(const common::job_notice& notice)
 {
-  if (notice.row.empty())
-  {
-    job_cancelled(notice.id);
-    return;
-  }
-  const auto job =
-      common::parsed("read_job_notice", notice.id,
-                     [&notice] { return jobs::accepted_job_from(notice.id, notice.row); });
-  if (job)
-    job_accepted(*job, notice.version);
-  else
-    common::log_request("notice_damaged", notice.id, {{"error", common::to_text(job.error())}});
-}
-
-void partition_owner::job_accepted(const jobs::accepted_job& job, adapter::row_version version)
-{
-  if (!owns() || version <= m_read_at || job.home != m_partition || m_scheduler->knew(job.id))
-    return;
-  m_scheduler->add_job(job, m_parts.time.now());
-  step_soon();
-}
-
-void partition_owner::job_cancelled(const std::string& id)
-{
-  if (!owns() || !m_scheduler->knows(id))
-    return;
-  m_scheduler->cancel_job(id, m_parts.time.now());
-  step_soon();
+  if (m_intake)
+    m_intake->on_notice(notice);
 }
 
 std::optional<jobs::job_state> partition_owner::written_state(const std::string& id) const
@@ -289,7 +202,7 @@
   if (m_loader)
     m_loader->abandon();
   m_loader.reset();
-  m_job_feed.reset();
+  m_intake.reset();
   m_ownership.reset();
   m_scheduler.reset();
   m_commits.reset();
@@ -330,6 +243,12 @@
   step_soon();
 }
 
+void partition_owner::store_heard()
+{
+  if (m_intake)
+    m_intake->ask_again();
+}
+
 // ---- Commits: one at a time, each under the condition that nobody else wrote in between
 
 owner_row partition_owner::next_row(bool release)
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -18,12 +18,12 @@
 #include "Jobs/QueueTable.h"
 #include "Node/AdvicePool.h"
 #include "Node/CommitWriter.h"
+#include "Node/JobIntake.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerWatch.h"
 #include "Node/PartitionLoader.h"
 #include "Node/RowSweeper.h"
 #include "Node/StorePath.h"
-#include "Node/TableFeed.h"
 #include "Scheduling/JobScheduler.h"
 #include "platform/WorkerClient.h"
 
@@ -64,6 +64,8 @@
   void worker_entry(const scheduling::worker_info& info);
   void worker_entry_gone(const common::worker_id& id);
   void queues_changed();
+  // The store is back after a silence.
+  void store_heard();
   // A job that has just been kept or cancelled. Another instance that owns the partition is told,
   // so that nobody need wait for the feed.
   void job_kept_here(const jobs::accepted_job& job, adapter::row_version version);
@@ -93,14 +95,6 @@
   void on_acquired(const owner_row& row, const adapter::transaction_result& result);
   void load();
   void on_loaded(loaded_partition loaded);
-  void add_loaded_jobs(const loaded_partition& loaded);
-  void follow_jobs(adapter::row_version since);
-  void on_job_rows(const std::vector<adapter::row>& rows);
-  // Jobs kept before this owner read all jobs are known, or have ended under an earlier owner.
-  void job_accepted(const jobs::accepted_job& job, adapter::row_version version);
-  void job_cancelled(const std::string& id);
-  void reload_jobs();
-
   void start_commits(const loaded_partition& loaded);
   void pump_commits(common::time_point now);
   void on_written(const written_commit& commit);
@@ -133,9 +127,8 @@
   std::shared_ptr<int> m_ownership; // replaced with each; callbacks hold it weakly
   std::unique_ptr<scheduling::job_scheduler> m_scheduler;
   std::shared_ptr<partition_loader> m_loader;
-  std::unique_ptr<table_feed> m_job_feed;
+  std::unique_ptr<job_intake> m_intake; // uses the scheduler
   scheduling::fencing_token m_token = 0;
-  adapter::row_version m_read_at = 0; // all jobs up to here were read at the takeover
   owner_row m_row;
   std::unique_ptr<commit_writer> m_commits;
   std::unique_ptr<row_sweeper> m_sweeper;
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -50,9 +50,11 @@
   if (!turned_away(answer))
   {
     m_last_heard = m_time.now();
-    if (m_bad_since)
-      common::log_process("store_heard", {{"silent_ms", m_time.now() - *m_bad_since}});
+    if (!m_bad_since)
+      return;
+    common::log_process("store_heard", {{"silent_ms", m_time.now() - *m_bad_since}});
     m_bad_since.reset();
+    m_back_since = m_time.now();
     return;
   }
   // A single lost answer, if the store has answered a later call.
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -43,6 +43,8 @@
 
   // Since when direct calls fail; none while they do not.
   std::optional<common::time_point> bad_since() const { return m_bad_since; }
+  // When direct calls last began to be answered again; the beginning of time if they never failed.
+  common::time_point back_since() const { return m_back_since; }
   // Whether direct calls fail or the latest ones are overdue.
   bool in_doubt() const;
   // Whether this instance reaches neither the store nor another zone.
@@ -68,6 +70,7 @@
   std::optional<common::time_point> m_bad_since;
   common::time_point m_last_probe{};
   common::time_point m_last_heard{};
+  common::time_point m_back_since{};
   peer_monitor& m_peers;
   std::map<std::uint64_t, common::time_point> m_under_way; // direct calls, by when they began
   std::map<std::uint64_t, relayed> m_relayed;
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -51,6 +51,14 @@
     wait_for_changes();
   }
 
+  void ask_again()
+  {
+    if (m_stopped || m_step == nullptr)
+      return;
+    m_timer.cancel();
+    (this->*m_step)();
+  }
+
   void stop()
   {
     m_stopped = true;
@@ -61,14 +69,25 @@
   bool loaded() const { return m_loaded; }
 
 private:
+  using answer_handler = void (implementation::*)(const adapter::rows_result&);
+  using step = void (implementation::*)();
+
+  // Begins a call; no answer to an earlier one is taken from now on.
+  std::function<void(adapter::rows_result)> call(step which, answer_handler handle)
+  {
+    m_step = which;
+    ++m_call;
+    return [self = shared_from_this(), handle, number = m_call](const adapter::rows_result& result)
+    {
+      if (!self->m_stopped && number == self->m_call)
+        (self.get()->*handle)(result);
+    };
+  }
+
   void read_next()
   {
     m_store.read({m_table, m_parts[m_part], m_first_key, {}, 500}, k_read_timeout,
-                 [self = shared_from_this()](const adapter::rows_result& result)
-                 {
-                   if (!self->m_stopped)
-                     self->on_page(result);
-                 });
+                 call(&implementation::read_next, &implementation::on_page));
   }
 
   void on_page(const adapter::rows_result& result)
@@ -76,7 +95,7 @@
     if (result.end != adapter::store_end::done)
     {
       failed(result);
-      retry([this] { read_next(); });
+      retry();
       return;
     }
     succeeded();
@@ -106,11 +125,7 @@
   void wait_for_changes()
   {
     m_store.changes(m_table, *m_since, k_feed_wait,
-                    [self = shared_from_this()](const adapter::rows_result& result)
-                    {
-                      if (!self->m_stopped)
-                        self->on_changes(result);
-                    });
+                    call(&implementation::wait_for_changes, &implementation::on_changes));
   }
 
   void on_changes(const adapter::rows_result& result)
@@ -127,7 +142,7 @@
     if (result.end != adapter::store_end::done)
     {
       failed(result);
-      retry([this] { wait_for_changes(); });
+      retry();
       return;
     }
     succeeded();
@@ -161,9 +176,9 @@
         {{"table", m_table}, {"end", adapter::to_text(result.end)}, {"detail", result.detail}});
   }
 
-  void retry(std::function<void()> again)
+  void retry()
   {
-    m_timer.start(m_retry, std::move(again));
+    m_timer.start(m_retry, [this] { (this->*m_step)(); });
     m_retry = std::min(m_retry * 2, k_retry_most);
   }
 
@@ -177,6 +192,8 @@
   std::size_t m_part = 0;
   std::string m_first_key;
   std::optional<adapter::row_version> m_since;
+  step m_step = nullptr; // of the latest call; none before the first
+  std::uint64_t m_call = 0;
   std::chrono::milliseconds m_retry = k_retry_first;
   std::optional<common::time_point> m_healthy_since;
   bool m_loaded = false;
@@ -205,6 +222,11 @@
   m_implementation->start_after(version);
 }
 
+void table_feed::ask_again()
+{
+  m_implementation->ask_again();
+}
+
 std::optional<common::time_point> table_feed::healthy_since() const
 {
   return m_implementation->healthy_since();
--- a/Source/Core/Node/TableFeed.h
+++ b/Source/Core/Node/TableFeed.h
@@ -42,6 +42,8 @@
   void start();
   // Continues behind a version up to which the rows are known already.
   void start_after(adapter::row_version version);
+  // The store is back after a silence: whatever call waits for it is given up and made anew.
+  void ask_again();
   // Since when answers have come without a failure in between; none while they do not come.
   std::optional<common::time_point> healthy_since() const;
   bool loaded() const;
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -50,4 +50,21 @@
   BOOST_TEST(owner.owns());
 }
 
+// Explorer, seed 113041: answers of the store were lost, so that a caller heard of the cancellation
+// before the instance that had kept the job was sure of it and told the owner. The owner had passed
+// over the cancellation of a job that it did not know, and the feed came 11 s later.
+BOOST_FIXTURE_TEST_CASE(a_cancellation_that_is_heard_before_its_job_holds, owner_under_test)
+{
+  pass(milliseconds{100});
+  BOOST_TEST_REQUIRE(owner.owns());
+  jobs::accepted_job job;
+  job.id = "0123456789abcdef";
+  job.home = node::k_partition;
+  job.spec.steps.resize(1);
+  owner.on_notice({job.id, {}, 0});
+  owner.on_notice({job.id, jobs::to_row_text(job), 1000});
+  pass(milliseconds{300});
+  BOOST_TEST((owner.written_state(job.id) == jobs::job_state::cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
