Scheduling: A worker that answers is used without its entry

Ruled out: leaving workers (they say so before), other lives (their answers name them). Change: a worker whose entry has gone is asked at once and for 8 s on; while it answers it is used.

--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -41,7 +41,7 @@
     return;
   std::int64_t free = 0;
   for (const auto& [id, worker] : m_state.workers)
-    free += worker->present && !worker->suspect ? worker->free().cpu_millis : 0;
+    free += worker->present() && !worker->suspect ? worker->free().cpu_millis : 0;
   m_advice.set_budget(free);
   avoid_slow_workers(now);
   for (const waiting_step& each : in_order(now))
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -32,6 +32,9 @@
   duration hold_retry = std::chrono::milliseconds{250};
   // A worker silent for this long gets a closed claim: two holds without an answer.
   duration close_claim = std::chrono::milliseconds{700};
+  // A worker whose entry has gone, and that does not answer either, is asked for so long: entries
+  // lapse 4.5 s into a cut, and cuts last up to 12 s at the sites.
+  duration unlisted_most = std::chrono::milliseconds{8000};
   // Starts and stops without an answer are sent again after this time.
   duration order_retry = std::chrono::milliseconds{300};
   // A worker that refused a start as unhealthy gets none for this time.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -34,7 +34,7 @@
 {
   worker_record& worker = new_record(id);
   worker.info.address = claim.address;
-  worker.present = false;
+  worker.listed = false;
   worker.claim_closed = claim.closed;
   if (claim.closed)
     m_listed[id] = claim.tasks;
@@ -58,11 +58,11 @@
   const bool news = known == nullptr;
   worker_record& worker = news ? new_record(info.id) : *known;
   const bool was_draining = worker.info.draining;
-  const bool was_present = worker.present;
+  const bool was_listed = worker.listed;
   worker.info = info;
-  worker.present = true;
+  worker.listed = true;
   m_state.place_again = true;
-  if (news || was_draining != info.draining || !was_present)
+  if (news || was_draining != info.draining || !was_listed)
     common::log_process("worker_entry", {{"worker", info.id.value},
                                          {"rack", info.rack},
                                          {"cpu_millis", info.capacity.cpu_millis},
@@ -78,7 +78,14 @@
   worker_record* const worker = m_state.find_worker(id);
   if (worker == nullptr)
     return;
-  worker->present = false;
+  worker->listed = false;
+  worker->heard_unlisted = false;
+  worker->unlisted_since = now;
+  if (worker->claimed && !worker->info.draining)
+  {
+    worker->forget_at = now + m_state.options.unlisted_most;
+    worker->ask_at_once = true;
+  }
   common::log_process("worker_entry_gone", {{"worker", id.value},
                                             {"runs", worker->runs.size()},
                                             {"lease_left_ms", worker->lease_end - now}});
@@ -87,7 +94,10 @@
 void worker_holder::gone(worker_record& worker, const char* why)
 {
   m_state.lose_runs(worker, why);
-  worker.present = false;
+  worker.listed = false;
+  worker.heard_unlisted = false;
+  worker.over = true;
+  worker.forget_at = time_point{};
   worker.lease_end = time_point{};
   accounted(worker.info.id);
 }
@@ -133,7 +143,7 @@
     return worker.holds_under_way < k_most_holds;
   if (worker.holds_under_way > 0)
     return false;
-  if (!worker.claimed && worker.present)
+  if (!worker.claimed && worker.listed)
     return since >= m_state.options.first_hold_retry;
   if (!worker.claimed || worker.suspect)
     return since >= m_state.options.hold_retry;
@@ -167,6 +177,7 @@
                                                                   {"end", to_text(answer.end)},
                                                                   {"runs", worker->runs.size()}});
   worker->set_suspect(lost, now);
+  note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
   if (lost)
     return;
   m_state.note_heard(*worker);
@@ -189,6 +200,18 @@
   accounted(worker->info.id);
 }
 
+// A worker without an entry is there as long as it answers.
+void worker_holder::note_unlisted(worker_record& worker, bool heard)
+{
+  const bool usable = worker.info.capacity.cpu_millis > 0 && !worker.info.draining && !worker.over;
+  const bool there = heard && usable && !worker.listed;
+  if (there == worker.heard_unlisted)
+    return;
+  worker.heard_unlisted = there;
+  m_state.place_again = true;
+  common::log_process("worker_unlisted", {{"worker", worker.info.id.value}, {"answers", there}});
+}
+
 void worker_holder::tick(time_point now)
 {
   if (m_accounting && now >= m_state.earlier_end)
@@ -202,8 +225,8 @@
     worker_record& worker = *each->second;
     if (!worker.runs.empty() && now >= worker.lease_end)
       m_state.lose_runs(worker, "its lease is over");
-    if (!worker.present && worker.runs.empty() && worker.holds_under_way == 0 &&
-        now >= worker.lease_end)
+    if (!worker.present() && worker.runs.empty() && worker.holds_under_way == 0 &&
+        now >= std::max(worker.lease_end, worker.forget_at))
     {
       if (worker.claim_closed)
         m_state.released.insert(each->first);
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -46,6 +46,7 @@
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held) const;
   // Whether something of the step may run on a worker that is still to be heard.
   bool blocked(const step_record& step) const;
+  void note_unlisted(worker_record& worker, bool heard);
   void gone(worker_record& worker, const char* why);
 
   scheduler_state& m_state;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -52,8 +52,14 @@
 struct worker_record
 {
   worker_info info;
-  bool present = true;  // its entry is in the store
-  bool claimed = false; // it has answered a hold with this owner's token
+  bool listed = true; // its entry is in the store
+  // It has answered a hold sent since its entry went: entries lapse while the store cannot hear of
+  // their workers, and come back seconds later.
+  bool heard_unlisted = false;
+  time_point unlisted_since{};
+  bool over = false;      // another life has its address; late answers do not bring it back
+  time_point forget_at{}; // without an entry, it is asked until then whether it is still there
+  bool claimed = false;   // it has answered a hold with this owner's token
   // What the store keeps of it for later owners. Runs are started only while that is an open claim:
   // anything may run there. A closed one lists what may, and nothing is added to it.
   std::optional<bool> claim_closed; // as written; none: no claim is
@@ -83,6 +89,7 @@
   // Runs of jobs that are not known here: their size is unknown, so nothing is placed beside them.
   std::set<std::pair<task_ref, run_number>> foreign;
 
+  bool present() const { return listed || heard_unlisted; }
   worker_clock_time clock_at(time_point now) const;
   void set_suspect(bool silent, time_point now);
   // Counts an order's outcome; several unanswered ones in a row make the worker suspect.
