Model: The store down in part, and starts on leaving workers, in the explorer

Change: a fifteenth kind of trouble, store_model::silence_parts; run_judge notes starts on a worker that has said 6.5 s ago that it leaves (2 s and a cut-off owner's authority); workers drain for up to 11 s.

--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 
+#include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 
 namespace yardhill::model
@@ -19,6 +21,10 @@
 // A worker whose entry is not renewed for this long is taken off the list.
 constexpr milliseconds k_entry_lapse{4500};
 constexpr milliseconds k_link_break{1500};
+// The instances' one partition, whose rows are one part of the store.
+constexpr const char* k_partition = "cell";
+// One in so many parts is silent when the store is down in part.
+constexpr std::uint64_t k_silent_share = 3;
 // A planned stop's grace; a process that is not through by then is killed.
 constexpr seconds k_stop_grace{6};
 // Until an instance that is stopped looks again whether it has handed over.
@@ -47,12 +53,12 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 14> k_kinds{
+  static constexpr std::array<kind, 15> k_kinds{
       &cell_troubles::kill_owner,   &cell_troubles::kill_all,       &cell_troubles::stop_one,
       &cell_troubles::freeze_one,   &cell_troubles::cut_from_store, &cell_troubles::store_away,
       &cell_troubles::lose_answers, &cell_troubles::lose_orders,    &cell_troubles::late_orders,
       &cell_troubles::crash_worker, &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
-      &cell_troubles::cut_zone,     &cell_troubles::forget_history};
+      &cell_troubles::cut_zone,     &cell_troubles::forget_history, &cell_troubles::silence_parts};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -235,7 +241,9 @@
   note("drain " + which.settings.id);
   which.draining = true;
   m_cell.update_entry(which);
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(6000)),
+  if (which.listed)
+    m_cell.judge().worker_leaving(which.settings.id, m_cell.time().now());
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(11000)),
                          [this, &which, id = which.settings.id]
                          {
                            if (!which.model || which.settings.id != id)
@@ -291,6 +299,26 @@
   m_cell.store().forget_history();
 }
 
+// The store is down in part: for the owner's rows, for some jobs', or for both.
+void cell_troubles::silence_parts()
+{
+  std::vector<std::string> parts = node::job_parts();
+  parts.emplace_back(k_partition);
+  std::set<std::string> silent;
+  std::string told;
+  for (const std::string& part : parts)
+  {
+    if (m_cell.draw(k_silent_share) != 0)
+      continue;
+    silent.insert(part);
+    told += " " + part;
+  }
+  note("the store is silent for" + told);
+  m_cell.store().silence_parts(std::move(silent));
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1500), milliseconds(7500)),
+                         [this] { m_cell.store().silence_parts({}); });
+}
+
 // What a new owner would find if the mechanism were not there.
 void cell_troubles::forget_mechanism()
 {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -42,6 +42,7 @@
   void cut_worker();
   void cut_zone();
   void forget_history();
+  void silence_parts();
 
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -12,6 +12,9 @@
 // An acknowledged cancellation has to have reached the workers by then; an owner that is cut off
 // does not hear of it and may go on for its authority (4.5 s) beyond the usual 3 s.
 constexpr std::chrono::milliseconds k_cancel_time{7500};
+// Nothing starts on a leaving worker any more by then: the usual 2 s and the authority of an owner
+// that is cut off.
+constexpr std::chrono::milliseconds k_leaving_time{6500};
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& what)
@@ -115,10 +118,23 @@
     return;
   }
   check_start(found->second, start);
+  check_leaving(start);
   found->second.started = true;
   m_tasks[start.task].active[start.run] = start.worker;
 }
 
+void run_judge::check_leaving(const observed_start& start)
+{
+  const auto leaving = m_leaving.find(start.worker);
+  if (leaving != m_leaving.end() && start.at > leaving->second + k_leaving_time)
+    violate("DRAIN", start.task, "started on " + start.worker + ", which is about to leave");
+}
+
+void run_judge::worker_leaving(const std::string& worker, common::time_point at)
+{
+  m_leaving.emplace(worker, at);
+}
+
 void run_judge::ended(const task_ref& task, run_number run, const std::string& worker, run_end how)
 {
   seen_task& seen = m_tasks[task];
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -50,6 +50,8 @@
   void saved(const task_ref& task, const std::string& checkpoint);
   void acknowledged(const task_ref& task, run_number run, run_end how);
   void worker_gone(const std::string& worker);
+  // The store has taken the worker's word that it is about to leave.
+  void worker_leaving(const std::string& worker, common::time_point at);
   void overloaded(const std::string& worker, const std::string& what);
 
   // At the end of a play: accepted jobs that are neither done, failed for a reason, nor cancelled.
@@ -86,9 +88,11 @@
   bool step_done(const std::string& job, const seen_job& of, std::uint32_t cycle,
                  std::uint32_t step) const;
   void check_start(const seen_job& job, const observed_start& start);
+  void check_leaving(const observed_start& start);
 
   std::map<std::string, seen_job> m_jobs;
   std::map<task_ref, seen_task> m_tasks;
+  std::map<std::string, common::time_point> m_leaving; // workers, since when
   std::vector<std::string> m_violations;
   std::size_t m_starts = 0;
 };
--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -87,6 +87,8 @@
   const std::string path = call.target.substr(0, call.target.find('?'));
   try
   {
+    if (!m_silent.empty() && concerns_silent_part(call))
+      return;
     if (path == wire::k_transact_path)
       done(transact(call.body));
     else if (path == wire::k_read_path)
@@ -102,6 +104,22 @@
   }
 }
 
+bool store_model::concerns_silent_part(const http::request& call) const
+{
+  if (call.verb == http::method::get)
+    return m_silent.contains(value_of(query_of(call.target), wire::k_part));
+  const json in = json::parse(call.body);
+  for (const char* const list : {wire::k_conditions, wire::k_puts, wire::k_removes})
+  {
+    for (const json& each : in.value(list, json::array()))
+    {
+      if (m_silent.contains(each.value(wire::k_part, std::string())))
+        return true;
+    }
+  }
+  return false;
+}
+
 http::reply store_model::transact(const std::string& body)
 {
   const json in = json::parse(body);
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -10,7 +10,9 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "Common/Timekeeper.h"
 #include "Http/HttpMessage.h"
@@ -28,6 +30,9 @@
   // What the operator and the workers write.
   void put(const adapter::row_key& at, const std::string& value);
   void remove(const adapter::row_key& at);
+  // Calls that concern one of these parts get no answer and do nothing, as when the store is down
+  // in part; feeds go on.
+  void silence_parts(std::set<std::string> parts) { m_silent = std::move(parts); }
   // Feeds that are behind have to read everything again.
   void forget_history();
   // All rows of a table are gone, as if nobody had written them.
@@ -63,12 +68,14 @@
   bool has_news(const std::string& table, adapter::row_version since) const;
   void write(const adapter::row_key& at, const std::string* value, adapter::row_version version);
   void answer_feeds();
+  bool concerns_silent_part(const http::request& call) const;
   std::int64_t clock_ms() const;
 
   common::timekeeper& m_time;
   std::map<adapter::row_key, stored> m_rows;
   std::deque<change> m_history;
   std::list<waiting_feed> m_feeds;
+  std::set<std::string> m_silent;
   adapter::row_version m_version = 0;
   adapter::row_version m_oldest = 0; // history before this is gone
 };
