--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -41,6 +41,7 @@
 
 caller_gateway::caller_gateway(common::timekeeper& time, job_store& store, state_desk& states,
                                const store_path& path, const jobs::queue_table& queues,
+                               const seen_capacities& capacities,
                                const std::vector<std::unique_ptr<partition_owner>>& partitions,
                                common::metrics& counts)
     : m_time(time),
@@ -48,6 +49,7 @@
       m_states(states),
       m_path(path),
       m_queues(queues),
+      m_capacities(capacities),
       m_partitions(partitions),
       m_metrics(counts)
 {
@@ -150,6 +152,11 @@
     refuse(*what, 400, refusal_reason::malformed_request, common::to_text(spec.error()));
     return;
   }
+  if (const auto why = m_capacities.never_fits(what->route->policy.service, *spec))
+  {
+    refuse(*what, 422, refusal_reason::never_fits, *why);
+    return;
+  }
   jobs::accepted_job job;
   job.id = what->id;
   job.queue = what->route->name;
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -16,6 +16,7 @@
 #include "Jobs/QueueTable.h"
 #include "Node/JobStore.h"
 #include "Node/PartitionOwner.h"
+#include "Node/SeenCapacities.h"
 #include "Node/StateDesk.h"
 
 namespace yardhill::node
@@ -25,6 +26,7 @@
 public:
   caller_gateway(common::timekeeper& time, job_store& store, state_desk& states,
                  const store_path& path, const jobs::queue_table& queues,
+                 const seen_capacities& capacities,
                  const std::vector<std::unique_ptr<partition_owner>>& partitions,
                  common::metrics& counts);
 
@@ -68,6 +70,7 @@
   state_desk& m_states;
   const store_path& m_path;
   const jobs::queue_table& m_queues;
+  const seen_capacities& m_capacities;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   common::metrics& m_metrics;
   std::unordered_map<std::string, std::string> m_homes; // of jobs seen here
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -42,7 +42,8 @@
       m_advice(world.time, m_advice_desk, world.send_to_peer),
       m_jobs(world.time, m_store),
       m_states(world.time, world.send_to_peer, m_partitions),
-      m_gateway(world.time, m_jobs, m_states, m_store_path, m_queues, m_partitions, world.metrics),
+      m_gateway(world.time, m_jobs, m_states, m_store_path, m_queues, m_capacities, m_partitions,
+                world.metrics),
       m_operator_feed(world.time, m_feed_store, adapter::wire::k_operator_table, {""},
                       {[this](const auto& rows) { on_operator_rows(rows); },
                        [this](const auto& rows) { on_operator_rows(rows); },
@@ -240,6 +241,7 @@
     }
     info->entry_version = row.version;
     present.insert(row.at.key);
+    m_capacities.note(*info);
     m_worker_entries[row.at.key] = *info;
     for (const auto& each : m_partitions)
       each->worker_entry(*info);
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -83,6 +83,7 @@
   advice_pool m_advice;
   jobs::queue_table m_queues;
   std::map<std::string, scheduling::worker_info> m_worker_entries;
+  seen_capacities m_capacities;
   std::vector<std::unique_ptr<partition_owner>> m_partitions;
   job_store m_jobs;
   state_desk m_states;
--- a/Source/UnitTests/Golden/session_platform_jobs.py
+++ b/Source/UnitTests/Golden/session_platform_jobs.py
@@ -19,6 +19,7 @@
                                                            {"count": 1, "since_rev": [0]}]}),
             ("a step that is not there", {"spec": "x", "phases": [{"count": 1, "since_rev": [7]}]}),
             ("4001 bytes", {"spec": "x" * 4001, "phases": [{"count": 1}]}),
+            ("a task larger than any worker", {"spec": "x", "phases": [{"count": 1, "cpu": 64000}]}),
             ("a text for a number", {"spec": "x", "phases": [{"count": "1"}]})]:
         call(session, cell, "POST", "instance-0", "page-preview", UNKNOWN, body, shown)
     call(session, cell, "POST", "instance-0", "page-preview", "none", {}, "an id that is none")
--- /dev/null
+++ b/Source/UnitTests/Node/SeenCapacitiesTest.cpp
@@ -0,0 +1,55 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <boost/test/unit_test.hpp>
+
+#include "Node/SeenCapacities.h"
+
+using namespace yardhill;
+
+namespace
+{
+scheduling::worker_info worker(std::int64_t cpu_millis, std::int64_t memory_mib)
+{
+  scheduling::worker_info info;
+  info.service = "docbuild";
+  info.capacity.cpu_millis = cpu_millis;
+  info.capacity.memory_mib = memory_mib;
+  return info;
+}
+
+jobs::job_spec job(std::int64_t cpu_millis, std::int64_t memory_mib)
+{
+  jobs::job_spec spec;
+  spec.steps.resize(2);
+  spec.steps[1].demand.cpu_millis = cpu_millis;
+  spec.steps[1].demand.memory_mib = memory_mib;
+  return spec;
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SeenCapacitiesTest)
+
+BOOST_AUTO_TEST_CASE(nothing_is_refused_before_a_worker_is_seen)
+{
+  const node::seen_capacities seen;
+  BOOST_TEST(!seen.never_fits("docbuild", job(1000000, 1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_task_far_larger_than_every_worker_never_fits)
+{
+  node::seen_capacities seen;
+  seen.note(worker(16000, 8000));
+  seen.note(worker(4000, 64000));
+  seen.note(worker(2000, 4000));
+  BOOST_TEST(!seen.never_fits("docbuild", job(16000, 8000)).has_value());
+  BOOST_TEST(!seen.never_fits("docbuild", job(30000, 16000)).has_value()); // a larger one may come
+  BOOST_TEST(!seen.never_fits("docbuild", job(8000, 128000)).has_value());
+  const auto why = seen.never_fits("docbuild", job(33000, 100));
+  BOOST_TEST_REQUIRE(why.has_value());
+  BOOST_TEST(why->find("step 1") == 0U);
+  BOOST_TEST(seen.never_fits("docbuild", job(9000, 128000)).has_value()); // of no one worker
+  BOOST_TEST(!seen.never_fits("other", job(33000, 100)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Platform/IngressTest.cpp
+++ b/Source/UnitTests/Platform/IngressTest.cpp
@@ -88,6 +88,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_field_of_the_wrong_kind_is_named)
+{
+  const auto spec = adapter::submission_from(R"({"spec":"x","phases":[{"count":1,"cpu":"2"}]})");
+  BOOST_TEST_REQUIRE(!spec.has_value());
+  BOOST_TEST(common::to_text(spec.error()).find("cpu: ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(job_ids_have_sixteen_hexadecimal_digits)
 {
   BOOST_TEST(adapter::is_job_id("5c0e7a21d94b36f8"));
