Node: Jobs are read again once at a time

Ruled out: the loader (it is abandoned with the intake, but only the latest one was known). Change: the feed ends when the reading begins. Test: PartitionOwnerTest jobs_are_read_again_once_at_a_time, failed before (13 calls for 12).

--- a/Source/Core/Node/JobIntake.cpp
+++ b/Source/Core/Node/JobIntake.cpp
@@ -82,6 +82,7 @@
 // The feed cannot say what it missed, so everything is read again; jobs known here are left alone.
 void job_intake::read_again()
 {
+  m_feed.reset(); // else it could ask again, and begin a second reading beside this one
   m_loader = std::make_shared<partition_loader>(m_time, m_feed_store, m_partition,
                                                 [this](const loaded_partition& loaded)
                                                 {
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -28,6 +28,7 @@
 
   void send(http::request call, common::duration, http::reply_handler done) override
   {
+    ++calls;
     const bool lost = lose_answers && call.verb == http::method::post;
     time.schedule(milliseconds{1},
                   [this, call = std::move(call), done = std::move(done), lost]
@@ -42,6 +43,7 @@
   model::virtual_time& time;
   model::store_model store;
   bool lose_answers = false;
+  unsigned calls = 0;
 };
 
 // Nobody answers: there are no workers, and the direct way to the store is bad when it is tried.
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -67,4 +67,26 @@
   BOOST_TEST((owner.written_state(job.id) == jobs::job_state::cancelled));
 }
 
+// Explorer, seed 210931: the history was gone, all jobs were read again, and meanwhile the store was
+// heard after a silence, so that the feed asked anew and all was read a second time; the first
+// reading ended after the ownership and brought its jobs to a scheduler that was gone.
+BOOST_FIXTURE_TEST_CASE(jobs_are_read_again_once_at_a_time, owner_under_test)
+{
+  pass(milliseconds{100});
+  BOOST_TEST_REQUIRE(owner.owns());
+  const auto calls_after_loss = [this](bool heard)
+  {
+    const unsigned before = wire.calls;
+    wire.store.forget_history();
+    time.run_until(time.now() + milliseconds{1});
+    if (heard)
+      owner.store_heard();
+    time.run_until(time.now() + milliseconds{60});
+    return wire.calls - before;
+  };
+  const unsigned usual = calls_after_loss(false);
+  BOOST_TEST(usual > 8U); // the parts of the jobs' table
+  BOOST_TEST(calls_after_loss(true) == usual);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
