Node: Calls that get no answer are copied through a peer that has a way

Change: store_path copies calls that have had no answer for 0.25 s once a peer has a way; the first answer counts. Each write has a condition: commits and submissions already took a copy's conflict for done, a takeover now does as well. Tests: StorePathTest, two new cases, failed before. calls_in_doubt_go_through_a_peer counted one relayed call; the waiting call's copy is now the first of two, and the direct calls are counted too.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -92,6 +92,18 @@
 
 void partition_owner::on_acquired(const owner_row& row, const adapter::transaction_result& result)
 {
+  // The answer may be that to a copy of the write, which has met the row that it was to write.
+  const adapter::row* const present = row_in(result.conflicting, k_owners_table);
+  const auto written = present == nullptr ? common::result<owner_row>(common::new_error({}))
+                                          : owner_row_from(present->value);
+  if (written && written->life == row.life && written->epoch == row.epoch)
+  {
+    adapter::transaction_result done;
+    done.end = adapter::store_end::done;
+    done.version = present->version;
+    on_acquired(row, done);
+    return;
+  }
   if (result.end != adapter::store_end::done)
   {
     m_state = state::watching;
@@ -101,7 +113,7 @@
     common::log_process("take_over_failed", {{"partition", m_partition},
                                              {"end", adapter::to_text(result.end)},
                                              {"detail", result.detail}});
-    if (const adapter::row* present = row_in(result.conflicting, k_owners_table))
+    if (present != nullptr)
       owner_row_changed(*present);
     return;
   }
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -76,27 +76,13 @@
                 });
 }
 
-// Calls of feeds wait for news; these are answered at once if the store is well.
-void store_path::send_watched(http::request call, common::duration timeout,
-                              http::reply_handler done)
-{
-  const std::uint64_t number = ++m_number;
-  m_under_way[number] = m_time.now();
-  send_directly(std::move(call), timeout,
-                [this, number, done = std::move(done)](http::reply answer)
-                {
-                  m_under_way.erase(number);
-                  done(std::move(answer));
-                });
-}
-
 bool store_path::in_doubt() const
 {
   if (m_bad_since)
     return true;
   if (m_under_way.empty())
     return false;
-  const common::time_point silent_since = std::max(m_under_way.begin()->second, m_last_heard);
+  const common::time_point silent_since = std::max(m_under_way.begin()->second.began, m_last_heard);
   return m_time.now() - silent_since > k_doubt;
 }
 
@@ -108,19 +94,50 @@
     relay(std::move(call), timeout, std::move(done));
     return;
   }
-  const common::time_point began = m_time.now();
-  const http::request copy = call;
-  send_watched(std::move(call), timeout,
-               [this, copy, timeout, began, done = std::move(done)](http::reply answer)
-               {
-                 const bool harmless = copy.verb == http::method::get || answer.status == 503 ||
-                                       (!answer.answered() && answer.refused);
-                 const common::duration left = timeout - (m_time.now() - began);
-                 if (turned_away(answer) && harmless && left.count() > 0)
-                   relay(copy, left, done);
-                 else
-                   done(std::move(answer));
-               });
+  // Calls of feeds wait for news; these are answered at once if the store is well.
+  const std::uint64_t number = ++m_number;
+  m_under_way[number] = {m_time.now(), call, timeout, std::move(done), false};
+  send_directly(std::move(call), timeout,
+                [this, number](http::reply answer)
+                { on_direct_answer(number, std::move(answer)); });
+}
+
+void store_path::on_direct_answer(std::uint64_t number, http::reply answer)
+{
+  direct_call ended = std::move(m_under_way.extract(number).mapped());
+  if (!ended.done)
+    return;
+  const bool harmless = ended.call.verb == http::method::get || answer.status == 503 ||
+                        (!answer.answered() && answer.refused);
+  const common::duration left = ended.timeout - (m_time.now() - ended.began);
+  if (turned_away(answer) && harmless && left.count() > 0)
+    relay(std::move(ended.call), left, std::move(ended.done));
+  else
+    ended.done(std::move(answer));
+}
+
+// The store has fallen silent for this instance, and a peer says that it has not for the peer.
+void store_path::copy_overdue_calls()
+{
+  if (m_bad_since || !in_doubt() || !m_peers.way_through())
+    return;
+  const common::time_point now = m_time.now();
+  for (auto& [number, each] : m_under_way)
+  {
+    const common::duration left = each.timeout - (now - each.began);
+    if (each.copied || now - each.began <= k_doubt || left <= k_relay_way)
+      continue;
+    each.copied = true;
+    relay(each.call, left,
+          [this, number = number](const http::reply& answer)
+          {
+            const auto found = m_under_way.find(number);
+            if (turned_away(answer) || found == m_under_way.end() || !found->second.done)
+              return; // the direct call is still to be heard of, or has been
+            const http::reply_handler handler = std::exchange(found->second.done, nullptr);
+            handler(answer);
+          });
+  }
 }
 
 void store_path::relay(http::request call, common::duration timeout, http::reply_handler done)
@@ -202,6 +219,7 @@
   }
   for (const http::reply_handler& done : overdue)
     done({0, {}, "the peer that relays the call did not answer", false});
+  copy_overdue_calls();
   if (!m_bad_since || now - m_last_probe < k_probe_period)
     return;
   m_last_probe = now;
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -29,8 +29,10 @@
   store_path(common::timekeeper& time, http::peer_sender& client, const common::endpoint& store,
              http::request probe, peer_monitor& peers, sender send_to_peer);
 
-  // Sent once, directly or through a peer. Sent a second time through a peer only if the direct
-  // call has certainly not been carried out, or changes nothing.
+  // Sent directly or through a peer. A second time, through a peer, if the direct call has
+  // certainly not been carried out, if it changes nothing, or if it has had no answer for a while
+  // and a peer's calls are answered: every write has a condition that its own copy does not meet
+  // any more, or may be done twice. The first answer counts.
   void send(http::request call, common::duration timeout, http::reply_handler done) override;
   // Directly in any case; the outcome tells about the direct way.
   void send_directly(http::request call, common::duration timeout, http::reply_handler done);
@@ -51,6 +53,15 @@
   bool isolated() const { return in_doubt() && m_peers.cut_off(); }
 
 private:
+  struct direct_call
+  {
+    common::time_point began;
+    http::request call;
+    common::duration timeout;
+    http::reply_handler done; // none once a peer has brought the answer
+    bool copied = false;
+  };
+
   struct relayed
   {
     http::reply_handler done;
@@ -59,7 +70,8 @@
   };
 
   void note(const http::reply& answer, common::time_point began);
-  void send_watched(http::request call, common::duration timeout, http::reply_handler done);
+  void on_direct_answer(std::uint64_t number, http::reply answer);
+  void copy_overdue_calls();
   void relay(http::request call, common::duration timeout, http::reply_handler done);
 
   common::timekeeper& m_time;
@@ -72,7 +84,7 @@
   common::time_point m_last_heard{};
   common::time_point m_back_since{};
   peer_monitor& m_peers;
-  std::map<std::uint64_t, common::time_point> m_under_way; // direct calls, by when they began
+  std::map<std::uint64_t, direct_call> m_under_way; // in the order in which they began
   std::map<std::uint64_t, relayed> m_relayed;
   std::uint64_t m_number = 0;
 };
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -104,6 +104,42 @@
   BOOST_TEST(path.bad_since().has_value());
 }
 
+// Thies, trouble-1, 16.5 s: the store fell silent for the owner alone; its commit waited 0.9 s for
+// an answer before a peer was asked.
+BOOST_FIXTURE_TEST_CASE(a_call_without_an_answer_goes_through_a_peer_that_has_a_way, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  peers.on_report("peer", {false});
+  pass(milliseconds{350});
+  BOOST_TEST(relayed.empty());
+  peers.on_report("peer", {true});
+  pass(milliseconds{50});
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  pass(milliseconds{100});
+  BOOST_TEST(relayed.size() == 1U);
+  path.on_reply("peer", {relayed.front().number, 200, "fine", {}, false});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+  got.reset();
+  direct.answer({412, "the copy was first", {}, false});
+  BOOST_TEST(!got.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_peer_without_an_answer_leaves_the_direct_call_to_end, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  peers.on_report("peer", {true});
+  pass(milliseconds{350});
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  path.on_reply("peer", {relayed.front().number, 0, {}, "no way to the store", true});
+  BOOST_TEST(!got.has_value());
+  direct.answer(k_ok);
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_write_that_was_turned_away_goes_through_a_peer, path_under_test)
 {
   peers.linked("peer", "other zone");
@@ -234,8 +270,10 @@
     peers.heard("far");
     peers.on_report("far", {true});
   }
+  BOOST_TEST(relayed.size() == 1U); // a copy of the call that waits
   call(http::method::post);
-  BOOST_TEST(relayed.size() == 1U);
+  BOOST_TEST(relayed.size() == 2U);
+  BOOST_TEST(direct.calls.size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
