--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -196,11 +196,7 @@
 {
   scheduler_harness owner;
   owner.add_worker(scheduler_harness::worker("w1"));
-  owner.scheduler->add_job(
-      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
-  owner.step();
-  owner.commit();
-  owner.step();
+  owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
   BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
   owner.answer_start(owner.starts.front(), call_end::unanswered);
   owner.pass(milliseconds{310});
@@ -233,11 +229,7 @@
 {
   scheduler_harness owner;
   owner.add_worker(scheduler_harness::worker("w1"));
-  owner.scheduler->add_job(
-      scheduler_harness::job("0123456789abcdef", {scheduler_harness::step_of(1)}), owner.now);
-  owner.step();
-  owner.commit();
-  owner.step();
+  owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
   BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
   owner.add_worker(scheduler_harness::worker("w2"));
   owner.clear();
