Model: Clock steps and quotas of processor in the explorer

Two kinds of trouble more, seventeen now: a process's time of day jumps by up to 4 s either way; a process gets nothing for 85 of each 100 ms.

--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds k_link_break{1500};
 // The instances' one partition, whose rows are one part of the store.
 constexpr const char* k_partition = "cell";
+// A quota of processor: nothing for this long of each period.
+constexpr milliseconds k_quota_period{100};
+constexpr milliseconds k_without_processor{85};
 // One in so many parts is silent when the store is down in part.
 constexpr std::uint64_t k_silent_share = 3;
 // A planned stop's grace; a process that is not through by then is killed.
@@ -53,12 +56,13 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 15> k_kinds{
+  static constexpr std::array<kind, 17> k_kinds{
       &cell_troubles::kill_owner,   &cell_troubles::kill_all,       &cell_troubles::stop_one,
       &cell_troubles::freeze_one,   &cell_troubles::cut_from_store, &cell_troubles::store_away,
       &cell_troubles::lose_answers, &cell_troubles::lose_orders,    &cell_troubles::late_orders,
       &cell_troubles::crash_worker, &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
-      &cell_troubles::cut_zone,     &cell_troubles::forget_history, &cell_troubles::silence_parts};
+      &cell_troubles::cut_zone,     &cell_troubles::forget_history, &cell_troubles::silence_parts,
+      &cell_troubles::step_clock,   &cell_troubles::slow_one};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -319,6 +323,39 @@
                          [this] { m_cell.store().silence_parts({}); });
 }
 
+// The time of day jumps on one machine; the steady clock does not.
+void cell_troubles::step_clock()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  const auto ahead = milliseconds(static_cast<std::int64_t>(m_cell.draw(8001)) - 4000);
+  note("the clock of " + which->name + " jumps by " + std::to_string(ahead.count()) + " ms");
+  which->time->step_wall(ahead);
+}
+
+// A machine gets a part of its processor only: nothing for most of each tenth of a second.
+void cell_troubles::slow_one()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  note("slow " + which->name);
+  const duration time = m_cell.draw_time(milliseconds(1000), milliseconds(6000));
+  spend_quota(*which, which->time.get(), m_cell.time().now() + time);
+}
+
+void cell_troubles::spend_quota(explored_instance& which, const process_time* process,
+                                time_point end)
+{
+  // It may have been started anew meanwhile.
+  if (!which.up() || which.time.get() != process || m_cell.time().now() >= end)
+    return;
+  which.time->freeze_until(m_cell.time().now() + k_without_processor);
+  m_cell.time().schedule(k_quota_period,
+                         [this, &which, process, end] { spend_quota(which, process, end); });
+}
+
 // What a new owner would find if the mechanism were not there.
 void cell_troubles::forget_mechanism()
 {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -43,6 +43,8 @@
   void cut_zone();
   void forget_history();
   void silence_parts();
+  void step_clock();
+  void slow_one();
 
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
@@ -50,6 +52,7 @@
   void cut_for(const cut_pairs& pairs, duration time);
   void replace_worker(fleet_worker& which);
   void forget_mechanism();
+  void spend_quota(explored_instance& which, const process_time* process, time_point end);
   void note(const std::string& what);
 
   explored_cell& m_cell;
--- a/Source/Core/Model/VirtualTime.h
+++ b/Source/Core/Model/VirtualTime.h
@@ -5,6 +5,7 @@
 
 // A clock that moves from event to event.
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -43,11 +44,17 @@
   ~process_time() override { m_state->alive = false; }
 
   time_point now() const override { return m_time.now(); }
-  common::wall_clock_time wall() const override { return m_time.wall(); }
+  common::wall_clock_time wall() const override { return m_time.wall() + m_wall_ahead; }
   entry schedule(duration delay, std::function<void()> what) override;
   void cancel(entry which) override { m_time.cancel(which); }
 
-  void freeze_until(time_point end) { m_state->frozen_until = end; }
+  // Its time of day is ahead of the others' from now on, or behind.
+  void step_wall(std::chrono::milliseconds ahead) { m_wall_ahead = ahead; }
+
+  void freeze_until(time_point end)
+  {
+    m_state->frozen_until = std::max(m_state->frozen_until, end);
+  }
   // Lets calls from outside reach the process only as long as it lives; outlives it.
   std::function<void(std::function<void()>)> gate() const;
 
@@ -64,5 +71,6 @@
 
   virtual_time& m_time;
   std::shared_ptr<state> m_state;
+  std::chrono::milliseconds m_wall_ahead{0};
 };
 } // namespace yardhill::model
