Scheduling: Tasks of workers that were never heard start again by a fresh word of the store

Cause (explorer, TWICE): a zone was cut off with the owner in it; when the leases of the owner before it were over it gave up a worker that it had never heard, and started the tasks again within its authority, while its successor had heard that worker and acknowledged the ends. Change: such tasks count as lost unheard, as those do. Test: TakeoverTest after_the_earlier_leases_tasks_start_only_by_a_fresh_word_of_the_store, failed before. Two cases that let 17 s pass without a word of the store now bring one before they expect the start: nobody may start on an older one.

--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -201,6 +201,18 @@
   }
 }
 
+void job_record::mark_unaccounted_lost()
+{
+  for (cycle_record& cycle : m_cycles)
+  {
+    for (step_record& step : cycle.steps)
+    {
+      for (task_record& task : step.tasks)
+        task.lost = task.lost || task.phase == task_phase::unaccounted;
+    }
+  }
+}
+
 void job_record::mark_unaccounted(const task_place& place)
 {
   if (task(place).phase == task_phase::waiting)
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -151,6 +151,8 @@
   // Every task that is not done of a step that has begun may have been started by an earlier owner.
   void mark_unaccounted();
   void mark_unaccounted(const task_place& place);
+  // Those that still are have been given up unheard.
+  void mark_unaccounted_lost();
   // Moves the marks of all steps from one state to the next.
   void advance_begin_marks(begin_mark from, begin_mark to);
 
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -216,8 +216,7 @@
 {
   if (m_accounting && now >= m_state.earlier_end)
   {
-    m_unheard.clear();
-    m_listed.clear();
+    give_up_unheard();
     release_accounted("every earlier lease is over");
   }
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
@@ -259,6 +258,16 @@
   release_accounted("at the takeover");
 }
 
+// What still may have run on workers that were never heard counts as lost unheard: a later owner
+// may have heard of its end.
+void worker_holder::give_up_unheard()
+{
+  m_unheard.clear();
+  m_listed.clear();
+  for (const std::string& id : m_state.open)
+    m_state.jobs.at(id)->mark_unaccounted_lost();
+}
+
 void worker_holder::accounted(const worker_id& id)
 {
   if (m_listed.erase(id) > 0 && m_accounting)
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -42,6 +42,7 @@
   void hold(worker_record& worker, time_point now);
   bool hold_due(const worker_record& worker, time_point now) const;
   void accounted(const worker_id& id);
+  void give_up_unheard();
   void release_accounted(const char* why);
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held) const;
   // Whether something of the step may run on a worker that is still to be heard.
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -79,6 +79,23 @@
   step();
   BOOST_TEST(starts.empty());
   pass(seconds{2});
+  commit(); // a fresh word of the store
+  step();
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// Explorer, seed 450787: an owner cut off with its zone gave up an unheard worker at the end of the
+// earlier owner's leases and started the tasks again, while its successor had heard that worker.
+BOOST_FIXTURE_TEST_CASE(after_the_earlier_leases_tasks_start_only_by_a_fresh_word_of_the_store,
+                        taken_over)
+{
+  answer_hold("w1", {});
+  commit();
+  pass(seconds{17});
+  scheduler->set_authority(now + seconds{1}, now - seconds{3});
+  step();
+  BOOST_TEST(starts.empty());
+  scheduler->set_authority(now + seconds{4}, now);
   step();
   BOOST_TEST(starts.size() == 1U);
 }
@@ -155,6 +172,7 @@
   BOOST_TEST(owner.starts.front().task.job == other);
   owner.clear();
   owner.pass(seconds{17});
+  owner.commit(); // a fresh word of the store
   owner.step();
   BOOST_TEST(std::any_of(owner.starts.begin(), owner.starts.end(),
                          [&listed](const start_command& each) { return each.task.job == listed; }));
