Node: A lost answer of a feed costs less than three seconds; a new owner asks for the workers

Change: feeds wait 1.9 s and a second (2.9 s in all); taking over, an owner has the workers' feed ask anew, while it reads the partition.

--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -58,8 +58,17 @@
                     [this](const auto& rows) { on_owner_rows(rows); },
                     {}})
 {
-  const node_parts parts{world.time, m_store,       m_feed_store,       m_store_path,     m_workers,
-                         m_advice,   world.metrics, world.send_to_peer, m_worker_entries, m_queues};
+  const node_parts parts{world.time,
+                         m_store,
+                         m_feed_store,
+                         m_store_path,
+                         m_workers,
+                         m_advice,
+                         world.metrics,
+                         world.send_to_peer,
+                         m_worker_entries,
+                         m_queues,
+                         [this] { m_worker_feed.ask_again(); }};
   ownership_options options;
   options.keep_ended = k_keep_factor * settings.keep_status;
   m_partitions.push_back(std::make_unique<partition_owner>(
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -135,6 +135,7 @@
                                                 [this](loaded_partition loaded)
                                                 { on_loaded(std::move(loaded)); });
   m_loader->start();
+  m_parts.ask_workers_again();
 }
 
 void partition_owner::on_loaded(loaded_partition loaded)
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -43,6 +43,8 @@
   // Known workers and queues, as the feeds have them.
   const std::map<std::string, scheduling::worker_info>& worker_entries;
   const jobs::queue_table& queues;
+  // Makes the feed of workers ask anew: an answer that it waits for may be lost.
+  std::function<void()> ask_workers_again;
 };
 
 class partition_owner
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -12,9 +12,10 @@
 {
 namespace
 {
-// A feed waits this long for a change: a silent path to the store is noticed within this time and
-// the client's slack of 1 s, well within the time in which configurations have to be in force.
-constexpr std::chrono::milliseconds k_feed_wait{2500};
+// A feed waits this long for a change: a lost answer or a silent path to the store is noticed
+// within this time and the client's slack of 1 s, which is within the 3 s (the platform's
+// contact_ms) after which a machine counts as in touch again.
+constexpr std::chrono::milliseconds k_feed_wait{1900};
 constexpr std::chrono::milliseconds k_read_timeout{1500};
 // Retries begin quickly, since most failures are one call's, and slow down: each call is priced.
 constexpr std::chrono::milliseconds k_retry_first{60};
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -36,7 +36,7 @@
 // Ports after the first one.
 constexpr std::uint16_t k_advice_port = 1;
 constexpr std::uint16_t k_admin_port = 2;
-constexpr std::uint16_t k_first_worker_port = 10;
+constexpr std::uint16_t k_first_worker_port = 100;
 // What the sites' pages allow a job at most; the judge counts failures up to it.
 constexpr std::uint32_t k_max_attempts = 3;
 constexpr std::uint32_t k_racks_per_zone = 2;
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -88,7 +88,7 @@
   {
     return {time,    store,  store,   path,
             workers, advice, metrics, [](const std::string&, const common::peer_message&) {},
-            entries, queues};
+            entries, queues, [] {}};
   }
 
   // An instance beside the owner above, which is left alone then.
--- a/Tools/cluster/platform_cell.py
+++ b/Tools/cluster/platform_cell.py
@@ -9,7 +9,7 @@
 from cluster import ROOT, STAND_INS, YARDHILL, ProcessGroup, http, strip_comments, wait_until
 
 # Ports after the cell's first one.
-ADMIN, CALLERS, READY, OWN = 2, 100, 120, 140
+ADMIN, CALLERS, READY, OWN = 2, 10, 30, 50  # the stand-in keeps those from 100 on
 
 
 class PlatformCell(ProcessGroup):
