Scheduling, StandIns: Only workers with a ticket are looked at; advice by calling machine

Change: where a queue's policy names the workers, best_worker looks at those with a ticket, in the same order as before.

--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -108,23 +108,35 @@
   return used + (near ? k_data_rack_weight : 0.0) - (worker.slow_until > now ? k_slow_weight : 0.0);
 }
 
+// Where a queue's policy names the workers, only those with a ticket are looked at: a few of many.
 worker_record* placer::best_worker(job_record& job, const waiting_step& each, time_point now) const
 {
   const step_record& step = job.cycles()[each.cycle].steps[each.step];
   worker_record* best = nullptr;
   double best_preference = 0.0;
-  for (const auto& [id, worker] : m_state.workers)
+  const auto consider = [&](worker_record& worker)
   {
-    if (!m_state.usable(*worker, now) || !step.begun.covers(worker->info.zone) ||
-        !suits(*worker, job, step) || !has_room(*worker, each) ||
-        m_advice.ticket(job, step, id, now) == nullptr)
-      continue;
-    const double value = preference(*worker, step, now);
+    if (!m_state.usable(worker, now) || !step.begun.covers(worker.info.zone) ||
+        !suits(worker, job, step) || !has_room(worker, each) ||
+        m_advice.ticket(job, step, worker.info.id, now) == nullptr)
+      return;
+    const double value = preference(worker, step, now);
     if (best != nullptr && value <= best_preference)
-      continue;
-    best = worker.get();
+      return;
+    best = &worker;
     best_preference = value;
+  };
+  if (job.policy().advice)
+  {
+    for (const auto& [id, ticket] : step.permits.tickets)
+    {
+      if (worker_record* const worker = m_state.find_worker(id))
+        consider(*worker);
+    }
+    return best;
   }
+  for (const auto& [id, worker] : m_state.workers)
+    consider(*worker);
   return best;
 }
 
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -34,8 +34,9 @@
 namespace wire = adapter::wire;
 
 // Ports after the first one.
-constexpr std::uint16_t k_advice_port = 1;
 constexpr std::uint16_t k_admin_port = 2;
+constexpr std::uint16_t k_first_advice_port = 80;
+constexpr std::uint16_t k_advice_ports = 20; // one for each instance
 constexpr std::uint16_t k_first_worker_port = 100;
 // What the sites' pages allow a job at most; the judge counts failures up to it.
 constexpr std::uint32_t k_max_attempts = 3;
@@ -106,11 +107,13 @@
     listen(io, 0,
            [this](const incoming_request& request, responder respond)
            { call_store(request, std::move(respond)); });
-    // All instances have one address here, so their calls are answered in turn together.
-    listen(io, k_advice_port,
-           [this](const incoming_request& request, responder respond) {
-             m_advice.handle("instances", model_call(request), model_answer(std::move(respond)));
-           });
+    // All instances have one address here; the service tells the calling machines by their ports.
+    for (std::uint16_t i = 0; i < k_advice_ports; ++i)
+    {
+      listen(io, k_first_advice_port + i,
+             [this, machine = std::to_string(i)](const incoming_request& request, responder respond)
+             { m_advice.handle(machine, model_call(request), model_answer(std::move(respond))); });
+    }
     listen(io, k_admin_port,
            [this](const incoming_request& request, const responder& respond)
            { respond(administer(request)); });
--- a/Source/StandIns/CellStandIn.h
+++ b/Source/StandIns/CellStandIn.h
@@ -30,7 +30,7 @@
 {
 struct cell_options
 {
-  std::uint16_t first_port = 0; // store, advice, admin, then the workers
+  std::uint16_t first_port = 0; // store; admin 2 on; advice from 80 on; workers from 100 on
   std::vector<std::string> zones;
   std::uint32_t workers = 0; // over all zones in turn
   common::resources capacity;
--- a/Source/StandIns/Main.cpp
+++ b/Source/StandIns/Main.cpp
@@ -35,7 +35,7 @@
 and `workers` are what `yardhill serve` runs on.
 
 Options:
-  --first-port PORT  of the store; then advice, admin; from the hundredth on, the workers
+  --first-port PORT  of the store; 2 on, admin; 80 on, advice for each instance; 100 on, workers
   --zones NAMES      divided by commas; workers take turns
   --workers N        how many workers in all
   --cpu-millis N     thousandths of a core of each worker [default: 16000]
--- a/Tools/cluster/platform_cell.py
+++ b/Tools/cluster/platform_cell.py
@@ -9,7 +9,8 @@
 from cluster import ROOT, STAND_INS, YARDHILL, ProcessGroup, http, strip_comments, wait_until
 
 # Ports after the cell's first one.
-ADMIN, CALLERS, READY, OWN = 2, 10, 30, 50  # the stand-in keeps those from 100 on
+# Those from 100 on are the workers'.
+ADMIN, CALLERS, READY, OWN, ADVICE = 2, 10, 30, 40, 80
 
 
 class PlatformCell(ProcessGroup):
@@ -85,7 +86,7 @@
             "ready_address": f"127.0.0.1:{self.port(name, READY)}",
             "own_address": "127.0.0.1", "first_own_port": self.port(name, OWN),
             "store_address": f"127.0.0.1:{self.first_port}",
-            "advice_address": f"127.0.0.1:{self.first_port + 1}",
+            "advice_address": f"127.0.0.1:{self.port(name, ADVICE)}",
             "stop_grace_s": 6, "lease_limit_ms": 10000, "keep_status_s": 120}))
         self.spawn(name, [YARDHILL, "instance", "--settings", path])
 
