--- a/Source/Core/Http/HttpListener.cpp
+++ b/Source/Core/Http/HttpListener.cpp
@@ -222,8 +222,8 @@
 
 http_listener::http_listener(asio::io_context& io, const common::endpoint& where,
                              std::string noted_header, request_handler handle)
-    : m_implementation(std::make_shared<implementation>(io, where, std::move(noted_header),
-                                                        std::move(handle)))
+    : m_implementation(
+          std::make_shared<implementation>(io, where, std::move(noted_header), std::move(handle)))
 {
   m_implementation->accept();
 }
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -67,8 +67,8 @@
   BOOST_TEST((owner.written_state(job.id) == jobs::job_state::cancelled));
 }
 
-// Explorer, seed 210931: the history was gone, all jobs were read again, and meanwhile the store was
-// heard after a silence, so that the feed asked anew and all was read a second time; the first
+// Explorer, seed 210931: the history was gone, all jobs were read again, and meanwhile the store
+// was heard after a silence, so that the feed asked anew and all was read a second time; the first
 // reading ended after the ownership and brought its jobs to a scheduler that was gone.
 BOOST_FIXTURE_TEST_CASE(jobs_are_read_again_once_at_a_time, owner_under_test)
 {
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -106,7 +106,8 @@
 
 // Thies, trouble-1, 16.5 s: the store fell silent for the owner alone; its commit waited 0.9 s for
 // an answer before a peer was asked.
-BOOST_FIXTURE_TEST_CASE(a_call_without_an_answer_goes_through_a_peer_that_has_a_way, path_under_test)
+BOOST_FIXTURE_TEST_CASE(a_call_without_an_answer_goes_through_a_peer_that_has_a_way,
+                        path_under_test)
 {
   peers.linked("peer", "other zone");
   call(http::method::post);
