Scheduling, Node, Model: No worker ends by another's entry; copies of a call are judged together

The owner took the entry with the higher version for the later life, ended the present one, and started its tasks elsewhere as well. Entries do not order lives. Now an entry with a known address only has the other life asked at once; the answer to the call tells which is there.

Now "not done" is told only if both copies were turned away (copied_call). And what made the store turn calls away: copies of calls that were only slow. How long a call may be without an answer grows with what the latest one took.

By reading, the same thought elsewhere: a commit that was found done by its own copy counted as a word of the time at which it was sent last; later owners count from the first copy.

The explorer plays three more kinds: workers reborn behind a cut, addresses that go to another service, a slow store that turns calls away.

--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -56,13 +56,14 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 17> k_kinds{
-      &cell_troubles::kill_owner,   &cell_troubles::kill_all,       &cell_troubles::stop_one,
-      &cell_troubles::freeze_one,   &cell_troubles::cut_from_store, &cell_troubles::store_away,
-      &cell_troubles::lose_answers, &cell_troubles::lose_orders,    &cell_troubles::late_orders,
-      &cell_troubles::crash_worker, &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
-      &cell_troubles::cut_zone,     &cell_troubles::forget_history, &cell_troubles::silence_parts,
-      &cell_troubles::step_clock,   &cell_troubles::slow_one};
+  static constexpr std::array<kind, 20> k_kinds{
+      &cell_troubles::kill_owner,    &cell_troubles::kill_all,       &cell_troubles::stop_one,
+      &cell_troubles::freeze_one,    &cell_troubles::cut_from_store, &cell_troubles::store_away,
+      &cell_troubles::lose_answers,  &cell_troubles::lose_orders,    &cell_troubles::late_orders,
+      &cell_troubles::crash_worker,  &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
+      &cell_troubles::cut_zone,      &cell_troubles::forget_history, &cell_troubles::silence_parts,
+      &cell_troubles::step_clock,    &cell_troubles::slow_one,       &cell_troubles::slow_store,
+      &cell_troubles::reborn_worker, &cell_troubles::reuse_address};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -270,10 +271,69 @@
 {
   const fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
   note("cut off " + which.settings.id);
+  cut_for(cut_of(which), m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+}
+
+cell_troubles::cut_pairs cell_troubles::cut_of(const fleet_worker& which) const
+{
   cut_pairs pairs{{which.machine, "store"}};
   for (const explored_instance& each : m_cell.instances())
     pairs.emplace_back(each.name, which.machine);
-  cut_for(pairs, m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+  return pairs;
+}
+
+// A worker is cut off, crashes there and starts again. Its earlier life's last entry waits behind
+// the cut and is written after the first one of the life that has its address now.
+void cell_troubles::reborn_worker()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(2000), milliseconds(7000));
+  const std::string earlier = which.settings.id;
+  const std::string entry = which.model->entry(which.draining);
+  note("reborn behind a cut: " + earlier);
+  cut_for(cut_of(which), time);
+  worker_fleet::end_life(which);
+  m_cell.fleet().begin_life(which);
+  const duration written = time + m_cell.draw_time(milliseconds(1000), milliseconds(4000));
+  m_cell.time().schedule(written,
+                         [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
+  m_cell.time().schedule(written + k_entry_lapse,
+                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+}
+
+// A worker crashes, and another service's worker is at its address at once.
+void cell_troubles::reuse_address()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  const std::string earlier = which.settings.id;
+  const std::string service = which.settings.service;
+  note("the address goes to another service: " + earlier);
+  worker_fleet::end_life(which);
+  which.listed = false; // the entry lapses by itself
+  m_cell.time().schedule(k_entry_lapse,
+                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+  which.settings.service = "other-service";
+  m_cell.start_worker(which);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(5000), milliseconds(9000)),
+                         [this, &which, service]
+                         {
+                           worker_fleet::end_life(which);
+                           which.settings.service = service;
+                           m_cell.start_worker(which);
+                         });
+}
+
+// Each transaction takes some 200 ms, and the store turns more away.
+void cell_troubles::slow_store()
+{
+  note("the store is slow");
+  m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
+                         [this] { m_cell.store().set_pace({}); });
 }
 
 void cell_troubles::cut_zone()
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -45,12 +45,16 @@
   void silence_parts();
   void step_clock();
   void slow_one();
+  void slow_store();
+  void reborn_worker();
+  void reuse_address();
 
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
   void wait_for_hand_over(explored_instance& which, time_point latest);
   void cut_for(const cut_pairs& pairs, duration time);
   void replace_worker(fleet_worker& which);
+  cut_pairs cut_of(const fleet_worker& which) const;
   void forget_mechanism();
   void spend_quota(explored_instance& which, const process_time* process, time_point end);
   void note(const std::string& what);
--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -3,6 +3,7 @@
 
 #include "Model/StoreModel.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -16,6 +17,8 @@
 {
 using nlohmann::json;
 namespace wire = adapter::wire;
+// With more than this waiting in a part, transactions are turned away.
+constexpr std::chrono::seconds k_longest_wait{1};
 using query_map = std::map<std::string, std::string>;
 
 std::string unescaped(const std::string& text)
@@ -90,9 +93,10 @@
     if (!m_silent.empty() && concerns_silent_part(call))
       return;
     if (path == wire::k_transact_path)
-      done(transact(call.body));
+      transact_in_turn(call.body, std::move(done));
     else if (path == wire::k_read_path)
-      done(read(query_of(call.target)));
+      after_pace(m_pace, [this, query = query_of(call.target), done = std::move(done)]
+                 { done(read(query)); });
     else if (path == wire::k_feed_path)
       feed(query_of(call.target), std::move(done));
     else
@@ -120,6 +124,31 @@
   return false;
 }
 
+void store_model::transact_in_turn(const std::string& body, http::reply_handler done)
+{
+  const json in = json::parse(body);
+  const json& puts = in.value(wire::k_puts, json::array());
+  const std::string part =
+      puts.empty() ? std::string() : puts[0].value(wire::k_part, std::string());
+  common::time_point& busy_until = m_busy_until[part];
+  if (busy_until - m_time.now() > k_longest_wait)
+  {
+    done({429, {}, {}, false});
+    return;
+  }
+  busy_until = std::max(busy_until, m_time.now()) + m_pace;
+  after_pace(busy_until - m_time.now(),
+             [this, body, done = std::move(done)] { done(transact(body)); });
+}
+
+void store_model::after_pace(common::duration wait, const std::function<void()>& what)
+{
+  if (wait.count() == 0)
+    what();
+  else
+    m_time.schedule(wait, what);
+}
+
 http::reply store_model::transact(const std::string& body)
 {
   const json in = json::parse(body);
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -33,6 +33,9 @@
   // Calls that concern one of these parts get no answer and do nothing, as when the store is down
   // in part; feeds go on.
   void silence_parts(std::set<std::string> parts) { m_silent = std::move(parts); }
+  // Each transaction takes so long (none: no time), those of one part in turn; while over a second
+  // of them waits, more are turned away. Reads take as long.
+  void set_pace(common::duration each) { m_pace = each; }
   // Feeds that are behind have to read everything again.
   void forget_history();
   // All rows of a table are gone, as if nobody had written them.
@@ -62,6 +65,9 @@
   };
 
   http::reply transact(const std::string& body);
+  // At once if there is nothing to wait for.
+  void after_pace(common::duration wait, const std::function<void()>& what);
+  void transact_in_turn(const std::string& body, http::reply_handler done);
   http::reply read(const std::map<std::string, std::string>& query) const;
   void feed(const std::map<std::string, std::string>& query, http::reply_handler done);
   std::string feed_answer(const std::string& table, adapter::row_version since) const;
@@ -76,6 +82,8 @@
   std::deque<change> m_history;
   std::list<waiting_feed> m_feeds;
   std::set<std::string> m_silent;
+  common::duration m_pace{};
+  std::map<std::string, common::time_point> m_busy_until; // by part
   adapter::row_version m_version = 0;
   adapter::row_version m_oldest = 0; // history before this is gone
 };
--- a/Source/Core/Model/WorkerFleet.cpp
+++ b/Source/Core/Model/WorkerFleet.cpp
@@ -11,9 +11,9 @@
 {
 namespace
 {
-adapter::row_key entry_of(const fleet_worker& which)
+adapter::row_key entry_of(const std::string& id)
 {
-  return {adapter::wire::k_workers_table, "", which.settings.id};
+  return {adapter::wire::k_workers_table, "", id};
 }
 } // namespace
 
@@ -54,17 +54,27 @@
 
 void worker_fleet::write_entry(fleet_worker& which)
 {
-  m_store.put(entry_of(which), which.model->entry(which.draining));
+  m_store.put(entry_of(which.settings.id), which.model->entry(which.draining));
   which.listed = true;
 }
 
 void worker_fleet::remove_entry(fleet_worker& which)
 {
   if (which.listed)
-    m_store.remove(entry_of(which));
+    m_store.remove(entry_of(which.settings.id));
   which.listed = false;
 }
 
+void worker_fleet::write_entry_of(const std::string& id, const std::string& text)
+{
+  m_store.put(entry_of(id), text);
+}
+
+void worker_fleet::remove_entry_of(const std::string& id)
+{
+  m_store.remove(entry_of(id));
+}
+
 void worker_fleet::handle(fleet_worker& which, const http::request& call, http::reply_handler done)
 {
   if (which.model)
--- a/Source/Core/Model/WorkerFleet.h
+++ b/Source/Core/Model/WorkerFleet.h
@@ -44,6 +44,9 @@
   // As it is now; `draining` says that it leaves.
   void write_entry(fleet_worker& which);
   void remove_entry(fleet_worker& which);
+  // The entry of an earlier life, which its own writes and the store's clearing reach late.
+  void write_entry_of(const std::string& id, const std::string& text);
+  void remove_entry_of(const std::string& id);
   // A call that reaches the machine; nobody answers between two lives.
   static void handle(fleet_worker& which, const http::request& call, http::reply_handler done);
 
--- a/Source/Core/Node/CommitWriter.cpp
+++ b/Source/Core/Node/CommitWriter.cpp
@@ -81,6 +81,7 @@
 void commit_writer::send()
 {
   m_pending->commit.sent = m_time.now();
+  m_pending->first_sent = std::min(m_pending->first_sent, m_pending->commit.sent);
   m_store.transact(
       m_pending->change, k_commit_timeout,
       [this, alive = std::weak_ptr<int>(m_alive)](const adapter::transaction_result& result)
@@ -130,6 +131,8 @@
                                          : commit_row_from(last->value);
   if (committed && committed->life == m_life && committed->number == m_pending->number)
   {
+    // Others count the ownership from when that copy was done.
+    m_pending->commit.sent = m_pending->first_sent;
     done(last->version);
     return;
   }
--- a/Source/Core/Node/CommitWriter.h
+++ b/Source/Core/Node/CommitWriter.h
@@ -68,6 +68,7 @@
     written_commit commit;
     adapter::transaction change;
     std::uint64_t number = 0;
+    common::time_point first_sent = common::time_point::max();
   };
 
   void send();
--- /dev/null
+++ b/Source/Core/Node/CopiedCall.cpp
@@ -0,0 +1,45 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Node/CopiedCall.h"
+
+#include <utility>
+
+namespace yardhill::node
+{
+namespace
+{
+constexpr unsigned k_too_many_requests = 429;
+constexpr unsigned k_unavailable = 503;
+constexpr unsigned k_first_server_error = 500;
+
+// Whether the answer tells what has become of the call, whatever the other copy's is.
+bool decides(const http::reply& answer)
+{
+  return answer.answered() && answer.status < k_first_server_error && !certainly_not_done(answer);
+}
+} // namespace
+
+bool certainly_not_done(const http::reply& answer)
+{
+  if (!answer.answered())
+    return answer.refused;
+  return answer.status == k_too_many_requests || answer.status == k_unavailable;
+}
+
+copied_call::copied_call(http::reply_handler done) : m_done(std::move(done)) {}
+
+void copied_call::answered(const http::reply& answer)
+{
+  if (!m_done)
+    return;
+  if (!decides(answer) && !m_first)
+  {
+    m_first = answer;
+    return;
+  }
+  const bool told = decides(answer) || !certainly_not_done(answer);
+  const http::reply outcome = told ? answer : *m_first;
+  std::exchange(m_done, nullptr)(outcome);
+}
+} // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -248,7 +248,6 @@
           {{"table", row.at.table}, {"key", row.at.key}, {"error", common::to_text(info.error())}});
       continue;
     }
-    info->entry_version = row.version;
     present.insert(row.at.key);
     m_capacities.note(*info);
     m_worker_entries[row.at.key] = *info;
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -4,10 +4,12 @@
 #include "Node/StorePath.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 #include <vector>
 
 #include "Common/EventLog.h"
+#include "Node/CopiedCall.h"
 
 namespace yardhill::node
 {
@@ -18,9 +20,11 @@
 constexpr std::chrono::milliseconds k_probe_timeout{450};
 // Taken off a relayed call's own timeout: the way to the peer and back.
 constexpr std::chrono::milliseconds k_relay_way{50};
-// The store answers in 4 ms, in 240 when it is slow (sixty times). With a longer silence a peer may
-// know better.
+// The store answers in 4 ms. With a silence of this length a peer may know better ...
 constexpr std::chrono::milliseconds k_doubt{250};
+// ... unless answers have become slow: then as many times what the latest one took. Copies of calls
+// that are only slow would give a slow store twice the work, and it turns calls away by its rate.
+constexpr int k_slow_doubt = 3;
 
 http::reply no_way()
 {
@@ -83,7 +87,12 @@
   if (m_under_way.empty())
     return false;
   const common::time_point silent_since = std::max(m_under_way.begin()->second.began, m_last_heard);
-  return m_time.now() - silent_since > k_doubt;
+  return m_time.now() - silent_since > patience();
+}
+
+common::duration store_path::patience() const
+{
+  return std::max<common::duration>(k_doubt, k_slow_doubt * m_latest_took);
 }
 
 void store_path::send(http::request call, common::duration timeout, http::reply_handler done)
@@ -98,19 +107,21 @@
   const std::uint64_t number = ++m_number;
   m_under_way[number] = {m_time.now(), call, timeout, std::move(done), false};
   send_directly(std::move(call), timeout,
-                [this, number](http::reply answer)
-                { on_direct_answer(number, std::move(answer)); });
+                [this, number, began = m_time.now()](http::reply answer)
+                {
+                  if (!turned_away(answer))
+                    m_latest_took = m_time.now() - began;
+                  on_direct_answer(number, std::move(answer));
+                });
 }
 
 void store_path::on_direct_answer(std::uint64_t number, http::reply answer)
 {
   direct_call ended = std::move(m_under_way.extract(number).mapped());
-  if (!ended.done)
-    return;
   const bool harmless = ended.call.verb == http::method::get || answer.status == 503 ||
                         (!answer.answered() && answer.refused);
   const common::duration left = ended.timeout - (m_time.now() - ended.began);
-  if (turned_away(answer) && harmless && left.count() > 0)
+  if (!ended.copied && turned_away(answer) && harmless && left.count() > 0)
     relay(std::move(ended.call), left, std::move(ended.done));
   else
     ended.done(std::move(answer));
@@ -125,18 +136,12 @@
   for (auto& [number, each] : m_under_way)
   {
     const common::duration left = each.timeout - (now - each.began);
-    if (each.copied || now - each.began <= k_doubt || left <= k_relay_way)
+    if (each.copied || now - each.began <= patience() || left <= k_relay_way)
       continue;
     each.copied = true;
-    relay(each.call, left,
-          [this, number = number](const http::reply& answer)
-          {
-            const auto found = m_under_way.find(number);
-            if (turned_away(answer) || found == m_under_way.end() || !found->second.done)
-              return; // the direct call is still to be heard of, or has been
-            const http::reply_handler handler = std::exchange(found->second.done, nullptr);
-            handler(answer);
-          });
+    const auto both = std::make_shared<copied_call>(std::move(each.done));
+    each.done = [both](const http::reply& answer) { both->answered(answer); };
+    relay(each.call, left, each.done);
   }
 }
 
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -32,7 +32,8 @@
   // Sent directly or through a peer. A second time, through a peer, if the direct call has
   // certainly not been carried out, if it changes nothing, or if it has had no answer for a while
   // and a peer's calls are answered: every write has a condition that its own copy does not meet
-  // any more, or may be done twice. The first answer counts.
+  // any more, or may be done twice. Of a copied call, that it was not done is said only when that
+  // is sure of both copies.
   void send(http::request call, common::duration timeout, http::reply_handler done) override;
   // Directly in any case; the outcome tells about the direct way.
   void send_directly(http::request call, common::duration timeout, http::reply_handler done);
@@ -58,7 +59,7 @@
     common::time_point began;
     http::request call;
     common::duration timeout;
-    http::reply_handler done; // none once a peer has brought the answer
+    http::reply_handler done;
     bool copied = false;
   };
 
@@ -69,6 +70,8 @@
     common::time_point overdue;
   };
 
+  // How long a call may be without an answer before the direct way is in doubt.
+  common::duration patience() const;
   void note(const http::reply& answer, common::time_point began);
   void on_direct_answer(std::uint64_t number, http::reply answer);
   void copy_overdue_calls();
@@ -83,6 +86,7 @@
   common::time_point m_last_probe{};
   common::time_point m_last_heard{};
   common::time_point m_back_since{};
+  common::duration m_latest_took{}; // of the calls that are answered at once
   peer_monitor& m_peers;
   std::map<std::uint64_t, direct_call> m_under_way; // in the order in which they began
   std::map<std::uint64_t, relayed> m_relayed;
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -64,7 +64,6 @@
   common::resources capacity;
   bool draining = false;
   std::optional<milliseconds> remaining; // at least this long until a draining worker leaves
-  std::uint64_t entry_version = 0;       // rises over all entries; 0: none was seen
 };
 
 // What later owners have to know of a worker on which runs were or may be started.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -45,15 +45,6 @@
 
 void worker_holder::on_entry(const worker_info& info, time_point now)
 {
-  // A later life at the same address: the earlier one has ended, with all that ran there. Which one
-  // is later is sure only by their entries, since feeds may be behind; else a hold's answer tells.
-  for (auto& [id, worker] : m_state.workers)
-  {
-    const bool earlier =
-        worker->info.entry_version != 0 && worker->info.entry_version < info.entry_version;
-    if (id != info.id && worker->info.address == info.address && earlier)
-      gone(*worker, "another life has its address");
-  }
   worker_record* const known = m_state.find_worker(info.id);
   const bool news = known == nullptr;
   worker_record& worker = news ? new_record(info.id) : *known;
@@ -62,6 +53,8 @@
   worker.info = info;
   worker.listed = true;
   m_state.place_again = true;
+  if (news)
+    ask_others_at(info);
   if (news || was_draining != info.draining || !was_listed)
     common::log_process("worker_entry", {{"worker", info.id.value},
                                          {"rack", info.rack},
@@ -73,6 +66,19 @@
     hold(worker, now);
 }
 
+// Of two lives with one address only one is still there, and their entries do not tell which: a
+// worker behind a cut writes its last entry when the cut heals, after its next life's first one.
+// Starting the tasks of the one with the older entry elsewhere had them run in two places. The call
+// itself tells, within a round trip: it is answered by the life that it is meant for, or rejected.
+void worker_holder::ask_others_at(const worker_info& info)
+{
+  for (auto& [id, worker] : m_state.workers)
+  {
+    if (id != info.id && worker->info.address == info.address && !worker->over)
+      worker->ask_at_once = true;
+  }
+}
+
 void worker_holder::on_entry_gone(const worker_id& id, time_point now)
 {
   worker_record* const worker = m_state.find_worker(id);
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -47,6 +47,8 @@
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held) const;
   // Whether something of the step may run on a worker that is still to be heard.
   bool blocked(const step_record& step) const;
+  // A new entry names an address that other lives have had.
+  void ask_others_at(const worker_info& info);
   void note_unlisted(worker_record& worker, bool heard);
   void gone(worker_record& worker, const char* why);
 
--- a/Source/UnitTests/Node/CommitWriterTest.cpp
+++ b/Source/UnitTests/Node/CommitWriterTest.cpp
@@ -39,12 +39,17 @@
   adapter::store_client client{wire, metrics};
   int written = 0;
   int replaced = 0;
+  common::time_point word{}; // that the latest commit gives
   node::commit_writer writer{time,
                              client,
                              metrics,
                              "cell",
                              "life-1",
-                             {[this](const node::written_commit&) { ++written; },
+                             {[this](const node::written_commit& commit)
+                              {
+                                ++written;
+                                word = commit.sent;
+                              },
                               [this](const adapter::row&) { ++replaced; }}};
 
   writer_under_test()
@@ -92,6 +97,18 @@
   BOOST_TEST(wire.calls == 2);
 }
 
+// Others count this ownership from the copy that was done; what is sent later finds only that.
+BOOST_FIXTURE_TEST_CASE(a_commit_found_done_is_a_word_as_old_as_its_first_copy, writer_under_test)
+{
+  const auto first = time.now();
+  wire.lose_answers = true;
+  write();
+  wire.lose_answers = false;
+  time.run_until(time.now() + milliseconds{300});
+  BOOST_TEST_REQUIRE(written == 1);
+  BOOST_TEST((word == first));
+}
+
 // A copy was done, and then somebody took over: the answer must not count as a word for this owner.
 BOOST_FIXTURE_TEST_CASE(a_commit_found_done_is_no_word_for_an_owner_replaced_since,
                         writer_under_test)
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -141,6 +141,67 @@
   BOOST_TEST(got->status == 200U);
 }
 
+// A slow store: the call's copy was turned away for the store's rate while the call itself was
+// done. The caller heard that its job was refused, and the job ran.
+BOOST_FIXTURE_TEST_CASE(that_a_copy_was_turned_away_does_not_tell_the_calls_fate, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  peers.on_report("peer", {true});
+  pass(milliseconds{350});
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  path.on_reply("peer", {relayed.front().number, 429, {}, {}, false});
+  BOOST_TEST(!got.has_value());
+  direct.answer(k_ok);
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(that_a_copied_call_was_turned_away_waits_for_the_copys_answer,
+                        path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  peers.on_report("peer", {true});
+  pass(milliseconds{350});
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  direct.answer({429, {}, {}, false});
+  BOOST_TEST(!got.has_value());
+  path.on_reply("peer", {relayed.front().number, 0, {}, "no answer in time", false});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(!got->answered());
+  BOOST_TEST(!got->refused); // it may be done
+}
+
+BOOST_FIXTURE_TEST_CASE(a_call_of_which_both_copies_were_turned_away_was_not_done, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  peers.on_report("peer", {true});
+  pass(milliseconds{350});
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  direct.answer({429, {}, {}, false});
+  path.on_reply("peer", {relayed.front().number, 429, {}, {}, false});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 429U);
+}
+
+BOOST_FIXTURE_TEST_CASE(calls_that_take_as_long_as_the_latest_ones_are_not_copied, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  pass(milliseconds{200});
+  direct.answer(k_ok);
+  call(http::method::post);
+  for (int i = 0; i < 5; ++i)
+  {
+    pass(milliseconds{100});
+    peers.on_report("peer", {true});
+  }
+  BOOST_TEST(relayed.empty());
+  BOOST_TEST(!path.in_doubt());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_write_that_was_turned_away_goes_through_a_peer, path_under_test)
 {
   peers.linked("peer", "other zone");
--- a/Source/UnitTests/Scheduling/TakeoverTest.cpp
+++ b/Source/UnitTests/Scheduling/TakeoverTest.cpp
@@ -278,7 +278,6 @@
   owner.add_worker(scheduler_harness::worker("w1"));
   worker_info earlier = scheduler_harness::worker("life-1");
   earlier.address = {"10.0.0.9", 80};
-  earlier.entry_version = 50;
   owner.scheduler->worker_entry(earlier, owner.now);
   owner.step();
   owner.commit();
@@ -286,18 +285,51 @@
   BOOST_TEST(owner.starts.empty());
 }
 
-BOOST_AUTO_TEST_CASE(the_entry_of_a_later_life_ends_an_earlier_one)
+// Workers that were restarted behind a cut: the earlier life's last entry was written when the cut
+// healed, after the first one of the life that had its address. The owner took the later life for
+// gone and started its tasks elsewhere as well.
+BOOST_AUTO_TEST_CASE(the_entry_of_another_life_at_its_address_ends_no_worker)
+{
+  scheduler_harness owner;
+  owner.add_worker(scheduler_harness::worker("life-2"));
+  owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
+  BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
+  owner.add_worker(scheduler_harness::worker("w1"));
+  worker_info other = scheduler_harness::worker("life-1");
+  other.address = scheduler_harness::worker("life-2").address;
+  owner.scheduler->worker_entry(other, owner.now);
+  owner.step();
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+}
+
+// Which of the two is there is told by the answer to a call, for which nothing is waited.
+BOOST_AUTO_TEST_CASE(a_worker_whose_address_another_life_names_is_asked_at_once)
 {
   scheduler_harness owner;
   worker_info first = scheduler_harness::worker("life-1");
-  first.entry_version = 50;
   owner.add_worker(first);
   owner.start_job("0123456789abcdef", scheduler_harness::step_of(1));
   BOOST_TEST_REQUIRE(owner.starts.size() == 1U);
   worker_info second = scheduler_harness::worker("life-2");
   second.address = first.address;
-  second.entry_version = 60;
-  owner.add_worker(second);
+  owner.holds.clear();
+  owner.scheduler->worker_entry(second, owner.now);
+  owner.step();
+  BOOST_TEST_REQUIRE(std::any_of(owner.holds.begin(), owner.holds.end(),
+                                 [](const hold_command& each) {
+                                   return each.worker.value == "life-1" && each.wait.count() == 0;
+                                 }));
+  owner.answer_hold("life-2", {});
+  owner.commit();
+  owner.step();
+  BOOST_TEST(owner.starts.size() == 1U);
+  hold_answer gone;
+  gone.worker = worker_id("life-1");
+  gone.end = call_end::other_life;
+  owner.scheduler->hold_answered(gone, owner.now);
+  owner.step();
   BOOST_TEST_REQUIRE(owner.starts.size() == 2U);
   BOOST_TEST(owner.starts.back().worker.value == "life-2");
 }
