--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -75,6 +75,11 @@
   row.holder = m_self.name;
   row.life = m_self.life;
   row.epoch = earlier.row.epoch + 1;
+  // What waits still waits; this instance's own counts come with its first renewal, once all jobs are
+  // read. Until then callers would be told that nothing does.
+  row.pending = earlier.row.pending;
+  row.waiting_cpu = earlier.row.waiting_cpu;
+  row.free_cpu = earlier.row.free_cpu;
   adapter::transaction change;
   change.conditions.push_back({owner_key(m_partition), earlier.version});
   change.puts.push_back({owner_key(m_partition), to_row_text(row)});
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -14,6 +14,11 @@
 const std::string k_no_ticket;
 // An answer that comes later than its time and this was held up on its way: its tickets are older.
 constexpr milliseconds k_answer_way{200};
+
+bool is_long(const jobs::queue_policy::advice_policy& policy)
+{
+  return policy.per_call >= k_long_advice;
+}
 } // namespace
 
 advice_planner::advice_planner(scheduler_state& state, const zone_chooser& zones)
@@ -73,6 +78,15 @@
 void advice_planner::want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now)
 {
   const step_record& in = job.cycles()[cycle].steps[step];
+  if (!job.policy().advice)
+    return;
+  // What a long call costs hardly depends on how many workers it names, and who is permitted does
+  // not change: the first one asks about all, with room or without.
+  if (is_long(*job.policy().advice) && in.permits.permitted.empty())
+  {
+    ask(job, cycle, step, true, now);
+    return;
+  }
   if (m_budget <= 0)
     return;
   m_budget -= static_cast<std::int64_t>(in.waiting) * room_of(*in.spec).cpu_millis;
@@ -86,11 +100,11 @@
   step_permits& permits = in.permits;
   if (!job.policy().advice || permits.asking || now < permits.ask_after)
     return;
-  const bool is_long = job.policy().advice->per_call >= k_long_advice;
+  const bool long_call = is_long(*job.policy().advice);
   const auto taken =
       std::count_if(m_under_way.begin(), m_under_way.end(),
-                    [is_long](const auto& each) { return each.second.is_long == is_long; });
-  if (static_cast<std::size_t>(taken) >= (is_long ? m_slots.long_calls : m_slots.short_calls))
+                    [long_call](const auto& each) { return each.second.is_long == long_call; });
+  if (static_cast<std::size_t>(taken) >= (long_call ? m_slots.long_calls : m_slots.short_calls))
     return;
   // Written while the advice is on its way.
   m_state.want_begun(job, in, m_zones.choose(job, cycle, step, now));
@@ -105,7 +119,7 @@
   const auto expected =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
-  m_under_way[{job.id(), cycle, step}] = {is_long, now + expected + k_answer_way};
+  m_under_way[{job.id(), cycle, step}] = {long_call, now + expected + k_answer_way};
   m_state.commands.emplace_back(
       advice_command{{job.id(), cycle, step}, std::move(workers), expected});
 }
