Scheduling: Workers are kept for large tasks that wait for room

Hypothesis: an art-upscale task needs up to all eight accelerators of one of the three or four workers that its policy permits. Single-accelerator tasks of lower priority took each one that became free, so it waited 10 to 20 s for a worker to be empty.

Change: in the order in which steps should start, a waiting step whose tasks take half of a worker or more keeps the permitted workers on which it should have room first by learned run times, if it would be in time there. Later steps may use such a worker only for what ends before, or for room that is left beside. Its ticket is asked for shortly before the room is expected.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -14,6 +14,8 @@
 const std::string k_no_ticket;
 // An answer that comes later than its time and this was held up on its way: its tickets are older.
 constexpr milliseconds k_answer_way{200};
+// Tickets for a worker that is kept for a step are there this long before the room should be.
+constexpr milliseconds k_before_room{300};
 
 bool is_long(const jobs::queue_policy::advice_policy& policy)
 {
@@ -21,8 +23,9 @@
 }
 } // namespace
 
-advice_planner::advice_planner(scheduler_state& state, const zone_chooser& zones)
-    : m_state(state), m_zones(zones)
+advice_planner::advice_planner(scheduler_state& state, const zone_chooser& zones,
+                               const reservations& kept)
+    : m_state(state), m_zones(zones), m_reservations(kept)
 {
 }
 
@@ -47,16 +50,17 @@
 
 // Ahead of time any suitable worker is worth asking about, the emptiest first; later only those
 // with room, since a ticket does not live long enough to wait for it.
-std::vector<worker_id> advice_planner::worth_asking(const job_record& job, const step_record& step,
+std::vector<worker_id> advice_planner::worth_asking(const job_record& job, const step_ref& which,
                                                     bool ahead, time_point now) const
 {
+  const step_record& step = job.cycles()[which.cycle].steps[which.step];
   std::vector<const worker_record*> candidates;
   for (const auto& [id, worker] : m_state.workers)
   {
     if (!suits(*worker, job, step) || worker->suspect || !step.begun.covers(worker->info.zone) ||
         ticket(job, step, id, now) != nullptr)
       continue;
-    if (!ahead && (!m_state.usable(*worker, now) || !room_of(*step.spec).fits_in(worker->free())))
+    if (!ahead && (!m_state.usable(*worker, now) || !room_in_time(*worker, job, which, now)))
       continue;
     const auto known = step.permits.permitted.find(id);
     if (known != step.permits.permitted.end() && !known->second)
@@ -75,6 +79,17 @@
   return ids;
 }
 
+bool advice_planner::room_in_time(const worker_record& worker, const job_record& job,
+                                  const step_ref& which, time_point now) const
+{
+  const step_record& step = job.cycles()[which.cycle].steps[which.step];
+  if (room_of(*step.spec).fits_in(worker.free()))
+    return m_reservations.allows(worker, job, step, now) ||
+           m_reservations.expected(which, worker.info.id).has_value();
+  const auto expected = m_reservations.expected(which, worker.info.id);
+  return expected && *expected - now <= job.policy().advice->per_call + k_before_room;
+}
+
 void advice_planner::want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now)
 {
   const step_record& in = job.cycles()[cycle].steps[step];
@@ -108,7 +123,7 @@
     return;
   // Written while the advice is on its way.
   m_state.want_begun(job, in, m_zones.choose(job, cycle, step, now));
-  std::vector<worker_id> workers = worth_asking(job, in, ahead, now);
+  std::vector<worker_id> workers = worth_asking(job, {job.id(), cycle, step}, ahead, now);
   if (workers.empty())
   {
     if (!ahead)
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -5,6 +5,7 @@
 
 // Decides when to ask which workers a queue's policy permits for a step, and keeps the answers.
 
+#include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/ZoneChooser.h"
 
@@ -13,7 +14,7 @@
 class advice_planner
 {
 public:
-  advice_planner(scheduler_state& state, const zone_chooser& zones);
+  advice_planner(scheduler_state& state, const zone_chooser& zones, const reservations& kept);
 
   // Asks for a step whose tasks wait, about workers that have room for one but no ticket yet.
   void want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
@@ -30,13 +31,18 @@
                             time_point now) const;
 
 private:
-  std::vector<worker_id> worth_asking(const job_record& job, const step_record& step, bool ahead,
+  std::vector<worker_id> worth_asking(const job_record& job, const step_ref& which, bool ahead,
                                       time_point now) const;
+  // Whether the worker has room for a task of the step, or is kept for it and should have room when
+  // the answer comes.
+  bool room_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
+                    time_point now) const;
   void ask(job_record& job, std::uint32_t cycle, std::uint32_t step, bool ahead, time_point now);
   bool soon(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now) const;
 
   scheduler_state& m_state;
   const zone_chooser& m_zones;
+  const reservations& m_reservations;
   std::int64_t m_budget = 0;
   advice_slots m_slots;
   struct question
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -19,6 +19,7 @@
 #include "Scheduling/Evacuator.h"
 #include "Scheduling/PartitionLoad.h"
 #include "Scheduling/Placer.h"
+#include "Scheduling/Reservations.h"
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/WorkerHolder.h"
@@ -114,6 +115,7 @@
   run_follower m_follower;
   worker_holder m_holder;
   zone_chooser m_zones;
+  reservations m_reservations;
   advice_planner m_advice;
   placer m_placer;
   evacuator m_evacuator;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -30,8 +30,8 @@
 } // namespace
 
 placer::placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-               worker_holder& holder)
-    : m_state(state), m_zones(zones), m_advice(advice), m_holder(holder)
+               reservations& kept, worker_holder& holder)
+    : m_state(state), m_zones(zones), m_advice(advice), m_reservations(kept), m_holder(holder)
 {
 }
 
@@ -44,6 +44,7 @@
     free += worker->present() && !worker->suspect ? worker->free().cpu_millis : 0;
   m_advice.set_budget(free);
   avoid_slow_workers(now);
+  m_reservations.clear();
   for (const waiting_step& each : in_order(now))
   {
     const step_record& step = each.job->cycles()[each.cycle].steps[each.step];
@@ -51,8 +52,10 @@
       place_gang(each, now);
     else
       place_step(each, now);
-    if (step.waiting > 0)
-      m_advice.want(*each.job, each.cycle, each.step, now);
+    if (step.waiting == 0)
+      continue;
+    m_reservations.keep_for(*each.job, each.cycle, each.step, now);
+    m_advice.want(*each.job, each.cycle, each.step, now);
   }
   place_copies(now);
 }
@@ -118,6 +121,7 @@
   {
     if (!m_state.usable(worker, now) || !step.begun.covers(worker.info.zone) ||
         !suits(worker, job, step) || !has_room(worker, each) ||
+        !m_reservations.allows(worker, job, step, now) ||
         m_advice.ticket(job, step, worker.info.id, now) == nullptr)
       return;
     const double value = preference(worker, step, now);
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -6,6 +6,7 @@
 // Places waiting tasks: in which order steps are served, and on which workers their tasks start.
 
 #include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/WorkerHolder.h"
 
@@ -15,7 +16,7 @@
 {
 public:
   placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-         worker_holder& holder);
+         reservations& kept, worker_holder& holder);
 
   // One pass over all waiting steps.
   void place(time_point now);
@@ -50,6 +51,7 @@
   scheduler_state& m_state;
   const zone_chooser& m_zones;
   advice_planner& m_advice;
+  reservations& m_reservations;
   worker_holder& m_holder;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/RuntimeModel.cpp
+++ b/Source/Core/Scheduling/RuntimeModel.cpp
@@ -31,6 +31,13 @@
   known.mean += k_weight * (sample - known.mean);
 }
 
+common::duration runtime_model::expected(const std::string& queue, common::duration estimate) const
+{
+  const auto found = m_ratios.find(queue);
+  const double mean = found == m_ratios.end() ? ratio{}.mean : found->second.mean;
+  return std::chrono::duration_cast<common::duration>(estimate * mean);
+}
+
 common::duration runtime_model::longest(const std::string& queue, common::duration estimate) const
 {
   const auto found = m_ratios.find(queue);
--- a/Source/Core/Scheduling/RuntimeModel.h
+++ b/Source/Core/Scheduling/RuntimeModel.h
@@ -18,6 +18,8 @@
 public:
   // A task of that estimate took `actual` on a worker that was not thought slow.
   void learn(const std::string& queue, common::duration estimate, common::duration actual);
+  // How long sound runs of that estimate take on average.
+  common::duration expected(const std::string& queue, common::duration estimate) const;
   // Hardly any sound run of that estimate takes longer.
   common::duration longest(const std::string& queue, common::duration estimate) const;
 
