--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -15,7 +15,7 @@
 {
 namespace
 {
-constexpr std::size_t k_job_parts = 8;
+constexpr std::size_t k_job_parts = 32;
 // Behind a job's own row in the order of keys.
 constexpr const char* k_cancel_suffix = "~cancel";
 constexpr const char* k_refused_text = "refused";
