Node: An owner's authority begins with its takeover; BetterOwner out of PartitionOwner

Cause, by reading: an owner that had read its rows for seconds after its takeover (a slow store, many jobs) counted its authority from the end of the reading; later owners count from the takeover's row and half a second. An order could come after a later owner took all of them for over. Test that failed first: PartitionOwnerTest, the_authority_of_an_owner_begins_with_its_takeover.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -27,6 +27,7 @@
       m_partition(std::move(partition)),
       m_options(options),
       m_watch(parts.time, m_self, m_partition, options),
+      m_better_owner(options, parts.path, parts.processor_millis, parts.strongest_peer),
       m_step_timer(parts.time)
 {
 }
@@ -59,12 +60,13 @@
 {
   if (!feed_healthy_since || m_stopping || m_parts.queues.version == 0 || m_parts.path.isolated())
     return false;
-  return m_watch.takeover_due(now, *feed_healthy_since, stronger_peer());
+  return m_watch.takeover_due(now, *feed_healthy_since, m_better_owner.stronger_peer());
 }
 
 void partition_owner::acquire()
 {
   m_state = state::acquiring;
+  m_takeover_sent = m_parts.time.now();
   // The write holds only if the row is still the one seen, so the earlier owner's latest renewal is
   // that one, and was asked for before it was seen.
   const seen_owner& earlier = m_watch.seen();
@@ -75,8 +77,8 @@
   row.holder = m_self.name;
   row.life = m_self.life;
   row.epoch = earlier.row.epoch + 1;
-  // What waits still waits; this instance's own counts come with its first renewal, once all jobs are
-  // read. Until then callers would be told that nothing does.
+  // What waits still waits; this instance's own counts come with its first renewal, once all jobs
+  // are read. Until then callers would be told that nothing does.
   row.pending = earlier.row.pending;
   row.waiting_cpu = earlier.row.waiting_cpu;
   row.free_cpu = earlier.row.free_cpu;
@@ -126,7 +128,7 @@
   m_row = row;
   m_token = result.version;
   m_watch.written(row, result.version);
-  m_last_renewal = m_parts.time.now();
+  m_last_renewal = m_takeover_sent;
   m_ownership = std::make_shared<int>(0);
   load();
 }
@@ -155,7 +157,8 @@
   const scheduling::scheduler_options options;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
-  m_scheduler->set_authority(now + m_options.authority, now);
+  // Later owners count from the takeover's row; reading may have taken seconds since.
+  m_scheduler->set_authority(m_takeover_sent + m_options.authority, m_takeover_sent);
   m_scheduler->set_earlier_end(m_earlier_end);
   tell_time(now);
   queues_changed();
@@ -169,7 +172,7 @@
                                           {"epoch", m_row.epoch},
                                           {"token", m_token},
                                           {"jobs", loaded.jobs.size()},
-                                          {"load_ms", now - m_last_renewal}});
+                                          {"load_ms", now - m_takeover_sent}});
   m_intake->follow_feed();
   step_soon();
 }
@@ -228,7 +231,7 @@
   m_step_timer.cancel();
   m_step_due = false;
   m_releasing = false;
-  m_stronger_since.reset();
+  m_better_owner.reset();
   m_state = state::watching;
   m_watch.pause(m_options.silence);
 }
@@ -286,28 +289,6 @@
   return row;
 }
 
-// The store turns this instance away but takes its commits through a peer.
-bool partition_owner::better_off_elsewhere(common::time_point now) const
-{
-  const auto bad_since = m_parts.path.bad_since();
-  return bad_since && now - *bad_since >= m_options.relayed_most &&
-         m_last_written > *bad_since + m_options.relayed_most / 2;
-}
-
-bool partition_owner::stronger_peer() const
-{
-  return m_parts.strongest_peer() > m_options.much_stronger * m_parts.processor_millis;
-}
-
-bool partition_owner::stronger_for_long(common::time_point now)
-{
-  if (!stronger_peer())
-    m_stronger_since.reset();
-  else if (!m_stronger_since)
-    m_stronger_since = now;
-  return m_stronger_since && now - *m_stronger_since >= m_options.stronger_steady;
-}
-
 void partition_owner::start_commits(const loaded_partition& loaded)
 {
   m_commits = std::make_unique<commit_writer>(
@@ -323,8 +304,9 @@
     return;
   const bool renew = now - m_last_renewal >= m_options.renew_period;
   const bool spaced = now - m_last_commit >= m_options.commit_spacing;
-  const bool stronger = stronger_for_long(now);
-  if (!m_releasing && (m_stopping || stronger || better_off_elsewhere(now)))
+  const bool stronger = m_better_owner.stronger_for_long(now);
+  if (!m_releasing &&
+      (m_stopping || stronger || m_better_owner.reached_through_peers(now, m_last_written)))
   {
     m_releasing = true;
     common::log_process(
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -17,6 +17,7 @@
 
 #include "Jobs/QueueTable.h"
 #include "Node/AdvicePool.h"
+#include "Node/BetterOwner.h"
 #include "Node/CommitWriter.h"
 #include "Node/JobIntake.h"
 #include "Node/JobStore.h"
@@ -105,10 +106,6 @@
   void on_written(const written_commit& commit);
   void on_replaced(const adapter::row& owner);
   void lose(const char* why);
-  bool better_off_elsewhere(common::time_point now) const;
-  bool stronger_peer() const;
-  // Whether such a peer has been there for long enough to give the partition to it.
-  bool stronger_for_long(common::time_point now);
 
   void tell_time(common::time_point now);
   void step_soon();
@@ -127,9 +124,9 @@
   ownership_options m_options;
   state m_state = state::watching;
   owner_watch m_watch;
+  better_owner m_better_owner;
   common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
-  std::optional<common::time_point> m_stronger_since;
   bool m_releasing = false; // this ownership is given back once everything is written
 
   // Of the present ownership.
@@ -141,6 +138,7 @@
   owner_row m_row;
   std::unique_ptr<commit_writer> m_commits;
   std::unique_ptr<row_sweeper> m_sweeper;
+  common::time_point m_takeover_sent{};
   common::time_point m_last_commit{};
   common::time_point m_last_written{};
   common::time_point m_last_renewal{};
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -39,6 +39,29 @@
   BOOST_TEST(!owner.owns()); // it is left to the other
 }
 
+// Later owners count an earlier one's authority from its latest row. One that read its rows for
+// seconds after its takeover counted its own from the end of the reading.
+BOOST_FIXTURE_TEST_CASE(the_authority_of_an_owner_begins_with_its_takeover, owner_under_test)
+{
+  const std::string id = "0123456789abcdef";
+  jobs::accepted_job job;
+  job.id = id;
+  job.home = node::k_partition;
+  job.spec.steps.resize(1);
+  wire.store.put(node::job_key(id), jobs::to_row_text(job));
+  owner.tick(time.now(), begin);
+  time.run_until(time.now() + milliseconds{1});
+  wire.store.set_pace(seconds{6}); // longer than the authority lasts
+  while (!owner.owns() && time.now() - begin < seconds{60})
+    pass(milliseconds{25});
+  BOOST_TEST_REQUIRE(owner.owns());
+  BOOST_TEST(!owner.written_state(id).has_value());
+  wire.store.set_pace({});
+  pass(milliseconds{7000});
+  BOOST_TEST_REQUIRE(owner.owns());
+  BOOST_TEST(owner.written_state(id).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_partition_stays_with_an_equal_instance, owner_under_test)
 {
   strongest_peer = processor_millis + processor_millis / 4;
