Node: Refused callers of urgent queues come back first

The time to come back was one second for everybody. Of what was refused during an outage, all came back at once, and what somebody waits for stood behind it. Urgent queues (priority 0) are told a second, the others two or three, spread by the job's id. Ruled out: telling when the store will be back (it cannot be known), and holding refusals back.

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Node/ComeBack.h"
 #include "platform/Ingress.h"
 
 namespace yardhill::node
@@ -26,8 +27,6 @@
 constexpr std::chrono::milliseconds k_owner_fresh{2500};
 // Homes remembered to save a read of the job's row; about 2 MB when full.
 constexpr std::size_t k_most_homes = 20000;
-// Told to callers that are refused because the store is away or this instance has just started.
-constexpr const char* k_come_back_s = "1";
 
 std::chrono::milliseconds patience_from(const std::string& text)
 {
@@ -105,7 +104,11 @@
   answer.status = status;
   answer.body = adapter::error_body(detail);
   if (status == 503 || status == 429)
-    answer.headers.emplace_back("Retry-After", k_come_back_s);
+  {
+    const std::uint32_t priority = what.route == nullptr ? 0 : what.route->policy.priority;
+    answer.headers.emplace_back("Retry-After",
+                                std::to_string(come_back_after(priority, what.id).count()));
+  }
   // The caller's next try then opens a connection, which the platform takes to another zone.
   answer.close = m_path.isolated();
   what.respond(std::move(answer));
--- /dev/null
+++ b/Source/Core/Node/ComeBack.h
@@ -0,0 +1,18 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// When a refused caller should come back.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace yardhill::node
+{
+// Callers of the most urgent queues (priority 0) after a second, the others over the two seconds
+// after that, spread by the job's id: when the store is back, what somebody waits for is taken in
+// first and is not held up by everything that was refused meanwhile.
+std::chrono::seconds come_back_after(std::uint32_t priority, const std::string& id);
+} // namespace yardhill::node
--- /dev/null
+++ b/Source/UnitTests/Node/ComeBackTest.cpp
@@ -0,0 +1,35 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <set>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Node/ComeBack.h"
+
+using std::chrono::seconds;
+using yardhill::node::come_back_after;
+
+BOOST_AUTO_TEST_SUITE(ComeBackTest)
+
+BOOST_AUTO_TEST_CASE(urgent_callers_return_before_all_others)
+{
+  std::set<seconds> others;
+  for (int i = 0; i < 100; ++i)
+  {
+    const std::string id = "00000000000000" + std::to_string(10 + i % 90);
+    BOOST_TEST((come_back_after(0, id) == seconds{1}));
+    others.insert(come_back_after(1, id));
+    others.insert(come_back_after(2, id));
+  }
+  BOOST_TEST((*others.begin() > seconds{1}));
+  BOOST_TEST(others.size() == 2U); // not all at once
+}
+
+BOOST_AUTO_TEST_CASE(a_job_is_told_the_same_time_by_every_instance)
+{
+  BOOST_TEST((come_back_after(2, "0123456789abcdef") == come_back_after(2, "0123456789abcdef")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
