Scheduling: A step whose zone has no worker is asked about elsewhere from its first call on

The first long call, which asks about all workers, found none to name and did not widen the step to other zones as later calls do; the job waited for good. Ruled out: an answer that was lost (the pool asks again), tasks not accounted for.

Why a step is asked about is a type of its own now.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -48,10 +48,10 @@
   return &found->second.text;
 }
 
-// Ahead of time any suitable worker is worth asking about, the emptiest first; later only those
-// with room, since a ticket does not live long enough to wait for it.
+// At first and ahead of time any suitable worker is worth asking about, the emptiest first; later
+// only those with room, since a ticket does not live long enough to wait for it.
 std::vector<worker_id> advice_planner::worth_asking(const job_record& job, const step_ref& which,
-                                                    bool ahead, time_point now) const
+                                                    occasion why, time_point now) const
 {
   const step_record& step = job.cycles()[which.cycle].steps[which.step];
   std::vector<const worker_record*> candidates;
@@ -60,7 +60,8 @@
     if (!suits(*worker, job, step) || worker->suspect || !step.begun.covers(worker->info.zone) ||
         ticket(job, step, id, now) != nullptr)
       continue;
-    if (!ahead && (!m_state.usable(*worker, now) || !room_in_time(*worker, job, which, now)))
+    if (why == occasion::waiting &&
+        (!m_state.usable(*worker, now) || !room_in_time(*worker, job, which, now)))
       continue;
     const auto known = step.permits.permitted.find(id);
     if (known != step.permits.permitted.end() && !known->second)
@@ -99,16 +100,16 @@
   // not change: the first one asks about all, with room or without.
   if (is_long(*job.policy().advice) && in.permits.permitted.empty())
   {
-    ask(job, cycle, step, true, now);
+    ask(job, cycle, step, occasion::first_long, now);
     return;
   }
   if (m_budget <= 0)
     return;
   m_budget -= static_cast<std::int64_t>(in.waiting) * room_of(*in.spec).cpu_millis;
-  ask(job, cycle, step, false, now);
+  ask(job, cycle, step, occasion::waiting, now);
 }
 
-void advice_planner::ask(job_record& job, std::uint32_t cycle, std::uint32_t step, bool ahead,
+void advice_planner::ask(job_record& job, std::uint32_t cycle, std::uint32_t step, occasion why,
                          time_point now)
 {
   step_record& in = job.cycles()[cycle].steps[step];
@@ -123,10 +124,11 @@
     return;
   // Written while the advice is on its way.
   m_state.want_begun(job, in, m_zones.choose(job, cycle, step, now));
-  std::vector<worker_id> workers = worth_asking(job, {job.id(), cycle, step}, ahead, now);
+  std::vector<worker_id> workers = worth_asking(job, {job.id(), cycle, step}, why, now);
   if (workers.empty())
   {
-    if (!ahead)
+    // Its zone has no worker for it, or none with room.
+    if (why != occasion::ahead)
       m_state.want_anywhere(job, in);
     return;
   }
@@ -175,7 +177,7 @@
                       [now](const auto& each) { return each.second.until > now; });
       if (step.waiting > 0 && !any_ticket && !job.ready(c, s, m_state.wall(now)) &&
           soon(job, c, s, now))
-        ask(job, c, s, true, now);
+        ask(job, c, s, occasion::ahead, now);
     }
   }
 }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -31,13 +31,21 @@
                             time_point now) const;
 
 private:
-  std::vector<worker_id> worth_asking(const job_record& job, const step_ref& which, bool ahead,
+  // Why a step is asked about.
+  enum class occasion
+  {
+    first_long, // its tasks wait, and nothing is known yet
+    waiting,    // its tasks wait
+    ahead       // it should become ready soon
+  };
+
+  std::vector<worker_id> worth_asking(const job_record& job, const step_ref& which, occasion why,
                                       time_point now) const;
   // Whether the worker has room for a task of the step, or is kept for it and should have room when
   // the answer comes.
   bool room_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
                     time_point now) const;
-  void ask(job_record& job, std::uint32_t cycle, std::uint32_t step, bool ahead, time_point now);
+  void ask(job_record& job, std::uint32_t cycle, std::uint32_t step, occasion why, time_point now);
   bool soon(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now) const;
 
   scheduler_state& m_state;
