--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -74,6 +74,20 @@
     path.send({verb, "/call", {}, {}}, milliseconds{900},
               [this](const http::reply& reply) { got = reply; });
   }
+  // A write that stays without an answer until a copy of it is sent through a peer.
+  void call_until_copied()
+  {
+    peers.linked("peer", "other zone");
+    call(http::method::post);
+    peers.on_report("peer", {true});
+    pass(milliseconds{350});
+    BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  }
+
+  void answer_copy(unsigned status)
+  {
+    path.on_reply("peer", {relayed.front().number, status, {}, {}, false});
+  }
 };
 
 const http::reply k_ok{200, "fine", {}, false};
@@ -129,11 +143,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_peer_without_an_answer_leaves_the_direct_call_to_end, path_under_test)
 {
-  peers.linked("peer", "other zone");
-  call(http::method::post);
-  peers.on_report("peer", {true});
-  pass(milliseconds{350});
-  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  call_until_copied();
   path.on_reply("peer", {relayed.front().number, 0, {}, "no way to the store", true});
   BOOST_TEST(!got.has_value());
   direct.answer(k_ok);
@@ -145,12 +155,8 @@
 // done. The caller heard that its job was refused, and the job ran.
 BOOST_FIXTURE_TEST_CASE(that_a_copy_was_turned_away_does_not_tell_the_calls_fate, path_under_test)
 {
-  peers.linked("peer", "other zone");
-  call(http::method::post);
-  peers.on_report("peer", {true});
-  pass(milliseconds{350});
-  BOOST_TEST_REQUIRE(relayed.size() == 1U);
-  path.on_reply("peer", {relayed.front().number, 429, {}, {}, false});
+  call_until_copied();
+  answer_copy(429);
   BOOST_TEST(!got.has_value());
   direct.answer(k_ok);
   BOOST_TEST_REQUIRE(got.has_value());
@@ -160,11 +166,7 @@
 BOOST_FIXTURE_TEST_CASE(that_a_copied_call_was_turned_away_waits_for_the_copys_answer,
                         path_under_test)
 {
-  peers.linked("peer", "other zone");
-  call(http::method::post);
-  peers.on_report("peer", {true});
-  pass(milliseconds{350});
-  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  call_until_copied();
   direct.answer({429, {}, {}, false});
   BOOST_TEST(!got.has_value());
   path.on_reply("peer", {relayed.front().number, 0, {}, "no answer in time", false});
@@ -175,13 +177,9 @@
 
 BOOST_FIXTURE_TEST_CASE(a_call_of_which_both_copies_were_turned_away_was_not_done, path_under_test)
 {
-  peers.linked("peer", "other zone");
-  call(http::method::post);
-  peers.on_report("peer", {true});
-  pass(milliseconds{350});
-  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  call_until_copied();
   direct.answer({429, {}, {}, false});
-  path.on_reply("peer", {relayed.front().number, 429, {}, {}, false});
+  answer_copy(429);
   BOOST_TEST_REQUIRE(got.has_value());
   BOOST_TEST(got->status == 429U);
 }
