--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -13,6 +13,7 @@
 using common::field_reader;
 
 constexpr double k_millis_of_a_core = 1000.0;
+constexpr double k_most_cores = 1024.0;
 constexpr const char* k_address_form = "an address and a port, such as 10.1.0.13:8161";
 
 endpoint address_field(field_reader& fields, const char* name)
@@ -56,8 +57,8 @@
   settings.lease_limit =
       time_field(fields, "lease_limit_ms", 3600000, std::chrono::milliseconds{1});
   settings.keep_status = time_field(fields, "keep_status_s", 864000, std::chrono::seconds{1});
-  const double share = fields.number("processor_share", {0.001, 1.0}, 1.0);
-  const auto cores = static_cast<double>(fields.integer("processor_cores", {1, 1024}, 1));
+  const double share = fields.number("processor_share", {0.001, k_most_cores}, 1.0);
+  const double cores = fields.number("processor_cores", {0.001, k_most_cores}, 1.0);
   settings.processor_millis = static_cast<std::uint32_t>(share * cores * k_millis_of_a_core);
   fields.finish();
   if (problems.size() > before)
