--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -24,10 +24,10 @@
 {
 inline constexpr const char* k_jobs_table = "jobs";
 
-// The parts of the jobs' table. A part takes its transactions in turn, 300 a second, and six when the
-// store is fifty times slower; then it turns away what would wait over a second. With 32 parts some
-// twenty submissions a second hardly meet each other there: days with a slow store twice are worth
-// 0.82 instead of 0.69 with eight parts.
+// The parts of the jobs' table. A part takes its transactions in turn, 300 a second, and six when
+// the store is fifty times slower; then it turns away what would wait over a second. With 32 parts
+// some twenty submissions a second hardly meet each other there: days with a slow store twice are
+// worth 0.82 instead of 0.69 with eight parts.
 std::vector<std::string> job_parts();
 std::string job_part(const std::string& id);
 // A job's own row, and the mark that it is cancelled.
