--- a/Source/UnitTests/Scheduling/AdviceTest.cpp
+++ b/Source/UnitTests/Scheduling/AdviceTest.cpp
@@ -61,9 +61,9 @@
   BOOST_TEST(questions.back().workers.size() == 2U);
 }
 
-// Thies, trouble-1, seed 11: LOST. A step that had begun in one zone under an earlier owner was
-// asked about for the first time when that zone had no worker for it; it was never asked about
-// again.
+// A step that has begun in one zone under an earlier owner may be asked about for the first time
+// when that zone has no worker for it. It has to be asked about in other zones, or it waits for
+// good.
 BOOST_FIXTURE_TEST_CASE(a_step_whose_zone_has_no_worker_is_asked_about_elsewhere, advised_queue)
 {
   for (const milliseconds per_call : {milliseconds{10}, milliseconds{400}})
