Node, Explain: A refusal's log line says what it rests on

Cause: a job ran after a call to hand it in had been answered 503, and the log did not tell what the instance had known of the job when it said so, nor that it had just started.

Change: `refused` lines carry `row` (none: not looked at; absent: the store said that there is none; marked: the refusal's mark was written in its place) and `instance_age_ms`; `yardhill explain` shows both. The arguments of refuse() are one struct. No answer changes.

Conclusion: the class of the fault (a refusal that rests on nothing seen) can be read off any log.

--- a/Source/Core/Explain/Explanation.cpp
+++ b/Source/Core/Explain/Explanation.cpp
@@ -102,11 +102,22 @@
   return text.data();
 }
 
+// What the instance knew of the job's row; a young instance knows little.
+std::string evidence_of(const log_line& line)
+{
+  if (!line.fields.contains("row"))
+    return {};
+  const auto age = static_cast<std::int64_t>(line.number("instance_age_ms"));
+  return "; the job's row: " + line.text("row") +
+         ", the instance's age: " + in_seconds(milliseconds(age));
+}
+
 std::string refusal_cause(const log_line& line)
 {
   return "refused with " + std::to_string(static_cast<int>(line.number("status"))) + ", " +
          line.text("reason") + ": " + line.text("detail") + ", after " +
-         in_seconds(milliseconds(static_cast<std::int64_t>(line.number("after_ms"))));
+         in_seconds(milliseconds(static_cast<std::int64_t>(line.number("after_ms")))) +
+         evidence_of(line);
 }
 
 std::string failure_cause(const std::vector<log_line>& lines)
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -50,7 +50,8 @@
       m_queues(queues),
       m_capacities(capacities),
       m_partitions(partitions),
-      m_metrics(counts)
+      m_metrics(counts),
+      m_started(time.now())
 {
 }
 
@@ -65,21 +66,21 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (m_queues.version == 0)
   {
-    refuse(*what, 503, refusal_reason::config_invalid, "no configuration has arrived yet");
+    refuse(*what, {503, refusal_reason::config_invalid, "no configuration has arrived yet"});
     return;
   }
   const std::string host = request.host.substr(0, request.host.find(':'));
   what->route = m_queues.find(host, path);
   if (what->route == nullptr)
   {
-    refuse(*what, 404, refusal_reason::unknown_workload, "no such queue");
+    refuse(*what, {404, refusal_reason::unknown_workload, "no such queue"});
     return;
   }
   what->id = path.substr(what->route->path_prefix.size());
   if (what->id.empty() && request.verb == http::method::get)
     count(what);
   else if (!adapter::is_job_id(what->id))
-    refuse(*what, 400, refusal_reason::malformed_request, "a job's id has 16 hexadecimal digits");
+    refuse(*what, {400, refusal_reason::malformed_request, "a job's id has 16 hexadecimal digits"});
   else if (request.verb == http::method::post)
     submit(what);
   else if (request.verb == http::method::get)
@@ -87,23 +88,24 @@
   else if (request.verb == http::method::remove)
     cancel(what);
   else
-    refuse(*what, 405, refusal_reason::malformed_request, "no such method");
+    refuse(*what, {405, refusal_reason::malformed_request, "no such method"});
 }
 
-void caller_gateway::refuse(const call& what, unsigned status, refusal_reason why,
-                            const std::string& detail)
+void caller_gateway::refuse(const call& what, const refusal& how)
 {
-  m_metrics.add(why);
+  m_metrics.add(how.why);
   common::log_request("refused", what.id,
-                      {{"status", status},
-                       {"reason", common::to_text(why)},
-                       {"detail", detail},
+                      {{"status", how.status},
+                       {"reason", common::to_text(how.why)},
+                       {"detail", how.detail},
+                       {"row", to_text(how.evidence)},
                        {"config_version", m_queues.version},
+                       {"instance_age_ms", m_time.now() - m_started},
                        {"after_ms", m_time.now() - what.received}});
   http::outgoing_answer answer;
-  answer.status = status;
-  answer.body = adapter::error_body(detail);
-  if (status == 503 || status == 429)
+  answer.status = how.status;
+  answer.body = adapter::error_body(how.detail);
+  if (how.status == 503 || how.status == 429)
   {
     const std::uint32_t priority = what.route == nullptr ? 0 : what.route->policy.priority;
     answer.headers.emplace_back("Retry-After",
@@ -146,18 +148,19 @@
 {
   if (m_path.isolated())
   {
-    refuse(*what, 503, refusal_reason::store_unavailable, "cut off from the store and other zones");
+    refuse(*what,
+           {503, refusal_reason::store_unavailable, "cut off from the store and other zones"});
     return;
   }
   auto spec = adapter::submission_from(what->body);
   if (!spec)
   {
-    refuse(*what, 400, refusal_reason::malformed_request, common::to_text(spec.error()));
+    refuse(*what, {400, refusal_reason::malformed_request, common::to_text(spec.error())});
     return;
   }
   if (const auto why = m_capacities.never_fits(what->route->policy.service, *spec))
   {
-    refuse(*what, 422, refusal_reason::never_fits, *why);
+    refuse(*what, {422, refusal_reason::never_fits, *why});
     return;
   }
   jobs::accepted_job job;
@@ -177,12 +180,12 @@
 {
   if (result.end == accept_end::refused)
   {
-    refuse(*what, 503, refusal_reason::store_unavailable, result.detail);
+    refuse(*what, {503, refusal_reason::store_unavailable, result.detail, result.evidence});
     return;
   }
   if (result.end == accept_end::unknown)
   {
-    refuse(*what, 504, refusal_reason::run_unclear, result.detail);
+    refuse(*what, {504, refusal_reason::run_unclear, result.detail});
     return;
   }
   common::log_request("job_accepted", job.id,
@@ -212,17 +215,17 @@
 void caller_gateway::with_job(const std::shared_ptr<call>& what,
                               std::function<void(const found_job&)> then)
 {
-  m_store.find(what->id, k_read_timeout,
-               [this, what, then = std::move(then)](const found_job& found)
-               {
-                 if (!found.answered)
-                   refuse(*what, 503, refusal_reason::store_unavailable,
-                          "the store did not answer");
-                 else if (!found.job)
-                   refuse(*what, 410, refusal_reason::unknown_task, "no such job");
-                 else
-                   then(found);
-               });
+  m_store.find(
+      what->id, k_read_timeout,
+      [this, what, then = std::move(then)](const found_job& found)
+      {
+        if (!found.answered)
+          refuse(*what, {503, refusal_reason::store_unavailable, "the store did not answer"});
+        else if (!found.job)
+          refuse(*what, {410, refusal_reason::unknown_task, "no such job", row_evidence::absent});
+        else
+          then(found);
+      });
 }
 
 // Its owner knows a job best; the store knows those that have ended or come to another owner.
@@ -262,17 +265,17 @@
     show_kept(what);
     return;
   }
-  m_store.state(home->second, what->id, k_read_timeout,
-                [this, what](const written_state& written)
-                {
-                  if (!written.answered)
-                    refuse(*what, 503, refusal_reason::store_unavailable,
-                           "the store did not answer");
-                  else if (written.state)
-                    show_state(*what, *written.state);
-                  else
-                    show_kept(what); // not begun yet, or ended and removed long ago
-                });
+  m_store.state(
+      home->second, what->id, k_read_timeout,
+      [this, what](const written_state& written)
+      {
+        if (!written.answered)
+          refuse(*what, {503, refusal_reason::store_unavailable, "the store did not answer"});
+        else if (written.state)
+          show_state(*what, *written.state);
+        else
+          show_kept(what); // not begun yet, or ended and removed long ago
+      });
 }
 
 void caller_gateway::show_kept(const std::shared_ptr<call>& what)
@@ -280,15 +283,15 @@
   const auto show = [this, what](const found_job& found)
   {
     remember_home(what->id, found.job->home);
-    m_store.state(found.job->home, what->id, k_read_timeout,
-                  [this, what](const written_state& written)
-                  {
-                    if (written.answered)
-                      show_state(*what, written.state.value_or(jobs::job_state::queued));
-                    else
-                      refuse(*what, 503, refusal_reason::store_unavailable,
-                             "the store did not answer");
-                  });
+    m_store.state(
+        found.job->home, what->id, k_read_timeout,
+        [this, what](const written_state& written)
+        {
+          if (written.answered)
+            show_state(*what, written.state.value_or(jobs::job_state::queued));
+          else
+            refuse(*what, {503, refusal_reason::store_unavailable, "the store did not answer"});
+        });
   };
   with_job(what, show);
 }
@@ -313,8 +316,8 @@
 {
   if (!kept)
   {
-    refuse(what, 503, refusal_reason::store_unavailable,
-           "the cancellation could not be kept for sure");
+    refuse(what,
+           {503, refusal_reason::store_unavailable, "the cancellation could not be kept for sure"});
     return;
   }
   common::log_request("job_cancelled", what.id, {{"after_ms", m_time.now() - what.received}});
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -44,6 +44,14 @@
     http::responder respond;
   };
 
+  struct refusal
+  {
+    unsigned status = 0;
+    common::refusal_reason why = common::refusal_reason::none;
+    std::string detail;
+    row_evidence evidence = row_evidence::none;
+  };
+
   void submit(const std::shared_ptr<call>& what);
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
@@ -57,8 +65,7 @@
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
   void with_job(const std::shared_ptr<call>& what, std::function<void(const found_job&)> then);
   void count(const std::shared_ptr<call>& what);
-  void refuse(const call& what, unsigned status, common::refusal_reason why,
-              const std::string& detail);
+  void refuse(const call& what, const refusal& how);
 
   // Where a new job should run.
   std::string home_for() const;
@@ -73,6 +80,7 @@
   const seen_capacities& m_capacities;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   common::metrics& m_metrics;
+  common::time_point m_started;                         // of this instance
   std::unordered_map<std::string, std::string> m_homes; // of jobs seen here
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -4,6 +4,7 @@
 #include "Node/JobStore.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "Common/Error.h"
@@ -124,7 +125,8 @@
   {
     if (result.end == adapter::store_end::done)
     {
-      m_done({accept_end::refused, "the store did not answer: " + m_detail, false, 0});
+      m_done({accept_end::refused, "the store did not answer: " + m_detail, false, 0,
+              row_evidence::marked});
       return;
     }
     if (result.end != adapter::store_end::conflict)
@@ -139,7 +141,12 @@
     if (kept != result.conflicting.end())
       m_done({accept_end::accepted, "settled by reading it back", true, kept->version});
     else
-      m_done({accept_end::refused, "settled: it is not kept", false, 0});
+      m_done({accept_end::refused, "settled: it is not kept", false, 0, evidence_in(result)});
+  }
+
+  static row_evidence evidence_in(const adapter::transaction_result& conflict)
+  {
+    return conflict.conflicting.empty() ? row_evidence::absent : row_evidence::marked;
   }
 
   void later(std::function<void()> again)
@@ -160,6 +167,12 @@
 };
 } // namespace
 
+std::string_view to_text(row_evidence evidence)
+{
+  static constexpr std::array<std::string_view, 3> k_names{"none", "absent", "marked"};
+  return k_names[static_cast<std::size_t>(evidence)];
+}
+
 std::vector<std::string> job_parts()
 {
   std::vector<std::string> parts;
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -49,6 +50,15 @@
 // None, with a line in the log, for a damaged row.
 std::optional<job_row> job_row_from(const adapter::row& row);
 
+// What an instance knew of a job's row when it answered that there is no such job.
+enum class row_evidence
+{
+  none,   // the row was not looked at, or could not be
+  absent, // the store said that there is none
+  marked  // the mark of a refusal was written in its place
+};
+std::string_view to_text(row_evidence evidence);
+
 enum class accept_end
 {
   accepted, // kept, now or by an earlier submission of the same id
@@ -62,6 +72,7 @@
   std::string detail;
   bool first = false; // kept by this very call
   adapter::row_version version = 0;
+  row_evidence evidence = row_evidence::none; // for a refusal
 };
 
 struct found_job
--- a/Source/UnitTests/Explain/ExplanationTest.cpp
+++ b/Source/UnitTests/Explain/ExplanationTest.cpp
@@ -52,6 +52,17 @@
   BOOST_TEST(told.cause == "refused with 503, store_unavailable: no way, after 0.90 s");
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_is_told_with_what_it_rests_on)
+{
+  const auto told =
+      explain(k_id, {line(10, "a",
+                          of_request("refused", ",\"status\":503,\"reason\":\"config_invalid\","
+                                                "\"detail\":\"too early\",\"row\":\"none\","
+                                                "\"instance_age_ms\":150.0,\"after_ms\":0.0"))});
+  BOOST_TEST(told.cause == "refused with 503, config_invalid: too early, after 0.00 s; the job's "
+                           "row: none, the instance's age: 0.15 s");
+}
+
 BOOST_AUTO_TEST_CASE(a_late_job_is_told_with_what_happened_in_its_longest_wait)
 {
   const std::vector<log_line> log{
