Node: A count of waiting jobs is given with the moment it was made at, and only while it is fresh

Cause: counts of waiting jobs went from owner to owner (each takeover copies them) and from the row to callers without their age. An owner that is lost before it has read its rows never replaces them; a fresh instance had seen none and said 0; a commit sent again as it was carried old ones; an owner that had just read its rows counted without the jobs that came meanwhile.

Ruled out: jobs that count as begun and are not (restored progress notes begun only for done tasks and failures, runs only for a worker's own word).

Change: the store names its steady clock in every answer; it is the one clock all instances share. The owner's row says up to when (on that clock) the jobs counted in it were known; a takeover copies that with the counts. A count over 1.8 s old, or of unknown age, is refused with 503 and when to come back; the owner itself counts what it knows. A new owner renews its row as soon as the feed of jobs has shown what came while it read. A feed's first call, and the one after a failure, is answered at once. The answer's log line (count_shown) and the refusal tell the count's age and whose it is.

Other ways: the age since the row was seen here (wrong for whoever reads it late), asking the owner over the link (a second way to the same word), counting from the store (33 reads for each question).

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds k_read_timeout{900};
 // A partition whose owner has not renewed its row for this long gets no new jobs if another does.
 constexpr std::chrono::milliseconds k_owner_fresh{2500};
+// Callers may be told counts that are up to 2 s old (the platform's bound); the rest is for the
+// way.
+constexpr std::chrono::milliseconds k_oldest_count{1800};
 // Homes remembered to save a read of the job's row; about 2 MB when full.
 constexpr std::size_t k_most_homes = 20000;
 
@@ -36,6 +39,11 @@
     return k_usual_patience;
   return std::chrono::milliseconds(value);
 }
+
+std::string age_text(const std::optional<common::duration>& age)
+{
+  return age ? std::to_string(common::to_milliseconds(*age).count()) + " ms old" : "of unknown age";
+}
 } // namespace
 
 caller_gateway::caller_gateway(common::timekeeper& time, job_store& store, state_desk& states,
@@ -77,7 +85,7 @@
   }
   what->id = path.substr(what->route->path_prefix.size());
   if (what->id.empty() && request.verb == http::method::get)
-    count(what);
+    count(*what);
   else if (!adapter::is_job_id(what->id))
     refuse(*what, 400, refusal_reason::malformed_request, "a job's id has 16 hexadecimal digits");
   else if (request.verb == http::method::post)
@@ -323,15 +331,26 @@
     owner->job_cancelled_here(what.id);
 }
 
-void caller_gateway::count(const std::shared_ptr<call>& what)
+// A wrong count cannot be told from a right one, so one that is too old is not given.
+void caller_gateway::count(const call& what)
 {
   std::uint64_t pending = 0;
   for (const auto& each : m_partitions)
   {
-    const auto& counts = each->seen().row.pending;
-    const auto found = counts.find(what->route->name);
-    pending += found == counts.end() ? 0 : found->second;
+    const known_pending known = each->pending();
+    const std::string& owner = each->seen().row.holder;
+    if (!known.age || *known.age > k_oldest_count)
+    {
+      refuse(what, 503, refusal_reason::records_incomplete,
+             "the count that " + owner + " told is " + age_text(known.age));
+      return;
+    }
+    const auto found = known.jobs.find(what.route->name);
+    const std::uint64_t waiting = found == known.jobs.end() ? 0 : found->second;
+    common::log_request("count_shown", what.route->name,
+                        {{"pending", waiting}, {"age_ms", *known.age}, {"owner", owner}});
+    pending += waiting;
   }
-  what->respond({200, adapter::pending_body(pending), "application/json", {}});
+  what.respond({200, adapter::pending_body(pending), "application/json", {}});
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -56,7 +56,7 @@
   void on_cancelled(const call& what, const std::string& home, bool kept);
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
   void with_job(const std::shared_ptr<call>& what, std::function<void(const found_job&)> then);
-  void count(const std::shared_ptr<call>& what);
+  void count(const call& what);
   void refuse(const call& what, unsigned status, common::refusal_reason why,
               const std::string& detail);
 
--- a/Source/Core/Node/JobIntake.cpp
+++ b/Source/Core/Node/JobIntake.cpp
@@ -3,6 +3,7 @@
 
 #include "Node/JobIntake.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Common/Error.h"
@@ -39,9 +40,15 @@
 {
   m_scheduler = &scheduler;
   m_read_at = loaded.read_at;
+  m_read_until = loaded.read_from;
   add_loaded(loaded);
 }
 
+common::time_point job_intake::known_until() const
+{
+  return m_feed ? std::max(m_read_until, m_feed->known_until()) : m_read_until;
+}
+
 void job_intake::add_loaded(const loaded_partition& loaded)
 {
   const common::time_point now = m_time.now();
@@ -82,12 +89,15 @@
 // The feed cannot say what it missed, so everything is read again; jobs known here are left alone.
 void job_intake::read_again()
 {
+  m_read_until = known_until();
   m_feed.reset(); // else it could ask again, and begin a second reading beside this one
   m_loader = std::make_shared<partition_loader>(m_time, m_feed_store, m_partition,
                                                 [this](const loaded_partition& loaded)
                                                 {
                                                   add_loaded(loaded);
                                                   m_read_at = loaded.read_at;
+                                                  m_read_until =
+                                                      std::max(m_read_until, loaded.read_from);
                                                   follow_feed();
                                                   m_changed();
                                                 });
--- a/Source/Core/Node/JobIntake.h
+++ b/Source/Core/Node/JobIntake.h
@@ -42,6 +42,10 @@
   void job_kept(const jobs::accepted_job& job, adapter::row_version version);
   void job_cancelled(const std::string& id);
   void on_notice(const common::job_notice& notice);
+  // All jobs that were kept by then are known, or have ended.
+  common::time_point known_until() const;
+  // Whether the feed has shown what came while the rows were read, and is still heard.
+  bool caught_up() const { return m_feed && m_feed->healthy_since(); }
 
 private:
   void add_loaded(const loaded_partition& loaded);
@@ -57,6 +61,7 @@
   std::function<void()> m_changed;
   scheduling::job_scheduler* m_scheduler = nullptr; // none before begin()
   adapter::row_version m_read_at = 0;               // all jobs up to here are known, or have ended
+  common::time_point m_read_until{};                // by readings alone
   std::unique_ptr<table_feed> m_feed;
   std::shared_ptr<partition_loader> m_loader;
   std::set<std::string> m_early; // cancelled jobs that are not known here
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -76,6 +76,7 @@
   peer_monitor m_peers;
   store_path m_store_path;
   direct_store_path m_direct_path;
+  store_clock m_store_clock;
   adapter::store_client m_store;      // directly or through a peer
   adapter::store_client m_feed_store; // directly
   adapter::worker_client m_workers;
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -11,10 +11,11 @@
 
 std::string to_row_text(const owner_row& row)
 {
-  const json out{{"holder", row.holder},    {"life", row.life},
-                 {"epoch", row.epoch},      {"renewal", row.renewal},
-                 {"pending", row.pending},  {"waiting_cpu", row.waiting_cpu},
-                 {"free_cpu", row.free_cpu}};
+  json out{{"holder", row.holder},    {"life", row.life},       {"epoch", row.epoch},
+           {"renewal", row.renewal},  {"pending", row.pending}, {"waiting_cpu", row.waiting_cpu},
+           {"free_cpu", row.free_cpu}};
+  if (row.counted_at)
+    out["counted_at"] = row.counted_at->time_since_epoch().count();
   return out.dump();
 }
 
@@ -30,6 +31,9 @@
                           row.epoch = in.at("epoch").get<std::uint64_t>();
                           row.renewal = in.at("renewal").get<std::uint64_t>();
                           row.pending = in.value("pending", row.pending);
+                          if (in.contains("counted_at"))
+                            row.counted_at = adapter::store_time(
+                                std::chrono::milliseconds(in["counted_at"].get<std::int64_t>()));
                           row.waiting_cpu = in.value("waiting_cpu", std::int64_t{0});
                           row.free_cpu = in.value("free_cpu", std::int64_t{0});
                           return row;
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Common/Error.h"
@@ -35,6 +36,9 @@
   // What others may know of the partition: accepted jobs that have not begun, by queue, and the
   // processor time that waits and that is free, in thousandths of a core.
   std::map<std::string, std::uint64_t> pending;
+  // Up to when the jobs counted there were known; none: of unknown age. Whoever hands the counts on
+  // hands this on with them.
+  std::optional<adapter::store_time> counted_at;
   std::int64_t waiting_cpu = 0;
   std::int64_t free_cpu = 0;
 };
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -43,6 +43,7 @@
 void partition_loader::start()
 {
   m_open = m_readings.size();
+  m_loaded.read_from = m_time.now();
   read(*m_readings.front());
 }
 
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -36,6 +36,7 @@
   adapter::row_version commit_version = 0; // 0: nothing was ever committed
   std::uint64_t commit_number = 0;
   adapter::row_version read_at = 0; // changes of the jobs' table behind this are not in here
+  common::time_point read_from{};   // when the reading began; what was kept before is in here
 };
 
 class partition_loader : public std::enable_shared_from_this<partition_loader>
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -77,9 +77,10 @@
   row.holder = m_self.name;
   row.life = m_self.life;
   row.epoch = earlier.row.epoch + 1;
-  // What waits still waits; this instance's own counts come with its first renewal, once all jobs
-  // are read. Until then callers would be told that nothing does.
+  // What waited may still wait; this instance's own counts come once all jobs are read. They are as
+  // old as they were: owners that are lost one after the other would pass them on for ever.
   row.pending = earlier.row.pending;
+  row.counted_at = earlier.row.counted_at;
   row.waiting_cpu = earlier.row.waiting_cpu;
   row.free_cpu = earlier.row.free_cpu;
   adapter::transaction change;
@@ -136,6 +137,7 @@
 void partition_owner::load()
 {
   m_state = state::loading;
+  m_has_told_counts = false;
   m_intake = std::make_unique<job_intake>(m_parts.time, m_parts.feed_store, m_partition, m_token,
                                           [this] { step_soon(); });
   m_loader = std::make_shared<partition_loader>(m_parts.time, m_parts.store, m_partition,
@@ -212,6 +214,17 @@
   return latest;
 }
 
+known_pending partition_owner::pending() const
+{
+  const common::time_point now = m_parts.time.now();
+  if (owns() && m_scheduler->may_act(now))
+    return {m_scheduler->load().pending, now - m_intake->known_until()};
+  const owner_row& told = seen().row;
+  if (!told.counted_at)
+    return {told.pending, std::nullopt};
+  return {told.pending, m_parts.clock.age_of(*told.counted_at)};
+}
+
 void partition_owner::lose(const char* why)
 {
   common::log_process("partition_lost", {{"partition", m_partition},
@@ -281,6 +294,8 @@
     row.holder.clear();
   const scheduling::partition_load load = m_scheduler->load();
   row.pending = load.pending;
+  row.counted_at = m_parts.clock.at(m_intake->known_until());
+  m_has_told_counts = m_intake->caught_up();
   row.waiting_cpu = load.waiting_cpu;
   row.free_cpu = load.free_cpu;
   m_parts.metrics.set(common::gauge::queued, load.queued_jobs());
@@ -298,11 +313,16 @@
   m_commits->begin({m_token, loaded.commit_version, loaded.commit_number});
 }
 
+bool partition_owner::counts_due() const
+{
+  return !m_has_told_counts && m_intake->caught_up();
+}
+
 void partition_owner::pump_commits(common::time_point now)
 {
   if (m_commits->busy())
     return;
-  const bool renew = now - m_last_renewal >= m_options.renew_period;
+  const bool renew = counts_due() || now - m_last_renewal >= m_options.renew_period;
   const bool spaced = now - m_last_commit >= m_options.commit_spacing;
   const bool stronger = m_better_owner.stronger_for_long(now);
   if (!m_releasing &&
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -24,6 +24,7 @@
 #include "Node/OwnerWatch.h"
 #include "Node/PartitionLoader.h"
 #include "Node/RowSweeper.h"
+#include "Node/StoreClock.h"
 #include "Node/StorePath.h"
 #include "Scheduling/JobScheduler.h"
 #include "platform/WorkerClient.h"
@@ -37,6 +38,7 @@
   adapter::store_client& store;
   adapter::store_client& feed_store; // for feeds: directly, never through a peer
   const store_path& path;
+  const store_clock& clock;
   adapter::worker_client& workers;
   advice_pool& advice;
   common::metrics& metrics;
@@ -51,6 +53,13 @@
   std::function<void()> ask_workers_again;
 };
 
+// The accepted jobs of a partition that have not begun, by queue, and the age of that knowledge.
+struct known_pending
+{
+  std::map<std::string, std::uint64_t> jobs;
+  std::optional<common::duration> age; // none: it is not known how old it is
+};
+
 class partition_owner
 {
 public:
@@ -79,6 +88,8 @@
   void on_notice(const common::job_notice& notice);
   // What is written of a job here; nothing if this instance does not own it or does not know it.
   std::optional<jobs::job_state> written_state(const std::string& id) const;
+  // As its owner told in its row; if that is this instance, as it knows itself.
+  known_pending pending() const;
 
   // Called often. `feed_healthy_since`: of the owners' feed.
   void tick(common::time_point now, std::optional<common::time_point> feed_healthy_since);
@@ -117,6 +128,9 @@
   while_owner(void (scheduling::job_scheduler::*handle)(const answer_type&, common::time_point));
   // The owner's row to be written next; a release names no holder.
   owner_row next_row(bool release);
+  // Whether this owner has come to know all that waits and nobody else has seen its counts yet: the
+  // earlier owner's are old by then, so the row is renewed at once.
+  bool counts_due() const;
 
   node_parts m_parts;
   instance_identity m_self;
@@ -142,6 +156,7 @@
   common::time_point m_last_commit{};
   common::time_point m_last_written{};
   common::time_point m_last_renewal{};
+  bool m_has_told_counts = false;
   common::one_shot_timer m_step_timer;
   bool m_step_due = false;
 };
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -17,6 +17,11 @@
 // contact_ms) after which a machine counts as in touch again. Shorter waits cost (1.9 s and 1 s:
 // 0.006 on both sites).
 constexpr std::chrono::milliseconds k_feed_wait{2500};
+// The longest that a call may then be without an answer, with the client's slack.
+constexpr std::chrono::milliseconds k_longest_wait{2900};
+// The first call of a feed that begins behind a version, and after a failure, asks what has changed
+// since and does not wait for more: until it is answered, nobody can say how old this knowledge is.
+constexpr std::chrono::milliseconds k_catch_up_wait{1};
 constexpr std::chrono::milliseconds k_read_timeout{1500};
 // Retries begin quickly, since most failures are one call's, and slow down: each call is priced.
 constexpr std::chrono::milliseconds k_retry_first{60};
@@ -50,6 +55,7 @@
   {
     m_since = version;
     m_loaded = true;
+    m_behind = true;
     wait_for_changes();
   }
 
@@ -68,6 +74,11 @@
   }
 
   std::optional<common::time_point> healthy_since() const { return m_healthy_since; }
+  common::time_point known_until() const
+  {
+    // A change would have been told, unless that very answer is lost.
+    return m_healthy_since ? std::min(m_time.now(), m_heard_at + k_longest_wait) : m_heard_at;
+  }
   bool loaded() const { return m_loaded; }
 
 private:
@@ -126,7 +137,7 @@
 
   void wait_for_changes()
   {
-    m_store.changes(m_table, *m_since, k_feed_wait,
+    m_store.changes(m_table, *m_since, m_behind ? k_catch_up_wait : k_feed_wait,
                     call(&implementation::wait_for_changes, &implementation::on_changes));
   }
 
@@ -162,6 +173,8 @@
   void succeeded()
   {
     m_retry = k_retry_first;
+    m_behind = false;
+    m_heard_at = m_time.now();
     if (m_healthy_since)
       return;
     m_healthy_since = m_time.now();
@@ -170,6 +183,7 @@
 
   void failed(const adapter::rows_result& result)
   {
+    m_behind = true;
     if (!m_healthy_since)
       return;
     m_healthy_since.reset();
@@ -198,6 +212,8 @@
   std::uint64_t m_call = 0;
   std::chrono::milliseconds m_retry = k_retry_first;
   std::optional<common::time_point> m_healthy_since;
+  common::time_point m_heard_at{};
+  bool m_behind = false; // may have missed a change
   bool m_loaded = false;
   bool m_stopped = false;
 };
@@ -234,6 +250,11 @@
   return m_implementation->healthy_since();
 }
 
+common::time_point table_feed::known_until() const
+{
+  return m_implementation->known_until();
+}
+
 bool table_feed::loaded() const
 {
   return m_implementation->loaded();
--- a/Source/Core/Node/TableFeed.h
+++ b/Source/Core/Node/TableFeed.h
@@ -46,6 +46,8 @@
   void ask_again();
   // Since when answers have come without a failure in between; none while they do not come.
   std::optional<common::time_point> healthy_since() const;
+  // Up to when all changes are known here, but for an answer that has just been lost.
+  common::time_point known_until() const;
   bool loaded() const;
 
 private:
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -62,7 +62,9 @@
   common::metrics metrics;
   store_wire wire{time};
   silent_wire nobody;
-  adapter::store_client store{wire, metrics};
+  store_clock clock{time};
+  adapter::store_client store{wire, metrics,
+                              [this](adapter::store_time named) { clock.heard(named); }};
   peer_monitor peers{time,
                      "zone",
                      [](const std::string&, const common::peer_message&) {},
@@ -92,6 +94,7 @@
             store,
             store,
             path,
+            clock,
             workers,
             advice,
             metrics,
