Ownership: A partition's store is taken apart into units with one job

Cause: PartitionStore.cpp held, in 695 lines and one class, the forms of the rows, the term, the writes that wait, the lookup of known tasks, the load after a takeover, the deletion of ended rows and the backoff. A newcomer had to read all of it to change one.

Change: the class keeps the choice of the next call. Of its own are now PartitionRows (keys and contents), PartitionTerm (the term and the row that says so), WriteQueue (the line and the batch), KnownTaskFinder, OpenRows, EndedRows and StorePace (backoff). No behaviour changes.

--- /dev/null
+++ b/Source/Core/Ownership/WriteQueue.cpp
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Ownership/WriteQueue.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace yardhill::ownership
+{
+namespace
+{
+// A caller is not kept waiting for the table longer than this.
+constexpr duration k_write_patience = std::chrono::seconds{2};
+
+// A larger result goes to the object store; rows stay small enough to be read by the page.
+constexpr std::size_t k_most_row_body = 32U << 10U; // bytes
+
+// Somebody waits for an acceptance or an intent; nobody does for an end.
+bool is_awaited(const record_write& write)
+{
+  return write.change == record_change::accept || write.change == record_change::intent;
+}
+
+bool has_waited_enough(const pending_write& entry, time_point now)
+{
+  return is_awaited(entry.write) && now >= entry.since + k_write_patience;
+}
+} // namespace
+
+record_write_result result_of(const pending_write& entry, record_write_status status)
+{
+  return {entry.write.change, entry.write.task.spec.id, status, std::nullopt};
+}
+
+void write_queue::append(const record_write& write, time_point now)
+{
+  const duration window = is_awaited(write) ? m_options.commit_soon : m_options.commit_late;
+  m_due = std::min(m_due, now + window);
+  m_pending.push_back({write, now, false});
+}
+
+void write_queue::put_first(pending_write entry, time_point due)
+{
+  m_pending.push_front(std::move(entry));
+  m_due = due;
+}
+
+void write_queue::clear()
+{
+  m_pending.clear();
+  m_batch.clear();
+  m_due = k_never;
+}
+
+stored_task* write_queue::next_large_result()
+{
+  for (pending_write& entry : m_batch)
+  {
+    stored_task& task = entry.write.task;
+    if (task.final_answer && task.final_answer->body.size() > k_most_row_body)
+      return &task;
+  }
+  return nullptr;
+}
+
+void write_queue::fill_batch()
+{
+  m_batch_maybe_written = false;
+  while (!m_pending.empty() && m_batch.size() < m_options.most_batch)
+  {
+    m_batch.push_back(std::move(m_pending.front()));
+    m_pending.pop_front();
+  }
+}
+
+void write_queue::batch_sent(time_point next)
+{
+  m_due = m_pending.empty() ? k_never : next;
+}
+
+std::vector<record_write_result> write_queue::batch_written()
+{
+  std::vector<record_write_result> results;
+  for (const pending_write& entry : m_batch)
+    results.push_back(result_of(entry, record_write_status::written));
+  m_batch.clear();
+  return results;
+}
+
+std::deque<pending_write> write_queue::dissolve_batch(time_point due)
+{
+  std::deque<pending_write> accepts;
+  for (auto entry = m_batch.rbegin(); entry != m_batch.rend(); ++entry)
+  {
+    if (entry->write.change == record_change::accept)
+      accepts.push_front(std::move(*entry));
+    else
+      m_pending.push_front(std::move(*entry));
+  }
+  m_batch.clear();
+  m_due = due;
+  return accepts;
+}
+
+std::vector<record_write_result> write_queue::give_up_batch(time_point now, time_point due)
+{
+  std::vector<record_write_result> results;
+  if (!m_batch_maybe_written)
+  {
+    put_batch_back(due);
+    return results;
+  }
+  for (pending_write& entry : m_batch)
+  {
+    if (entry.told_unclear || !has_waited_enough(entry, now))
+      continue;
+    entry.told_unclear = true;
+    results.push_back(result_of(entry, record_write_status::unclear));
+  }
+  return results;
+}
+
+std::vector<record_write_result> write_queue::give_up_waiting(time_point now)
+{
+  std::vector<record_write_result> results;
+  std::erase_if(m_pending,
+                [&](const pending_write& entry)
+                {
+                  const bool over = has_waited_enough(entry, now);
+                  if (over)
+                    results.push_back(result_of(entry, record_write_status::not_written));
+                  return over;
+                });
+  return results;
+}
+
+void write_queue::put_batch_back(time_point due)
+{
+  for (auto entry = m_batch.rbegin(); entry != m_batch.rend(); ++entry)
+    m_pending.push_front(std::move(*entry));
+  m_batch.clear();
+  m_due = due;
+}
+
+void write_queue::hurry(time_point due)
+{
+  if (!m_pending.empty())
+    m_due = due;
+}
+} // namespace yardhill::ownership
