Replay: The virtual cell hands time, network and packing to parts of their own

Cause: VirtualCell.cpp held in 562 lines the queue of planned actions, the network's cuts and delays, the measure of packing, and a switch of 90 lines over a trace's actions.

Change: EventQueue is virtual time, NetworkModel loses and delays messages, PackingMeter averages how full the workers are; each can be read without the cell. Killing and rebooting a worker share their code. A counter that nothing read is gone.

--- a/Source/Core/Replay/VirtualCell.cpp
+++ b/Source/Core/Replay/VirtualCell.cpp
@@ -9,23 +9,20 @@
 
 #include "Common/ConfigParser.h"
 #include "Common/Json.h"
-#include "Replay/BuiltInCell.h"
 #include "Replay/VirtualCellParts.h"
 
 namespace yardhill::replay
 {
 namespace
 {
-constexpr duration k_relink = std::chrono::milliseconds{150};
 constexpr duration k_sample = std::chrono::seconds{1};
-constexpr std::size_t k_result_bytes = 48;
 } // namespace
 
 virtual_cell::virtual_cell(const trace& recorded, std::string document, const cell_options& options)
     : m_options(options),
       m_trace(recorded),
       m_document(std::move(document)),
-      m_random(recorded.header.seed),
+      m_network(recorded.header.seed),
       m_table(options.limits)
 {
   problem_list problems;
@@ -41,31 +38,10 @@
 
 virtual_cell::~virtual_cell() = default;
 
-void virtual_cell::at(time_point when, action what)
-{
-  m_plan.push({std::max(when, m_now), m_sequence++, std::move(what)});
-}
-
-duration virtual_cell::delay_of(duration usual)
-{
-  ++m_messages;
-  constexpr std::uint64_t spread = 1000;
-  const double factor = 0.5 + static_cast<double>(m_random() % spread) / spread;
-  duration delay{static_cast<duration::rep>(static_cast<double>(usual.count()) * factor)};
-  if (m_late_every > 0 && m_random() % static_cast<std::uint64_t>(m_late_every) == 0)
-    delay += std::chrono::milliseconds{m_random() % 12000};
-  return delay;
-}
-
-bool virtual_cell::is_cut(const std::string& from, const std::string& to) const
-{
-  return m_cuts.contains({from, to});
-}
-
 void virtual_cell::log(const std::string& who, const std::string& what) const
 {
   if (m_options.log)
-    m_options.log(m_now, who, what);
+    m_options.log(now(), who, what);
 }
 
 void virtual_cell::run()
@@ -88,15 +64,7 @@
          carry_out_action(each);
        });
   at(time_point{k_sample}, [this] { sample_packing(); });
-  const time_point end = time_point{m_trace.header.until};
-  while (!m_plan.empty() && m_plan.top().when <= end && !m_checker.failed())
-  {
-    planned next = m_plan.top();
-    m_plan.pop();
-    m_now = next.when;
-    next.what();
-  }
-  m_now = end;
+  m_events.run(time_point{m_trace.header.until}, [this] { return m_checker.failed(); });
 }
 
 // --- instances ---
@@ -120,7 +88,7 @@
   const instance::instance_identity identity{instance_id{name + "@" + std::to_string(life)},
                                              m_zones.at(name)};
   m_instances[name] =
-      std::make_unique<live_instance>(name, life, identity, m_options, m_metrics, m_now);
+      std::make_unique<live_instance>(name, life, identity, m_options, m_metrics, now());
   step(*m_instances[name], instance::timer_passed{});
   for (const auto& [other, zone] : m_zones)
   {
@@ -147,7 +115,8 @@
 {
   const live_instance* sender = living(from);
   const live_instance* receiver = living(to);
-  if (sender == nullptr || receiver == nullptr || (up && (is_cut(from, to) || is_cut(to, from))))
+  if (sender == nullptr || receiver == nullptr ||
+      (up && (m_network.is_cut(from, to) || m_network.is_cut(to, from))))
     return;
   instance::event what = instance::peer_unlinked{receiver->id};
   if (up)
@@ -170,7 +139,7 @@
 void virtual_cell::step(live_instance& instance, const instance::event& what)
 {
   const auto began = std::chrono::steady_clock::now();
-  const std::vector<instance::command> commands = instance.core.step(what, m_now);
+  const std::vector<instance::command> commands = instance.core.step(what, now());
   const auto took = std::chrono::steady_clock::now() - began;
   m_core_time += took;
   ++m_steps;
@@ -187,8 +156,8 @@
 
 void virtual_cell::plan_timer(live_instance& instance)
 {
-  const time_point next = std::max(instance.core.next_timer(), m_now + k_step);
-  if (next >= instance.timer && instance.timer > m_now)
+  const time_point next = std::max(instance.core.next_timer(), now() + k_step);
+  if (next >= instance.timer && instance.timer > now())
     return;
   instance.timer = next;
   at(next,
@@ -235,9 +204,9 @@
 {
   if (worker.dead)
     return;
-  worker.model.advance(m_now);
-  worker.model.take(claim.request, m_now);
-  claim.until = m_now + claim.request.wait;
+  worker.model.advance(now());
+  worker.model.take(claim.request, now());
+  claim.until = now() + claim.request.wait;
   worker.held.push_back(std::move(claim));
   worker_changed(worker);
 }
@@ -247,12 +216,12 @@
   std::erase_if(worker.held,
                 [&](const held_claim& held)
                 {
-                  if (m_now < held.until && !worker.model.has_news_for(held.request))
+                  if (now() < held.until && !worker.model.has_news_for(held.request))
                     return false;
-                  const claim_answer answer = worker.model.answer(held.request, m_now);
-                  if (is_cut(worker.name, held.from))
+                  const claim_answer answer = worker.model.answer(held.request, now());
+                  if (m_network.is_cut(worker.name, held.from))
                     return true;
-                  in(delay_of(m_options.link_latency),
+                  in(m_network.next_delay(m_options.link_latency),
                      [this, held, answer, id = worker.model.config().id]
                      {
                        if (!std::exchange(*held.settled, true))
@@ -296,11 +265,11 @@
     {
       if (!m_options.check || other.get() == &worker || other->running.empty())
         continue;
-      other->model.advance(m_now);
+      other->model.advance(now());
       tell_ended(*other);
     }
     log(worker.name, "starts " + to_text(run.id));
-    m_checker.started(worker.model.config().id, run.id, run.repeatable, m_now);
+    m_checker.started(worker.model.config().id, run.id, run.repeatable, now());
     worker.running.emplace(run.id, worker.recorded);
   }
   tell_ended(worker);
@@ -313,7 +282,7 @@
   time_point next = worker.model.next_event();
   for (const held_claim& held : worker.held)
     next = std::min(next, held.until);
-  if (next == k_never || (worker.planned > m_now && worker.planned <= next))
+  if (next == k_never || (worker.planned > now() && worker.planned <= next))
     return;
   worker.planned = next;
   at(next,
@@ -323,151 +292,12 @@
          worker.planned = k_never;
        if (worker.dead)
          return;
-       worker.model.advance(m_now);
+       worker.model.advance(now());
        worker_changed(worker);
      });
 }
 
-// --- the outside world ---
-
-void virtual_cell::submit(const trace_action& what)
-{
-  live_instance* instance = living(what.who);
-  if (instance == nullptr)
-    return;
-  const workload_config* workload = m_config.find_workload(workload_id{what.workload});
-  if (workload == nullptr)
-    return;
-  instance::caller_request request;
-  request.number = m_next_request++;
-  request.workload = workload->id;
-  request.key = what.key;
-  const std::string seed = what.key.empty() ? std::to_string(request.number) : what.key;
-  request.payload = json{{"run_us", what.number}, {"bytes", k_result_bytes}, {"id", seed}}.dump();
-  // Whoever sends batch work without a key comes back for it later.
-  request.waits = workload->kind != task_kind::batch || !what.key.empty();
-  run_checker::request_record record;
-  if (!what.key.empty())
-    record.task = make_task_id(workload->id, what.key);
-  record.kind = workload->kind;
-  record.keyed = !what.key.empty();
-  record.repeatable = workload->repeatable;
-  record.payload = request.payload;
-  record.bytes = k_result_bytes;
-  record.members = workload->members;
-  record.sent = m_now;
-  record.via = what.who;
-  m_checker.sent(request.number, std::move(record));
-  deliver(what.who, instance->life, std::move(request));
-}
-
-void virtual_cell::carry_out_action(const trace_action& what)
-{
-  live_instance* instance = living(what.who);
-  const auto worker = m_workers.find(what.who);
-  switch (what.kind)
-  {
-  case action_kind::submit:
-    submit(what);
-    break;
-  case action_kind::cancel:
-    if (instance != nullptr)
-    {
-      instance::caller_request request;
-      request.number = m_next_request++; // nobody checks the answer
-      request.purpose = request_purpose::cancel;
-      request.workload = workload_id{what.workload};
-      request.key = what.key;
-      deliver(what.who, instance->life, std::move(request));
-    }
-    break;
-  case action_kind::apply:
-    if (instance != nullptr)
-      deliver(what.who, instance->life,
-              instance::apply_request{m_next_request++, instance->core.config().version(),
-                                      "apply-" + std::to_string(m_sequence),
-                                      built_in_document(m_trace.header, what.number)});
-    break;
-  case action_kind::kill:
-    end_instance(what.who);
-    break;
-  case action_kind::start:
-    start_instance(what.who);
-    break;
-  case action_kind::stop:
-    if (instance != nullptr)
-      deliver(what.who, instance->life, instance::stop_asked{});
-    break;
-  case action_kind::pause:
-    if (instance != nullptr && !instance->paused)
-    {
-      instance->paused = true;
-      step(*instance, instance::timer_passed{}); // what it decided last is not sent yet
-    }
-    break;
-  case action_kind::resume:
-    if (instance != nullptr && instance->paused)
-      resume(*instance);
-    break;
-  case action_kind::cut:
-    m_cuts.insert({what.who, what.other});
-    set_link(what.who, what.other, false);
-    set_link(what.other, what.who, false);
-    break;
-  case action_kind::heal:
-    m_cuts.erase({what.who, what.other});
-    in(k_relink,
-       [this, what]
-       {
-         set_link(what.who, what.other, true);
-         set_link(what.other, what.who, true);
-       });
-    break;
-  case action_kind::store_outage:
-    m_store_down = what.number != 0;
-    break;
-  case action_kind::store_slow:
-    m_store_slow = duration{what.number};
-    break;
-  case action_kind::store_lose:
-    m_store_lose = what.number;
-    break;
-  case action_kind::slow_messages:
-    m_late_every = what.number;
-    break;
-  case action_kind::worker_kill:
-    if (worker != m_workers.end())
-    {
-      worker->second->dead = true;
-      worker->second->held.clear();
-      worker->second->running.clear();
-      m_checker.worker_forgot_all(worker->second->model.config().id);
-      worker->second->model.reboot("dead", m_now);
-    }
-    break;
-  case action_kind::worker_reboot:
-    if (worker != m_workers.end())
-    {
-      worker_host& host = *worker->second;
-      host.dead = false;
-      host.held.clear();
-      host.running.clear();
-      m_checker.worker_forgot_all(host.model.config().id);
-      host.model.reboot("boot-" + std::to_string(++host.boots), m_now);
-    }
-    break;
-  case action_kind::worker_fail:
-    if (worker != m_workers.end())
-      worker->second->model.faults().fails_everything = what.number != 0;
-    break;
-  case action_kind::worker_leave:
-    if (worker != m_workers.end())
-      worker->second->model.faults().leaving = what.number != 0;
-    break;
-  case action_kind::count:
-    break;
-  }
-}
+// --- measures and the end ---
 
 void virtual_cell::sample_packing()
 {
@@ -484,35 +314,10 @@
     for (const auto& [partition, home] : entry->core.homes())
       queued += home.owns() ? home.scheduler().queued() : 0;
   }
-  const auto part = [](std::int64_t some, std::int64_t all)
-  { return static_cast<double>(some) / static_cast<double>(std::max<std::int64_t>(1, all)); };
-  const double processors = part(granted.cpu_millis, capacity.cpu_millis);
-  const double memory = part(granted.memory_mib, capacity.memory_mib);
-  ++m_samples;
-  m_packed.processors += processors;
-  m_packed.memory += memory;
-  m_packed.peak_processors = std::max(m_packed.peak_processors, processors);
-  m_packed.most_queued = std::max(m_packed.most_queued, queued);
-  if (queued > 0)
-  {
-    ++m_packed.backlogged_samples;
-    m_packed.backlogged += std::max({processors, memory, part(granted.slots, capacity.slots),
-                                     part(granted.accelerators, capacity.accelerators)});
-  }
+  m_packing.add_sample(granted, capacity, queued);
   in(k_sample, [this] { sample_packing(); });
 }
 
-virtual_cell::packing_figures virtual_cell::packing() const
-{
-  packing_figures mean = m_packed;
-  const auto samples = static_cast<double>(std::max<std::uint64_t>(1, m_samples));
-  mean.processors /= samples;
-  mean.memory /= samples;
-  if (mean.backlogged_samples > 0)
-    mean.backlogged /= static_cast<double>(mean.backlogged_samples);
-  return mean;
-}
-
 void virtual_cell::log_homes() const
 {
   for (const auto& [name, entry] : m_instances)
@@ -548,7 +353,7 @@
     if (entry->core.config().version() != newest)
       m_checker.fail(name + " has configuration " + std::to_string(entry->core.config().version()) +
                      " while " + std::to_string(newest) + " is in force");
-    if (!entry->core.ready(m_now))
+    if (!entry->core.ready(now()))
       m_checker.fail(name + " is not ready");
     for (const workload_config& workload : entry->core.config().cell().workloads)
     {
--- a/Source/Core/Replay/VirtualCell.h
+++ b/Source/Core/Replay/VirtualCell.h
@@ -12,16 +12,17 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
-#include <random>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/CellConfig.h"
 #include "Common/Metrics.h"
 #include "Common/Options.h"
 #include "Instance/InstanceCore.h"
+#include "Replay/EventQueue.h"
+#include "Replay/NetworkModel.h"
+#include "Replay/PackingMeter.h"
 #include "Replay/RunChecker.h"
 #include "Replay/TableModel.h"
 #include "Replay/Trace.h"
@@ -61,32 +62,20 @@
   // Processor time that the cores' steps took, on this machine's clock.
   std::chrono::nanoseconds core_time() const { return m_core_time; }
   std::uint64_t steps() const { return m_steps; }
-  // Granted over capacity of processors and of memory, averaged over samples of every second.
-  struct packing_figures
-  {
-    double processors = 0;
-    double memory = 0;
-    double peak_processors = 0;
-    // While tasks waited: the part of the scarcest resource, and over how many samples.
-    double backlogged = 0;
-    std::size_t backlogged_samples = 0;
-    std::size_t most_queued = 0;
-  };
-  packing_figures packing() const;
+  // Over samples of every second.
+  packing_figures packing() const { return m_packing.mean(); }
 
 private:
   // Defined in VirtualCellParts.h.
   struct live_instance;
   struct held_claim;
   struct worker_host;
-  struct planned;
 
-  using action = std::function<void()>;
+  using action = event_queue::action;
 
-  void at(time_point when, action what);
-  void in(duration delay, action what) { at(m_now + delay, std::move(what)); }
-  duration delay_of(duration usual);
-  bool is_cut(const std::string& from, const std::string& to) const;
+  time_point now() const { return m_events.now(); }
+  void at(time_point when, action what) { m_events.at(when, std::move(what)); }
+  void in(duration delay, action what) { m_events.in(delay, std::move(what)); }
   void log(const std::string& who, const std::string& what) const;
 
   // Instances
@@ -120,8 +109,30 @@
   void tell_checker(worker_host& worker);
   void plan_worker(worker_host& worker);
 
+  worker_host* find_worker(const std::string& name);
+  void restart_worker(worker_host& worker, bool dead, const std::string& boot);
+
+  // One for each kind of action
   void carry_out_action(const trace_action& what);
   void submit(const trace_action& what);
+  void cancel(const trace_action& what);
+  void apply(const trace_action& what);
+  void kill(const trace_action& what);
+  void start(const trace_action& what);
+  void stop(const trace_action& what);
+  void pause(const trace_action& what);
+  void resume_paused(const trace_action& what);
+  void cut(const trace_action& what);
+  void heal(const trace_action& what);
+  void store_outage(const trace_action& what);
+  void store_slow(const trace_action& what);
+  void store_lose(const trace_action& what);
+  void worker_kill(const trace_action& what);
+  void worker_reboot(const trace_action& what);
+  void worker_fail(const trace_action& what);
+  void worker_leave(const trace_action& what);
+  void slow_messages(const trace_action& what);
+
   void sample_packing();
   void log_homes() const;
 
@@ -129,28 +140,22 @@
   trace m_trace;
   std::string m_document;
   cell_config m_config;
-  std::mt19937_64 m_random;
-  time_point m_now{};
-  std::uint64_t m_sequence = 0;
-  std::priority_queue<planned, std::vector<planned>, std::greater<>> m_plan;
+  event_queue m_events;
+  network_model m_network;
   metrics m_metrics;
   table_model m_table;
   run_checker m_checker;
   std::map<std::string, std::unique_ptr<live_instance>> m_instances;
   std::map<std::string, zone_id> m_zones;
   std::map<std::string, std::unique_ptr<worker_host>> m_workers;
-  std::set<std::pair<std::string, std::string>> m_cuts;
   std::uint64_t m_lives = 0;
   std::uint64_t m_next_request = 1;
   bool m_store_down = false;
   duration m_store_slow{0};
   std::int64_t m_store_lose = 0;
-  std::int64_t m_late_every = 0;
-  std::uint64_t m_messages = 0;
   std::chrono::nanoseconds m_core_time{0};
   std::uint64_t m_steps = 0;
-  packing_figures m_packed;
-  std::uint64_t m_samples = 0;
+  packing_meter m_packing;
 };
 
 } // namespace yardhill::replay
--- a/Source/Core/Replay/VirtualCellParts.h
+++ b/Source/Core/Replay/VirtualCellParts.h
@@ -5,8 +5,6 @@
 
 // What a virtual cell keeps of each instance and worker. Only for its own .cpp files.
 
-#include <tuple>
-
 #include "Replay/VirtualCell.h"
 
 namespace yardhill::replay
@@ -14,18 +12,6 @@
 inline constexpr duration k_step = std::chrono::milliseconds{1}; // as the event loop rounds timers
 inline constexpr const char* k_store = "store";                  // its name in cuts
 
-struct virtual_cell::planned
-{
-  time_point when;
-  std::uint64_t sequence;
-  action what;
-
-  bool operator>(const planned& other) const
-  {
-    return std::tie(when, sequence) > std::tie(other.when, other.sequence);
-  }
-};
-
 struct virtual_cell::live_instance
 {
   live_instance(const std::string& its_name, std::uint64_t its_life,
--- a/Source/Core/Replay/VirtualCellSends.cpp
+++ b/Source/Core/Replay/VirtualCellSends.cpp
@@ -17,7 +17,7 @@
                      std::string(to_text(what.value.result)) + " " +
                      std::string(to_text(what.value.reason)) + " " + what.value.detail);
   if (m_checker.requests().contains(what.number))
-    m_checker.answered(what.number, what.value, m_now);
+    m_checker.answered(what.number, what.value, now());
 }
 
 void virtual_cell::send(live_instance& /*from*/, const instance::answer_apply& /*what*/) {}
@@ -25,14 +25,14 @@
 void virtual_cell::send(live_instance& from, const instance::send_to_peer& what)
 {
   live_instance* to = by_id(what.peer);
-  if (to == nullptr || to->id != what.peer || is_cut(from.name, to->name))
+  if (to == nullptr || to->id != what.peer || m_network.is_cut(from.name, to->name))
     return;
   // A connection keeps its order, so peers' messages are never late by more than the usual.
   in(m_options.link_latency,
      [this, name = to->name, life = to->life, sender = from.id, sender_name = from.name,
       message = what.message]
      {
-       if (!is_cut(sender_name, name))
+       if (!m_network.is_cut(sender_name, name))
          deliver(name, life, instance::peer_received{sender, message});
      });
 }
@@ -40,7 +40,7 @@
 void virtual_cell::send(live_instance& from, const instance::send_claim& what)
 {
   worker_host& worker = *m_workers.at(what.worker.value);
-  const time_point sent_at = m_now;
+  const time_point sent_at = now();
   // The call's own time limit. An answer that comes later is not heard, as with the HTTP client.
   const auto settled = std::make_shared<bool>(false);
   in(m_options.core.ownership.claim_timeout,
@@ -49,10 +49,11 @@
        if (!std::exchange(*settled, true))
          deliver(name, life, instance::claim_returned{what.worker, what.request, {}, sent_at});
      });
-  if (is_cut(from.name, worker.name))
+  if (m_network.is_cut(from.name, worker.name))
     return;
   const held_claim claim{what.request, from.name, from.life, sent_at, time_point{}, settled};
-  in(delay_of(m_options.link_latency), [this, &worker, claim] { claim_arrived(worker, claim); });
+  in(m_network.next_delay(m_options.link_latency),
+     [this, &worker, claim] { claim_arrived(worker, claim); });
 }
 
 void virtual_cell::send(live_instance& from, const instance::send_start& what)
@@ -63,7 +64,7 @@
     returned.attempts.push_back(order.id);
   const auto tell = [this, name = from.name, life = from.life](instance::start_returned result)
   { deliver(name, life, std::move(result)); };
-  if (m_now > what.not_after)
+  if (now() > what.not_after)
   {
     returned.result = instance::send_result::unsent;
     in(k_step, [tell, returned] { tell(returned); });
@@ -78,20 +79,20 @@
        if (!std::exchange(*settled, true))
          tell(returned);
      });
-  if (is_cut(from.name, worker.name))
+  if (m_network.is_cut(from.name, worker.name))
     return;
-  in(delay_of(m_options.link_latency),
+  in(m_network.next_delay(m_options.link_latency),
      [this, &worker, tell, returned, settled, name = from.name, request = what.request]() mutable
      {
        if (worker.dead)
          return;
-       worker.model.advance(m_now);
-       returned.answer = worker.model.start(request, m_now);
+       worker.model.advance(now());
+       returned.answer = worker.model.start(request, now());
        returned.result = instance::send_result::answered;
        worker_changed(worker);
-       if (is_cut(worker.name, name))
+       if (m_network.is_cut(worker.name, name))
          return;
-       in(delay_of(m_options.link_latency),
+       in(m_network.next_delay(m_options.link_latency),
           [tell, returned, settled]
           {
             if (!std::exchange(*settled, true))
@@ -103,15 +104,15 @@
 void virtual_cell::send(live_instance& from, const instance::send_stop& what)
 {
   worker_host& worker = *m_workers.at(what.worker.value);
-  if (is_cut(from.name, worker.name))
+  if (m_network.is_cut(from.name, worker.name))
     return;
-  in(delay_of(m_options.link_latency),
+  in(m_network.next_delay(m_options.link_latency),
      [this, &worker, request = what.request]
      {
        if (worker.dead)
          return;
-       worker.model.advance(m_now);
-       worker.model.stop(request, m_now);
+       worker.model.advance(now());
+       worker.model.stop(request, now());
        worker_changed(worker);
      });
 }
@@ -135,9 +136,9 @@
       tell(store_write_result{status, 0});
   };
   in(m_options.core.ownership.store_timeout, [tell_status] { tell_status(store_status::unclear); });
-  if (is_cut(from.name, k_store))
+  if (m_network.is_cut(from.name, k_store))
     return;
-  const duration way = delay_of(m_options.store_latency + m_store_slow) / 2;
+  const duration way = m_network.next_delay(m_options.store_latency + m_store_slow) / 2;
   in(way,
      [this, tell, tell_status, way, request = what.request, name = from.name]
      {
@@ -157,16 +158,16 @@
        if (get != nullptr || read != nullptr)
        {
          const store_read_result result =
-             get != nullptr ? m_table.get(*get) : m_table.read(*read, m_now);
-         if (!is_cut(k_store, name))
+             get != nullptr ? m_table.get(*get) : m_table.read(*read, now());
+         if (!m_network.is_cut(k_store, name))
            in(way, [tell, result] { tell(result); });
          return;
        }
-       const store_write_result result = m_table.write(std::get<store_transaction>(request), m_now);
+       const store_write_result result = m_table.write(std::get<store_transaction>(request), now());
        const bool lost = result.status == store_status::ok && m_store_lose > 0;
        if (lost)
          --m_store_lose;
-       else if (!is_cut(k_store, name))
+       else if (!m_network.is_cut(k_store, name))
          in(way, [tell, result] { tell(result); });
      });
 }
