Ownership: Claims of workers and the probe of a silent owner stand by themselves

Change: WorkerClaims keeps the calls, confirmations and tickets of the workers; OwnerProbe keeps and judges what they said. PartitionOwnership decides by the phases alone. No behaviour changes.

--- a/Source/Core/Ownership/PartitionOwnership.cpp
+++ b/Source/Core/Ownership/PartitionOwnership.cpp
@@ -4,6 +4,7 @@
 #include "Ownership/PartitionOwnership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Common/EnumNames.h"
@@ -35,30 +36,22 @@
 partition_ownership::partition_ownership(partition_id partition, instance_id self,
                                          const ownership_options& options, metrics& counts,
                                          time_point now)
-    : m_partition(std::move(partition)),
-      m_self(std::move(self)),
+    : m_self(std::move(self)),
       m_options(options),
       m_metrics(counts),
+      m_claims(std::move(partition), m_self, options),
+      m_probe(m_self),
       m_last_heard(now - options.owner_silence + k_first_look)
 {
 }
 
 void partition_ownership::configure(const std::vector<worker_id>& workers, time_point now)
 {
-  std::erase_if(m_links,
-                [&](const auto& entry)
-                {
-                  const auto& [worker, link] = entry;
-                  if (std::ranges::find(workers, worker) != workers.end())
-                    return false;
-                  // Nobody claims it any more, so what runs there ends with its leases.
-                  if (owns() && link.claimed && !link.lost)
-                    m_output.lost_workers.push_back(
-                        {worker, std::max(now, link.answered_at) + m_options.longest_own_run()});
-                  return true;
-                });
-  for (const worker_id& worker : workers)
-    m_links.try_emplace(worker);
+  std::vector<lost_worker> gone = m_claims.configure(workers, now);
+  m_probe.keep_only(workers);
+  // What runs there ends with its leases.
+  if (owns())
+    std::ranges::move(gone, std::back_inserter(m_output.lost_workers));
 }
 
 void partition_ownership::learn(const instance_id& owner, term_number term)
@@ -102,58 +95,25 @@
 {
   m_phase = ownership_phase::probing;
   m_phase_ends = now + m_options.probe_time;
-  for (auto& [worker, link] : m_links)
-  {
-    link.probe_answered = false;
-    send_probe(worker, link);
-  }
-}
-
-void partition_ownership::send_probe(const worker_id& worker, worker_link& link)
-{
-  if (link.outstanding)
-    return;
-  link.outstanding = true;
-  claim_request request;
-  request.partition = m_partition;
-  request.owner = m_self;
-  m_output.claims.push_back({worker, request});
+  m_probe.clear();
+  send(m_claims.probes());
 }
 
-void partition_ownership::probe_answered(worker_link& link, const claim_answer& news)
+void partition_ownership::send(std::vector<worker_claim> claims)
 {
-  link.probe_answered = true;
-  link.probe_term = news.term;
-  link.probe_owner = news.owner;
-  link.probe_age = news.owner_age;
+  std::ranges::move(claims, std::back_inserter(m_output.claims));
 }
 
 void partition_ownership::end_probing(time_point now)
 {
-  std::size_t answered = 0;
-  std::size_t alive = 0;
-  duration youngest = duration::max();
-  term_number highest = m_known_term;
-  for (const auto& [worker, link] : m_links)
-  {
-    if (!link.probe_answered)
-      continue;
-    ++answered;
-    highest = std::max(highest, link.probe_term);
-    if (link.probe_owner != m_self && link.probe_term >= m_known_term && link.probe_term > 0 &&
-        link.probe_age <= claim_age_allowed())
-    {
-      ++alive;
-      youngest = std::min(youngest, link.probe_age);
-    }
-  }
+  const owner_probe::findings found = m_probe.evaluate(m_known_term, claim_age_allowed());
   m_phase = ownership_phase::following;
-  const bool owner_lives = alive * 2 > m_links.size();
-  const bool majority = answered * 2 > m_links.size();
+  const bool owner_lives = m_claims.is_majority(found.alive);
+  const bool majority = m_claims.is_majority(m_probe.answers());
   if (owner_lives || !m_candidate)
   {
     // Look again when these claims have grown too old to speak for it.
-    const duration left = m_candidate ? claim_age_allowed() - youngest : silence_allowed();
+    const duration left = m_candidate ? claim_age_allowed() - found.youngest : silence_allowed();
     m_last_heard = now - silence_allowed() + std::max(left, m_options.claim_retry);
     m_first_silence = time_point{};
     return;
@@ -165,7 +125,7 @@
     m_last_heard = now - m_options.owner_silence + m_options.claim_retry;
     return;
   }
-  begin_taking(highest + 1, now);
+  begin_taking(found.highest + 1, now);
 }
 
 void partition_ownership::begin_taking(term_number term, time_point now)
@@ -200,10 +160,8 @@
 {
   if (m_phase != ownership_phase::taking)
     return;
-  const auto answered =
-      std::ranges::count_if(m_links, [](const auto& entry) { return entry.second.probe_answered; });
   // Without the table only a majority of workers can allot a term.
-  if (m_offered || static_cast<std::size_t>(answered) * 2 > m_links.size())
+  if (m_offered || m_claims.is_majority(m_probe.answers()))
   {
     begin_claiming(m_term, now);
     return;
@@ -227,43 +185,19 @@
   m_phase_ends = now + k_claiming_time;
   m_waiting_reports.clear();
   m_all_claimed_told = false;
-  for (auto& [worker, link] : m_links)
-  {
-    const bool outstanding = link.outstanding;
-    link = worker_link{};
-    link.outstanding = outstanding; // a probe on its way; its answer lets the claim follow
-    if (!outstanding)
-      send_claim(worker, link, now);
-  }
-}
-
-void partition_ownership::send_claim(const worker_id& worker, worker_link& link, time_point now)
-{
-  link.outstanding = true;
-  link.next_claim = now;
-  claim_request request;
-  request.partition = m_partition;
-  request.term = m_term;
-  request.owner = m_self;
-  request.acknowledged = link.settled;
-  request.acknowledged_boot = link.boot;
-  request.ticket = link.ticket;
-  request.void_tickets = std::exchange(link.void_next, false);
-  request.wait = link.claimed && !request.void_tickets ? m_options.claim_wait : duration{0};
-  m_output.claims.push_back({worker, request});
+  m_probe.clear();
+  m_claims.begin_term();
+  send(m_claims.due_claims(m_term, now));
 }
 
 void partition_ownership::claim_answered(const worker_id& worker, const claim_request& request,
                                          const claim_answer& news, time_point sent_at,
                                          time_point now)
 {
-  const auto found = m_links.find(worker);
-  if (found == m_links.end())
+  if (!m_claims.call_ended(worker))
     return;
-  worker_link& link = found->second;
-  link.outstanding = false;
   if (request.term == 0)
-    probe_answered(link, news);
+    m_probe.answered(worker, news);
   const bool holds = m_phase == ownership_phase::claiming || m_phase == ownership_phase::owning;
   if (!holds)
   {
@@ -272,7 +206,8 @@
   }
   if (request.term != m_term)
   {
-    send_claim(worker, link, now); // a probe or an earlier term's claim came back late
+    // A probe or an earlier term's claim came back late.
+    m_output.claims.push_back(m_claims.claim_of(worker, m_term, now));
     return;
   }
   if (!news.accepted)
@@ -280,22 +215,16 @@
     claim_refused(news, now);
     return;
   }
-  link.claimed = true;
-  link.lost = false;
-  link.confirmed_sent = sent_at;
-  link.answered_at = now;
-  link.boot = news.boot;
-  link.ticket = news.ticket;
+  m_claims.confirmed(worker, news, sent_at, now);
   std::vector<worker_report>& reports = owns() ? m_output.reports : m_waiting_reports;
   reports.push_back({worker, news, request.void_tickets});
   if (m_phase == ownership_phase::claiming && has_majority(now))
     become_owner();
-  if (!m_all_claimed_told && claimed_workers() == m_links.size() && owns())
+  if (!m_all_claimed_told && claimed_workers() == m_claims.size() && owns())
   {
     m_all_claimed_told = true;
     m_output.every_worker_claimed = true;
   }
-  link.next_claim = now;
 }
 
 void partition_ownership::become_owner()
@@ -316,35 +245,16 @@
 void partition_ownership::claim_failed(const worker_id& worker, const claim_request& request,
                                        time_point now)
 {
-  const auto found = m_links.find(worker);
-  if (found == m_links.end())
+  if (!m_claims.call_ended(worker))
     return;
-  worker_link& link = found->second;
-  link.outstanding = false;
-  link.next_claim = now + m_options.claim_retry;
-  // It may not have arrived, and the starts that it was to void are still unclear.
-  link.void_next = link.void_next || request.void_tickets;
+  m_claims.failed(worker, request, now);
   if (request.term == 0)
     return;
   m_metrics.add(retry_reason::claim_failed);
-  if (!owns() || link.lost || !link.claimed)
+  if (!owns())
     return;
-  link.lost = true;
-  m_output.lost_workers.push_back({worker, link.answered_at + m_options.longest_own_run()});
-}
-
-void partition_ownership::void_tickets(const worker_id& worker)
-{
-  const auto found = m_links.find(worker);
-  if (found != m_links.end())
-    found->second.void_next = true;
-}
-
-void partition_ownership::set_settled(const worker_id& worker, std::uint64_t sequence)
-{
-  const auto found = m_links.find(worker);
-  if (found != m_links.end())
-    found->second.settled = sequence;
+  if (std::optional<lost_worker> lost = m_claims.lose(worker))
+    m_output.lost_workers.push_back(std::move(*lost));
 }
 
 void partition_ownership::renounce(time_point now)
@@ -390,7 +300,7 @@
 
 void partition_ownership::advance(time_point now)
 {
-  if (m_links.empty())
+  if (m_claims.size() == 0)
     return;
   switch (m_phase)
   {
@@ -399,13 +309,9 @@
       begin_probing(now);
     break;
   case ownership_phase::probing:
-  {
-    const bool all =
-        std::ranges::all_of(m_links, [](const auto& entry) { return entry.second.probe_answered; });
-    if (all || now >= m_phase_ends)
+    if (m_probe.answers() == m_claims.size() || now >= m_phase_ends)
       end_probing(now);
     break;
-  }
   case ownership_phase::taking:
     if (now >= m_phase_ends)
       term_unavailable(now);
@@ -422,22 +328,14 @@
       settle_contest(now);
     break;
   }
-  if (m_phase != ownership_phase::claiming && m_phase != ownership_phase::owning)
-    return;
-  for (auto& [worker, link] : m_links)
-  {
-    if (!link.outstanding && now >= link.next_claim)
-      send_claim(worker, link, now);
-  }
+  if (m_phase == ownership_phase::claiming || m_phase == ownership_phase::owning)
+    send(m_claims.due_claims(m_term, now));
 }
 
 // The table names another owner. Who still has a majority of the workers afterwards is the owner.
 void partition_ownership::settle_contest(time_point now)
 {
-  const auto confirmed = std::ranges::count_if(
-      m_links, [this](const auto& entry)
-      { return entry.second.claimed && entry.second.confirmed_sent >= m_contested; });
-  if (static_cast<std::size_t>(confirmed) * 2 > m_links.size())
+  if (m_claims.is_majority(m_claims.confirmed_since(m_contested)))
   {
     m_contested = k_never;
     m_output.wanted_term = m_known_term + 1;
@@ -461,13 +359,8 @@
   case ownership_phase::owning:
     break;
   }
-  time_point next = m_phase == ownership_phase::claiming ? m_phase_ends : k_never;
-  for (const auto& [worker, link] : m_links)
-  {
-    if (!link.outstanding)
-      next = std::min(next, link.next_claim);
-  }
-  return next;
+  const time_point phase_ends = m_phase == ownership_phase::claiming ? m_phase_ends : k_never;
+  return std::min(phase_ends, m_claims.next_due());
 }
 
 ownership_output partition_ownership::take_output()
@@ -477,30 +370,15 @@
 
 bool partition_ownership::has_majority(time_point now) const
 {
-  const auto confirmed =
-      std::ranges::count_if(m_links,
-                            [&](const auto& entry) {
-                              return entry.second.claimed &&
-                                     now - entry.second.confirmed_sent <= m_options.confirm_window;
-                            });
-  return static_cast<std::size_t>(confirmed) * 2 > m_links.size();
+  return m_claims.is_majority(m_claims.confirmed_since(now - m_options.confirm_window));
 }
 
-std::optional<partition_ownership::start_permit>
-partition_ownership::permit_for(const worker_id& worker, time_point now) const
+std::optional<start_permit> partition_ownership::permit_for(const worker_id& worker,
+                                                            time_point now) const
 {
-  const auto found = m_links.find(worker);
-  if (found == m_links.end() || !owns())
+  if (!owns())
     return std::nullopt;
-  const worker_link& link = found->second;
-  if (!link.claimed || link.lost || now - link.answered_at > m_options.ticket_life)
-    return std::nullopt;
-  return start_permit{link.boot, link.ticket};
+  return m_claims.permit_for(worker, now);
 }
 
-std::size_t partition_ownership::claimed_workers() const
-{
-  return static_cast<std::size_t>(
-      std::ranges::count_if(m_links, [](const auto& entry) { return entry.second.claimed; }));
-}
 } // namespace yardhill::ownership
--- a/Source/Core/Ownership/PartitionOwnership.h
+++ b/Source/Core/Ownership/PartitionOwnership.h
@@ -10,7 +10,6 @@
 // while ago; with the table service away a majority of workers is enough to take a term.
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -19,6 +18,8 @@
 #include "Common/Options.h"
 #include "Common/Time.h"
 #include "Common/WorkerMessages.h"
+#include "Ownership/OwnerProbe.h"
+#include "Ownership/WorkerClaims.h"
 
 namespace yardhill::ownership
 {
@@ -35,12 +36,6 @@
 
 std::string_view to_text(ownership_phase phase);
 
-struct worker_claim
-{
-  worker_id worker;
-  claim_request request;
-};
-
 struct worker_report
 {
   worker_id worker;
@@ -48,12 +43,6 @@
   bool voided = false;
 };
 
-struct lost_worker
-{
-  worker_id worker;
-  time_point lapses; // what runs there is over by then
-};
-
 struct ownership_output
 {
   std::vector<worker_claim> claims;
@@ -95,8 +84,11 @@
                       const claim_answer& news, time_point sent_at, time_point now);
   void claim_failed(const worker_id& worker, const claim_request& request, time_point now);
   // The next claim to this worker voids all tickets given out before it.
-  void void_tickets(const worker_id& worker);
-  void set_settled(const worker_id& worker, std::uint64_t sequence);
+  void void_tickets(const worker_id& worker) { m_claims.void_tickets(worker); }
+  void set_settled(const worker_id& worker, std::uint64_t sequence)
+  {
+    m_claims.set_settled(worker, sequence);
+  }
   // Gives the partition up of its own accord.
   void renounce(time_point now);
 
@@ -115,41 +107,15 @@
   // Until when other owners' starts may still run at workers that were not claimed at this term.
   time_point foreign_until() const { return m_foreign_until; }
   // The ticket and boot to start with, if this worker was claimed and its ticket is still good.
-  struct start_permit
-  {
-    std::string boot;
-    std::uint64_t ticket = 0;
-  };
   std::optional<start_permit> permit_for(const worker_id& worker, time_point now) const;
-  std::size_t claimed_workers() const;
+  std::size_t claimed_workers() const { return m_claims.claimed(); }
 
 private:
-  struct worker_link
-  {
-    bool outstanding = false;
-    bool claimed = false; // at the present term
-    bool lost = false;
-    bool void_next = false;
-    time_point next_claim{};
-    time_point confirmed_sent{}; // when the latest accepted claim was sent
-    time_point answered_at{};    // when its answer came
-    std::string boot;
-    std::uint64_t ticket = 0;
-    std::uint64_t settled = 0;
-    // While probing:
-    bool probe_answered = false;
-    term_number probe_term = 0;
-    instance_id probe_owner;
-    duration probe_age{0};
-  };
-
   void begin_probing(time_point now);
   void end_probing(time_point now);
   void begin_taking(term_number term, time_point now);
   void begin_claiming(term_number term, time_point now);
-  void send_claim(const worker_id& worker, worker_link& link, time_point now);
-  void send_probe(const worker_id& worker, worker_link& link);
-  void probe_answered(worker_link& link, const claim_answer& news);
+  void send(std::vector<worker_claim> claims);
   void claim_refused(const claim_answer& news, time_point now);
   void become_owner();
   void settle_contest(time_point now);
@@ -158,11 +124,11 @@
   duration silence_allowed() const;
   duration claim_age_allowed() const;
 
-  partition_id m_partition;
   instance_id m_self;
   const ownership_options& m_options;
   metrics& m_metrics;
-  std::map<worker_id, worker_link> m_links;
+  worker_claims m_claims;
+  owner_probe m_probe;
   ownership_phase m_phase = ownership_phase::following;
   term_number m_term = 0;
   term_number m_known_term = 0;
