--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -122,6 +122,16 @@
                     [this, id] { cancel(id, k_cancel_tries); });
 }
 
+std::string caller_model::hand_in(const jobs::job_spec& spec)
+{
+  const std::string id = job_id(++m_jobs);
+  m_prefixes[id] = k_plain_prefix;
+  m_specs[id] = spec;
+  m_judge.submitted(id, spec, k_max_attempts);
+  submit(id, submission_of(spec), k_submit_tries);
+  return id;
+}
+
 void caller_model::submit_again(const std::string& id, const std::string& body, unsigned tries)
 {
   if (tries > 0)
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -194,6 +194,17 @@
   return runs;
 }
 
+std::set<std::string> run_judge::busy_workers() const
+{
+  std::set<std::string> workers;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    for (const auto& [run, worker] : seen.active)
+      workers.insert(worker);
+  }
+  return workers;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -62,6 +62,8 @@
   std::size_t accepted_jobs() const;
   // Runs that have begun and not ended, on workers that live.
   std::size_t active_runs() const;
+  // The workers that these are on.
+  std::set<std::string> busy_workers() const;
 
 private:
   struct seen_job
