Scheduling, Node: The end of a silent worker's leases is kept with its claim

Cause: when all that runs on a silent worker has ended was known to the owner that had extended its lease there, and died with that owner's process. Each successor counted it anew, from its predecessor's latest renewal (0.5 s + 4.5 s of authority + 7.8 s of lease), so tasks waited as long as owners were replaced. Class: a wait that each successor begins anew, because the moment it counts from is not kept. Change: the claim of a worker that is silent for 0.7 s says when all there is over, on the store's steady clock, which all owners share (each answer tells it; an answer's way bounds the error, and each use takes the safe bound). Whoever has such a claim written extends no lease there and starts nothing until another claim is written. A later owner waits until the earlier of that moment and its own count, for each worker by itself. An owner that has never heard a worker writes its inherited count into the claim, so that the next one goes on with that wait. A leaving worker has no such end as long as it answers. Sight: worker_silent says whether tasks wait for the worker and how long its leases last, task_held the same for each listed task, take_over how long earlier orders may last. Tests changed: CommitWriterTest hands the writer a store clock (a new dependency), nothing else.

--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -163,7 +163,7 @@
     if (found != m_rows.end())
       conflicting.push_back(row_json(at, found->second.value, actual));
   }
-  json answer{{wire::k_row_version, m_version}, {"now_ms", clock_ms()}};
+  json answer{{wire::k_row_version, m_version}, {wire::k_store_clock_ms, clock_ms()}};
   if (!holds)
   {
     answer[wire::k_rows] = std::move(conflicting);
@@ -246,7 +246,7 @@
   const json answer{{wire::k_rows, std::move(rows)},
                     {wire::k_more, more},
                     {wire::k_row_version, m_version},
-                    {"now_ms", clock_ms()}};
+                    {wire::k_store_clock_ms, clock_ms()}};
   return {200, answer.dump(), {}, false};
 }
 
@@ -272,8 +272,9 @@
       row[wire::k_gone] = true;
     rows.push_back(std::move(row));
   }
-  return json{
-      {wire::k_rows, std::move(rows)}, {wire::k_row_version, m_version}, {"now_ms", clock_ms()}}
+  return json{{wire::k_rows, std::move(rows)},
+              {wire::k_row_version, m_version},
+              {wire::k_store_clock_ms, clock_ms()}}
       .dump();
 }
 
--- a/Source/Core/Node/CommitWriter.cpp
+++ b/Source/Core/Node/CommitWriter.cpp
@@ -36,10 +36,11 @@
 }
 
 commit_writer::commit_writer(common::timekeeper& time, adapter::store_client& store,
-                             common::metrics& counts, std::string partition, std::string life,
-                             commit_handlers handlers)
+                             store_clock& clock, common::metrics& counts, std::string partition,
+                             std::string life, commit_handlers handlers)
     : m_time(time),
       m_store(store),
+      m_clock(clock),
       m_metrics(counts),
       m_partition(std::move(partition)),
       m_life(std::move(life)),
@@ -67,7 +68,7 @@
   for (const auto& [id, text] : batch.rows)
     change.puts.push_back({{k_progress_table, m_partition, id}, text});
   for (const auto& [id, claim] : batch.claims)
-    change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(claim)});
+    change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(claim, m_clock)});
   for (const common::worker_id& id : batch.releases)
     change.removals.push_back({k_claims_table, m_partition, id.value});
   if (owner)
@@ -93,6 +94,7 @@
 
 void commit_writer::on_answer(const adapter::transaction_result& result)
 {
+  m_clock.heard(result.clock, m_pending->commit.sent, m_time.now());
   if (result.end == adapter::store_end::done)
   {
     done(result.version);
--- a/Source/Core/Node/CommitWriter.h
+++ b/Source/Core/Node/CommitWriter.h
@@ -48,8 +48,10 @@
 class commit_writer
 {
 public:
-  commit_writer(common::timekeeper& time, adapter::store_client& store, common::metrics& counts,
-                std::string partition, std::string life, commit_handlers handlers);
+  // `clock` is told by each answer, and used for the claims.
+  commit_writer(common::timekeeper& time, adapter::store_client& store, store_clock& clock,
+                common::metrics& counts, std::string partition, std::string life,
+                commit_handlers handlers);
   commit_writer(const commit_writer&) = delete;
   commit_writer& operator=(const commit_writer&) = delete;
   ~commit_writer();
@@ -79,6 +81,7 @@
 
   common::timekeeper& m_time;
   adapter::store_client& m_store;
+  store_clock& m_clock;
   common::metrics& m_metrics;
   std::string m_partition;
   std::string m_life;
--- a/Source/Core/Node/JobIntake.cpp
+++ b/Source/Core/Node/JobIntake.cpp
@@ -19,10 +19,11 @@
 } // namespace
 
 job_intake::job_intake(common::timekeeper& time, adapter::store_client& feed_store,
-                       std::string partition, scheduling::fencing_token token,
-                       std::function<void()> changed)
+                       const store_clock& clock, std::string partition,
+                       scheduling::fencing_token token, std::function<void()> changed)
     : m_time(time),
       m_feed_store(feed_store),
+      m_clock(clock),
       m_partition(std::move(partition)),
       m_token(token),
       m_changed(std::move(changed))
@@ -83,7 +84,7 @@
 void job_intake::read_again()
 {
   m_feed.reset(); // else it could ask again, and begin a second reading beside this one
-  m_loader = std::make_shared<partition_loader>(m_time, m_feed_store, m_partition,
+  m_loader = std::make_shared<partition_loader>(m_time, m_feed_store, m_clock, m_partition,
                                                 [this](const loaded_partition& loaded)
                                                 {
                                                   add_loaded(loaded);
--- a/Source/Core/Node/JobIntake.h
+++ b/Source/Core/Node/JobIntake.h
@@ -25,8 +25,8 @@
 {
 public:
   // `token`: of the ownership. `changed` is called when the scheduler has something new to do.
-  job_intake(common::timekeeper& time, adapter::store_client& feed_store, std::string partition,
-             scheduling::fencing_token token, std::function<void()> changed);
+  job_intake(common::timekeeper& time, adapter::store_client& feed_store, const store_clock& clock,
+             std::string partition, scheduling::fencing_token token, std::function<void()> changed);
   ~job_intake();
   job_intake(const job_intake&) = delete;
   job_intake& operator=(const job_intake&) = delete;
@@ -52,6 +52,7 @@
 
   common::timekeeper& m_time;
   adapter::store_client& m_feed_store;
+  const store_clock& m_clock;
   std::string m_partition;
   scheduling::fencing_token m_token;
   std::function<void()> m_changed;
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -9,6 +9,11 @@
 {
 using nlohmann::json;
 
+namespace
+{
+constexpr const char* k_over_ms = "over_ms";
+} // namespace
+
 std::string to_row_text(const owner_row& row)
 {
   const json out{{"holder", row.holder},    {"life", row.life},
@@ -41,9 +46,11 @@
   return json{{"life", row.life}, {"number", row.number}}.dump();
 }
 
-std::string to_row_text(const scheduling::worker_claim& claim)
+std::string to_row_text(const scheduling::worker_claim& claim, const store_clock& clock)
 {
   json out{{"address", claim.address.address}, {"port", claim.address.port}, {"zone", claim.zone}};
+  if (const auto over = claim.over ? clock.store_time_at(*claim.over) : std::nullopt)
+    out[k_over_ms] = over->count();
   if (!claim.closed)
     return out.dump();
   out["tasks"] = json::array();
@@ -52,17 +59,20 @@
   return out.dump();
 }
 
-common::result<scheduling::worker_claim> worker_claim_from(const std::string& text)
+common::result<scheduling::worker_claim> worker_claim_from(const std::string& text,
+                                                           const store_clock& clock)
 {
   return common::parsed(
       "read_worker_claim", "store",
-      [&text]
+      [&text, &clock]
       {
         const json in = json::parse(text);
         scheduling::worker_claim claim;
         claim.address = {in.at("address").get<std::string>(), in.at("port").get<std::uint16_t>()};
         claim.zone = in.value("zone", std::string());
         claim.closed = in.contains("tasks");
+        if (in.contains(k_over_ms))
+          claim.over = clock.time_at(adapter::store_time(in.at(k_over_ms).get<std::int64_t>()));
         for (const json& task : in.value("tasks", json::array()))
           claim.tasks.push_back({task.at(0), {task.at(1), task.at(2), task.at(3)}});
         return claim;
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -12,6 +12,7 @@
 #include "Common/Error.h"
 #include "Common/InstanceSettings.h"
 #include "Common/Time.h"
+#include "Node/StoreClock.h"
 #include "Scheduling/SchedulerMessages.h"
 #include "platform/StoreClient.h"
 
@@ -48,8 +49,10 @@
 std::string to_row_text(const owner_row& row);
 common::result<owner_row> owner_row_from(const std::string& text);
 std::string to_row_text(const commit_row& row);
-std::string to_row_text(const scheduling::worker_claim& claim);
-common::result<scheduling::worker_claim> worker_claim_from(const std::string& text);
+// The row says on the store's clock when all is over; it says nothing while that is not known.
+std::string to_row_text(const scheduling::worker_claim& claim, const store_clock& clock);
+common::result<scheduling::worker_claim> worker_claim_from(const std::string& text,
+                                                           const store_clock& clock);
 std::string to_row_text(const common::endpoint& address);
 common::result<common::endpoint> address_from(const std::string& text);
 common::result<commit_row> commit_row_from(const std::string& text);
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -24,8 +24,13 @@
 }
 
 partition_loader::partition_loader(common::timekeeper& time, adapter::store_client& store,
-                                   std::string partition, loaded_handler done)
-    : m_time(time), m_store(store), m_partition(std::move(partition)), m_done(std::move(done))
+                                   const store_clock& clock, std::string partition,
+                                   loaded_handler done)
+    : m_time(time),
+      m_store(store),
+      m_clock(clock),
+      m_partition(std::move(partition)),
+      m_done(std::move(done))
 {
   // The commit's row comes first: from then on only this owner commits.
   add({k_commits_table, m_partition, {}, {}, 1});
@@ -109,7 +114,7 @@
   }
   if (row.at.table == k_claims_table)
   {
-    if (const auto claim = worker_claim_from(row.value))
+    if (const auto claim = worker_claim_from(row.value, m_clock))
       m_loaded.claims[common::worker_id(row.at.key)] = *claim;
     else
       common::log_process("row_damaged", {{"table", row.at.table},
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -15,6 +15,7 @@
 #include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
+#include "Node/StoreClock.h"
 #include "Scheduling/SchedulerMessages.h"
 #include "platform/StoreClient.h"
 
@@ -43,8 +44,9 @@
 public:
   using loaded_handler = std::function<void(loaded_partition)>;
 
-  partition_loader(common::timekeeper& time, adapter::store_client& store, std::string partition,
-                   loaded_handler done);
+  // `clock` is known by the takeover's answer, as a rule.
+  partition_loader(common::timekeeper& time, adapter::store_client& store, const store_clock& clock,
+                   std::string partition, loaded_handler done);
 
   // Reads on through failures until everything is there or abandon() is called. All ranges but the
   // first are read at once: a slow store takes a quarter of a second for each.
@@ -71,6 +73,7 @@
 
   common::timekeeper& m_time;
   adapter::store_client& m_store;
+  const store_clock& m_clock;
   std::string m_partition;
   loaded_handler m_done;
   loaded_partition m_loaded;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -88,10 +88,12 @@
   common::log_process("take_over", {{"partition", m_partition},
                                     {"from", earlier.row.holder},
                                     {"epoch", row.epoch},
-                                    {"silent_ms", m_parts.time.now() - earlier.changed_at}});
+                                    {"silent_ms", m_parts.time.now() - earlier.changed_at},
+                                    {"earlier_left_ms", m_earlier_end - m_parts.time.now()}});
   m_parts.store.transact(change, k_takeover_timeout,
                          [this, row](const adapter::transaction_result& result)
                          {
+                           m_store_clock.heard(result.clock, m_takeover_sent, m_parts.time.now());
                            if (m_state == state::acquiring)
                              on_acquired(row, result);
                          });
@@ -136,11 +138,11 @@
 void partition_owner::load()
 {
   m_state = state::loading;
-  m_intake = std::make_unique<job_intake>(m_parts.time, m_parts.feed_store, m_partition, m_token,
-                                          [this] { step_soon(); });
-  m_loader = std::make_shared<partition_loader>(m_parts.time, m_parts.store, m_partition,
-                                                [this](loaded_partition loaded)
-                                                { on_loaded(std::move(loaded)); });
+  m_intake = std::make_unique<job_intake>(m_parts.time, m_parts.feed_store, m_store_clock,
+                                          m_partition, m_token, [this] { step_soon(); });
+  m_loader = std::make_shared<partition_loader>(
+      m_parts.time, m_parts.store, m_store_clock, m_partition,
+      [this](loaded_partition loaded) { on_loaded(std::move(loaded)); });
   m_loader->start();
   m_parts.ask_workers_again();
 }
@@ -292,7 +294,7 @@
 void partition_owner::start_commits(const loaded_partition& loaded)
 {
   m_commits = std::make_unique<commit_writer>(
-      m_parts.time, m_parts.store, m_parts.metrics, m_partition, m_self.life,
+      m_parts.time, m_parts.store, m_store_clock, m_parts.metrics, m_partition, m_self.life,
       commit_handlers{[this](const written_commit& commit) { on_written(commit); },
                       [this](const adapter::row& owner) { on_replaced(owner); }});
   m_commits->begin({m_token, loaded.commit_version, loaded.commit_number});
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -124,6 +124,7 @@
   ownership_options m_options;
   state m_state = state::watching;
   owner_watch m_watch;
+  store_clock m_store_clock;
   better_owner m_better_owner;
   common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
   bool m_stopping = false;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -149,18 +149,32 @@
 
 bool job_scheduler::claim_outdated(const worker_record& worker, time_point now) const
 {
-  if (!worker.claimed || worker.claim_on_its_way)
+  if (worker.claim_sent)
     return false;
+  const bool silent = worker.silent_for(m_state.options.close_claim, now);
+  const bool end_kept = worker.claim && worker.claim->over;
+  if (!worker.claimed)
+    return silent && !end_kept;
   const bool closed = worker.wants_closed_claim(m_state.options.close_claim, now);
-  return worker.claim_closed != std::optional(closed) ||
-         (closed && worker.runs.size() < worker.claim_tasks);
+  return !worker.claim || worker.claim->closed != closed || end_kept != silent ||
+         (closed && worker.runs.size() < worker.claim->tasks.size());
 }
 
 worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
 {
-  worker_claim claim;
+  // When what runs on a silent worker is over is kept: otherwise each later owner would count that
+  // anew from its predecessor's latest renewal, and its tasks wait as long as owners are replaced.
+  const bool silent = worker.silent_for(m_state.options.close_claim, now);
+  // What earlier owners have there is known to this one by their claim alone.
+  worker_claim claim = worker.claimed || !worker.claim ? worker_claim{} : *worker.claim;
+  if (silent)
+    claim.over = worker.lease_end;
+  if (!worker.claimed && worker.claim)
+    return claim;
   claim.address = worker.info.address;
   claim.zone = worker.info.zone;
+  if (!worker.claimed)
+    return claim;
   claim.closed = worker.wants_closed_claim(m_state.options.close_claim, now);
   if (!claim.closed)
     return claim;
@@ -198,8 +212,8 @@
       batch.ends[id] = worker->seen;
     if (!claim_outdated(*worker, now) || batch.size() >= most_rows)
       continue;
-    batch.claims[id] = claim_of(*worker, now);
-    worker->claim_on_its_way = true;
+    worker->claim_sent = claim_of(*worker, now);
+    batch.claims[id] = *worker->claim_sent;
   }
   return batch;
 }
@@ -225,9 +239,10 @@
   {
     if (worker_record* const worker = m_state.find_worker(id))
     {
-      worker->claim_closed = claim.closed;
-      worker->claim_tasks = claim.tasks.size();
-      worker->claim_on_its_way = false;
+      // Its leases may be extended again, and have not been meanwhile.
+      worker->ask_at_once |= worker->end_stated() && !claim.over;
+      worker->claim = claim;
+      worker->claim_sent.reset();
     }
   }
   for (const auto& [id, text] : batch.rows)
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -73,6 +73,9 @@
   std::string zone;            // empty: not known
   bool closed = false;         // nothing but `tasks` may run there
   std::vector<task_ref> tasks; // of a closed claim
+  // All that runs there has surely ended then. Whoever has it written extends no lease there and
+  // starts nothing until another claim is.
+  std::optional<time_point> over = std::nullopt;
 };
 
 // A time on a worker's own clock, in milliseconds.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -35,7 +35,9 @@
   worker_record& worker = new_record(id);
   worker.info.address = claim.address;
   worker.listed = false;
-  worker.claim_closed = claim.closed;
+  worker.claim = claim;
+  if (claim.over)
+    worker.lease_end = std::min(worker.lease_end, *claim.over);
   if (claim.closed)
     m_listed[id] = claim.tasks;
   else
@@ -129,12 +131,13 @@
   order.worker = worker.info.id;
   order.address = worker.info.address;
   order.acknowledged = worker.durable;
-  // A worker that does not answer gets no longer lease: its runs must end some day.
-  if (worker.claimed && !worker.suspect && worker.clock_ahead)
+  // A worker that does not answer gets no longer lease: its runs must end some day. Nor does one of
+  // which the store says when they do, until that is taken back.
+  if (worker.claimed && !worker.suspect && worker.clock_ahead && !worker.end_stated())
     order.lease_end = extended_lease(worker, now);
   const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable &&
                        worker.durable == worker.acknowledged;
-  if (settled && !worker.ask_at_once)
+  if (settled && !worker.ask_at_once && !worker.end_stated())
     order.wait = std::chrono::duration_cast<milliseconds>(m_state.options.hold_wait);
   worker.ask_at_once = false;
   ++worker.holds_under_way;
@@ -151,7 +154,7 @@
     return false;
   if (!worker.claimed && worker.listed)
     return since >= m_state.options.first_hold_retry;
-  if (!worker.claimed || worker.suspect)
+  if (!worker.claimed || worker.suspect || worker.end_stated())
     return since >= m_state.options.hold_retry;
   if (worker.durable > worker.acknowledged)
     return true;
@@ -179,9 +182,14 @@
   }
   const bool lost = answer.end != call_end::done;
   if (lost != worker->suspect)
-    common::log_process(lost ? "worker_silent" : "worker_heard", {{"worker", worker->info.id.value},
-                                                                  {"end", to_text(answer.end)},
-                                                                  {"runs", worker->runs.size()}});
+    common::log_process(lost ? "worker_silent" : "worker_heard",
+                        {{"worker", worker->info.id.value},
+                         {"end", to_text(answer.end)},
+                         {"runs", worker->runs.size()},
+                         {"waited_for", waited_for(answer.worker)},
+                         {"lease_left_ms", worker->lease_end - now}});
+  if (lost && !worker->suspect)
+    tell_listed(*worker, now);
   worker->set_suspect(lost, now);
   note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
   if (lost)
@@ -194,7 +202,8 @@
   {
     worker->claimed = true;
     // From now on no earlier owner extends anything there.
-    worker->lease_end = now + m_state.options.longest_lease();
+    if (!worker->end_stated())
+      worker->lease_end = now + m_state.options.longest_lease();
     m_state.place_again = true;
   }
   if (answer.clock && *answer.clock < worker->listed_at)
@@ -220,20 +229,17 @@
 
 void worker_holder::tick(time_point now)
 {
-  if (m_accounting && now >= m_state.earlier_end)
-  {
-    give_up_unheard();
-    release_accounted("every earlier lease is over");
-  }
+  if (m_accounting)
+    give_up_unheard(now);
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
   {
     worker_record& worker = *each->second;
     if (!worker.runs.empty() && now >= worker.lease_end)
       m_state.lose_runs(worker, "its lease is over");
     if (!worker.present() && worker.runs.empty() && worker.holds_under_way == 0 &&
-        now >= std::max(worker.lease_end, worker.forget_at))
+        !worker.claim_sent && now >= std::max(worker.lease_end, worker.forget_at))
     {
-      if (worker.claim_closed)
+      if (worker.claim)
         m_state.released.insert(each->first);
       each = m_state.workers.erase(each);
       continue;
@@ -249,7 +255,7 @@
   m_accounting = true;
   for (const auto& [id, worker] : m_state.workers)
   {
-    if (!worker->claimed && !worker->claim_closed)
+    if (!worker->claimed && !worker->claim)
       m_unheard[id] = worker->info.zone;
   }
   for (const auto& [id, tasks] : m_listed)
@@ -264,14 +270,21 @@
   release_accounted("at the takeover");
 }
 
-// What still may have run on workers that were never heard counts as lost unheard: a later owner
-// may have heard of its end.
-void worker_holder::give_up_unheard()
+// What still may have run on workers that were never heard, and whose leases are over, counts as
+// lost unheard: a later owner may have heard of its end.
+void worker_holder::give_up_unheard(time_point now)
 {
-  m_unheard.clear();
-  m_listed.clear();
+  const auto is_over = [this, now](const auto& each)
+  {
+    const worker_record* const worker = m_state.find_worker(each.first);
+    return worker == nullptr || now >= worker->lease_end;
+  };
+  const std::size_t given_up = std::erase_if(m_unheard, is_over) + std::erase_if(m_listed, is_over);
+  if (given_up == 0)
+    return;
   for (const std::string& id : m_state.open)
     m_state.jobs.at(id)->mark_unaccounted_lost();
+  release_accounted("leases of earlier owners are over");
 }
 
 void worker_holder::accounted(const worker_id& id)
@@ -304,6 +317,26 @@
       {{"why", why}, {"released", released}, {"unheard", m_unheard.size()}, {"held", held.size()}});
 }
 
+bool worker_holder::waited_for(const worker_id& id) const
+{
+  return m_accounting && (m_unheard.contains(id) || m_listed.contains(id));
+}
+
+// For each task of a worker that does not answer: why it waits, and how long at most.
+void worker_holder::tell_listed(const worker_record& worker, time_point now) const
+{
+  const auto listed = m_listed.find(worker.info.id);
+  if (!m_accounting || listed == m_listed.end())
+    return;
+  for (const task_ref& task : listed->second)
+    common::log_request("task_held", task.job,
+                        {{"step", task.place.step},
+                         {"task", task.place.index},
+                         {"worker", worker.info.id.value},
+                         {"end_stated", worker.end_stated()},
+                         {"lease_left_ms", worker.lease_end - now}});
+}
+
 bool worker_holder::blocked(const step_record& step) const
 {
   return std::any_of(m_unheard.begin(), m_unheard.end(),
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -42,8 +42,11 @@
   void hold(worker_record& worker, time_point now);
   bool hold_due(const worker_record& worker, time_point now) const;
   void accounted(const worker_id& id);
-  void give_up_unheard();
+  void give_up_unheard(time_point now);
   void release_accounted(const char* why);
+  // Whether tasks of earlier owners wait for the worker's word.
+  bool waited_for(const worker_id& id) const;
+  void tell_listed(const worker_record& worker, time_point now) const;
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held) const;
   // Whether something of the step may run on a worker that is still to be heard.
   bool blocked(const step_record& step) const;
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -29,7 +29,12 @@
 
 bool worker_record::wants_closed_claim(duration patience, time_point now) const
 {
-  return info.draining || (suspect && now - silent_since >= patience);
+  return info.draining || silent_for(patience, now);
+}
+
+bool worker_record::silent_for(duration patience, time_point now) const
+{
+  return suspect && now - silent_since >= patience;
 }
 
 std::uint32_t worker_record::tasks_of(const job_record& job, std::uint32_t cycle,
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -60,11 +60,11 @@
   bool over = false;      // another life has its address; late answers do not bring it back
   time_point forget_at{}; // without an entry, it is asked until then whether it is still there
   bool claimed = false;   // it has answered a hold with this owner's token
-  // What the store keeps of it for later owners. Runs are started only while that is an open claim:
-  // anything may run there. A closed one lists what may, and nothing is added to it.
-  std::optional<bool> claim_closed; // as written; none: no claim is
-  std::size_t claim_tasks = 0;      // listed in a closed one, as written
-  bool claim_on_its_way = false;
+  // What the store keeps of it for later owners, and what is on its way there. Runs are started
+  // only while that is an open claim: anything may run there. A closed one lists what may, and
+  // nothing is added to it.
+  std::optional<worker_claim> claim;
+  std::optional<worker_claim> claim_sent;
   bool suspect = false; // its last answer did not come
   time_point silent_since{};
   // The worker's clock less ours, from its latest answer.
@@ -97,7 +97,10 @@
   // Whether its claim ought to be closed: nothing is started on a silent or leaving worker, so what
   // runs there can be told. And whether runs may be started there.
   bool wants_closed_claim(duration patience, time_point now) const;
-  bool claim_open() const { return claim_closed && !*claim_closed && !claim_on_its_way; }
+  bool silent_for(duration patience, time_point now) const;
+  bool claim_open() const { return claim && !claim->closed && !claim->over && !claim_sent; }
+  // Whether later owners may read when all that runs there is over: no lease may be extended.
+  bool end_stated() const { return (claim && claim->over) || (claim_sent && claim_sent->over); }
   common::resources free() const { return info.capacity - used; }
   std::uint32_t tasks_of(const job_record& job, std::uint32_t cycle, std::uint32_t step) const;
   bool has_label(const std::string& label) const;
--- a/Source/UnitTests/Node/CommitWriterTest.cpp
+++ b/Source/UnitTests/Node/CommitWriterTest.cpp
@@ -40,8 +40,10 @@
   int written = 0;
   int replaced = 0;
   common::time_point word{}; // that the latest commit gives
+  node::store_clock clock;
   node::commit_writer writer{time,
                              client,
+                             clock,
                              metrics,
                              "cell",
                              "life-1",
