--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -36,6 +36,8 @@
   void burst(std::uint64_t jobs, std::chrono::milliseconds time);
   // Jobs of that queue which were accepted by then and have not begun; nobody has cancelled them.
   std::uint64_t waiting(const std::string& prefix, time_point accepted_by) const;
+  // One job of that kind, for a queue whose tasks may run anywhere. Returns its id.
+  std::string hand_in(const jobs::job_spec& spec);
   // Asks for every job; the answers go to the judge.
   void ask_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -201,6 +201,17 @@
          !found->second.cancel_asked;
 }
 
+std::set<std::string> run_judge::busy_workers() const
+{
+  std::set<std::string> workers;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    for (const auto& [run, worker] : seen.active)
+      workers.insert(worker);
+  }
+  return workers;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Node/StoreClock.cpp
+++ b/Source/Core/Node/StoreClock.cpp
@@ -9,44 +9,72 @@
 {
 namespace
 {
+using std::chrono::milliseconds;
+
+// The store tells whole milliseconds.
+constexpr milliseconds k_rounding{1};
 // Clocks drift apart, so answers of long ago do not count: two such periods of a clock that is off
-// by one in 500 come to 40 ms.
+// by one in 500 come to 40 ms, and the slack of each lease is 150 ms.
 constexpr std::chrono::seconds k_period{10};
 } // namespace
 
-void store_clock::heard(adapter::store_time named)
+void store_clock::heard(adapter::store_time named, common::time_point sent)
 {
-  const common::time_point now = m_time.now();
-  if (now - m_period_began >= k_period)
+  const common::time_point received = m_time.now();
+  const common::duration passed = received - m_period_began;
+  if (passed >= k_period)
   {
-    m_ahead_earlier = m_ahead;
-    m_ahead.reset();
-    m_period_began = now;
+    m_earlier = passed < 2 * k_period ? m_current : std::nullopt;
+    m_current.reset();
+    m_period_began = received;
   }
-  // A long way makes the store's clock seem to be behind.
-  const common::duration ahead = named.time_since_epoch() - now.time_since_epoch();
-  m_ahead = std::max(m_ahead.value_or(ahead), ahead);
+  const bounds latest{named.time_since_epoch() - received.time_since_epoch(),
+                      named.time_since_epoch() + k_rounding - sent.time_since_epoch()};
+  // A long way back makes the store's clock seem to be behind, a long way there ahead.
+  m_current = m_current ? bounds{std::max(m_current->least, latest.least),
+                                 std::min(m_current->most, latest.most)}
+                        : latest;
 }
 
-std::optional<common::duration> store_clock::ahead() const
+std::optional<store_clock::bounds> store_clock::known() const
 {
-  return m_ahead_earlier ? std::max(m_ahead, m_ahead_earlier) : m_ahead;
+  if (!m_current || !m_earlier)
+    return m_current;
+  return bounds{std::max(m_current->least, m_earlier->least),
+                std::min(m_current->most, m_earlier->most)};
+}
+
+std::optional<adapter::store_time> store_clock::earliest_at(common::time_point moment) const
+{
+  const auto ahead = known();
+  if (!ahead)
+    return std::nullopt;
+  return adapter::store_time(
+      std::chrono::floor<milliseconds>(moment.time_since_epoch() + ahead->least));
 }
 
-std::optional<adapter::store_time> store_clock::at(common::time_point moment) const
+std::optional<adapter::store_time> store_clock::latest_at(common::time_point moment) const
 {
-  const auto difference = ahead();
-  if (!difference)
+  const auto ahead = known();
+  if (!ahead)
     return std::nullopt;
   return adapter::store_time(
-      std::chrono::floor<std::chrono::milliseconds>(moment.time_since_epoch() + *difference));
+      std::chrono::ceil<milliseconds>(moment.time_since_epoch() + ahead->most));
+}
+
+std::optional<common::time_point> store_clock::latest_time_at(adapter::store_time moment) const
+{
+  const auto ahead = known();
+  if (!ahead)
+    return std::nullopt;
+  return common::time_point(moment.time_since_epoch() - ahead->least);
 }
 
 std::optional<common::duration> store_clock::age_of(adapter::store_time when) const
 {
-  const auto now = at(m_time.now());
-  if (!now)
+  const auto shown = earliest_at(m_time.now());
+  if (!shown)
     return std::nullopt;
-  return std::max<common::duration>(*now - when, common::duration{0});
+  return std::max<common::duration>(*shown - when, common::duration{0});
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/StoreClock.h
+++ b/Source/Core/Node/StoreClock.h
@@ -3,9 +3,9 @@
 
 #pragma once
 
-// The store's steady clock as this process knows it from the store's answers: the one clock that
-// all instances share. What one of them says with a time on it, another can tell the age of,
-// however it came. No I/O.
+// The store's steady clock against our own, from the store's answers: the one clock that all
+// instances share. What one of them says with a time on it, another can tell the age of, however it
+// came. Each use takes the bound that is safe for it. No I/O.
 
 #include <optional>
 
@@ -14,26 +14,36 @@
 
 namespace yardhill::node
 {
-class store_clock
+class store_clock : public adapter::clock_observer
 {
 public:
   explicit store_clock(const common::timekeeper& time) : m_time(time) {}
 
-  // An answer that has just come in named this time.
-  void heard(adapter::store_time named);
-  // What the store's clock showed at that moment of ours, or a little less: by the shortest way of
-  // an answer. None before the first answer.
-  std::optional<adapter::store_time> at(common::time_point moment) const;
-  // How old what was known at `when` is by now.
+  common::time_point now() const override { return m_time.now(); }
+  void heard(adapter::store_time named, common::time_point sent) override;
+
+  // What the store's clock shows at that moment of ours: never too late or never too early, and off
+  // by an answer's or a call's way at most. None before the first answer.
+  std::optional<adapter::store_time> earliest_at(common::time_point moment) const;
+  std::optional<adapter::store_time> latest_at(common::time_point moment) const;
+  // Our time at that moment of the store's: never too early.
+  std::optional<common::time_point> latest_time_at(adapter::store_time moment) const;
+  // How old what was known at `when` is by now, less an answer's way at most.
   std::optional<common::duration> age_of(adapter::store_time when) const;
 
 private:
-  // How far the store's clock is ahead of ours by the answer with the shortest way.
-  std::optional<common::duration> ahead() const;
+  // The store's clock less ours, at least and at most, by the answers of one period.
+  struct bounds
+  {
+    common::duration least;
+    common::duration most;
+  };
+
+  std::optional<bounds> known() const;
 
   const common::timekeeper& m_time;
-  std::optional<common::duration> m_ahead;         // since m_period_began
-  std::optional<common::duration> m_ahead_earlier; // in the period before
+  std::optional<bounds> m_current; // since m_period_began
+  std::optional<bounds> m_earlier; // of the period before
   common::time_point m_period_began{};
 };
 } // namespace yardhill::node
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -63,8 +63,7 @@
   store_wire wire{time};
   silent_wire nobody;
   store_clock clock{time};
-  adapter::store_client store{wire, metrics,
-                              [this](adapter::store_time named) { clock.heard(named); }};
+  adapter::store_client store{wire, metrics, &clock};
   peer_monitor peers{time,
                      "zone",
                      [](const std::string&, const common::peer_message&) {},
--- a/Source/UnitTests/Node/StoreClockTest.cpp
+++ b/Source/UnitTests/Node/StoreClockTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Model/VirtualTime.h"
+#include "Node/OwnerRow.h"
 #include "Node/StoreClock.h"
 
 using namespace yardhill;
@@ -27,15 +28,49 @@
   {
     return k_begin + std::chrono::floor<milliseconds>(time.now() - begin);
   }
-  void hear(milliseconds way) { clock.heard(shown() - way); }
+  // The answer comes now; the store gave it `way` ago and got the call `there` before that.
+  void hear(milliseconds way, milliseconds there = milliseconds{0})
+  {
+    clock.heard(shown() - way, time.now() - way - there);
+  }
+};
+
+// A machine that has heard the store once, over ways of so long.
+struct machine
+{
+  machine(seconds ahead, milliseconds there, milliseconds back) : ahead_of_store(ahead)
+  {
+    time.run_until(common::time_point(k_heard.time_since_epoch() + ahead + back));
+    clock.heard(k_heard, time.now() - back - there);
+  }
+
+  common::time_point at(store_time moment) const
+  {
+    return common::time_point(moment.time_since_epoch() + ahead_of_store);
+  }
+
+  static constexpr store_time k_heard{seconds{300}};
+  seconds ahead_of_store;
+  model::virtual_time time;
+  node::store_clock clock{time};
+};
+
+struct two_machines
+{
+  machine ours{seconds{700}, milliseconds{20}, milliseconds{40}};
+  machine theirs{seconds{-50}, milliseconds{90}, milliseconds{0}};
 };
+
+constexpr store_time k_moment{seconds{350}};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StoreClockTest)
 
 BOOST_FIXTURE_TEST_CASE(nothing_is_known_before_the_first_answer, shared_clock)
 {
-  BOOST_TEST(!clock.at(time.now()).has_value());
+  BOOST_TEST(!clock.earliest_at(time.now()).has_value());
+  BOOST_TEST(!clock.latest_at(time.now()).has_value());
+  BOOST_TEST(!clock.latest_time_at(k_begin).has_value());
   BOOST_TEST(!clock.age_of(k_begin).has_value());
 }
 
@@ -45,11 +80,22 @@
   hear(milliseconds{2});
   hear(milliseconds{300});
   pass(milliseconds{1000});
-  BOOST_TEST((clock.at(time.now()) == shown() - milliseconds{2}));
-  BOOST_TEST((clock.at(begin) == k_begin - milliseconds{2}));
+  BOOST_TEST((clock.earliest_at(time.now()) == shown() - milliseconds{2}));
+  BOOST_TEST((clock.earliest_at(begin) == k_begin - milliseconds{2}));
   BOOST_TEST((clock.age_of(k_begin) == milliseconds{998}));
 }
 
+BOOST_FIXTURE_TEST_CASE(the_call_with_the_shortest_way_counts, shared_clock)
+{
+  hear(milliseconds{0}, milliseconds{60});
+  const auto before = clock.latest_at(time.now());
+  hear(milliseconds{0}, milliseconds{5000});
+  BOOST_TEST((clock.latest_at(time.now()) == before));
+  hear(milliseconds{1}, milliseconds{1});
+  BOOST_TEST((clock.latest_at(time.now()) < before));
+  BOOST_TEST((clock.latest_at(time.now()) >= shown()));
+}
+
 BOOST_FIXTURE_TEST_CASE(what_is_known_from_the_future_is_not_old, shared_clock)
 {
   hear(milliseconds{0});
@@ -65,16 +111,64 @@
     pass(seconds{1});
     hear(milliseconds{2 * i});
   }
-  const auto now = clock.at(time.now());
+  const auto now = clock.earliest_at(time.now());
   BOOST_TEST_REQUIRE(now.has_value());
   BOOST_TEST((shown() - *now >= milliseconds{20}));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_old_word_gives_way_to_any_new_one, shared_clock)
+{
+  hear(milliseconds{0}, milliseconds{60});
+  pass(seconds{91});
+  const auto before = clock.latest_at(time.now());
+  hear(milliseconds{1000}, milliseconds{1000});
+  BOOST_TEST((clock.latest_at(time.now()) > before));
+}
+
 BOOST_FIXTURE_TEST_CASE(without_answers_the_latest_known_goes_on, shared_clock)
 {
   hear(milliseconds{3});
   pass(seconds{60});
-  BOOST_TEST((clock.at(time.now()) == shown() - milliseconds{3}));
+  BOOST_TEST((clock.earliest_at(time.now()) == shown() - milliseconds{3}));
+}
+
+// Wherever in its way the call met the store.
+BOOST_FIXTURE_TEST_CASE(a_moment_told_to_another_machine_is_never_too_early, two_machines)
+{
+  const auto stored = ours.clock.latest_at(ours.at(k_moment));
+  BOOST_TEST_REQUIRE(stored.has_value());
+  BOOST_TEST((*stored >= k_moment));
+  BOOST_TEST((*stored <= k_moment + milliseconds{22}));
+  const auto read = theirs.clock.latest_time_at(*stored);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((*read >= theirs.at(k_moment)));
+  BOOST_TEST((*read <= theirs.at(k_moment) + milliseconds{25}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_claim_tells_other_machines_when_it_is_over, two_machines)
+{
+  scheduling::worker_claim claim;
+  claim.address = {"10.0.0.1", 80};
+  claim.over = ours.at(k_moment);
+  const auto read = node::worker_claim_from(node::to_row_text(claim, ours.clock), theirs.clock);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST_REQUIRE(read->over.has_value());
+  BOOST_TEST((*read->over >= theirs.at(k_moment)));
+  BOOST_TEST((*read->over <= theirs.at(k_moment) + milliseconds{25}));
+  BOOST_TEST(!read->closed);
+}
+
+// Rows of instances that do not know the clock yet, and read by such.
+BOOST_FIXTURE_TEST_CASE(a_claim_is_read_without_its_end_where_a_clock_is_not_known, two_machines)
+{
+  scheduling::worker_claim claim;
+  claim.address = {"10.0.0.1", 80};
+  claim.over = ours.at(k_moment);
+  const node::store_clock unknown{ours.time};
+  const auto untold = node::worker_claim_from(node::to_row_text(claim, unknown), theirs.clock);
+  BOOST_TEST(!untold->over.has_value());
+  const auto unread = node::worker_claim_from(node::to_row_text(claim, ours.clock), unknown);
+  BOOST_TEST(!unread->over.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
