Scheduling, Node: A job is active from the mark on that its first tasks may begin

Cause: an owner shows the state of its memory; that a job is active was written with the commit after its first start, and an owner that is killed before it takes the knowledge along. The mark that tasks of the job may begin, which is always written before the first start, came with the state queued. Class: something shown to callers that the store does not keep yet. Ruled out: counts of waiting jobs (they go by what workers say).

Change: the row that keeps the first mark says active, and so does the owner from its commit on. While that commit is on its way the owner leaves the answer to the store, which may know it already.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -210,6 +210,9 @@
   const auto latest = m_scheduler->state_of(id);
   if (!latest)
     return std::nullopt;
+  // The store may say already that the job is active, and tells it to others.
+  if (*latest == jobs::job_state::queued && m_commits->carries(id))
+    return std::nullopt;
   if (jobs::is_final(*latest) && (m_commits->carries(id) || m_scheduler->unwritten(id)))
     return jobs::job_state::active;
   return latest;
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -86,7 +86,8 @@
   void job_kept_here(const jobs::accepted_job& job, adapter::row_version version);
   void job_cancelled_here(const std::string& id);
   void on_notice(const common::job_notice& notice);
-  // What is written of a job here; nothing if this instance does not own it or does not know it.
+  // What is written of a job here; nothing if this instance does not own it or does not know it, or
+  // while the store may know more.
   std::optional<jobs::job_state> written_state(const std::string& id) const;
   // As its owner told in its row; if that is this instance, as it knows itself.
   known_pending pending() const;
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -123,7 +123,10 @@
 jobs::job_progress job_record::progress() const
 {
   jobs::job_progress progress;
-  progress.state = m_state;
+  // The mark is written before the first start, and a later owner may read nothing newer: once
+  // callers have seen the job active, it must not be queued again.
+  const bool active = m_state == jobs::job_state::queued && begin_marked(begin_mark::wanted);
+  progress.state = active ? jobs::job_state::active : m_state;
   if (ended())
     return progress;
   for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
@@ -173,6 +176,8 @@
     if (contains(place))
       step(place).begun = {begin_mark::written, zone, begin_mark::none};
   }
+  if (m_state == jobs::job_state::queued && begin_marked(begin_mark::written))
+    m_state = jobs::job_state::active;
   for (const auto& [place, history] : progress.histories)
   {
     if (!contains(place))
@@ -229,5 +234,18 @@
         *mark = *mark == from ? to : *mark;
     }
   }
+  if (m_state == jobs::job_state::queued && begin_marked(begin_mark::written))
+    m_state = jobs::job_state::active;
+}
+
+bool job_record::begin_marked(begin_mark least) const
+{
+  return std::any_of(m_cycles.begin(), m_cycles.end(),
+                     [least](const cycle_record& cycle)
+                     {
+                       return std::any_of(cycle.steps.begin(), cycle.steps.end(),
+                                          [least](const step_record& step)
+                                          { return step.begun.mark >= least; });
+                     });
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -153,11 +153,13 @@
   void mark_unaccounted(const task_place& place);
   // Those that still are have been given up unheard.
   void mark_unaccounted_lost();
-  // Moves the marks of all steps from one state to the next.
+  // Moves the marks of all steps from one state to the next. A job with a written mark is active.
   void advance_begin_marks(begin_mark from, begin_mark to);
 
 private:
   void set_times();
+  // Whether the mark of some step has come at least so far.
+  bool begin_marked(begin_mark least) const;
 
   jobs::accepted_job m_job;
   jobs::queue_policy m_policy;
