StandIns: The cell's stand-in can be slow, turn calls away, forget, and carry orders out late

A fault soak needs faults that nobody can make from outside the stand-in: a slow store, one that turns calls away, one that is silent for some parts or forgets its history, workers that leave or carry orders out late, tasks that fail now and then. The models behind it know most of these; they become admin calls. The judge is now told of leaving workers and acknowledged cancellations (DRAIN and UNASKED were not checked here before), and tells which tasks run and which jobs have begun. More than 20 instances may ask for advice.

--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -194,6 +194,28 @@
   return runs;
 }
 
+std::vector<task_ref> run_judge::active_tasks() const
+{
+  std::vector<task_ref> tasks;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    if (!seen.active.empty())
+      tasks.push_back(task);
+  }
+  return tasks;
+}
+
+std::vector<std::string> run_judge::started_jobs() const
+{
+  std::vector<std::string> started;
+  for (const auto& [id, job] : m_jobs)
+  {
+    if (job.started)
+      started.push_back(id);
+  }
+  return started;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -62,6 +62,10 @@
   std::size_t accepted_jobs() const;
   // Runs that have begun and not ended, on workers that live.
   std::size_t active_runs() const;
+  // Their tasks.
+  std::vector<task_ref> active_tasks() const;
+  // Jobs of which any task has ever begun.
+  std::vector<std::string> started_jobs() const;
 
 private:
   struct seen_job
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -9,10 +9,12 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "Common/Hash.h"
 #include "Http/HttpListener.h"
 #include "Model/AdviceModel.h"
 #include "Model/RunJudge.h"
@@ -36,14 +38,14 @@
 // Ports after the first one.
 constexpr std::uint16_t k_admin_port = 2;
 constexpr std::uint16_t k_first_advice_port = 80;
-constexpr std::uint16_t k_advice_ports = 20; // one for each instance
-constexpr std::uint16_t k_first_worker_port = 100;
 // What the sites' pages allow a job at most; the judge counts failures up to it.
 constexpr std::uint32_t k_max_attempts = 3;
 constexpr std::uint32_t k_racks_per_zone = 2;
 // Tasks that last run until they are stopped or killed.
 constexpr std::chrono::hours k_lasting{24};
 constexpr std::uint64_t k_policy_seed = 1;
+constexpr const char* k_flaky_payload = "flaky";
+constexpr std::uint64_t k_runs_per_failure = 6; // of a flaky job, on average
 
 http::request model_call(const incoming_request& request)
 {
@@ -77,6 +79,15 @@
   return words;
 }
 
+std::set<std::string> names_in(const std::string& list)
+{
+  std::set<std::string> names;
+  std::istringstream in(list);
+  for (std::string name; std::getline(in, name, ',');)
+    names.insert(name);
+  return names;
+}
+
 std::optional<jobs::job_state> state_named(const std::string& name)
 {
   using jobs::job_state;
@@ -100,15 +111,15 @@
         m_advice(m_time, k_policy_seed, {}),
         m_fleet(
             m_time, m_store, m_advice, m_judge,
-            [this](const model::task_ref& task, model::run_number, const std::string&)
-            { return course_of(task); },
+            [this](const model::task_ref& task, model::run_number run, const std::string&)
+            { return course_of(task, run); },
             m_specs)
   {
     listen(io, 0,
            [this](const incoming_request& request, responder respond)
            { call_store(request, std::move(respond)); });
     // All instances have one address here; the service tells the calling machines by their ports.
-    for (std::uint16_t i = 0; i < k_advice_ports; ++i)
+    for (std::uint16_t i = 0; i < m_options.advice_ports; ++i)
     {
       listen(io, k_first_advice_port + i,
              [this, machine = std::to_string(i)](const incoming_request& request, responder respond)
@@ -139,7 +150,8 @@
   void add_worker(boost::asio::io_context& io, std::uint32_t number)
   {
     model::worker_settings settings;
-    settings.address = address_of(k_first_worker_port + number);
+    const std::uint32_t port = k_first_advice_port + m_options.advice_ports + number;
+    settings.address = address_of(port);
     const std::size_t zones = m_options.zones.size();
     settings.zone = m_options.zones[number % zones];
     settings.rack = settings.zone + "-r" + std::to_string(number / zones % k_racks_per_zone);
@@ -147,19 +159,39 @@
     settings.capacity = m_options.capacity;
     model::fleet_worker& worker = m_fleet.add(std::to_string(number), settings);
     m_fleet.write_entry(worker);
-    listen(io, k_first_worker_port + number,
+    listen(io, port,
            [this, &worker](const incoming_request& request, responder respond)
-           {
-             ++m_worker_calls;
-             if (m_silent.contains(worker.machine))
-               m_unanswered.push_back(std::move(respond));
-             else
-               model::worker_fleet::handle(worker, model_call(request),
-                                           model_answer(std::move(respond)));
-           });
+           { call_worker(worker, request, std::move(respond)); });
+  }
+
+  void call_worker(model::fleet_worker& worker, const incoming_request& request, responder respond)
+  {
+    ++m_worker_calls;
+    if (m_silent.contains(worker.machine))
+    {
+      m_unanswered.push_back(std::move(respond));
+      return;
+    }
+    const auto late = m_late.find(worker.machine);
+    const bool order = request.target == wire::k_start_path || request.target == wire::k_stop_path;
+    if (late == m_late.end() || !order)
+    {
+      model::worker_fleet::handle(worker, model_call(request), model_answer(std::move(respond)));
+      return;
+    }
+    m_time.schedule(late->second,
+                    [&worker, call = model_call(request), done = model_answer(std::move(respond))]
+                    { model::worker_fleet::handle(worker, call, done); });
+  }
+
+  static bool fails(const model::task_ref& task, model::run_number run)
+  {
+    const std::string name =
+        task.job + "/" + std::to_string(task.place.step) + "/" + std::to_string(task.place.index);
+    return common::stable_hash(name, run) % k_runs_per_failure == 0;
   }
 
-  model::run_course course_of(const model::task_ref& task) const
+  model::run_course course_of(const model::task_ref& task, model::run_number run) const
   {
     model::run_course course;
     const auto spec = m_specs.find(task.job);
@@ -169,13 +201,16 @@
     course.takes = step.long_running ? common::duration(k_lasting)
                                      : std::chrono::duration_cast<common::duration>(
                                            step.estimate * m_options.run_time_share);
+    course.fails = spec->second.payload == k_flaky_payload && fails(task, run);
     return course;
   }
 
   void call_store(const incoming_request& request, responder respond)
   {
     ++m_store_calls;
-    if (m_store_fault == "unavailable")
+    if (over_limit())
+      respond({429, "{}", "application/json", {}});
+    else if (m_store_fault == "unavailable")
       respond({503, "{}", "application/json", {}});
     else if (m_store_fault == "silent")
       m_unanswered.push_back(std::move(respond));
@@ -185,6 +220,18 @@
       m_store.handle(model_call(request), model_answer(std::move(respond)));
   }
 
+  // Whether this call is one too many of the present second.
+  bool over_limit()
+  {
+    if (m_time.now() - m_second_began >= std::chrono::seconds(1))
+    {
+      m_second_began = m_time.now();
+      m_calls_of_second = 0;
+    }
+    ++m_calls_of_second;
+    return m_calls_per_second != 0 && m_calls_of_second > m_calls_per_second;
+  }
+
   outgoing_answer administer(const incoming_request& request)
   {
     static const std::map<std::string, admin_call> k_calls{
@@ -192,7 +239,8 @@
         {"jobs", &implementation::note_job},
         {"store", &implementation::set_store_fault},
         {"workers", &implementation::befall_worker},
-        {"report", &implementation::report}};
+        {"report", &implementation::report},
+        {"runs", &implementation::runs}};
     const std::vector<std::string> words = path_words(request.target);
     const auto found = k_calls.find(words.front());
     if (found == k_calls.end())
@@ -231,18 +279,36 @@
       m_judge.shown(id, state_named(words.at(3)).value());
     else if (what == "cancel")
       m_judge.cancel_asked(id);
+    else if (what == "cancelled")
+      m_judge.cancelled(id, m_time.now());
     else
       return {404, "no such call", "text/plain", {}};
     return {};
   }
 
   outgoing_answer set_store_fault(const std::vector<std::string>& words, const std::string&)
+  {
+    const std::string& what = words.at(1);
+    if (what == "slow")
+      m_store.set_pace(milliseconds(std::stol(words.at(2))));
+    else if (what == "limited")
+      m_calls_per_second = std::stoull(words.at(2));
+    else if (what == "parts")
+      m_store.silence_parts(names_in(words.size() > 2 ? words[2] : ""));
+    else if (what == "forget")
+      m_store.forget_history();
+    else
+      return set_answers_of_store(what);
+    return {};
+  }
+
+  outgoing_answer set_answers_of_store(const std::string& fault)
   {
     static constexpr std::array<const char*, 4> k_faults{"works", "unavailable", "silent",
                                                          "loses_answers"};
-    if (std::find(k_faults.begin(), k_faults.end(), words.at(1)) == k_faults.end())
+    if (std::find(k_faults.begin(), k_faults.end(), fault) == k_faults.end())
       return {400, "no such fault", "text/plain", {}};
-    m_store_fault = words[1];
+    m_store_fault = fault;
     return {};
   }
 
@@ -252,6 +318,11 @@
     const std::string& what = words.at(2);
     if (what == "crash")
       model::worker_fleet::end_life(worker);
+    else if (what == "leave")
+    {
+      model::worker_fleet::end_life(worker);
+      m_fleet.remove_entry(worker);
+    }
     else if (what == "replace")
     {
       m_fleet.begin_life(worker);
@@ -261,11 +332,14 @@
     {
       worker.draining = true;
       m_fleet.write_entry(worker);
+      m_judge.worker_leaving(worker.settings.id, m_time.now());
     }
     else if (what == "silence")
       m_silent.insert(worker.machine);
     else if (what == "speak")
       m_silent.erase(worker.machine);
+    else if (what == "late")
+      m_late[worker.machine] = milliseconds(std::stol(words.at(3)));
     else
       return {400, "no such fault", "text/plain", {}};
     return {};
@@ -279,6 +353,15 @@
     return {200, out.dump(), "application/json", {}};
   }
 
+  outgoing_answer runs(const std::vector<std::string>&, const std::string&)
+  {
+    json tasks = json::array();
+    for (const model::task_ref& each : m_judge.active_tasks())
+      tasks.push_back({each.job, each.place.step, each.place.index});
+    const json out{{"tasks", std::move(tasks)}, {"started", m_judge.started_jobs()}};
+    return {200, out.dump(), "application/json", {}};
+  }
+
   cell_options m_options;
   node::asio_timekeeper m_time;
   model::run_judge m_judge;
@@ -287,7 +370,11 @@
   std::map<std::string, jobs::job_spec> m_specs;
   model::worker_fleet m_fleet;
   std::string m_store_fault = "works";
-  std::set<std::string> m_silent; // machines of workers that answer nobody
+  std::uint64_t m_calls_per_second = 0; // to the store, before it turns calls away; 0: no limit
+  std::uint64_t m_calls_of_second = 0;
+  common::time_point m_second_began;
+  std::set<std::string> m_silent;             // machines of workers that answer nobody
+  std::map<std::string, milliseconds> m_late; // by machine: how late it carries orders out
   // Their connections stay open, as those to a machine without power do.
   std::vector<responder> m_unanswered;
   std::uint64_t m_store_calls = 0;
--- a/Source/StandIns/CellStandIn.h
+++ b/Source/StandIns/CellStandIn.h
@@ -13,9 +13,19 @@
 //   POST /jobs/ID/answers/N     its caller was answered with status N
 //   POST /jobs/ID/states/NAME   its caller was shown that state
 //   POST /jobs/ID/cancel        its caller asks for the cancellation from now on
+//   POST /jobs/ID/cancelled     its caller has been told that it is cancelled
 //   PUT  /store/FAULT           works | unavailable | silent | loses_answers
-//   POST /workers/N/FAULT       crash | drain | replace | silence | speak
+//   PUT  /store/slow/MS         each transaction takes so long; 0: none
+//   PUT  /store/limited/N       calls beyond N a second are turned away; 0: none
+//   PUT  /store/parts/NAMES     calls about these parts (divided by commas) get no answer; none
+//                               named: all parts answer
+//   PUT  /store/forget          feeds that are behind have to read everything again
+//   POST /workers/N/FAULT       crash | leave | drain | replace | silence | speak
+//   POST /workers/N/late/MS     carries starts and stops out so late; 0: at once
 //   GET  /report                what is under way, what was counted, what the judge noted
+//   GET  /runs                  tasks at work, and the jobs of which any task has begun
+//
+// A job whose text is "flaky" has tasks that fail now and then.
 
 #include <cstdint>
 #include <memory>
@@ -30,7 +40,8 @@
 {
 struct cell_options
 {
-  std::uint16_t first_port = 0; // store; admin 2 on; advice from 80 on; workers from 100 on
+  std::uint16_t first_port = 0;    // store; admin 2 on; advice from 80 on, then the workers
+  std::uint16_t advice_ports = 20; // one for each instance
   std::vector<std::string> zones;
   std::uint32_t workers = 0; // over all zones in turn
   common::resources capacity;
--- a/Source/StandIns/Main.cpp
+++ b/Source/StandIns/Main.cpp
@@ -28,6 +28,7 @@
 Usage:
   yardhill-standins cell --first-port PORT --zones NAMES --workers N [--cpu-millis N]
                          [--memory-mib N] [--service NAME] [--run-time SHARE]
+                         [--advice-ports N]
   yardhill-standins platform --port PORT [--writes N] [--reads N] [--list-lag MS]
   yardhill-standins workers --zone ZONE --admin-port PORT [--settings FILE] <file>...
 
@@ -35,7 +36,8 @@
 and `workers` are what `yardhill serve` runs on.
 
 Options:
-  --first-port PORT  of the store; 2 on, admin; 80 on, advice for each instance; 100 on, workers
+  --first-port PORT  of the store; 2 on, admin; 80 on, advice for each instance, then the workers
+  --advice-ports N   how many instances may ask for advice [default: 20]
   --zones NAMES      divided by commas; workers take turns
   --workers N        how many workers in all
   --cpu-millis N     thousandths of a core of each worker [default: 16000]
@@ -65,6 +67,8 @@
   options.capacity.memory_mib = std::stol(parsed.at("--memory-mib").asString());
   options.service = parsed.at("--service").asString();
   options.run_time_share = std::stod(parsed.at("--run-time").asString());
+  options.advice_ports =
+      static_cast<std::uint16_t>(std::stoul(parsed.at("--advice-ports").asString()));
   boost::asio::io_context io(1);
   const yardhill::stand_ins::cell_stand_in cell(io, options);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
