--- a/Tools/cluster/cluster.py
+++ b/Tools/cluster/cluster.py
@@ -92,13 +92,16 @@
                     if line.startswith("VmRSS")]
         return ticks / os.sysconf("SC_CLK_TCK"), int(resident[0].split()[1])
 
-    def stop(self):
+    def end_processes(self):
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
+
+    def stop(self):
+        self.end_processes()
         self.directory.cleanup()
 
     def __enter__(self):
--- a/Tools/cluster/platform_cell.py
+++ b/Tools/cluster/platform_cell.py
@@ -9,7 +9,7 @@
 from cluster import ROOT, STAND_INS, YARDHILL, ProcessGroup, http, strip_comments, wait_until
 
 # Ports after the cell's first one.
-# Those from 100 on are the workers'.
+# Those from 100 on are the workers', unless more instances than 20 may ask for advice.
 ADMIN, CALLERS, READY, OWN, ADVICE = 2, 10, 30, 40, 80
 
 
@@ -23,6 +23,7 @@
         self.first_port = first_port
         self.workers = workers or self.yard["workers"]["count"]
         self.run_time = run_time
+        self.stand_in_options = []
         self.version = 0
         zones = self.yard["zones"]
         self.instances = {f"instance-{number}": {"zone": zones[number % len(zones)],
@@ -36,6 +37,12 @@
     def address(self, name):
         return f"127.0.0.1:{self.port(name, CALLERS)}"
 
+    def store_address(self, name):  # as the instance reaches it
+        return f"127.0.0.1:{self.first_port}"
+
+    def advice_address(self, name):
+        return f"127.0.0.1:{self.port(name, ADVICE)}"
+
     def addresses(self):
         return ",".join(self.address(name) for name in self.instances if self.lives(name))
 
@@ -74,7 +81,7 @@
                                 ",".join(self.yard["zones"]), "--workers", self.workers,
                                 "--cpu-millis", self.yard["workers"]["cpu_millis"],
                                 "--memory-mib", memory, "--service", self.yard["service"],
-                                "--run-time", self.run_time])
+                                "--run-time", self.run_time, *self.stand_in_options])
         wait_until("the stand-in to listen", lambda: http(
             "GET", f"http://127.0.0.1:{self.first_port + ADMIN}/report")[0] == 200)
 
@@ -85,8 +92,8 @@
             "callers_address": self.address(name),
             "ready_address": f"127.0.0.1:{self.port(name, READY)}",
             "own_address": "127.0.0.1", "first_own_port": self.port(name, OWN),
-            "store_address": f"127.0.0.1:{self.first_port}",
-            "advice_address": f"127.0.0.1:{self.port(name, ADVICE)}",
+            "store_address": self.store_address(name),
+            "advice_address": self.advice_address(name),
             "stop_grace_s": 6, "lease_limit_ms": 10000, "keep_status_s": 120}))
         self.spawn(name, [YARDHILL, "instance", "--settings", path])
 
--- /dev/null
+++ b/Tools/soak/__main__.py
@@ -0,0 +1,134 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Real processes on one machine, faults from outside them, promises checked meanwhile.
+
+A seed draws sizes, load and troubles; what the processes make of them also depends on the machine, so
+that a run is not exactly repeatable. Exit code 1 if any promise was broken.
+"""
+import argparse
+import pathlib
+import random
+import sys
+import threading
+import time
+
+from cell import MOST_INSTANCES, MOST_WORKERS, SoakCell
+from callers import Callers
+from checks import Watch, check_known, check_logs, settle, stop_all
+from ledger import Ledger
+from load import LoadPlan
+from troubles import Troubles
+
+REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+RUN_TIME = 0.2
+CORES_PER_WORKER = 16
+THREADS = {"small": 8, "large": 24}
+KNOWN_SECONDS = 20.0
+
+
+def draw_size(draw, size):
+    """(instances, workers)"""
+    if size == "large":
+        return draw.randint(30, min(40, MOST_INSTANCES)), draw.randint(250, min(350, MOST_WORKERS))
+    return draw.randint(3, 8), draw.randint(6, 24)
+
+
+class Run:
+    def __init__(self, seed, size, seconds):
+        self.seed, self.size, self.seconds = seed, size, seconds
+        draw = random.Random(f"{seed}/{size}")
+        self.instances, self.workers = draw_size(draw, size)
+        cores = min(self.workers, 40) * CORES_PER_WORKER  # more would only be more of the same
+        self.plan = LoadPlan(seed, draw, seconds, cores, RUN_TIME)
+        print(f"seed {seed}, {size}: {self.instances} instances, {self.workers} workers, "
+              f"{seconds:.0f} s; {self.plan.told()}", flush=True)
+
+    def play(self):
+        """Returns the summary line and the broken promises."""
+        with SoakCell(self.instances, self.workers, RUN_TIME) as cell:
+            cell.start()
+            began = time.monotonic()
+            ledger = Ledger(began)
+            troubles = Troubles(cell, ledger, self.seed, max(2, self.instances // 2))
+            callers = Callers(cell, ledger, THREADS[self.size], self.seed)
+            watch = Watch(cell, ledger, troubles, callers)
+            self.under_load(cell, ledger, troubles, callers, began)
+            self.to_the_end(cell, ledger, callers, watch)
+            failures = troubles.failures + callers.failures + watch.failures
+            for failure in failures:
+                ledger.breaks("SOAK", f"the soak itself failed: {failure}")
+            summary = self.summary(cell, ledger, troubles, callers, watch)
+            if ledger.broken:
+                (cell.path / "soak.txt").write_text(
+                    "\n".join([summary, *sorted(troubles.told), *ledger.broken]) + "\n")
+                print(f"  logs kept in {cell.keep_directory()}")
+            return summary, ledger.broken
+
+    def under_load(self, cell, ledger, troubles, callers, began):
+        drawn = troubles.schedule(self.seconds)
+        print("  drawn: " + ", ".join(f"{at:.1f} {kind}" for at, kind, _ in drawn), flush=True)
+        for job in self.plan.jobs:
+            ledger.add(job)
+            callers.at(began + job.plan.at, callers.hand_in, job)
+        player = threading.Thread(target=troubles.play, args=(began, drawn), daemon=True)
+        player.start()
+        time.sleep(max(0.0, began + self.seconds - time.monotonic()))
+        player.join()
+        troubles.heal()
+
+    def to_the_end(self, cell, ledger, callers, watch):
+        settle(cell, ledger, callers)
+        check_known(ledger, callers)
+        until = time.monotonic() + KNOWN_SECONDS
+        while callers.due and time.monotonic() < until:
+            time.sleep(0.2)
+        watch.stop()
+        watch.look()
+        callers.stop()
+        ledger.check_refusals(set(cell.admin("GET", "/runs")["started"]))
+        stop_all(cell, ledger)
+        check_logs(cell, ledger)
+
+    def summary(self, cell, ledger, troubles, callers, watch):
+        jobs = ledger.all()
+        accepted = sum(job.accepted_at is not None for job in jobs)
+        return (f"seed {self.seed} {self.size}: {self.instances} instances, {self.workers} workers, "
+                f"{len(jobs)} jobs, {accepted} accepted, {cell.report()['starts']} starts, "
+                f"{len(troubles.told)} troubles, {next(callers.calls)} calls, "
+                f"{watch.looks['counts']} counts compared, calm {watch.looks['longest_calm']:.0f} s, "
+                f"{watch.most_resident:.0f} MiB; {len(ledger.broken)} broken")
+
+
+def regressions():
+    """[(seed, size, seconds)] of the runs that once failed and are mended."""
+    lines = [line.split("#")[0].split() for line in REGRESSIONS.read_text().splitlines()]
+    return [(int(line[0]), line[1], float(line[2])) for line in lines if line]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, prog="python3 Tools/soak")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", help="FIRST,COUNT")
+    parser.add_argument("--seconds", type=float, default=40)
+    parser.add_argument("--size", choices=THREADS, default="small")
+    parser.add_argument("--regressions", action="store_true", help="the seeds that once failed")
+    given = parser.parse_args()
+    first, count = map(int, (given.seeds or f"{given.seed},1" if given.seed is not None
+                             or given.seeds else "1,1").split(","))
+    runs = [(seed, given.size, given.seconds) for seed in range(first, first + count)]
+    if given.regressions:
+        runs = regressions()
+    summaries, broken = [], 0
+    for seed, size, seconds in runs:
+        summary, lines = Run(seed, size, seconds).play()
+        summaries.append(summary)
+        broken += len(lines)
+        print(summary, flush=True)
+    if len(runs) > 1:
+        print("\n" + "\n".join(summaries))
+    print(f"{len(runs)} runs, {broken} broken promises")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Tools/soak/callers.py
@@ -0,0 +1,228 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Callers on connections that they keep open until the instance behind them is gone."""
+import heapq
+import http.client
+import itertools
+import json
+import random
+import threading
+import time
+
+from ledger import ACCEPTED
+from platform_cell import ADMIN, CALLERS
+
+DEADLINE_MS, TIMEOUT_SECONDS = 3000, 12.0
+MOST_TRIES = 4
+# A connection that ends without an answer so long after the request had been read by then.
+READ_BY_SECONDS = 0.5
+GIVEN_UP_AFTER = 30.0  # seconds since the first try; later ones are for accepted jobs only
+
+
+class Answer:
+    def __init__(self, status=0, body=b"", how="answer"):
+        self.status = status
+        self.body = body
+        self.how = how  # answer | unreachable | closed | cut | silent
+
+
+class Connections:
+    """One caller's, at most one to each instance."""
+
+    def __init__(self, cell, ledger):
+        self.cell = cell
+        self.ledger = ledger
+        self.open = {}
+        self.admin = None
+
+    def call(self, name, method, path, body=None):
+        connection = self.open.get(name)
+        if connection is None:
+            connection = http.client.HTTPConnection("127.0.0.1", self.cell.port(name, CALLERS),
+                                                    timeout=TIMEOUT_SECONDS)
+            try:
+                connection.connect()
+            except OSError:
+                return Answer(how="unreachable")
+            self.open[name] = connection
+        sent_at = time.monotonic()
+        answer = self.exchange(connection, method, path, body)
+        if answer.how != "answer" or connection.sock is None:
+            connection.close()
+            self.open.pop(name, None)
+        self.check_cut(name, answer, sent_at, f"{method} {path}")
+        return answer
+
+    @staticmethod
+    def exchange(connection, method, path, body):
+        headers = {"Host": "docs.example", "X-Request-Deadline": str(DEADLINE_MS)}
+        data = None if body is None else json.dumps(body)
+        connection.auto_open = 0
+        how = "closed"
+        try:
+            connection.request(method, path, data, headers)
+            reply = connection.getresponse()
+            how = "cut"
+            return Answer(reply.status, reply.read())
+        except TimeoutError:
+            return Answer(how="silent")
+        except (http.client.RemoteDisconnected, http.client.NotConnected, ConnectionError):
+            return Answer(how=how)
+        except (http.client.HTTPException, OSError):
+            return Answer(how="cut")
+
+    def check_cut(self, name, answer, sent_at, what):
+        """An answer that had begun is sent whole; so is one to a request that was read."""
+        late = time.monotonic() - sent_at
+        read = answer.how == "cut" or (answer.how == "closed" and late > READ_BY_SECONDS)
+        if not read or self.cell.disturbed_since(name, sent_at):
+            return
+        stopping = self.cell.records[name].stop_asked_at is not None
+        if answer.how == "cut" or stopping:
+            self.ledger.breaks("CUT", f"{what} at {name}: {answer.how} after {late:.2f} s"
+                                      f"{', under SIGTERM' if stopping else ''}")
+
+    def tell_judge(self, path, body=None):
+        for _ in range(3):
+            try:
+                if self.admin is None:
+                    self.admin = http.client.HTTPConnection(
+                        "127.0.0.1", self.cell.first_port + ADMIN, timeout=60)
+                self.admin.request("POST", path, None if body is None else json.dumps(body))
+                reply = self.admin.getresponse()
+                reply.read()
+                if reply.status != 200:
+                    raise RuntimeError(f"{path}: {reply.status}")
+                return
+            except (http.client.HTTPException, OSError):
+                self.admin = None
+        raise RuntimeError(f"the judge does not hear {path}")
+
+    def close(self):
+        for connection in self.open.values():
+            connection.close()
+
+
+class Callers:
+    """Threads that do what is due: hand jobs in, ask for their states, cancel them."""
+
+    def __init__(self, cell, ledger, threads, seed):
+        self.cell = cell
+        self.ledger = ledger
+        self.due = []
+        self.order = itertools.count()
+        self.changed = threading.Condition()
+        self.stopped = False
+        self.polling = True
+        self.calls = itertools.count()
+        self.threads = [threading.Thread(target=self.work, args=(random.Random(f"{seed}/{n}"),),
+                                         daemon=True) for n in range(threads)]
+        self.failures = []
+        for thread in self.threads:
+            thread.start()
+
+    def at(self, moment, what, job):
+        with self.changed:
+            heapq.heappush(self.due, (moment, next(self.order), what, job))
+            self.changed.notify()
+
+    def stop(self):
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
+        for thread in self.threads:
+            thread.join(2 * TIMEOUT_SECONDS)
+
+    def next_due(self):
+        with self.changed:
+            while not self.stopped:
+                wait = self.due[0][0] - time.monotonic() if self.due else None
+                if wait is not None and wait <= 0:
+                    return heapq.heappop(self.due)[2:]
+                self.changed.wait(wait)
+        return None
+
+    def work(self, draw):
+        connections = Connections(self.cell, self.ledger)
+        try:
+            while entry := self.next_due():
+                what, job = entry
+                what(connections, draw, job)
+        except Exception as error:  # a fault of the soak itself: the run says so
+            self.failures.append(repr(error))
+            raise
+        finally:
+            connections.close()
+
+    def choose(self, connections, draw):
+        """An instance: open connections are used on, new ones go to those that are ready."""
+        names = [name for name, record in self.cell.records.items()
+                 if name in connections.open or record.ready]
+        return draw.choice(names) if names else draw.choice(list(self.cell.records))
+
+    def path(self, job):
+        kind = next(each for each in self.cell.yard["kinds"] if each["name"] == job.kind)
+        return kind["path_prefix"] + job.id
+
+    def call(self, connections, draw, method, job, body=None):
+        name = self.choose(connections, draw)
+        next(self.calls)
+        return name, connections.call(name, method, self.path(job), body)
+
+    def hand_in(self, connections, draw, job):
+        if not job.tries:
+            connections.tell_judge(f"/jobs/{job.id}", job.body)
+        began = time.monotonic()
+        name, answer = self.call(connections, draw, "POST", job, job.body)
+        if answer.how != "unreachable":
+            connections.tell_judge(f"/jobs/{job.id}/answers/{answer.status}")
+            self.ledger.answered(job, answer.status, name)
+        now = time.monotonic()
+        if answer.status in ACCEPTED:
+            if len(job.tries) == 1 or job.tries[-2] not in ACCEPTED:
+                self.after_acceptance(job, now)
+        elif job.accepted_at is None and len(job.tries) < MOST_TRIES:
+            first = now if not hasattr(job, "first_try") else job.first_try
+            job.first_try = min(first, began)
+            if now - job.first_try < GIVEN_UP_AFTER:
+                self.at(now + draw.uniform(0.2, 1.2), self.hand_in, job)
+
+    def after_acceptance(self, job, now):
+        plan = job.plan
+        if plan.again_after is not None:
+            self.at(now + plan.again_after, self.hand_in, job)
+            plan.again_after = None
+        if plan.cancel_after is not None:
+            self.at(now + plan.cancel_after, self.cancel, job)
+        self.at(now + 0.3, self.ask_state, job)
+
+    def ask_state(self, connections, draw, job):
+        if not self.polling or job.final:
+            return
+        self.ask_now(connections, draw, job)
+        if not job.final:
+            self.at(time.monotonic() + draw.uniform(0.3, 2.5), self.ask_state, job)
+
+    def ask_now(self, connections, draw, job):
+        with job.lock:
+            asked_at = time.monotonic()
+            name, answer = self.call(connections, draw, "GET", job)
+            if answer.status == 410:
+                self.ledger.unknown(job, name, asked_at)
+            if answer.status != 200:
+                return
+            state = json.loads(answer.body)["state"]
+            connections.tell_judge(f"/jobs/{job.id}/states/{state.replace('canceled', 'cancelled')}")
+            self.ledger.shown(job, state, name)
+
+    def cancel(self, connections, draw, job):
+        if job.cancelled_at is not None or job.final:
+            return
+        connections.tell_judge(f"/jobs/{job.id}/cancel")
+        job.cancel_asked = True
+        _, answer = self.call(connections, draw, "DELETE", job)
+        if answer.status in ACCEPTED:
+            connections.tell_judge(f"/jobs/{job.id}/cancelled")
+            job.cancelled_at = time.monotonic()
+        elif answer.status != 410:
+            self.at(time.monotonic() + 0.5, self.cancel, job)
--- /dev/null
+++ b/Tools/soak/cell.py
@@ -0,0 +1,186 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""The cell under soak: ports of its own, and what was done to each instance, and when."""
+import pathlib
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "cluster"))
+from cluster import http, wait_until  # noqa: E402
+from platform_cell import ADVICE, CALLERS, OWN, READY, PlatformCell  # noqa: E402
+from proxy import ProxyProcess  # noqa: E402
+
+# Below the ports that the system hands out; other tools of the repository use lower ones.
+PORT_BLOCKS, BLOCK_SIZE = range(27000, 32000, 1000), 1000
+LAST_PORT = BLOCK_SIZE - 1
+# Ports within a block; the stand-in and its workers take those before.
+OWN_PORTS = {CALLERS: 600, READY: 650, OWN: 700, "store proxy": 800, "advice proxy": 850}
+MOST_INSTANCES, MOST_WORKERS = 45, 400
+# The settings' planned stop; a busy machine may take longer.
+STOP_GRACE, STOP_LIMIT = 6.0, 20.0
+
+
+def claim_ports():
+    """(first port, guard): a free block, and the socket that keeps other soaks off it."""
+    for first in PORT_BLOCKS:
+        guard = socket.socket()
+        sockets = [guard]
+        try:
+            guard.bind(("127.0.0.1", first + LAST_PORT))
+            for port in range(first, first + LAST_PORT):
+                probe = socket.socket()
+                sockets.append(probe)
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            for each in sockets:
+                each.close()
+            continue
+        for each in sockets[1:]:
+            each.close()
+        return first, guard
+    raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS.start} on")
+
+
+class InstanceRecord:
+    """What the soak did to an instance; times are of time.monotonic()."""
+
+    def __init__(self):
+        self.should_live = False
+        self.ready = False
+        self.disturbed_at = 0.0  # latest kill, freeze or wake
+        self.frozen = False
+        self.stop_asked_at = None
+
+
+class SoakCell(PlatformCell):
+    def __init__(self, instances, workers, run_time):
+        first_port, self.guard = claim_ports()
+        super().__init__("periyar", first_port, instances, workers, run_time)
+        self.stand_in_options = ["--advice-ports", MOST_INSTANCES]
+        self.records = {name: InstanceRecord() for name in self.instances}
+        self.lock = threading.RLock()
+        self.ends_by_themselves = []
+        self.kept = None
+        self.apply_lock = threading.Lock()
+        self.proxies = None
+
+    def port(self, name, kind):
+        if kind == ADVICE:
+            return super().port(name, kind)
+        number = self.instances[name]["number"]
+        return self.first_port + OWN_PORTS[kind] + (2 * number if kind == OWN else number)
+
+    def store_address(self, name):
+        return f"127.0.0.1:{self.port(name, 'store proxy')}"
+
+    def advice_address(self, name):
+        return f"127.0.0.1:{self.port(name, 'advice proxy')}"
+
+    def start_stand_in(self):
+        super().start_stand_in()
+        routes = {}
+        for name in self.instances:
+            routes[f"store {name}"] = (self.port(name, "store proxy"), self.first_port)
+            routes[f"advice {name}"] = (self.port(name, "advice proxy"), self.port(name, ADVICE))
+        self.proxies = ProxyProcess(self, routes)
+
+    def start_instance(self, name):
+        with self.lock:
+            record = self.records[name]
+            record.should_live = True
+            record.frozen = False
+            record.stop_asked_at = None
+            record.disturbed_at = time.monotonic()
+            super().start_instance(name)
+
+    def apply_next(self, change):
+        """One operator: its versions come one after the other."""
+        with self.apply_lock:
+            self.apply(change)
+
+    def kill_instance(self, name):
+        """SIGKILL; it stays down until it is started again."""
+        with self.lock:
+            if not self.lives(name):
+                return False
+            record = self.records[name]
+            record.should_live, record.ready = False, False
+            record.disturbed_at = time.monotonic()
+            self.kill(name)
+            self.wait_end(name)
+            record.disturbed_at = time.monotonic()
+            return True
+
+    def ask_to_stop(self, name):
+        """SIGTERM; false if it is not up, or stopping already."""
+        with self.lock:
+            record = self.records[name]
+            if not self.lives(name) or not record.should_live:
+                return False
+            record.should_live = False
+            record.stop_asked_at = time.monotonic()
+            self.kill(name, signal.SIGTERM)
+            return True
+
+    def freeze(self, name, frozen):
+        with self.lock:
+            record = self.records[name]
+            if not self.lives(name) or record.frozen == frozen:
+                return False
+            record.frozen = frozen
+            record.disturbed_at = time.monotonic()
+            self.kill(name, signal.SIGSTOP if frozen else signal.SIGCONT)
+            return True
+
+    def hang_up(self, name):
+        with self.lock:
+            if self.lives(name) and self.records[name].ready:
+                self.kill(name, signal.SIGHUP)
+
+    def disturbed_since(self, name, moment):
+        record = self.records[name]
+        return record.frozen or record.disturbed_at >= moment
+
+    def look(self):
+        """Asks every instance whether it is ready, and notes processes that ended by themselves."""
+        for name, record in self.records.items():
+            with self.lock:
+                gone = record.should_live and name in self.processes and not self.lives(name)
+                if gone:
+                    record.should_live = False
+            if gone:
+                self.ends_by_themselves.append(
+                    f"{name} ended by itself, code {self.processes[name].returncode}")
+            asked = self.lives(name) and not record.frozen
+            record.ready = asked and http(
+                "GET", f"http://127.0.0.1:{self.port(name, READY)}/yardhill/ready",
+                timeout=2)[0] == 200
+
+    def all_ready(self):
+        return all(record.should_live and record.ready and not record.frozen
+                   for record in self.records.values())
+
+    def keep_directory(self):
+        """Copies all logs to where they outlive the run."""
+        self.kept = tempfile.mkdtemp(prefix="yardhill-soak-failed-")
+        shutil.copytree(self.path, self.kept, dirs_exist_ok=True)
+        return self.kept
+
+    def wait_stopped(self, name):
+        """The exit code after a planned stop, or None if it went on beyond the limit."""
+        try:
+            wait_until(f"{name} to end", lambda: not self.lives(name), STOP_LIMIT)
+        except RuntimeError:
+            return None
+        return self.processes[name].returncode
+
+    def stop(self):
+        self.end_processes()
+        self.guard.close()
+        self.directory.cleanup()
--- /dev/null
+++ b/Tools/soak/ledger.py
@@ -0,0 +1,100 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""What callers were told of each job, and which promises that breaks."""
+import threading
+import time
+
+ACCEPTED, REFUSALS = range(200, 300), (429, 503)
+RANKS = {"queued": 0, "active": 1, "completed": 2, "failed": 2, "canceled": 2}
+FINAL_RANK = 2
+# An accepted job is known everywhere after that; a busy machine included.
+VISIBLE_SECONDS = 5.0
+
+
+class Job:
+    def __init__(self, number, kind, body, plan):
+        self.id = f"{number:016x}"
+        self.kind = kind
+        self.body = body
+        self.plan = plan  # what its caller will do
+        self.tries = []  # statuses of calls that hand it in, in their order; 0: no answer
+        self.accepted_at = None
+        self.cancel_asked = False
+        self.cancelled_at = None
+        self.state = "queued"
+        self.lock = threading.Lock()  # one question for its state at a time
+
+    @property
+    def lasting(self):
+        return any(step.get("long_running") for step in self.body["phases"])
+
+    @property
+    def flaky(self):
+        return self.body["spec"] == "flaky"
+
+    @property
+    def final(self):
+        return RANKS[self.state] == FINAL_RANK
+
+    def called_refused(self):
+        """Whether the last clear answer said that it never runs."""
+        return bool(self.tries) and self.tries[-1] in REFUSALS
+
+
+class Ledger:
+    """All jobs of a run; its methods may be called by any thread."""
+
+    def __init__(self, began):
+        self.began = began
+        self.lock = threading.Lock()
+        self.jobs = {}
+        self.broken = []
+
+    def breaks(self, rule, what):
+        line = f"{time.monotonic() - self.began:7.2f} s  {rule}: {what}"
+        with self.lock:
+            self.broken.append(line)
+        print("  BROKEN " + line, flush=True)
+
+    def add(self, job):
+        with self.lock:
+            self.jobs[job.id] = job
+
+    def all(self):
+        with self.lock:
+            return list(self.jobs.values())
+
+    def answered(self, job, status, instance):
+        job.tries.append(status)
+        if status in ACCEPTED and job.accepted_at is None:
+            job.accepted_at = time.monotonic()
+        elif status in REFUSALS and job.accepted_at is not None:
+            self.breaks("REFUSED", f"{job.id}: {instance} said {status} though it had been accepted"
+                                   f" ({job.tries})")
+        elif status in (400, 404, 410, 412):
+            self.breaks("CONFIG", f"{job.id}: {instance} said {status} to a valid job")
+
+    def shown(self, job, state, instance):
+        """The state that an instance told; returns the state before."""
+        before, job.state = job.state, state
+        if RANKS[state] < RANKS[before] or (RANKS[before] == FINAL_RANK and state != before):
+            self.breaks("BACK", f"{job.id}: {before}, then {state} from {instance}")
+        if state == "failed" and not job.flaky:
+            self.breaks("LOST", f"{job.id}: shown as failed by {instance}, and none of its tasks fail")
+        if state == "completed" and job.lasting:
+            self.breaks("LOST", f"{job.id}: shown as completed by {instance}, but it lasts")
+        return before
+
+    def unknown(self, job, instance, asked_at):
+        """An instance said that there is no such job."""
+        if (job.accepted_at is not None and asked_at > job.accepted_at + VISIBLE_SECONDS
+                and not job.cancel_asked):
+            self.breaks("LOST", f"{job.id}: {instance} does not know it, "
+                                f"{asked_at - job.accepted_at:.1f} s after it was accepted")
+
+    def check_refusals(self, started):
+        """`started`: ids of all jobs of which a task ever ran."""
+        for job in self.all():
+            if job.called_refused() and job.accepted_at is None and job.id in started:
+                self.breaks("REFUSED", f"{job.id}: it ran, and the last answer was a refusal "
+                                       f"({job.tries})")
--- /dev/null
+++ b/Tools/soak/load.py
@@ -0,0 +1,109 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Draws the jobs of a run: when each is handed in, and what its caller does with it."""
+import json
+import zlib
+from dataclasses import dataclass
+from typing import Optional
+
+from ledger import Job
+
+KINDS = {"preview": "page-preview", "rebuild": "site-rebuild", "watch": "live-watch"}
+MEMORY_MIB = 100
+# Of all workers' processors: what jobs may ask for on average, and what lasts in all.
+LOAD_SHARE, LASTING_SHARE = 0.45, 0.15
+
+
+@dataclass
+class Plan:
+    """Seconds after its acceptance; None: not at all."""
+    at: float  # since the run's begin
+    again_after: Optional[float]
+    cancel_after: Optional[float]
+
+
+def step(count, cpu, estimate_ms, **others):
+    return {"count": count, "cpu": cpu, "mem_mb": MEMORY_MIB, "estimate_ms": estimate_ms, **others}
+
+
+def preview(draw):
+    steps = [step(draw.randint(1, 6), 1300, 800)]
+    if draw.random() < 0.5:
+        steps.append(step(draw.randint(1, 6), 1300, 800, since_rev=[0]))
+    return steps
+
+
+def rebuild(draw):
+    checkpointing = {"checkpointing": True} if draw.random() < 0.7 else {}
+    steps = [step(draw.randint(4, 10), 2700, 4800 * draw.randint(1, 3), **checkpointing)]
+    if draw.random() < 0.6:
+        steps.append(step(draw.randint(4, 10), 2700, 4800, since_rev=[0], **checkpointing))
+    return steps
+
+
+def gang(draw):
+    return [step(draw.randint(2, 6), 500, 3000, gang=True)]
+
+
+def watch(draw):
+    return [step(draw.randint(1, 4), 1400, 400, long_running=True)]
+
+
+MAKERS = [("preview", preview, 12), ("rebuild", rebuild, 2), ("rebuild", gang, 1)]
+
+
+def cpu_seconds(steps, run_time):
+    return sum(each["count"] * each["cpu"] * each["estimate_ms"] for each in steps) * run_time / 1e6
+
+
+class LoadPlan:
+    """`cores`: of all workers; `run_time`: how long tasks run, as a share of their estimates."""
+
+    def __init__(self, seed, draw, seconds, cores, run_time):
+        self.draw = draw
+        self.first_number = (zlib.crc32(str(seed).encode()) << 32) + 1
+        self.jobs = []
+        self.add_lasting(cores, seconds)
+        self.add_bursts(seconds, cores)
+        self.add_steady(seconds, cores, run_time)
+        self.jobs.sort(key=lambda job: job.plan.at)
+
+    def add(self, kind, steps, at, cancel_after=None):
+        draw = self.draw
+        again = draw.uniform(0.5, 6) if draw.random() < 0.12 else None
+        if cancel_after is None and draw.random() < 0.08:
+            cancel_after = draw.uniform(0, 3)
+        payload = "flaky" if kind == "rebuild" and draw.random() < 0.15 else "a job"
+        body = {"spec": payload, "phases": steps}
+        number = self.first_number + len(self.jobs)
+        self.jobs.append(Job(number, KINDS[kind], body, Plan(at, again, cancel_after)))
+
+    def add_lasting(self, cores, seconds):
+        left = cores * LASTING_SHARE
+        while left > 0:
+            steps = watch(self.draw)
+            left -= steps[0]["count"] * steps[0]["cpu"] / 1000
+            # Most stay to the end of the run.
+            cancel = self.draw.uniform(5, seconds) if self.draw.random() < 0.2 else seconds * 10
+            self.add("watch", steps, self.draw.uniform(0, seconds * 0.4), cancel)
+
+    def add_bursts(self, seconds, cores):
+        for _ in range(self.draw.randint(1, 3)):
+            at = self.draw.uniform(2, seconds)
+            for _ in range(int(cores / self.draw.uniform(3, 12))):
+                self.add("preview", preview(self.draw), at + self.draw.uniform(0, 0.3))
+
+    def add_steady(self, seconds, cores, run_time):
+        budget = cores * seconds * LOAD_SHARE * self.draw.uniform(0.3, 1.0)
+        while budget > 0:
+            kind, make, _ = self.draw.choices(MAKERS, [weight for *_, weight in MAKERS])[0]
+            steps = make(self.draw)
+            budget -= cpu_seconds(steps, run_time)
+            self.add(kind, steps, self.draw.uniform(0.5, seconds))
+
+    def told(self):
+        again = sum(job.plan.again_after is not None for job in self.jobs)
+        lasting = sum(job.lasting for job in self.jobs)
+        text = json.dumps([[job.id, job.plan.at, job.body] for job in self.jobs])
+        return (f"{len(self.jobs)} jobs, {lasting} that last, {again} sent again after their 2xx "
+                f"(digest {zlib.crc32(text.encode()):08x})")
--- /dev/null
+++ b/Tools/soak/troubles.py
@@ -0,0 +1,314 @@
+# SPDX-FileCopyrightText: 2026 yardhill contributors
+# SPDX-License-Identifier: Apache-2.0
+"""Troubles drawn from a seed: in waves, in series, over each other; then calm."""
+import random
+import threading
+import time
+
+# Entries of workers that are gone stay so long.
+ENTRY_LAPSE = 1.5
+# A worker that leaves says so this long before.
+LEAVE_NOTICE = 4.0
+STORE_FAULTS = ["unavailable", "silent", "loses_answers"]
+ROUTE_FAULTS = ["delay", "reset", "hold_up", "hold_down", "silent"]
+JOB_PARTS = 32
+
+
+class Troubles:
+    """`size`: how many things one trouble concerns at most."""
+
+    def __init__(self, cell, ledger, seed, size):
+        self.cell = cell
+        self.ledger = ledger
+        self.seed = seed
+        self.size = size
+        self.draw = random.Random(f"{seed}/troubles")
+        self.lock = threading.Lock()
+        self.under_way = 0
+        self.last_end = time.monotonic()
+        self.told = []
+        self.threads = []
+        self.failures = []
+        self.healing = threading.Event()
+
+    def schedule(self, seconds):
+        """[(at, kind, number)]: waves of troubles with calm between them."""
+        kinds = [name for name, weight in KINDS for _ in range(weight)]
+        drawn, at = [], self.draw.uniform(2, 4)
+        while at < seconds - 4:
+            wave = min(self.draw.uniform(4, 14), seconds - 2 - at)
+            favourite = self.draw.choice(kinds)
+            for _ in range(max(1, int(wave * self.draw.uniform(0.3, 1.0)))):
+                kind = favourite if self.draw.random() < 0.3 else self.draw.choice(kinds)
+                drawn.append((at + self.draw.uniform(0, wave), kind))
+            at += wave + self.draw.choice([3, 6, 14, 16])
+        drawn.sort()
+        return [(when, kind, number) for number, (when, kind) in enumerate(drawn)]
+
+    def play(self, began, drawn):
+        for at, kind, number in drawn:
+            time.sleep(max(0.0, began + at - time.monotonic()))
+            thread = threading.Thread(target=self.befall, args=(began, kind, number), daemon=True)
+            thread.start()
+            self.threads.append(thread)
+
+    def befall(self, began, kind, number):
+        with self.lock:
+            self.under_way += 1
+        try:
+            draw = random.Random(f"{self.seed}/{number}")
+            getattr(self, kind)(draw, lambda what: self.note(began, f"{kind}: {what}"))
+        except Exception as error:  # a fault of the soak itself: the run says so
+            self.failures.append(f"{kind}: {error!r}")
+            raise
+        finally:
+            with self.lock:
+                self.under_way -= 1
+                self.last_end = time.monotonic()
+
+    def note(self, began, what):
+        self.told.append(f"{time.monotonic() - began:7.2f} s  {what}")
+
+    def quiet_since(self):
+        """When the latest trouble ended; None while one is under way."""
+        with self.lock:
+            return None if self.under_way else self.last_end
+
+    def heal(self):
+        """Waits for what is under way, then mends everything."""
+        self.healing.set()
+        for thread in self.threads:
+            thread.join()
+        for fault in ("works", "slow/0", "limited/0", "parts/"):
+            self.cell.admin("PUT", f"/store/{fault}")
+        for name in self.cell.instances:
+            for way in ("store", "advice"):
+                self.cell.proxies.set(f"{way} {name}", "works")
+            self.cell.freeze(name, False)
+            if not self.cell.lives(name):
+                self.cell.start_instance(name)
+        self.last_end = time.monotonic()
+
+    def pause(self, seconds):
+        """Shorter once the run is over."""
+        self.healing.wait(seconds)
+
+    def names(self, draw, most):
+        names = list(self.cell.instances)
+        return draw.sample(names, draw.randint(1, min(most, len(names))))
+
+    def come_back(self, name, after):
+        self.pause(after)
+        with self.cell.lock:
+            if not self.cell.lives(name):
+                self.cell.start_instance(name)
+
+    def together(self, what, names):
+        threads = [threading.Thread(target=what, args=(name,), daemon=True) for name in names]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    # Instances.
+
+    def stop_and_start(self, name, down=0.2):
+        asked = time.monotonic()
+        if not self.cell.ask_to_stop(name):
+            return
+        code = self.cell.wait_stopped(name)
+        disturbed = self.cell.disturbed_since(name, asked)
+        if code != 0 and not disturbed:
+            self.ledger.breaks("STOP", f"{name}: " + (
+                f"code {code}" if code is not None else "SIGTERM, and it goes on and on"))
+        if code is None:
+            self.cell.kill_instance(name)
+        self.come_back(name, down)
+
+    def stop_series(self, draw, note):
+        gap = draw.choice([0.05, 0.3, 0.8, 2.0])
+        names = self.names(draw, max(self.size, 2))
+        note(f"{len(names)} instances, {gap} s apart")
+        threads = []
+        for name in names:
+            threads.append(threading.Thread(target=self.stop_and_start, args=(name,), daemon=True))
+            threads[-1].start()
+            self.pause(gap)
+        for thread in threads:
+            thread.join()
+
+    def stop_owners(self, draw, note):
+        """Each owner as soon as it is seen."""
+        turns = draw.randint(2, 6)
+        note(f"{turns} in a row")
+        threads = []
+        for _ in range(turns):
+            owner = self.cell.owner()
+            if owner is not None:
+                threads.append(threading.Thread(target=self.stop_and_start, args=(owner,),
+                                                daemon=True))
+                threads[-1].start()
+            self.pause(draw.choice([0.05, 0.4, 1.2]))
+        for thread in threads:
+            thread.join()
+
+    def kill_owners(self, draw, note):
+        turns, gap = draw.randint(1, 5), draw.choice([0.2, 1.0, 2.5])
+        note(f"{turns} in a row, {gap} s apart")
+        for _ in range(turns):
+            owner = self.cell.owner()
+            if owner is not None and self.cell.kill_instance(owner):
+                self.come_back(owner, draw.uniform(0.05, 1.0))
+            self.pause(gap)
+
+    def kill_several(self, draw, note):
+        names = self.names(draw, len(self.cell.instances))
+        down = {name: draw.uniform(0.05, 2.0) for name in names}
+        note(f"{len(names)} of {len(self.cell.instances)} at once")
+        for name in names:
+            self.cell.kill_instance(name)
+        self.together(lambda name: self.come_back(name, down[name]), names)
+
+    def kill_all(self, draw, note):
+        note("all at once")
+        for name in self.cell.instances:
+            self.cell.kill_instance(name)
+        self.together(lambda name: self.come_back(name, draw.uniform(0.0, 1.0)),
+                      list(self.cell.instances))
+
+    def freeze(self, draw, note):
+        seconds = draw.choice([0.2, 1.0, 3.0, 7.0])
+        owner = self.cell.owner() if draw.random() < 0.5 else None
+        names = [owner] if owner is not None else self.names(draw, 2)
+        note(f"{names} for {seconds} s")
+        for name in names:
+            self.cell.freeze(name, True)
+        self.pause(seconds)
+        for name in names:
+            self.cell.freeze(name, False)
+
+    def hang_up(self, draw, note):
+        """SIGHUP, with settings as they were."""
+        times = draw.randint(1, 8)
+        note(f"{times} times")
+        for _ in range(times):
+            name = draw.choice(list(self.cell.instances))
+            self.cell.hang_up(name)
+            self.pause(draw.choice([0.02, 0.3]))
+
+    def configurations(self, draw, note):
+        times, gap = draw.randint(1, 8), draw.choice([0.02, 0.2, 1.0])
+        note(f"{times} versions, {gap} s apart")
+        for _ in range(times):
+            stretch = draw.uniform(1.2, 2.0)
+            self.cell.apply_next(lambda row: row["routes"][0].update(stretch=stretch))
+            self.pause(gap)
+
+    # The store.
+
+    def store_away(self, draw, note):
+        fault, seconds = draw.choice(STORE_FAULTS), draw.choice([0.3, 1.5, 4.0, 7.0])
+        note(f"{fault} for {seconds} s")
+        self.store_for(fault, "works", seconds)
+
+    def store_slow(self, draw, note):
+        each, seconds = draw.choice([5, 15, 30, 60]), draw.uniform(1, 6)
+        note(f"{each} ms a transaction for {seconds:.1f} s")
+        self.store_for(f"slow/{each}", "slow/0", seconds)
+
+    def store_limited(self, draw, note):
+        calls = draw.choice([3, 10, 25]) * len(self.cell.instances)
+        seconds = draw.uniform(1, 6)
+        note(f"{calls} calls a second for {seconds:.1f} s")
+        self.store_for(f"limited/{calls}", "limited/0", seconds)
+
+    def store_parts(self, draw, note):
+        parts = [str(part) for part in draw.sample(range(JOB_PARTS), draw.randint(1, JOB_PARTS))]
+        if draw.random() < 0.3:
+            parts.append("cell")
+        seconds = draw.uniform(1, 5)
+        note(f"{len(parts)} parts silent for {seconds:.1f} s{', the owners too' * ('cell' in parts)}")
+        self.store_for("parts/" + ",".join(parts), "parts/", seconds)
+
+    def store_for(self, fault, mended, seconds):
+        self.cell.admin("PUT", f"/store/{fault}")
+        self.pause(seconds)
+        self.cell.admin("PUT", f"/store/{mended}")
+
+    def store_forgets(self, draw, note):
+        times = draw.randint(1, 3)
+        note(f"its history, {times} times")
+        for _ in range(times):
+            self.cell.admin("PUT", "/store/forget")
+            self.pause(draw.uniform(0.1, 1.0))
+
+    # Connections.
+
+    def routes_faulty(self, draw, note):
+        fault, way = draw.choice(ROUTE_FAULTS), draw.choice(["store", "store", "advice"])
+        names, seconds = self.names(draw, max(2, len(self.cell.instances) // 2)), draw.uniform(0.3, 6)
+        delay = draw.choice([20, 150, 600])
+        note(f"{fault} on the way to {way} of {len(names)} instances for {seconds:.1f} s")
+        for name in names:
+            self.cell.proxies.set(f"{way} {name}", fault, "all", delay)
+        self.pause(seconds)
+        for name in names:
+            self.cell.proxies.set(f"{way} {name}", "works")
+
+    def open_connections_silent(self, draw, note):
+        fault = draw.choice(["hold_up", "hold_down", "silent"])
+        names = self.names(draw, len(self.cell.instances))
+        note(f"{fault}, for good, on what is open to the store from {len(names)} instances")
+        for name in names:
+            self.cell.proxies.set(f"store {name}", fault, "open")
+
+    # Workers.
+
+    def workers(self, draw, share=0.15):
+        return draw.sample(range(self.cell.workers),
+                           draw.randint(1, max(1, int(self.cell.workers * share))))
+
+    def befall_workers(self, numbers, what):
+        for number in numbers:
+            self.cell.admin("POST", f"/workers/{number}/{what}")
+
+    def workers_crash(self, draw, note):
+        numbers, replaced = self.workers(draw), draw.random() < 0.7
+        note(f"{len(numbers)} workers, {'replaced' if replaced else 'for good'}")
+        self.befall_workers(numbers, "crash")
+        self.pause(draw.uniform(0.1, ENTRY_LAPSE))
+        self.befall_workers(numbers, "leave")
+        if replaced:
+            self.pause(draw.uniform(0.1, 2.0))
+            self.befall_workers(numbers, "replace")
+
+    def workers_leave(self, draw, note):
+        numbers = self.workers(draw)
+        note(f"{len(numbers)} workers")
+        self.befall_workers(numbers, "drain")
+        self.pause(LEAVE_NOTICE)
+        self.befall_workers(numbers, "leave")
+        self.pause(draw.uniform(0.1, 1.0))
+        self.befall_workers(numbers, "replace")
+
+    def workers_silent(self, draw, note):
+        numbers, seconds = self.workers(draw, 0.3), draw.choice([0.4, 1.5, 5.0])
+        note(f"{len(numbers)} workers for {seconds} s")
+        self.befall_workers(numbers, "silence")
+        self.pause(seconds)
+        self.befall_workers(numbers, "speak")
+
+    def workers_late(self, draw, note):
+        numbers, late = self.workers(draw, 0.3), draw.choice([100, 600, 2000])
+        note(f"{len(numbers)} workers carry orders out {late} ms late for 4 s")
+        self.befall_workers(numbers, f"late/{late}")
+        self.pause(4.0)
+        self.befall_workers(numbers, "late/0")
+
+
+# With how often each is drawn.
+KINDS = [("stop_series", 4), ("stop_owners", 3), ("kill_owners", 4), ("kill_several", 2),
+         ("kill_all", 1), ("freeze", 3), ("hang_up", 2), ("configurations", 2), ("store_away", 2),
+         ("store_slow", 2), ("store_limited", 2), ("store_parts", 1), ("store_forgets", 1),
+         ("routes_faulty", 4), ("open_connections_silent", 2), ("workers_crash", 3),
+         ("workers_leave", 2), ("workers_silent", 2), ("workers_late", 1)]
