--- a/Tools/soak/__main__.py
+++ b/Tools/soak/__main__.py
@@ -51,7 +51,7 @@
             ledger = Ledger(began)
             troubles = Troubles(cell, ledger, self.seed, max(2, self.instances // 2))
             callers = Callers(cell, ledger, THREADS[self.size], self.seed)
-            watch = Watch(cell, ledger, troubles, callers)
+            watch = Watch(cell, ledger, troubles, self.seed)
             self.under_load(cell, ledger, troubles, callers, began)
             self.to_the_end(cell, ledger, callers, watch)
             failures = troubles.failures + callers.failures + watch.failures
@@ -102,7 +102,7 @@
 def regressions():
     """[(seed, size, seconds)] of the runs that once failed and are mended."""
     lines = [line.split("#")[0].split() for line in REGRESSIONS.read_text().splitlines()]
-    return [(int(line[0]), line[1], float(line[2])) for line in lines if line]
+    return [(int(line[0]), line[1], float(line[2])) for line in lines if line and line[3] == "mended"]
 
 
 def main():
--- a/Tools/soak/callers.py
+++ b/Tools/soak/callers.py
@@ -16,7 +16,7 @@
 MOST_TRIES = 4
 # A connection that ends without an answer so long after the request had been read by then.
 READ_BY_SECONDS = 0.5
-GIVEN_UP_AFTER = 30.0  # seconds since the first try; later ones are for accepted jobs only
+ANY_SHARE = 0.1
 
 
 class Answer:
@@ -155,7 +155,12 @@
             connections.close()
 
     def choose(self, connections, draw):
-        """An instance: open connections are used on, new ones go to those that are ready."""
+        """An instance: open connections are used on, new ones go to those that are ready.
+
+        Some go to any: the platform does so while too few are ready.
+        """
+        if draw.random() < ANY_SHARE:
+            return draw.choice(list(self.cell.records))
         names = [name for name, record in self.cell.records.items()
                  if name in connections.open or record.ready]
         return draw.choice(names) if names else draw.choice(list(self.cell.records))
@@ -172,20 +177,15 @@
     def hand_in(self, connections, draw, job):
         if not job.tries:
             connections.tell_judge(f"/jobs/{job.id}", job.body)
-        began = time.monotonic()
         name, answer = self.call(connections, draw, "POST", job, job.body)
         if answer.how != "unreachable":
             connections.tell_judge(f"/jobs/{job.id}/answers/{answer.status}")
             self.ledger.answered(job, answer.status, name)
-        now = time.monotonic()
         if answer.status in ACCEPTED:
             if len(job.tries) == 1 or job.tries[-2] not in ACCEPTED:
-                self.after_acceptance(job, now)
+                self.after_acceptance(job, time.monotonic())
         elif job.accepted_at is None and len(job.tries) < MOST_TRIES:
-            first = now if not hasattr(job, "first_try") else job.first_try
-            job.first_try = min(first, began)
-            if now - job.first_try < GIVEN_UP_AFTER:
-                self.at(now + draw.uniform(0.2, 1.2), self.hand_in, job)
+            self.at(time.monotonic() + draw.uniform(0.2, 1.2), self.hand_in, job)
 
     def after_acceptance(self, job, now):
         plan = job.plan
--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -1,6 +1,7 @@
 # SPDX-FileCopyrightText: 2026 yardhill contributors
 # SPDX-License-Identifier: Apache-2.0
 """The cell under soak: ports of its own, and what was done to each instance, and when."""
+import contextlib
 import pathlib
 import shutil
 import signal
@@ -56,6 +57,8 @@
         self.disturbed_at = 0.0  # latest kill, freeze or wake
         self.frozen = False
         self.stop_asked_at = None
+        self.faults = 0  # of its connections or the store, under way
+        self.faults_end = 0.0  # of the latest
 
 
 class SoakCell(PlatformCell):
@@ -147,6 +150,28 @@
         record = self.records[name]
         return record.frozen or record.disturbed_at >= moment
 
+    @contextlib.contextmanager
+    def faulty(self, names):
+        """While the connections of these instances, or the store for them, are in trouble."""
+        for name in names:
+            self.note_fault(name, 1)
+        try:
+            yield
+        finally:
+            for name in names:
+                self.note_fault(name, -1)
+
+    def note_fault(self, name, change):
+        with self.lock:
+            self.records[name].faults += change
+            self.records[name].faults_end = time.monotonic()
+
+    def in_touch(self, name, seconds):
+        """Whether the instance has been up, without a trouble of its own or the store, so long."""
+        record, since = self.records[name], time.monotonic() - seconds
+        return (record.ready and record.should_live and record.faults == 0
+                and record.faults_end < since and not self.disturbed_since(name, since))
+
     def look(self):
         """Asks every instance whether it is ready, and notes processes that ended by themselves."""
         for name, record in self.records.items():
--- a/Tools/soak/checks.py
+++ b/Tools/soak/checks.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Looks at the cell while it runs, and at its end, for promises that only the whole shows."""
 import json
+import random
 import threading
 import time
 
@@ -9,21 +10,22 @@
 from ledger import ACCEPTED, VISIBLE_SECONDS
 
 PERIOD = 0.5
-# Counts of waiting jobs hold again after so much calm.
-CALM_FOR_COUNTS = 3.0
+# Counts of waiting jobs hold at an instance that has had no trouble of its own for so long.
+TOUCH_FOR_COUNTS = 3.5
 # A task that lasts runs again within so much calm.
 CALM_FOR_LASTING = 9.0
 MOST_RESIDENT_MIB = 300
 # To end everything that was accepted, once all is mended; generous, as the machine may be busy.
 SETTLE_SECONDS, CANCEL_SECONDS = 90.0, 30.0
+SETTLE_LEAST = 4.0
 
 
 class Watch:
-    def __init__(self, cell, ledger, troubles, callers):
+    def __init__(self, cell, ledger, troubles, seed):
         self.cell = cell
         self.ledger = ledger
         self.troubles = troubles
-        self.callers = callers
+        self.draw = random.Random(f"{seed}/watch")
         self.calm_since = None
         self.most_resident = 0
         self.running_at = {}  # a task that lasts: when it was last seen at work, or last missed
@@ -72,25 +74,30 @@
                 and time.monotonic() - self.calm_since >= seconds)
 
     def check_counts(self):
-        if not self.calm_for(CALM_FOR_COUNTS):
+        """Others may be stopped and killed meanwhile: an instance in touch knows what waits."""
+        names = [name for name in self.cell.records if self.cell.in_touch(name, TOUCH_FOR_COUNTS)]
+        if not names:
             return
+        name = self.draw.choice(names)
         for kind in self.cell.yard["kinds"]:
-            name = min(self.cell.records, key=lambda each: hash((each, time.monotonic())))
-            asked_at = time.monotonic()
-            status, _, body = http("GET", f"http://{self.cell.address(name)}{kind['path_prefix']}",
-                                   host=kind["host"])
-            if status not in ACCEPTED:
-                continue
-            told = json.loads(body)["pending"]
-            started = set(self.cell.admin("GET", "/runs")["started"])
-            waiting = [job for job in self.ledger.all()
-                       if job.kind == kind["name"] and job.accepted_at is not None
-                       and asked_at - job.accepted_at > VISIBLE_SECONDS
-                       and not job.cancel_asked and not job.final and job.id not in started]
-            self.looks["counts"] += bool(waiting)
-            if told < len(waiting) / 2 and self.calm_for(CALM_FOR_COUNTS):
-                self.ledger.breaks("MIXED", f"{name} says {told} jobs of {kind['name']} wait, and "
-                                            f"{len(waiting)} do, such as {waiting[0].id}")
+            self.check_count(name, kind)
+
+    def check_count(self, name, kind):
+        asked_at = time.monotonic()
+        url = f"http://{self.cell.address(name)}{kind['path_prefix']}"
+        status, _, body = http("GET", url, host=kind["host"])
+        if status not in ACCEPTED:
+            return
+        told = json.loads(body)["pending"]
+        started = set(self.cell.admin("GET", "/runs")["started"])
+        waiting = [job for job in self.ledger.all()
+                   if job.kind == kind["name"] and job.accepted_at is not None
+                   and asked_at - job.accepted_at > VISIBLE_SECONDS
+                   and not job.cancel_asked and not job.final and job.id not in started]
+        self.looks["counts"] += bool(waiting)
+        if told < len(waiting) / 2 and self.cell.in_touch(name, TOUCH_FOR_COUNTS):
+            self.ledger.breaks("MIXED", f"{name} says {told} jobs of {kind['name']} wait, and "
+                                        f"{len(waiting)} do, such as {waiting[0].id}")
 
     def lasting_tasks(self):
         for job in self.ledger.all():
@@ -136,9 +143,11 @@
 
 def settle(cell, ledger, callers):
     """After all is mended: every accepted job ends, or can be cancelled, and is known."""
+    # Long enough that tasks which last are looked at in calm.
+    least = time.monotonic() + CALM_FOR_LASTING + SETTLE_LEAST
     until = time.monotonic() + SETTLE_SECONDS
     open_jobs = ledger.all()
-    while open_jobs and time.monotonic() < until:
+    while (open_jobs or time.monotonic() < least) and time.monotonic() < until:
         time.sleep(PERIOD)
         open_jobs = [job for job in open_jobs if not job.lasting and not job.cancel_asked
                      and job.accepted_at is not None and not job.final]
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -12,6 +12,8 @@
 MEMORY_MIB = 100
 # Of all workers' processors: what jobs may ask for on average, and what lasts in all.
 LOAD_SHARE, LASTING_SHARE = 0.45, 0.15
+# How much work comes at once where jobs have to wait, in seconds of all workers.
+QUEUE_SECONDS = 10
 
 
 @dataclass
@@ -64,8 +66,9 @@
         self.first_number = (zlib.crc32(str(seed).encode()) << 32) + 1
         self.jobs = []
         self.add_lasting(cores, seconds)
+        self.run_time = run_time
         self.add_bursts(seconds, cores)
-        self.add_steady(seconds, cores, run_time)
+        self.add_steady(seconds, cores)
         self.jobs.sort(key=lambda job: job.plan.at)
 
     def add(self, kind, steps, at, cancel_after=None):
@@ -93,12 +96,23 @@
             for _ in range(int(cores / self.draw.uniform(3, 12))):
                 self.add("preview", preview(self.draw), at + self.draw.uniform(0, 0.3))
 
-    def add_steady(self, seconds, cores, run_time):
+        if self.draw.random() < 0.7:
+            self.add_queue(self.draw.uniform(2, seconds * 0.7), cores)
+
+    def add_queue(self, at, cores):
+        """More at once than the cell has room for, so that jobs wait for seconds."""
+        budget = cores * QUEUE_SECONDS * self.draw.uniform(0.5, 1.5)
+        while budget > 0:
+            steps = rebuild(self.draw)
+            budget -= cpu_seconds(steps, self.run_time)
+            self.add("rebuild", steps, at + self.draw.uniform(0, 1.0))
+
+    def add_steady(self, seconds, cores):
         budget = cores * seconds * LOAD_SHARE * self.draw.uniform(0.3, 1.0)
         while budget > 0:
             kind, make, _ = self.draw.choices(MAKERS, [weight for *_, weight in MAKERS])[0]
             steps = make(self.draw)
-            budget -= cpu_seconds(steps, run_time)
+            budget -= cpu_seconds(steps, self.run_time)
             self.add(kind, steps, self.draw.uniform(0.5, seconds))
 
     def told(self):
--- a/Tools/soak/troubles.py
+++ b/Tools/soak/troubles.py
@@ -223,7 +223,7 @@
         self.store_for(f"limited/{calls}", "limited/0", seconds)
 
     def store_parts(self, draw, note):
-        parts = [str(part) for part in draw.sample(range(JOB_PARTS), draw.randint(1, JOB_PARTS))]
+        parts = [f"j{part}" for part in draw.sample(range(JOB_PARTS), draw.randint(1, JOB_PARTS))]
         if draw.random() < 0.3:
             parts.append("cell")
         seconds = draw.uniform(1, 5)
@@ -231,16 +231,18 @@
         self.store_for("parts/" + ",".join(parts), "parts/", seconds)
 
     def store_for(self, fault, mended, seconds):
-        self.cell.admin("PUT", f"/store/{fault}")
-        self.pause(seconds)
-        self.cell.admin("PUT", f"/store/{mended}")
+        with self.cell.faulty(self.cell.instances):
+            self.cell.admin("PUT", f"/store/{fault}")
+            self.pause(seconds)
+            self.cell.admin("PUT", f"/store/{mended}")
 
     def store_forgets(self, draw, note):
         times = draw.randint(1, 3)
         note(f"its history, {times} times")
-        for _ in range(times):
-            self.cell.admin("PUT", "/store/forget")
-            self.pause(draw.uniform(0.1, 1.0))
+        with self.cell.faulty(self.cell.instances):
+            for _ in range(times):
+                self.cell.admin("PUT", "/store/forget")
+                self.pause(draw.uniform(0.1, 1.0))
 
     # Connections.
 
@@ -249,18 +251,20 @@
         names, seconds = self.names(draw, max(2, len(self.cell.instances) // 2)), draw.uniform(0.3, 6)
         delay = draw.choice([20, 150, 600])
         note(f"{fault} on the way to {way} of {len(names)} instances for {seconds:.1f} s")
-        for name in names:
-            self.cell.proxies.set(f"{way} {name}", fault, "all", delay)
-        self.pause(seconds)
-        for name in names:
-            self.cell.proxies.set(f"{way} {name}", "works")
+        with self.cell.faulty(names):
+            for name in names:
+                self.cell.proxies.set(f"{way} {name}", fault, "all", delay)
+            self.pause(seconds)
+            for name in names:
+                self.cell.proxies.set(f"{way} {name}", "works")
 
     def open_connections_silent(self, draw, note):
         fault = draw.choice(["hold_up", "hold_down", "silent"])
         names = self.names(draw, len(self.cell.instances))
         note(f"{fault}, for good, on what is open to the store from {len(names)} instances")
-        for name in names:
-            self.cell.proxies.set(f"store {name}", fault, "open")
+        with self.cell.faulty(names):
+            for name in names:
+                self.cell.proxies.set(f"store {name}", fault, "open")
 
     # Workers.
 
