--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -328,12 +328,8 @@
       m_fleet.begin_life(worker);
       m_fleet.write_entry(worker);
     }
-    else if (what == "drain" && worker.model)
-    {
-      worker.draining = true;
-      m_fleet.write_entry(worker);
-      m_judge.worker_leaving(worker.settings.id, m_time.now());
-    }
+    else if (what == "drain")
+      drain(worker);
     else if (what == "silence")
       m_silent.insert(worker.machine);
     else if (what == "speak")
@@ -345,6 +341,16 @@
     return {};
   }
 
+  // Nothing comes from one that is gone.
+  void drain(model::fleet_worker& worker)
+  {
+    if (!worker.model)
+      return;
+    worker.draining = true;
+    m_fleet.write_entry(worker);
+    m_judge.worker_leaving(worker.settings.id, m_time.now());
+  }
+
   outgoing_answer report(const std::vector<std::string>&, const std::string&)
   {
     const json out{{"starts", m_judge.starts()},         {"accepted", m_judge.accepted_jobs()},
