--- a/Tools/soak/__main__.py
+++ b/Tools/soak/__main__.py
@@ -6,8 +6,11 @@
 that a run is not exactly repeatable. Exit code 1 if any promise was broken.
 """
 import argparse
+import concurrent.futures
 import pathlib
 import random
+import signal
+import subprocess
 import sys
 import threading
 import time
@@ -105,29 +108,58 @@
     return [(int(line[0]), line[1], float(line[2])) for line in lines if line and line[3] == "mended"]
 
 
-def main():
+def play_all(runs, jobs):
+    """Plays each run, so many at a time as processes of their own; their exit codes."""
+    def play(run):
+        seed, size, seconds = run
+        process = subprocess.Popen(
+            [sys.executable, str(pathlib.Path(__file__).parent), "--seed", str(seed), "--size", size,
+             "--seconds", str(seconds)], stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        started.append(process)
+        print(process.communicate()[0], end="", flush=True)
+        return process.returncode
+
+    started = []
+    pool = concurrent.futures.ThreadPoolExecutor(jobs)
+    try:
+        return list(pool.map(play, runs))
+    finally:
+        pool.shutdown(wait=False, cancel_futures=True)
+        for process in started:
+            process.terminate()
+
+
+def arguments():
     parser = argparse.ArgumentParser(description=__doc__, prog="python3 Tools/soak")
-    parser.add_argument("--seed", type=int)
-    parser.add_argument("--seeds", help="FIRST,COUNT")
-    parser.add_argument("--seconds", type=float, default=40)
+    which = parser.add_mutually_exclusive_group(required=True)
+    which.add_argument("--seed", type=int, help="one run")
+    which.add_argument("--seeds", help="FIRST,COUNT")
+    which.add_argument("--regressions", action="store_true", help="the mended ones")
+    parser.add_argument("--seconds", type=float, default=40, help="under load; half a minute more")
     parser.add_argument("--size", choices=THREADS, default="small")
-    parser.add_argument("--regressions", action="store_true", help="the seeds that once failed")
-    given = parser.parse_args()
-    first, count = map(int, (given.seeds or f"{given.seed},1" if given.seed is not None
-                             or given.seeds else "1,1").split(","))
-    runs = [(seed, given.size, given.seconds) for seed in range(first, first + count)]
-    if given.regressions:
-        runs = regressions()
-    summaries, broken = [], 0
-    for seed, size, seconds in runs:
-        summary, lines = Run(seed, size, seconds).play()
-        summaries.append(summary)
-        broken += len(lines)
+    parser.add_argument("--jobs", type=int, default=1, help="runs at a time")
+    return parser.parse_args()
+
+
+def end(*_):
+    sys.exit("ended by a signal")
+
+
+def main():
+    given = arguments()
+    signal.signal(signal.SIGTERM, end)  # what was started is ended on the way out
+    if given.seed is not None:
+        summary, broken = Run(given.seed, given.size, given.seconds).play()
         print(summary, flush=True)
-    if len(runs) > 1:
-        print("\n" + "\n".join(summaries))
-    print(f"{len(runs)} runs, {broken} broken promises")
-    return 1 if broken else 0
+        return 1 if broken else 0
+    runs = regressions()
+    if given.seeds:
+        first, count = map(int, given.seeds.split(","))
+        runs = [(seed, given.size, given.seconds) for seed in range(first, first + count)]
+    codes = play_all(runs, given.jobs)
+    failed = [f"{seed} {size}" for (seed, size, _), code in zip(runs, codes) if code != 0]
+    print(f"{len(runs)} runs, {len(failed)} with broken promises: {', '.join(failed)}")
+    return 1 if failed else 0
 
 
 if __name__ == "__main__":
