--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -14,6 +14,7 @@
 
 #include "Http/HttpListener.h"
 #include "Jobs/QueueTable.h"
+#include "Node/EarlyCalls.h"
 #include "Node/JobStore.h"
 #include "Node/PartitionOwner.h"
 #include "Node/SeenCapacities.h"
@@ -31,6 +32,8 @@
                  common::metrics& counts);
 
   void handle(http::incoming_request request, http::responder respond);
+  // The first configuration, or a later one, is in force.
+  void configured() { m_early.release(); }
 
 private:
   // A request whose queue is known.
@@ -44,6 +47,16 @@
     http::responder respond;
   };
 
+  struct refusal
+  {
+    unsigned status = 0;
+    common::refusal_reason why = common::refusal_reason::none;
+    std::string detail;
+    row_evidence evidence = row_evidence::none;
+  };
+
+  // To what the request's verb and path say.
+  void dispatch(const std::shared_ptr<call>& what, const http::incoming_request& request);
   void submit(const std::shared_ptr<call>& what);
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
@@ -57,8 +70,7 @@
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
   void with_job(const std::shared_ptr<call>& what, std::function<void(const found_job&)> then);
   void count(const std::shared_ptr<call>& what);
-  void refuse(const call& what, unsigned status, common::refusal_reason why,
-              const std::string& detail);
+  void refuse(const call& what, const refusal& how);
 
   // Where a new job should run.
   std::string home_for() const;
@@ -73,6 +85,8 @@
   const seen_capacities& m_capacities;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   common::metrics& m_metrics;
+  common::time_point m_started; // of this instance
+  early_calls m_early;
   std::unordered_map<std::string, std::string> m_homes; // of jobs seen here
 };
 } // namespace yardhill::node
