--- a/Tools/soak/__main__.py
+++ b/Tools/soak/__main__.py
@@ -25,7 +25,9 @@
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 RUN_TIME = 0.2
 CORES_PER_WORKER = 16
-THREADS = {"small": 8, "large": 24}
+# By size: callers' threads, and between how many troubles a second there are in a wave.
+THREADS = {"small": 8, "dense": 8, "large": 24}
+DENSITY = {"small": (0.3, 1.0), "dense": (1.0, 2.5), "large": (0.5, 1.5)}
 KNOWN_SECONDS = 20.0
 
 
@@ -52,7 +54,8 @@
             cell.start()
             began = time.monotonic()
             ledger = Ledger(began)
-            troubles = Troubles(cell, ledger, self.seed, max(2, self.instances // 2))
+            troubles = Troubles(cell, ledger, self.seed, max(2, self.instances // 2),
+                                DENSITY[self.size])
             callers = Callers(cell, ledger, THREADS[self.size], self.seed)
             watch = Watch(cell, ledger, troubles, self.seed)
             self.under_load(cell, ledger, troubles, callers, began)
@@ -83,7 +86,7 @@
         settle(cell, ledger, callers)
         check_known(ledger, callers)
         until = time.monotonic() + KNOWN_SECONDS
-        while callers.due and time.monotonic() < until:
+        while not callers.idle() and time.monotonic() < until:
             time.sleep(0.2)
         watch.stop()
         watch.look()
@@ -95,11 +98,12 @@
     def summary(self, cell, ledger, troubles, callers, watch):
         jobs = ledger.all()
         accepted = sum(job.accepted_at is not None for job in jobs)
+        calls, under_stop = callers.calls()
         return (f"seed {self.seed} {self.size}: {self.instances} instances, {self.workers} workers, "
                 f"{len(jobs)} jobs, {accepted} accepted, {cell.report()['starts']} starts, "
-                f"{len(troubles.told)} troubles, {next(callers.calls)} calls, "
+                f"{len(troubles.told)} troubles, {calls} calls ({under_stop} under SIGTERM), "
                 f"{watch.looks['counts']} counts compared, calm {watch.looks['longest_calm']:.0f} s, "
-                f"{watch.most_resident:.0f} MiB; {len(ledger.broken)} broken")
+                f"{watch.most_resident:.0f} MiB; {len(ledger.broken)} broken {ledger.by_rule()}")
 
 
 def regressions():
--- a/Tools/soak/callers.py
+++ b/Tools/soak/callers.py
@@ -34,9 +34,14 @@
         self.ledger = ledger
         self.open = {}
         self.admin = None
+        self.calls = 0
+        self.calls_under_stop = 0  # on an open connection to an instance that had got SIGTERM
 
     def call(self, name, method, path, body=None):
+        self.calls += 1
         connection = self.open.get(name)
+        if connection is not None and self.cell.records[name].stop_asked_at is not None:
+            self.calls_under_stop += 1
         if connection is None:
             connection = http.client.HTTPConnection("127.0.0.1", self.cell.port(name, CALLERS),
                                                     timeout=TIMEOUT_SECONDS)
@@ -114,7 +119,8 @@
         self.changed = threading.Condition()
         self.stopped = False
         self.polling = True
-        self.calls = itertools.count()
+        self.busy = 0  # threads that do something
+        self.all_connections = []
         self.threads = [threading.Thread(target=self.work, args=(random.Random(f"{seed}/{n}"),),
                                          daemon=True) for n in range(threads)]
         self.failures = []
@@ -138,16 +144,30 @@
             while not self.stopped:
                 wait = self.due[0][0] - time.monotonic() if self.due else None
                 if wait is not None and wait <= 0:
+                    self.busy += 1
                     return heapq.heappop(self.due)[2:]
                 self.changed.wait(wait)
         return None
 
+    def idle(self):
+        """Whether nothing is being done or overdue."""
+        with self.changed:
+            return self.busy == 0 and not (self.due and self.due[0][0] <= time.monotonic())
+
+    def calls(self):
+        """(all, those on open connections to instances under SIGTERM)"""
+        return (sum(each.calls for each in self.all_connections),
+                sum(each.calls_under_stop for each in self.all_connections))
+
     def work(self, draw):
         connections = Connections(self.cell, self.ledger)
+        self.all_connections.append(connections)
         try:
             while entry := self.next_due():
                 what, job = entry
                 what(connections, draw, job)
+                with self.changed:
+                    self.busy -= 1
         except Exception as error:  # a fault of the soak itself: the run says so
             self.failures.append(repr(error))
             raise
@@ -171,7 +191,6 @@
 
     def call(self, connections, draw, method, job, body=None):
         name = self.choose(connections, draw)
-        next(self.calls)
         return name, connections.call(name, method, self.path(job), body)
 
     def hand_in(self, connections, draw, job):
--- a/Tools/soak/ledger.py
+++ b/Tools/soak/ledger.py
@@ -1,6 +1,7 @@
 # SPDX-FileCopyrightText: 2026 yardhill contributors
 # SPDX-License-Identifier: Apache-2.0
 """What callers were told of each job, and which promises that breaks."""
+import collections
 import threading
 import time
 
@@ -49,13 +50,18 @@
         self.lock = threading.Lock()
         self.jobs = {}
         self.broken = []
+        self.rules = collections.Counter()
 
     def breaks(self, rule, what):
         line = f"{time.monotonic() - self.began:7.2f} s  {rule}: {what}"
         with self.lock:
             self.broken.append(line)
+            self.rules[rule] += 1
         print("  BROKEN " + line, flush=True)
 
+    def by_rule(self):
+        return ", ".join(f"{rule} {count}" for rule, count in sorted(self.rules.items()))
+
     def add(self, job):
         with self.lock:
             self.jobs[job.id] = job
--- a/Tools/soak/troubles.py
+++ b/Tools/soak/troubles.py
@@ -15,13 +15,14 @@
 
 
 class Troubles:
-    """`size`: how many things one trouble concerns at most."""
+    """`size`: how many things one trouble concerns at most; `density`: troubles a second in a wave."""
 
-    def __init__(self, cell, ledger, seed, size):
+    def __init__(self, cell, ledger, seed, size, density):
         self.cell = cell
         self.ledger = ledger
         self.seed = seed
         self.size = size
+        self.density = density
         self.draw = random.Random(f"{seed}/troubles")
         self.lock = threading.Lock()
         self.under_way = 0
@@ -38,7 +39,7 @@
         while at < seconds - 4:
             wave = min(self.draw.uniform(4, 14), seconds - 2 - at)
             favourite = self.draw.choice(kinds)
-            for _ in range(max(1, int(wave * self.draw.uniform(0.3, 1.0)))):
+            for _ in range(max(1, int(wave * self.draw.uniform(*self.density)))):
                 kind = favourite if self.draw.random() < 0.3 else self.draw.choice(kinds)
                 drawn.append((at + self.draw.uniform(0, wave), kind))
             at += wave + self.draw.choice([3, 6, 14, 16])
