--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -216,6 +216,24 @@
   return started;
 }
 
+bool run_judge::waits(const std::string& job) const
+{
+  const auto found = m_jobs.find(job);
+  return found != m_jobs.end() && found->second.accepted && !found->second.started &&
+         !found->second.cancel_asked;
+}
+
+std::set<std::string> run_judge::busy_workers() const
+{
+  std::set<std::string> workers;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    for (const auto& [run, worker] : seen.active)
+      workers.insert(worker);
+  }
+  return workers;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -60,12 +60,17 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   std::size_t starts() const { return m_starts; }
   std::size_t accepted_jobs() const;
+  // Whether a job is accepted and none of its tasks has begun; not if its cancellation was asked
+  // for.
+  bool waits(const std::string& job) const;
   // Runs that have begun and not ended, on workers that live.
   std::size_t active_runs() const;
   // Their tasks.
   std::vector<task_ref> active_tasks() const;
   // Jobs of which any task has ever begun.
   std::vector<std::string> started_jobs() const;
+  // The workers that these are on.
+  std::set<std::string> busy_workers() const;
 
 private:
   struct seen_job
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -7,11 +7,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Common/Error.h"
 #include "Common/InstanceSettings.h"
 #include "Common/Time.h"
+#include "Node/StoreClock.h"
 #include "Scheduling/SchedulerMessages.h"
 #include "platform/StoreClient.h"
 
@@ -35,6 +37,9 @@
   // What others may know of the partition: accepted jobs that have not begun, by queue, and the
   // processor time that waits and that is free, in thousandths of a core.
   std::map<std::string, std::uint64_t> pending;
+  // Up to when the jobs counted there were known; none: of unknown age. Whoever hands the counts on
+  // hands this on with them.
+  std::optional<adapter::store_time> counted_at;
   std::int64_t waiting_cpu = 0;
   std::int64_t free_cpu = 0;
 };
@@ -48,8 +53,10 @@
 std::string to_row_text(const owner_row& row);
 common::result<owner_row> owner_row_from(const std::string& text);
 std::string to_row_text(const commit_row& row);
-std::string to_row_text(const scheduling::worker_claim& claim);
-common::result<scheduling::worker_claim> worker_claim_from(const std::string& text);
+// The row says on the store's clock when all is over; it says nothing while that is not known.
+std::string to_row_text(const scheduling::worker_claim& claim, const store_clock& clock);
+common::result<scheduling::worker_claim> worker_claim_from(const std::string& text,
+                                                           const store_clock& clock);
 std::string to_row_text(const common::endpoint& address);
 common::result<common::endpoint> address_from(const std::string& text);
 common::result<commit_row> commit_row_from(const std::string& text);
