--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -65,6 +65,10 @@
   bool waits(const std::string& job) const;
   // Runs that have begun and not ended, on workers that live.
   std::size_t active_runs() const;
+  // Their tasks.
+  std::vector<task_ref> active_tasks() const;
+  // Jobs of which any task has ever begun.
+  std::vector<std::string> started_jobs() const;
   // The workers that these are on.
   std::set<std::string> busy_workers() const;
 
