Decision: The verdict on an attempt, retries' delays and four books leave the scheduler

One function of 75 lines both judged an attempt and worded five answers.

Change: AttemptVerdict judges an attempt by its record alone and words the answers; RetryDelay computes backoff and spread; DrainRate learns the pace of starts; WorkerInboxes keeps what workers told of ended attempts; DeclaredReplicas names the replicas that the declared state wants here. What follows from writes of records, and from workers' news, has a file of its own beside the other parts of the class. No behaviour changes.

--- a/Source/Core/Decision/PartitionScheduler.h
+++ b/Source/Core/Decision/PartitionScheduler.h
@@ -18,6 +18,7 @@
 #include "Common/Metrics.h"
 #include "Common/Options.h"
 #include "Common/WorkerMessages.h"
+#include "Decision/DrainRate.h"
 #include "Decision/PlacementPass.h"
 #include "Decision/RetryBudget.h"
 #include "Decision/RunEstimator.h"
@@ -25,6 +26,7 @@
 #include "Decision/TaskTable.h"
 #include "Decision/TeamShares.h"
 #include "Decision/WaitingQueue.h"
+#include "Decision/WorkerInboxes.h"
 #include "Decision/WorkerPool.h"
 
 namespace yardhill::decision
@@ -80,7 +82,10 @@
   scheduler_output take_output();
 
   // The highest sequence of the worker's ended attempts such that all up to it are settled.
-  std::uint64_t settled_up_to(const worker_id& worker) const;
+  std::uint64_t settled_up_to(const worker_id& worker) const
+  {
+    return m_inboxes.settled_up_to(worker);
+  }
 
   const worker_pool& pool() const { return m_pool; }
   std::size_t queued() const { return m_queue.size(); }
@@ -101,32 +106,18 @@
     task_id task;
     std::uint64_t sequence; // of the record, so that a timer of an earlier one does nothing
   };
-  // A worker's ended attempts that were seen but are not settled yet.
-  struct worker_inbox
-  {
-    std::string boot;
-    std::uint64_t seen = 0;
-    std::map<std::uint64_t, task_id> unsettled;
-  };
 
   // Acceptance
   std::optional<answer> find_refusal(const task_spec& spec, time_point now) const;
   void join(task_record& task, const task_spec& spec, const reply_address& from);
-  void accept_written(task_record& task, const record_write_result& result, time_point now);
-  void intent_written(task_record& task, record_write_status status, time_point now);
-  void end_written(task_record& task);
-  void found(const record_write_result& result);
-  void take_known(task_record& task, const stored_task& known, time_point now);
   void accept(const task_spec& spec, bool fresh, const reply_address& from, time_point now);
   void enqueue(task_record& task, time_point now);
   void leave_queue(task_record& task);
   answer stopped_while_waiting(const task_record& task) const;
   std::optional<answer> find_shape_refusal(const task_spec& spec) const;
   std::optional<answer> find_load_refusal(const task_spec& spec) const;
-  duration expected_wait(std::size_t ahead) const;
-  void apply_replicas(const cell_config& cell, time_point now);
-  bool is_declared_replica(const task_spec& spec) const;
-  void ensure_replica(const workload_config& workload, std::uint32_t replica, time_point now);
+  void apply_replicas(time_point now);
+  void ensure_replica(const task_spec& spec, time_point now);
 
   // Runs
   void carry_out(const pass_result& result, time_point now);
@@ -144,14 +135,24 @@
   void stop_members(task_record& task, stop_cause cause, bool checkpoint);
   void conclude_attempt(task_record& task, time_point now);
   void retry(task_record& task, retry_reason why, bool counts, time_point now);
+  std::optional<duration> retry_delay(const task_record& task, retry_reason why);
+  void refuse_retry(task_record& task, time_point now);
+  void fail_for_good(task_record& task, time_point now);
   void finish(task_record& task, answer result, time_point now);
   void leave_active(const task_record& task);
   void settle_members(const task_record& task);
-  void settle_everywhere(const task_id& task);
-  void settle_at(worker_inbox& inbox, const task_id& task);
+
+  // Workers' news
   void check_silent_members(const worker_id& worker, const claim_answer& news, bool voided,
                             time_point now);
 
+  // Records
+  void accept_written(task_record& task, const record_write_result& result, time_point now);
+  void intent_written(task_record& task, record_write_status status, time_point now);
+  void found(const record_write_result& result);
+  void take_known(task_record& task, const stored_task& known, time_point now);
+  void write(task_record& task, record_change change);
+
   // Recovery
   void adopt_running(const worker_id& worker, const running_attempt& running,
                      const claim_answer& news, time_point now);
@@ -164,7 +165,6 @@
   void reply(const reply_address& to, const answer& value);
   void reply_to_waiters(task_record& task, const answer& value);
   answer current_answer(const task_record& task) const;
-  void write(task_record& task, record_change change);
   void note(const task_record& task, std::string_view step, std::string detail);
 
   void deadline_passed(task_record& task, time_point now);
@@ -180,11 +180,12 @@
   team_shares m_shares;
   run_estimator m_estimator;
   retry_budget m_budget;
+  drain_rate m_drain;
   task_table m_tasks;
   placement_pass m_pass;
   cell_config m_cell;
   std::multimap<time_point, timer> m_timers;
-  std::unordered_map<worker_id, worker_inbox> m_inboxes;
+  worker_inboxes m_inboxes;
   std::unordered_map<task_id, std::vector<reply_address>> m_finding; // asked of the table
   scheduler_output m_output;
   placing_right m_right = placing_right::none;
@@ -197,7 +198,5 @@
   time_point m_next_pass = k_never;
   attempt_number m_last_attempt = 0;
   std::size_t m_active = 0;
-  double m_start_interval_us = 0; // smoothed time between starts while tasks wait
-  time_point m_last_start{};
 };
 } // namespace yardhill::decision
--- a/Source/Core/Decision/PartitionSchedulerAnswers.cpp
+++ b/Source/Core/Decision/PartitionSchedulerAnswers.cpp
@@ -98,27 +98,6 @@
   m_output.writes.push_back(std::move(look));
 }
 
-void partition_scheduler::found(const record_write_result& result)
-{
-  const auto asking = m_finding.find(result.task);
-  if (asking == m_finding.end())
-    return;
-  answer value = refuse(result.task, refusal_reason::unknown_task, "no such task is known here",
-                        "status", duration{0});
-  if (result.status == record_write_status::unclear)
-    value = unclear(result.task, refusal_reason::store_unavailable,
-                    "it is not in memory and the table service did not answer", "status",
-                    k_store_come_back);
-  else if (result.known && result.known->final_answer)
-    value = *result.known->final_answer;
-  else if (result.known)
-    value = unclear(result.task, refusal_reason::records_incomplete,
-                    "its record is being taken over", "status", k_store_come_back);
-  for (const reply_address& to : asking->second)
-    reply(to, value);
-  m_finding.erase(asking);
-}
-
 answer partition_scheduler::current_answer(const task_record& task) const
 {
   if (task.final_answer)
@@ -194,7 +173,8 @@
     finish(task,
            refuse(task.spec.id, refusal_reason::deadline_passed, "it found no place in time",
                   "place",
-                  std::clamp(expected_wait(m_queue.size()), k_least_come_back, k_most_come_back)),
+                  std::clamp(m_drain.expected_wait(m_queue.size()), k_least_come_back,
+                             k_most_come_back)),
            now);
     return;
   }
--- a/Source/Core/Decision/PartitionSchedulerRecovery.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRecovery.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "Common/Error.h"
+#include "Decision/DeclaredReplicas.h"
 #include "Decision/PartitionScheduler.h"
 
 namespace yardhill::decision
@@ -29,7 +30,7 @@
   m_records_complete = false;
   m_placing_stopped = false;
   m_quarantine_until = quarantine_until;
-  apply_replicas(m_cell, now);
+  apply_replicas(now);
 }
 
 void partition_scheduler::end_term()
@@ -180,7 +181,7 @@
     if (!read)
       return nullptr;
     const task_spec& spec = *read;
-    if (spec.kind == task_kind::service && !is_declared_replica(spec))
+    if (spec.kind == task_kind::service && !is_declared_replica(spec, m_cell))
       return nullptr;
     task = &m_tasks.create(spec, now);
     task->has_row = task->spec.durable(); // written before it was ever started
@@ -264,7 +265,7 @@
   if (!taken)
   {
     // The attempt of a task that ended otherwise, or of one that nobody here can name.
-    settle_at(m_inboxes[worker], ended.id.task);
+    m_inboxes.settle(worker, ended.id.task);
     return;
   }
   member_run& member = task->members[ended.id.member];
--- a/Source/Core/Decision/PartitionSchedulerRuns.cpp
+++ b/Source/Core/Decision/PartitionSchedulerRuns.cpp
@@ -1,12 +1,14 @@
 // SPDX-FileCopyrightText: 2026 yardhill contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// Attempts: starting them, following them at the workers, and what comes after their end.
+// Attempts: starting them, following their members, and what comes after their end.
 
 #include <algorithm>
 
-#include "Common/Hash.h"
+#include "Decision/AttemptVerdict.h"
+#include "Decision/DeclaredReplicas.h"
 #include "Decision/PartitionScheduler.h"
+#include "Decision/RetryDelay.h"
 
 namespace yardhill::decision
 {
@@ -20,14 +22,6 @@
   return static_cast<timing>(static_cast<std::size_t>(timing::waiting_interactive) +
                              static_cast<std::size_t>(kind));
 }
-
-// A part between 0.75 and 1.25 that differs between tasks and tries, so that retries spread out.
-double jitter(const task_id& task, attempt_number attempt)
-{
-  constexpr std::uint64_t steps = 1000;
-  const std::uint64_t step = stable_hash(task.value, attempt) % steps;
-  return 0.75 + 0.5 * static_cast<double>(step) / static_cast<double>(steps);
-}
 } // namespace
 
 void partition_scheduler::begin_attempt(task_record& task, const std::vector<std::size_t>& workers,
@@ -106,54 +100,6 @@
   return task->phase == task_phase::active && member.worker == worker ? &member : nullptr;
 }
 
-void partition_scheduler::start_answered(const worker_id& worker, const start_answer& results,
-                                         time_point now)
-{
-  for (const start_result& result : results.results)
-  {
-    const member_run* member = member_of(result.id, worker);
-    const bool current = member != nullptr && (member->phase == member_phase::starting ||
-                                               member->phase == member_phase::unclear);
-    if (!current)
-    {
-      if (member == nullptr && result.refusal == start_refusal::none)
-        m_output.stops.push_back({worker, result.id, false});
-      continue;
-    }
-    task_record& task = *m_tasks.find(result.id.task);
-    if (result.refusal == start_refusal::already_ran)
-      continue; // sent twice below us; the worker's next news tell how it went
-    if (result.refusal == start_refusal::none)
-      confirm_running(task, result.id.member, results.moment, now);
-    else
-      member_not_started(task, result.id.member, result.refusal, now);
-  }
-}
-
-void partition_scheduler::start_unclear(const worker_id& worker,
-                                        const std::vector<attempt_id>& attempts)
-{
-  for (const attempt_id& id : attempts)
-  {
-    member_run* member = member_of(id, worker);
-    if (member == nullptr || member->phase != member_phase::starting)
-      continue;
-    member->phase = member_phase::unclear;
-    m_metrics.add(retry_reason::start_unclear);
-  }
-}
-
-void partition_scheduler::start_unsent(const worker_id& worker,
-                                       const std::vector<attempt_id>& attempts, time_point now)
-{
-  for (const attempt_id& id : attempts)
-  {
-    const member_run* member = member_of(id, worker);
-    if (member != nullptr && member->phase == member_phase::starting)
-      member_not_started(*m_tasks.find(id.task), id.member, start_refusal::old_ticket, now);
-  }
-}
-
 void partition_scheduler::confirm_running(task_record& task, std::size_t member,
                                           std::uint64_t moment, time_point /*now*/)
 {
@@ -286,76 +232,38 @@
 
 void partition_scheduler::conclude_attempt(task_record& task, time_point now)
 {
-  const auto all = [&task](auto test) { return std::ranges::all_of(task.members, test); };
-  const auto any = [&task](auto test) { return std::ranges::any_of(task.members, test); };
-  const bool none_ran =
-      all([](const member_run& member) { return member.phase == member_phase::idle; });
-  const bool all_done =
-      !none_ran &&
-      all([](const member_run& member)
-          { return member.phase == member_phase::over && member.result == attempt_result::done; });
-  const bool lost = any([](const member_run& member) { return member.lost; });
-  const bool lapsed = any(
-      [](const member_run& member)
-      { return member.phase == member_phase::over && member.result == attempt_result::lapsed; });
-
-  if (all_done && task.spec.kind != task_kind::service)
+  const attempt_verdict verdict = judge_attempt(task);
+  switch (verdict)
   {
-    answer done;
-    done.result = outcome::done;
-    done.waited = task.started_at - task.accepted_at;
-    for (const member_run& member : task.members)
-    {
-      done.body += member.body;
-      done.ran = std::max(done.ran, member.ran);
-    }
-    finish(task, std::move(done), now);
+  case attempt_verdict::done:
+    finish(task, done_answer(task), now);
     return;
-  }
-  if (task.stopping == stop_cause::cancelled || task.stopping == stop_cause::deadline)
-  {
-    const bool cancelled = task.stopping == stop_cause::cancelled;
-    if (is_declared_replica(task.spec))
-    {
+  case attempt_verdict::stopped:
+    if (is_declared_replica(task.spec, m_cell))
       retry(task, retry_reason::preempted, false, now); // declared again while it was stopping
-      return;
-    }
-    answer stopped =
-        refuse(task.spec.id,
-               cancelled ? refusal_reason::cancelled_by_caller : refusal_reason::deadline_passed,
-               "stopped while it ran", "run", duration{0});
-    stopped.result = cancelled ? outcome::cancelled : outcome::failed;
-    finish(task, std::move(stopped), now);
+    else
+      finish(task, stopped_answer(task), now);
     return;
-  }
-  if (none_ran)
-  {
-    retry(task, retry_reason::start_refused, false, now);
+  case attempt_verdict::run_unclear:
+  case attempt_verdict::failed_for_good:
+    finish(task, not_again_answer(task, verdict), now);
     return;
-  }
-  if (!task.spec.repeatable)
-  {
-    answer over = unclear(task.spec.id, refusal_reason::run_unclear,
-                          "its worker was lost while it ran", "run", duration{0});
-    if (!lost)
-    {
-      over.result = outcome::failed;
-      over.reason = refusal_reason::attempts_exhausted;
-      over.detail = "the one attempt that it may have failed";
-    }
-    over.peer = task.members.front().worker.value;
-    finish(task, std::move(over), now);
+  case attempt_verdict::not_started:
+    retry(task, retry_reason::start_refused, false, now);
     return;
-  }
-  if (task.stopping == stop_cause::preempted)
+  case attempt_verdict::preempted:
     retry(task, retry_reason::preempted, false, now);
-  else if (lapsed)
+    return;
+  case attempt_verdict::worker_lost:
     retry(task, retry_reason::worker_lost, false, now);
-  else if (task.stopping == stop_cause::member_lost &&
-           any([](const member_run& member) { return member.phase == member_phase::idle; }))
+    return;
+  case attempt_verdict::gang_member_lost:
     retry(task, retry_reason::gang_member_lost, false, now);
-  else
+    return;
+  case attempt_verdict::failed:
     retry(task, retry_reason::attempt_failed, true, now);
+    return;
+  }
 }
 
 // Puts the task back in line. `counts` says whether the try uses up one of its attempts.
@@ -364,15 +272,7 @@
   const bool service = task.spec.kind == task_kind::service;
   if (counts && !service && task.failures + 1 >= task.spec.max_attempts)
   {
-    answer failed = refuse(task.spec.id, refusal_reason::attempts_exhausted, "every attempt failed",
-                           "run", duration{0});
-    failed.result = outcome::failed;
-    if (!task.members.empty())
-    {
-      failed.body = task.members.front().body;
-      failed.peer = task.members.front().worker.value;
-    }
-    finish(task, std::move(failed), now);
+    fail_for_good(task, now);
     return;
   }
   leave_active(task);
@@ -385,99 +285,43 @@
   task.intent.reset();
   task.phase = task_phase::delayed;
   if (why == retry_reason::preempted)
-  {
     enqueue(task, now);
-    return;
-  }
-  duration delay = k_refused_again;
-  if (why != retry_reason::start_refused)
-  {
-    const std::uint32_t doublings = std::min(task.failures, 8U);
-    delay = std::min(m_options.retry_first * (1U << doublings), m_options.retry_most);
-    if (!m_budget.take())
-    {
-      if (task.spec.waits && task.spec.kind == task_kind::interactive)
-      {
-        answer failed = refuse(task.spec.id, refusal_reason::attempts_exhausted,
-                               "too many tasks are being tried again", "run", k_budget_come_back);
-        failed.result = outcome::failed;
-        finish(task, std::move(failed), now);
-        return;
-      }
-      delay = m_options.retry_most;
-    }
-  }
-  delay = duration{static_cast<duration::rep>(static_cast<double>(delay.count()) *
-                                              jitter(task.spec.id, task.attempt))};
-  add_timer(now + delay, timer_kind::retry, task);
+  else if (const std::optional<duration> delay = retry_delay(task, why))
+    add_timer(now + spread_out(*delay, task.spec.id, task.attempt), timer_kind::retry, task);
+  else
+    refuse_retry(task, now);
 }
 
-void partition_scheduler::worker_news(const worker_id& worker, const claim_answer& news,
-                                      bool voided, time_point now)
+// Nothing where the budget of retries is used up and a caller waits for the result.
+std::optional<duration> partition_scheduler::retry_delay(const task_record& task, retry_reason why)
 {
-  const std::optional<std::size_t> position = m_pool.position_of(worker);
-  if (!position || !m_owned)
-    return;
-  worker_ledger& ledger = m_pool.at(*position);
-  const bool was_placeable = ledger.placeable();
-  ledger.set_usable(true, news.leaving, news.boot);
-  ledger.set_measured(news.used);
-  m_pass_due = m_pass_due || ledger.placeable() != was_placeable;
-
-  worker_inbox& inbox = m_inboxes[worker];
-  if (inbox.boot != news.boot)
-    inbox = worker_inbox{news.boot, 0, {}};
-  for (const ended_attempt& ended : news.ended)
-  {
-    if (ended.sequence <= inbox.seen)
-      continue;
-    inbox.seen = ended.sequence;
-    inbox.unsettled[ended.sequence] = ended.id.task;
-    adopt_ended(worker, ended, now);
-  }
-  for (const running_attempt& running : news.running)
-    adopt_running(worker, running, news, now);
-  check_silent_members(worker, news, voided, now);
+  if (why == retry_reason::start_refused)
+    return k_refused_again;
+  if (m_budget.take())
+    return backoff_after(task.failures, m_options);
+  if (task.spec.waits && task.spec.kind == task_kind::interactive)
+    return std::nullopt;
+  return m_options.retry_most;
 }
 
-// Members believed to be on the worker that its news do not name.
-void partition_scheduler::check_silent_members(const worker_id& worker, const claim_answer& news,
-                                               bool voided, time_point now)
+void partition_scheduler::refuse_retry(task_record& task, time_point now)
 {
-  const std::size_t position = *m_pool.position_of(worker);
-  const std::vector<placed_member> placed = m_pool.placed_on(position);
-  for (const placed_member& entry : placed)
-  {
-    task_record& task = *entry.task;
-    if (task.phase != task_phase::active || entry.member >= task.members.size())
-      continue;
-    member_run& run = task.members[entry.member];
-    const attempt_id id = task.id_of_member(entry.member);
-    const bool rebooted = run.boot != news.boot;
-    const bool forgotten = run.phase == member_phase::running && news.moment >= run.started_moment;
-    if (std::ranges::find(news.running, id, &running_attempt::id) != news.running.end())
-      run.lapses = k_never;
-    else if (rebooted || forgotten)
-      member_vanished(task, entry.member, now);
-    else if (run.phase == member_phase::unclear && voided)
-      member_not_started(task, entry.member, start_refusal::old_ticket, now);
-  }
+  answer failed = refuse(task.spec.id, refusal_reason::attempts_exhausted,
+                         "too many tasks are being tried again", "run", k_budget_come_back);
+  failed.result = outcome::failed;
+  finish(task, std::move(failed), now);
 }
 
-void partition_scheduler::worker_lost(const worker_id& worker, time_point lapses, time_point now)
+void partition_scheduler::fail_for_good(task_record& task, time_point now)
 {
-  const std::optional<std::size_t> position = m_pool.position_of(worker);
-  if (!position)
-    return;
-  worker_ledger& ledger = m_pool.at(*position);
-  ledger.set_usable(false, ledger.leaving(), ledger.boot());
-  for (const placed_member& entry : m_pool.placed_on(*position))
+  answer failed = refuse(task.spec.id, refusal_reason::attempts_exhausted, "every attempt failed",
+                         "run", duration{0});
+  failed.result = outcome::failed;
+  if (!task.members.empty())
   {
-    task_record& task = *entry.task;
-    if (task.phase != task_phase::active || entry.member >= task.members.size())
-      continue;
-    task.members[entry.member].lapses = std::max(lapses, now);
-    add_timer(std::max(lapses, now), timer_kind::lapse, task);
+    failed.body = task.members.front().body;
+    failed.peer = task.members.front().worker.value;
   }
+  finish(task, std::move(failed), now);
 }
 } // namespace yardhill::decision
