UnitTests: Scheduling tests share their set-up in the harness

Change: the harness has send_first_start, fail_hold, commit_and_step, the two jobs' ids, and takeover_harness for an owner that follows an earlier one. Cases that held a harness as a variable are fixtures. Every assertion stands as it was; the set-up of one drain case makes one more (the start was sent).

--- a/Source/UnitTests/Scheduling/DrainTest.cpp
+++ b/Source/UnitTests/Scheduling/DrainTest.cpp
@@ -11,16 +11,12 @@
 
 namespace
 {
-constexpr const char* k_job = "0123456789abcdef";
-
 // One task runs on w1; then w2 comes and w1 begins to drain.
 struct draining_worker : scheduler_harness
 {
   void play(const yardhill::jobs::step_spec& spec)
   {
-    add_worker(worker("w1"));
-    start_job(k_job, spec);
-    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    send_first_start(spec);
     answer_start(starts.front(), call_end::done);
     answer_hold("w1", {running(starts.front())});
     add_worker(worker("w2"));
@@ -83,17 +79,12 @@
   BOOST_TEST(starts.back().worker.value == "w2");
 }
 
-BOOST_AUTO_TEST_CASE(without_room_elsewhere_a_lasting_task_stays)
+BOOST_FIXTURE_TEST_CASE(without_room_elsewhere_a_lasting_task_stays, draining_worker)
 {
-  scheduler_harness alone;
-  alone.add_worker(scheduler_harness::worker("w1"));
-  alone.start_job(k_job, lasting());
-  alone.answer_start(alone.starts.front(), call_end::done);
-  worker_info leaving = scheduler_harness::worker("w1");
-  leaving.draining = true;
-  alone.scheduler->worker_entry(leaving, alone.now);
-  alone.step();
-  BOOST_TEST(alone.stops.empty());
+  send_first_start(lasting());
+  answer_start(starts.front(), call_end::done);
+  drain();
+  BOOST_TEST(stops.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(a_task_that_saves_its_work_moves_if_it_would_not_end_in_time,
--- a/Source/UnitTests/Scheduling/LostAnswersTest.cpp
+++ b/Source/UnitTests/Scheduling/LostAnswersTest.cpp
@@ -12,16 +12,12 @@
 
 namespace
 {
-constexpr const char* k_job = "0123456789abcdef";
-
 // A task runs on w1, where a hold waits for news.
 struct held_worker : scheduler_harness
 {
   held_worker()
   {
-    add_worker(worker("w1"));
-    start_job(k_job, step_of(1));
-    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    send_first_start();
     step();
     BOOST_TEST_REQUIRE(holds.size() == 1U);
   }
--- a/Source/UnitTests/Scheduling/LostEntryTest.cpp
+++ b/Source/UnitTests/Scheduling/LostEntryTest.cpp
@@ -11,8 +11,6 @@
 
 namespace
 {
-constexpr const char* k_job = "0123456789abcdef";
-
 struct known_worker : scheduler_harness
 {
   known_worker() { add_worker(worker("w1")); }
@@ -45,10 +43,7 @@
   lose_entry();
   start_job(k_job, step_of(1));
   BOOST_TEST(starts.empty());
-  hold_answer unheard;
-  unheard.worker = worker_id("w1");
-  unheard.end = call_end::unanswered;
-  scheduler->hold_answered(unheard, now);
+  fail_hold("w1", call_end::unanswered);
   step();
   BOOST_TEST(starts.empty());
 }
@@ -56,15 +51,12 @@
 BOOST_FIXTURE_TEST_CASE(a_worker_that_is_heard_again_is_used_before_its_entry_is_back, known_worker)
 {
   lose_entry();
-  hold_answer unheard;
-  unheard.worker = worker_id("w1");
-  unheard.end = call_end::unanswered;
-  scheduler->hold_answered(unheard, now);
+  fail_hold("w1", call_end::unanswered);
   for (int i = 0; i < 5; ++i)
   {
     pass(seconds{1});
     step();
-    scheduler->hold_answered(unheard, now);
+    fail_hold("w1", call_end::unanswered);
   }
   answer_hold("w1", {});
   step();
--- a/Source/UnitTests/Scheduling/MeasuresTest.cpp
+++ b/Source/UnitTests/Scheduling/MeasuresTest.cpp
@@ -11,8 +11,6 @@
 
 namespace
 {
-constexpr const char* k_job = "0123456789abcdef";
-
 // One worker with room for one task, and a job that has waited for it.
 struct waited_job : scheduler_harness
 {
@@ -26,8 +24,7 @@
     pass(milliseconds{400});
     add_worker(worker("w1"));
     this->step();
-    commit();
-    this->step();
+    commit_and_step();
     BOOST_TEST_REQUIRE(starts.size() == 1U);
   }
 
@@ -62,8 +59,7 @@
                      {scheduler_harness::ended(1, urgent.starts.front(), run_end::lapsed)});
   urgent.clear();
   urgent.step();
-  urgent.commit();
-  urgent.step();
+  urgent.commit_and_step();
   BOOST_TEST_REQUIRE(urgent.starts.size() == 1U);
   BOOST_TEST(urgent.near(timing::waiting_interactive, milliseconds{400}));
 }
--- a/Source/UnitTests/Scheduling/PendingTest.cpp
+++ b/Source/UnitTests/Scheduling/PendingTest.cpp
@@ -10,16 +10,9 @@
 
 namespace
 {
-constexpr const char* k_job = "0123456789abcdef";
-
 struct started_job : scheduler_harness
 {
-  started_job()
-  {
-    add_worker(worker("w1"));
-    start_job(k_job, step_of(1));
-    BOOST_TEST_REQUIRE(starts.size() == 1U);
-  }
+  started_job() { send_first_start(); }
 
   std::uint64_t pending()
   {
@@ -57,15 +50,11 @@
 BOOST_AUTO_TEST_CASE(after_a_takeover_a_job_waits_until_something_of_it_is_heard)
 {
   scheduler_harness owner(1000);
-  yardhill::jobs::job_progress progress;
-  progress.state = yardhill::jobs::job_state::active;
-  progress.begun[{0, 0, 0}] = "";
-  owner.scheduler->restore_job(scheduler_harness::job(k_job, {scheduler_harness::step_of(2)}),
-                               progress, owner.now);
+  yardhill::jobs::job_progress progress = takeover_harness::begun();
+  owner.scheduler->restore_job(owner.job(owner.k_job, {owner.step_of(2)}), progress, owner.now);
   progress.done = {{{true, false}}};
-  owner.scheduler->restore_job(
-      scheduler_harness::job("0123456789abcde0", {scheduler_harness::step_of(2)}), progress,
-      owner.now);
+  owner.scheduler->restore_job(owner.job(owner.k_other_job, {owner.step_of(2)}), progress,
+                               owner.now);
   BOOST_TEST(owner.scheduler->load().pending.begin()->second == 1U);
 }
 
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include <boost/test/unit_test.hpp>
+
 namespace yardhill::scheduling
 {
 namespace
@@ -12,6 +14,9 @@
 constexpr const char* k_queue = "queue";
 constexpr const char* k_service = "service";
 constexpr std::chrono::seconds k_clock_behind{30};
+constexpr std::chrono::seconds k_earlier_leases{16};
+constexpr run_number k_earlier_run = 7;
+constexpr run_number k_first_run_after_takeover = 1000;
 
 void sort_in(const command& what, scheduler_harness& harness)
 {
@@ -104,8 +109,7 @@
   scheduler->worker_entry(info, now);
   step();
   answer_hold(info.id.value, {});
-  commit();
-  step();
+  commit_and_step();
   holds.clear();
 }
 
@@ -113,8 +117,14 @@
 {
   scheduler->add_job(job(id, {spec}), now);
   step();
-  commit(); // that the step has begun
-  step();
+  commit_and_step(); // that the step has begun
+}
+
+void scheduler_harness::send_first_start(const jobs::step_spec& step)
+{
+  add_worker(worker("w1"));
+  start_job(k_job, step);
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
 }
 
 worker_clock_time scheduler_harness::clock() const
@@ -136,6 +146,14 @@
   scheduler->hold_answered(answer, now);
 }
 
+void scheduler_harness::fail_hold(const std::string& worker, call_end end)
+{
+  hold_answer answer;
+  answer.worker = worker_id(worker);
+  answer.end = end;
+  scheduler->hold_answered(answer, now);
+}
+
 void scheduler_harness::answer_start(const start_command& order, call_end end)
 {
   scheduler->start_answered({order.worker, order.task, order.run, end, clock(), now}, now);
@@ -153,6 +171,12 @@
   scheduler->set_authority(now + std::chrono::hours{1}, now);
 }
 
+void scheduler_harness::commit_and_step()
+{
+  commit();
+  step();
+}
+
 listed_run scheduler_harness::running(const start_command& order)
 {
   listed_run run;
@@ -166,4 +190,41 @@
 {
   return {number, order.task, order.run, how, checkpoint};
 }
+
+takeover_harness::takeover_harness() : scheduler_harness(k_first_run_after_takeover)
+{
+  scheduler->set_earlier_end(now + k_earlier_leases);
+}
+
+jobs::job_progress takeover_harness::begun()
+{
+  jobs::job_progress progress;
+  progress.state = jobs::job_state::active;
+  progress.begun[{0, 0, 0}] = "";
+  return progress;
+}
+
+listed_run takeover_harness::earlier_run()
+{
+  listed_run run;
+  run.task = {k_job, {0, 0, 0}};
+  run.run = k_earlier_run;
+  return run;
+}
+
+void takeover_harness::restore_begun(const std::string& id)
+{
+  scheduler->restore_job(job(id, {step_of(1)}), begun(), now);
+}
+
+void takeover_harness::restore_claim(const std::string& worker, const worker_claim& claim)
+{
+  scheduler->restore_claim(worker_id(worker), claim, now);
+}
+
+void takeover_harness::begin()
+{
+  scheduler->begin_accounting();
+  step();
+}
 } // namespace yardhill::scheduling
--- a/Source/UnitTests/Scheduling/SchedulerHarness.h
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.h
@@ -17,6 +17,9 @@
 class scheduler_harness
 {
 public:
+  static constexpr const char* k_job = "0123456789abcdef";
+  static constexpr const char* k_other_job = "0123456789abcde0";
+
   explicit scheduler_harness(run_number first_run = 0);
 
   time_point now{std::chrono::seconds{1000}};
@@ -45,17 +48,41 @@
   // A job of one step whose tasks are started as far as there is room.
   void start_job(const std::string& id, const jobs::step_spec& step);
 
+  // w1 is the only worker, and the start of k_job's first task was sent to it.
+  void send_first_start(const jobs::step_spec& step = step_of(1));
+
   // The worker's clock: half a minute behind ours.
   worker_clock_time clock() const;
   void answer_hold(const std::string& worker, std::vector<listed_run> running,
                    std::vector<listed_end> ended = {}, end_number acknowledged = 0);
+  // The hold ended without the worker's lists.
+  void fail_hold(const std::string& worker, call_end end);
   void answer_start(const start_command& order, call_end end);
   void answer_stop(const stop_command& order, call_end end);
   // Everything that there is to write is written.
   void commit();
+  // The same, and then a tick.
+  void commit_and_step();
 
   static listed_run running(const start_command& order);
   static listed_end ended(end_number number, const start_command& order, run_end how,
                           const std::string& checkpoint = {});
 };
+
+// An owner that takes a partition over from an earlier one, whose leases end 16 s later.
+class takeover_harness : public scheduler_harness
+{
+public:
+  takeover_harness();
+
+  // Progress of a job whose first step has begun.
+  static jobs::job_progress begun();
+  // The listing of a run of k_job's first task that the earlier owner started.
+  static listed_run earlier_run();
+  // A job of one step of one task that has begun.
+  void restore_begun(const std::string& id);
+  void restore_claim(const std::string& worker, const worker_claim& claim);
+  // Everything was restored.
+  void begin();
+};
 } // namespace yardhill::scheduling
