UnitTests: Golden sessions start their cluster by one function

Cause: five sessions wrote out the same cluster (one zone, three instances, five workers, the session's timing), its start, and the choice of an owner and an entry.

Change: golden.py has one_zone and owner_and_others; a session names what differs.

--- a/Source/UnitTests/Golden/golden.py
+++ b/Source/UnitTests/Golden/golden.py
@@ -5,6 +5,7 @@
 A session writes down what it sent and what it was answered, with names that differ between runs
 made alike. YARDHILL_GOLDEN=write writes the file instead of comparing; read the difference then.
 """
+import contextlib
 import difflib
 import json
 import os
@@ -16,6 +17,8 @@
 sys.path.insert(0, str(HERE.parents[2] / "Tools/cluster"))
 from cluster import Cluster, http, wait_until  # noqa: E402,F401
 
+ZONE = "kakkanad"
+
 # Quick enough for a session, in the same proportions as the defaults.
 TIMING = {"heartbeat_period": "200ms", "peer_silence": "1000ms", "owner_silence": "1200ms",
           "claim_wait": "400ms", "claim_timeout": "1500ms", "confirm_window": "2s",
@@ -67,6 +70,21 @@
         return 1
 
 
+@contextlib.contextmanager
+def one_zone(port_offset, instances=3, workers=5):
+    """A started cluster of one zone, at ports of the session's own."""
+    with Cluster(zones=1, instances_per_zone=instances, workers_per_zone=workers,
+                 port_offset=port_offset, timing=TIMING) as cluster:
+        cluster.start()
+        yield cluster
+
+
+def owner_and_others(cluster):
+    """The name of the instance that owns the zone, and those of all others."""
+    owner = cluster.owner_of(ZONE)
+    return owner, [name for name in cluster.instances if name != owner]
+
+
 def runs_of(cluster, workload):
     """How often each task of the workload was started, by the workers' own record."""
     counts = {}
--- a/Source/UnitTests/Golden/session_configuration.py
+++ b/Source/UnitTests/Golden/session_configuration.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+from golden import Session, http, one_zone, runs_of, wait_until
 
 
 def version_of(cluster, name):
@@ -15,9 +15,7 @@
 
 def main():
     session = Session("session_configuration")
-    with Cluster(zones=1, instances_per_zone=3, workers_per_zone=4, port_offset=1300,
-                 timing=TIMING) as cluster:
-        cluster.start()
+    with one_zone(port_offset=1300, workers=4) as cluster:
         names = list(cluster.instances)
         watcher = cluster.workloads["workloads"][-1]
 
--- a/Source/UnitTests/Golden/session_owner_killed.py
+++ b/Source/UnitTests/Golden/session_owner_killed.py
@@ -4,16 +4,13 @@
 import concurrent.futures
 import sys
 
-from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+from golden import ZONE, Session, http, one_zone, owner_and_others, runs_of, wait_until
 
 
 def main():
     session = Session("session_owner_killed")
-    with Cluster(zones=1, instances_per_zone=3, workers_per_zone=5, port_offset=1100,
-                 timing=TIMING) as cluster:
-        cluster.start()
-        owner = cluster.owner_of("kakkanad")
-        entry, spare = [name for name in cluster.instances if name != owner]
+    with one_zone(port_offset=1100) as cluster:
+        owner, (entry, spare) = owner_and_others(cluster)
         payload = '{"run_us": 2000000, "bytes": 100}'
         requests = [{"workload": workload, "key": f"k{number}", "payload": payload}
                     for workload in ("preview", "nightly-rebuild", "release-rebuild")
@@ -32,14 +29,14 @@
                          f"{headers.get('Yardhill-Outcome')} {len(body)} bytes")
         session.note("# the entry is killed; the same keys through the last one, the same bytes")
         cluster.kill(entry)
-        wait_until("a new owner", lambda: cluster.owner_of("kakkanad"))
+        wait_until("a new owner", lambda: cluster.owner_of(ZONE))
         for request, (_, _, body) in zip(requests, answers):
             status, headers, again = http("POST", cluster.url(spare) + "/v1/tasks", request)
             session.note(f"{request['workload']} {request['key']}: {status} same bytes: "
                          f"{again == body}")
         session.note("# at most once, by the workers' own record")
         session.note(str(sorted(runs_of(cluster, "release-rebuild").items())))
-        usage = cluster.usage()["kakkanad"]
+        usage = cluster.usage()[ZONE]
         session.note(f"overcommitted: {usage['overcommitted']}")
     return session.finish()
 
--- a/Source/UnitTests/Golden/session_requests.py
+++ b/Source/UnitTests/Golden/session_requests.py
@@ -4,7 +4,7 @@
 import socket
 import sys
 
-from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+from golden import Session, http, one_zone, owner_and_others, runs_of, wait_until
 
 
 def raw(port, text):
@@ -16,10 +16,8 @@
 
 def main():
     session = Session("session_requests")
-    with Cluster(zones=1, workers_per_zone=4, port_offset=1000, timing=TIMING) as cluster:
-        cluster.start()
-        owner = cluster.owner_of("kakkanad")
-        other = next(name for name in cluster.instances if name != owner)
+    with one_zone(port_offset=1000, instances=2, workers=4) as cluster:
+        owner, (other,) = owner_and_others(cluster)
         url = cluster.url(other)
         tasks = url + "/v1/tasks"
         payload = '{"run_us": 1000, "bytes": 32}'
--- a/Source/UnitTests/Golden/session_rolling_restart.py
+++ b/Source/UnitTests/Golden/session_rolling_restart.py
@@ -5,14 +5,12 @@
 import signal
 import sys
 
-from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+from golden import Session, http, one_zone, runs_of, wait_until
 
 
 def main():
     session = Session("session_rolling_restart")
-    with Cluster(zones=1, instances_per_zone=3, workers_per_zone=5, port_offset=1200,
-                 timing=TIMING) as cluster:
-        cluster.start()
+    with one_zone(port_offset=1200) as cluster:
         names = list(cluster.instances)
         with concurrent.futures.ThreadPoolExecutor(40) as pool:
             for turn, name in enumerate(names):
--- a/Source/UnitTests/Golden/session_store_outage.py
+++ b/Source/UnitTests/Golden/session_store_outage.py
@@ -3,16 +3,13 @@
 """The table service is down: what can go on goes on, also when the owner dies; nothing is lost."""
 import sys
 
-from golden import Cluster, Session, TIMING, http, runs_of, wait_until
+from golden import ZONE, Session, http, one_zone, owner_and_others, runs_of, wait_until
 
 
 def main():
     session = Session("session_store_outage")
-    with Cluster(zones=1, instances_per_zone=3, workers_per_zone=5, port_offset=1400,
-                 timing=TIMING) as cluster:
-        cluster.start()
-        owner = cluster.owner_of("kakkanad")
-        entry = next(name for name in cluster.instances if name != owner)
+    with one_zone(port_offset=1400) as cluster:
+        owner, (entry, _) = owner_and_others(cluster)
         tasks = cluster.url(entry) + "/v1/tasks"
         payload = '{"run_us": 1000, "bytes": 16}'
         large = '{"run_us": 1000, "bytes": 100000}'  # too large for a row: the object store's
@@ -32,7 +29,7 @@
         session.note(f"runs of it: {runs_of(cluster, 'release-rebuild').get('release-rebuild/r1', 0)}")
         session.note("# the owner dies in the outage: a majority of workers makes the next one")
         cluster.kill(owner)
-        wait_until("a new owner", lambda: cluster.owner_of("kakkanad") not in (None, owner))
+        wait_until("a new owner", lambda: cluster.owner_of(ZONE) not in (None, owner))
         session.call("POST", tasks, {"workload": "preview", "key": "p2", "payload": payload})
         session.note("# it cannot know which kept tasks there are")
         session.call("POST", tasks, {"workload": "release-rebuild", "key": "before", "payload": large})
