Soak: A run waits for its ports while others hold them all

Six runs at a time beside another's: three ended with 'no free block of 1000 ports', which says nothing of the system. They wait for two minutes now.

--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -22,12 +22,24 @@
 # Ports within a block; the stand-in and its workers take those before.
 OWN_PORTS = {CALLERS: 600, READY: 650, OWN: 700, "store proxy": 800, "advice proxy": 850}
 MOST_INSTANCES, MOST_WORKERS = 45, 400
+# Other soaks on this machine end within this time, in seconds.
+PORTS_PATIENCE = 120.0
 # The settings' planned stop; a busy machine may take longer.
 STOP_GRACE, STOP_LIMIT = 6.0, 20.0
 
 
 def claim_ports():
     """(first port, guard): a free block, and the socket that keeps other soaks off it."""
+    give_up = time.monotonic() + PORTS_PATIENCE
+    while (claimed := free_block()) is None:
+        if time.monotonic() > give_up:
+            raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS.start} on")
+        time.sleep(1.0)
+    return claimed
+
+
+def free_block():
+    """As above, or None if other soaks hold them all."""
     for first in PORT_BLOCKS:
         guard = socket.socket()
         sockets = [guard]
@@ -45,7 +57,7 @@
         for each in sockets[1:]:
             each.close()
         return first, guard
-    raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS.start} on")
+    return None
 
 
 class InstanceRecord:
