--- a/Source/UnitTests/Scheduling/StatedEndTest.cpp
+++ b/Source/UnitTests/Scheduling/StatedEndTest.cpp
@@ -40,8 +40,9 @@
   {
     const commit_batch batch = scheduler->take_commit(1000, now);
     const auto found = batch.claims.find(worker_id(worker));
-    const auto claim =
-        found == batch.claims.end() ? std::nullopt : std::optional<worker_claim>(found->second);
+    std::optional<worker_claim> claim;
+    if (found != batch.claims.end())
+      claim = found->second;
     scheduler->commit_done(batch, true);
     return claim;
   }
