Node: A new owner asks its predecessor's instance whether it still gives orders

Cause: a new owner knew from silence alone when its predecessor gave its last order, which takes 5 s. An instance that is back, or awake and replaced, knows better, and nobody asked it. It answers if it has seen the later owner's row and is no owner and not becoming one: from then on it never gives orders as an earlier one. The answer says for how long its process has been quiet. Owners before the predecessor count as well, by the number of its renewals. Ruled out: a process's life told on a new link, or by its row among the instances: late messages and late writes of still earlier lives would count as proof. A shorter authority or lease: outages of the store lapse then.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -159,8 +159,24 @@
   std::uint8_t state = 0; // a jobs::job_state
 };
 
+// The sender has taken the partition over as the owner `epoch`. Answered by an instance that knows
+// of that, and gives no orders for the partition as an earlier owner.
+struct orders_question
+{
+  std::string partition;
+  std::uint64_t epoch = 0;
+};
+
+struct orders_reply
+{
+  std::string partition;
+  std::uint64_t epoch = 0;    // as asked
+  std::uint64_t quiet_ms = 0; // for at least so long its process has given none
+};
+
 using peer_message =
     std::variant<heartbeat, forward_request, forward_answer, config_push, config_pull, handover,
                  advice_request, advice_reply, relay_request, relay_reply, job_notice, way_question,
-                 way_report, state_question, state_reply, strength_report>;
+                 way_report, state_question, state_reply, strength_report, orders_question,
+                 orders_reply>;
 } // namespace yardhill::common
--- a/Source/Core/Instance/InstanceCore.h
+++ b/Source/Core/Instance/InstanceCore.h
@@ -78,6 +78,8 @@
   void receive(const instance_id&, const state_question&, time_point) {}
   void receive(const instance_id&, const state_reply&, time_point) {}
   void receive(const instance_id&, const strength_report&, time_point) {}
+  void receive(const instance_id&, const orders_question&, time_point) {}
+  void receive(const instance_id&, const orders_reply&, time_point) {}
   void receive(const instance_id& peer, const heartbeat& message, time_point now);
   void receive(const instance_id& peer, const forward_request& message, time_point now);
   void receive(const instance_id& peer, const forward_answer& message, time_point now);
--- /dev/null
+++ b/Source/Core/Node/EarlierOrders.h
@@ -0,0 +1,47 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// When the orders of a partition's earlier owners are over, for the one that has taken it over. It
+// follows from their silence only after seconds; the earlier owner's instance, or the process that
+// is there in its place, may know better. No I/O.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "Common/PeerMessages.h"
+#include "Common/Timekeeper.h"
+#include "Node/OwnerWatch.h"
+
+namespace yardhill::node
+{
+class earlier_orders
+{
+public:
+  using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
+
+  earlier_orders(const common::timekeeper& time, std::string partition, sender send_to_peer);
+
+  // The partition is being taken over from the owner that `watch` has seen, as the owner `epoch`.
+  void begin(const owner_watch& watch, std::uint64_t epoch);
+  // None of their orders is given later; the beginning of time if there were no owners.
+  common::time_point end() const { return m_end; }
+  // Asks the earlier owner's instance, while that may help. Called often, as long as this is the
+  // owner.
+  void tick();
+  // Whether the end is earlier than it was.
+  bool on_reply(const std::string& peer, const common::orders_reply& reply);
+
+private:
+  const common::timekeeper& m_time;
+  std::string m_partition;
+  sender m_send_to_peer;
+  std::string m_instance; // to be asked; empty: nobody
+  std::uint64_t m_epoch = 0;
+  common::time_point m_end{};
+  common::time_point m_end_of_others{}; // of the owners before the latest
+  common::time_point m_last_asked{};
+};
+} // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -177,6 +177,16 @@
     m_states.on_question(peer, *state);
   else if (const auto* known = std::get_if<common::state_reply>(&message))
     m_states.on_reply(peer, *known);
+  else if (const auto* orders = std::get_if<common::orders_question>(&message))
+  {
+    for (const auto& each : m_partitions)
+      each->on_orders_question(peer, *orders);
+  }
+  else if (const auto* quiet = std::get_if<common::orders_reply>(&message))
+  {
+    for (const auto& each : m_partitions)
+      each->on_orders_reply(peer, *quiet);
+  }
   else if (const auto* notice = std::get_if<common::job_notice>(&message))
   {
     for (const auto& each : m_partitions)
--- a/Source/Core/Node/OwnerWatch.cpp
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -29,7 +29,7 @@
     return std::nullopt;
   }
   const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
-  m_seen = {*parsed, row.version, m_time.now()};
+  see(*parsed, row.version);
   if (other_owner)
     common::log_process("owner_seen", {{"partition", m_partition},
                                        {"holder", parsed->holder},
@@ -41,6 +41,13 @@
 void owner_watch::written(const owner_row& row, adapter::row_version version)
 {
   m_unclear_takeover.reset();
+  see(row, version);
+}
+
+void owner_watch::see(const owner_row& row, adapter::row_version version)
+{
+  if (!row.holder.empty() || row.life != m_seen.row.life)
+    m_instance = row.holder;
   m_seen = {row, version, m_time.now()};
 }
 
@@ -81,6 +88,19 @@
 
 common::time_point owner_watch::orders_end() const
 {
-  return earlier_process_of_ours() ? m_seen.changed_at : m_options.orders_end(m_seen.changed_at);
+  // The owners before that process may still order.
+  return earlier_process_of_ours() ? std::max(m_seen.changed_at, predecessors_end())
+                                   : m_options.orders_end(m_seen.changed_at);
+}
+
+// They renewed nothing after the owner's takeover, which is as long ago as its renewals took: they
+// are a period apart, but for the first one and one that gives the partition back.
+common::time_point owner_watch::predecessors_end() const
+{
+  if (m_seen.row.epoch <= 1)
+    return {};
+  const std::uint64_t spaced = m_seen.row.renewal - std::min<std::uint64_t>(m_seen.row.renewal, 2);
+  return m_options.orders_end(m_seen.changed_at) -
+         static_cast<common::duration::rep>(spaced) * m_options.renew_period;
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/OwnerWatch.h
+++ b/Source/Core/Node/OwnerWatch.h
@@ -49,15 +49,21 @@
                     bool stronger_peer) const;
   // When the owner that was seen has given its last order, if it is replaced now.
   common::time_point orders_end() const;
+  // The same for the owners before it; the beginning of time if there were none.
+  common::time_point predecessors_end() const;
+  // Whose process the owner is or, if it has given the partition back, was; empty: not known.
+  const std::string& instance() const { return m_instance; }
 
 private:
   bool earlier_process_of_ours() const;
+  void see(const owner_row& row, adapter::row_version version);
 
   const common::timekeeper& m_time;
   instance_identity m_self;
   std::string m_partition;
   ownership_options m_options;
   seen_owner m_seen;
+  std::string m_instance;
   common::time_point m_try_after{};
   std::optional<owner_row> m_unclear_takeover;
   std::set<std::string> m_unlinked; // peers whose link has broken and not come back
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -28,6 +28,8 @@
       m_options(options),
       m_watch(parts.time, m_self, m_partition, options),
       m_better_owner(options, parts.path, parts.processor_millis, parts.strongest_peer),
+      m_earlier(parts.time, m_partition, parts.send_to_peer),
+      m_quiet_since(parts.time.now()),
       m_step_timer(parts.time)
 {
 }
@@ -70,9 +72,7 @@
   // The write holds only if the row is still the one seen, so the earlier owner's latest renewal is
   // that one, and was asked for before it was seen.
   const seen_owner& earlier = m_watch.seen();
-  const scheduling::scheduler_options leases;
-  m_earlier_end =
-      earlier.version == 0 ? common::time_point{} : m_watch.orders_end() + leases.longest_lease();
+  m_earlier.begin(m_watch, earlier.row.epoch + 1);
   owner_row row;
   row.holder = m_self.name;
   row.life = m_self.life;
@@ -85,11 +85,12 @@
   adapter::transaction change;
   change.conditions.push_back({owner_key(m_partition), earlier.version});
   change.puts.push_back({owner_key(m_partition), to_row_text(row)});
-  common::log_process("take_over", {{"partition", m_partition},
-                                    {"from", earlier.row.holder},
-                                    {"epoch", row.epoch},
-                                    {"silent_ms", m_parts.time.now() - earlier.changed_at},
-                                    {"earlier_left_ms", m_earlier_end - m_parts.time.now()}});
+  common::log_process("take_over",
+                      {{"partition", m_partition},
+                       {"from", earlier.row.holder},
+                       {"epoch", row.epoch},
+                       {"silent_ms", m_parts.time.now() - earlier.changed_at},
+                       {"earlier_left_ms", earlier_leases_end() - m_parts.time.now()}});
   m_parts.store.transact(change, k_takeover_timeout,
                          [this, row](const adapter::transaction_result& result)
                          {
@@ -99,6 +100,33 @@
                          });
 }
 
+common::time_point partition_owner::earlier_leases_end() const
+{
+  if (m_earlier.end() == common::time_point{})
+    return {};
+  return m_earlier.end() + scheduling::scheduler_options{}.longest_lease();
+}
+
+void partition_owner::on_orders_question(const std::string& peer,
+                                         const common::orders_question& question)
+{
+  // While this instance takes the partition over, an answer to an earlier takeover may still come.
+  // Whoever has seen the later owner's row never becomes an earlier owner.
+  if (question.partition != m_partition || m_state != state::watching ||
+      m_watch.seen().row.epoch < question.epoch)
+    return;
+  const auto quiet =
+      std::chrono::floor<std::chrono::milliseconds>(m_parts.time.now() - m_quiet_since);
+  m_parts.send_to_peer(peer, common::orders_reply{m_partition, question.epoch,
+                                                  static_cast<std::uint64_t>(quiet.count())});
+}
+
+void partition_owner::on_orders_reply(const std::string& peer, const common::orders_reply& reply)
+{
+  if (m_earlier.on_reply(peer, reply) && m_scheduler)
+    m_scheduler->bring_earlier_end_forward(earlier_leases_end());
+}
+
 void partition_owner::on_acquired(const owner_row& row, const adapter::transaction_result& result)
 {
   // The answer may be that to a copy of the write, which has met the row that it was to write.
@@ -161,7 +189,7 @@
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
   // Later owners count from the takeover's row; reading may have taken seconds since.
   m_scheduler->set_authority(m_takeover_sent + m_options.authority, m_takeover_sent);
-  m_scheduler->set_earlier_end(m_earlier_end);
+  m_scheduler->set_earlier_end(earlier_leases_end());
   tell_time(now);
   queues_changed();
   for (const auto& [id, claim] : loaded.claims)
@@ -235,6 +263,7 @@
   m_releasing = false;
   m_better_owner.reset();
   m_state = state::watching;
+  m_quiet_since = m_parts.time.now();
   m_watch.pause(m_options.silence);
 }
 
@@ -359,6 +388,8 @@
 {
   if (m_state == state::watching && should_take(now, feed_healthy_since))
     acquire();
+  if (m_state == state::owning || m_state == state::loading)
+    m_earlier.tick();
   if (m_state != state::owning)
     return;
   m_sweeper->ended(m_scheduler->take_ended());
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -19,6 +19,7 @@
 #include "Node/AdvicePool.h"
 #include "Node/BetterOwner.h"
 #include "Node/CommitWriter.h"
+#include "Node/EarlierOrders.h"
 #include "Node/JobIntake.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerWatch.h"
@@ -77,6 +78,9 @@
   void job_kept_here(const jobs::accepted_job& job, adapter::row_version version);
   void job_cancelled_here(const std::string& id);
   void on_notice(const common::job_notice& notice);
+  // A later owner asks whether this instance still gives orders; the answer to such a question.
+  void on_orders_question(const std::string& peer, const common::orders_question& question);
+  void on_orders_reply(const std::string& peer, const common::orders_reply& reply);
   // What is written of a job here; nothing if this instance does not own it or does not know it.
   std::optional<jobs::job_state> written_state(const std::string& id) const;
 
@@ -98,6 +102,8 @@
   bool should_take(common::time_point now,
                    std::optional<common::time_point> feed_healthy_since) const;
   void acquire();
+  // When all orders of earlier owners are over, and the leases that they gave.
+  common::time_point earlier_leases_end() const;
   void on_acquired(const owner_row& row, const adapter::transaction_result& result);
   void load();
   void on_loaded(loaded_partition loaded);
@@ -126,7 +132,8 @@
   owner_watch m_watch;
   store_clock m_store_clock;
   better_owner m_better_owner;
-  common::time_point m_earlier_end{}; // when all orders and leases of earlier owners are over
+  earlier_orders m_earlier;
+  common::time_point m_quiet_since; // this process has given no orders, unless it is the owner
   bool m_stopping = false;
   bool m_releasing = false; // this ownership is given back once everything is written
 
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -217,6 +217,23 @@
   return to;
 }
 
+wire::OrdersQuestionT to_wire(const orders_question& from)
+{
+  wire::OrdersQuestionT to;
+  to.partition = from.partition;
+  to.epoch = from.epoch;
+  return to;
+}
+
+wire::OrdersReplyT to_wire(const orders_reply& from)
+{
+  wire::OrdersReplyT to;
+  to.partition = from.partition;
+  to.epoch = from.epoch;
+  to.quiet_ms = from.quiet_ms;
+  return to;
+}
+
 wire::StateQuestionT to_wire(const state_question& from)
 {
   wire::StateQuestionT to;
@@ -442,6 +459,16 @@
   }
   case wire::Message::StrengthReport:
     return peer_message{strength_report{parsed.message.AsStrengthReport()->processor_millis}};
+  case wire::Message::OrdersQuestion:
+  {
+    const wire::OrdersQuestionT& question = *parsed.message.AsOrdersQuestion();
+    return peer_message{orders_question{question.partition, question.epoch}};
+  }
+  case wire::Message::OrdersReply:
+  {
+    const wire::OrdersReplyT& reply = *parsed.message.AsOrdersReply();
+    return peer_message{orders_reply{reply.partition, reply.epoch, reply.quiet_ms}};
+  }
   case wire::Message::NONE:
     return std::nullopt;
   }
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -104,6 +104,14 @@
 struct StateReplyBuilder;
 struct StateReplyT;
 
+struct OrdersQuestion;
+struct OrdersQuestionBuilder;
+struct OrdersQuestionT;
+
+struct OrdersReply;
+struct OrdersReplyBuilder;
+struct OrdersReplyT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -127,11 +135,13 @@
   StateQuestion = 15,
   StateReply = 16,
   StrengthReport = 17,
+  OrdersQuestion = 18,
+  OrdersReply = 19,
   MIN = NONE,
-  MAX = StrengthReport
+  MAX = OrdersReply
 };
 
-inline const Message (&EnumValuesMessage())[18] {
+inline const Message (&EnumValuesMessage())[20] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -150,13 +160,15 @@
     Message::WayReport,
     Message::StateQuestion,
     Message::StateReply,
-    Message::StrengthReport
+    Message::StrengthReport,
+    Message::OrdersQuestion,
+    Message::OrdersReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -175,13 +187,15 @@
     "StateQuestion",
     "StateReply",
     "StrengthReport",
+    "OrdersQuestion",
+    "OrdersReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::StrengthReport)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::OrdersReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -258,6 +272,14 @@
   static const Message enum_value = Message::StrengthReport;
 };
 
+template<> struct MessageTraits<yardhill::wire::OrdersQuestion> {
+  static const Message enum_value = Message::OrdersQuestion;
+};
+
+template<> struct MessageTraits<yardhill::wire::OrdersReply> {
+  static const Message enum_value = Message::OrdersReply;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -330,6 +352,14 @@
   static const Message enum_value = Message::StrengthReport;
 };
 
+template<> struct MessageUnionTraits<yardhill::wire::OrdersQuestionT> {
+  static const Message enum_value = Message::OrdersQuestion;
+};
+
+template<> struct MessageUnionTraits<yardhill::wire::OrdersReplyT> {
+  static const Message enum_value = Message::OrdersReply;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -496,6 +526,22 @@
     return type == Message::StrengthReport ?
       reinterpret_cast<const yardhill::wire::StrengthReportT *>(value) : nullptr;
   }
+  yardhill::wire::OrdersQuestionT *AsOrdersQuestion() {
+    return type == Message::OrdersQuestion ?
+      reinterpret_cast<yardhill::wire::OrdersQuestionT *>(value) : nullptr;
+  }
+  const yardhill::wire::OrdersQuestionT *AsOrdersQuestion() const {
+    return type == Message::OrdersQuestion ?
+      reinterpret_cast<const yardhill::wire::OrdersQuestionT *>(value) : nullptr;
+  }
+  yardhill::wire::OrdersReplyT *AsOrdersReply() {
+    return type == Message::OrdersReply ?
+      reinterpret_cast<yardhill::wire::OrdersReplyT *>(value) : nullptr;
+  }
+  const yardhill::wire::OrdersReplyT *AsOrdersReply() const {
+    return type == Message::OrdersReply ?
+      reinterpret_cast<const yardhill::wire::OrdersReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -2849,6 +2895,181 @@
 
 flatbuffers::Offset<StateReply> CreateStateReply(flatbuffers::FlatBufferBuilder &_fbb, const StateReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OrdersQuestionT : public flatbuffers::NativeTable {
+  typedef OrdersQuestion TableType;
+  std::string partition{};
+  uint64_t epoch = 0;
+};
+
+struct OrdersQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrdersQuestionT NativeTableType;
+  typedef OrdersQuestionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTITION = 4,
+    VT_EPOCH = 6
+  };
+  const flatbuffers::String *partition() const {
+    return GetPointer<const flatbuffers::String *>(VT_PARTITION);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTITION) &&
+           verifier.VerifyString(partition()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+  OrdersQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrdersQuestionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrdersQuestion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrdersQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrdersQuestionBuilder {
+  typedef OrdersQuestion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_partition(flatbuffers::Offset<flatbuffers::String> partition) {
+    fbb_.AddOffset(OrdersQuestion::VT_PARTITION, partition);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(OrdersQuestion::VT_EPOCH, epoch, 0);
+  }
+  explicit OrdersQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrdersQuestion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrdersQuestion>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrdersQuestion> CreateOrdersQuestion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> partition = 0,
+    uint64_t epoch = 0) {
+  OrdersQuestionBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_partition(partition);
+  return builder_.Finish();
+}
+
+struct OrdersQuestion::Traits {
+  using type = OrdersQuestion;
+  static auto constexpr Create = CreateOrdersQuestion;
+};
+
+inline flatbuffers::Offset<OrdersQuestion> CreateOrdersQuestionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *partition = nullptr,
+    uint64_t epoch = 0) {
+  auto partition__ = partition ? _fbb.CreateString(partition) : 0;
+  return yardhill::wire::CreateOrdersQuestion(
+      _fbb,
+      partition__,
+      epoch);
+}
+
+flatbuffers::Offset<OrdersQuestion> CreateOrdersQuestion(flatbuffers::FlatBufferBuilder &_fbb, const OrdersQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrdersReplyT : public flatbuffers::NativeTable {
+  typedef OrdersReply TableType;
+  std::string partition{};
+  uint64_t epoch = 0;
+  uint64_t quiet_ms = 0;
+};
+
+struct OrdersReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrdersReplyT NativeTableType;
+  typedef OrdersReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTITION = 4,
+    VT_EPOCH = 6,
+    VT_QUIET_MS = 8
+  };
+  const flatbuffers::String *partition() const {
+    return GetPointer<const flatbuffers::String *>(VT_PARTITION);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t quiet_ms() const {
+    return GetField<uint64_t>(VT_QUIET_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTITION) &&
+           verifier.VerifyString(partition()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_QUIET_MS, 8) &&
+           verifier.EndTable();
+  }
+  OrdersReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrdersReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrdersReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrdersReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrdersReplyBuilder {
+  typedef OrdersReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_partition(flatbuffers::Offset<flatbuffers::String> partition) {
+    fbb_.AddOffset(OrdersReply::VT_PARTITION, partition);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(OrdersReply::VT_EPOCH, epoch, 0);
+  }
+  void add_quiet_ms(uint64_t quiet_ms) {
+    fbb_.AddElement<uint64_t>(OrdersReply::VT_QUIET_MS, quiet_ms, 0);
+  }
+  explicit OrdersReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrdersReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrdersReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrdersReply> CreateOrdersReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> partition = 0,
+    uint64_t epoch = 0,
+    uint64_t quiet_ms = 0) {
+  OrdersReplyBuilder builder_(_fbb);
+  builder_.add_quiet_ms(quiet_ms);
+  builder_.add_epoch(epoch);
+  builder_.add_partition(partition);
+  return builder_.Finish();
+}
+
+struct OrdersReply::Traits {
+  using type = OrdersReply;
+  static auto constexpr Create = CreateOrdersReply;
+};
+
+inline flatbuffers::Offset<OrdersReply> CreateOrdersReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *partition = nullptr,
+    uint64_t epoch = 0,
+    uint64_t quiet_ms = 0) {
+  auto partition__ = partition ? _fbb.CreateString(partition) : 0;
+  return yardhill::wire::CreateOrdersReply(
+      _fbb,
+      partition__,
+      epoch,
+      quiet_ms);
+}
+
+flatbuffers::Offset<OrdersReply> CreateOrdersReply(flatbuffers::FlatBufferBuilder &_fbb, const OrdersReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FrameT : public flatbuffers::NativeTable {
   typedef Frame TableType;
   yardhill::wire::MessageUnion message{};
@@ -2920,6 +3141,12 @@
   const yardhill::wire::StrengthReport *message_as_StrengthReport() const {
     return message_type() == yardhill::wire::Message::StrengthReport ? static_cast<const yardhill::wire::StrengthReport *>(message()) : nullptr;
   }
+  const yardhill::wire::OrdersQuestion *message_as_OrdersQuestion() const {
+    return message_type() == yardhill::wire::Message::OrdersQuestion ? static_cast<const yardhill::wire::OrdersQuestion *>(message()) : nullptr;
+  }
+  const yardhill::wire::OrdersReply *message_as_OrdersReply() const {
+    return message_type() == yardhill::wire::Message::OrdersReply ? static_cast<const yardhill::wire::OrdersReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -3000,6 +3227,14 @@
   return message_as_StrengthReport();
 }
 
+template<> inline const yardhill::wire::OrdersQuestion *Frame::message_as<yardhill::wire::OrdersQuestion>() const {
+  return message_as_OrdersQuestion();
+}
+
+template<> inline const yardhill::wire::OrdersReply *Frame::message_as<yardhill::wire::OrdersReply>() const {
+  return message_as_OrdersReply();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3913,6 +4148,67 @@
       _state);
 }
 
+inline OrdersQuestionT *OrdersQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrdersQuestionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrdersQuestion::UnPackTo(OrdersQuestionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = partition(); if (_e) _o->partition = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+}
+
+inline flatbuffers::Offset<OrdersQuestion> OrdersQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrdersQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrdersQuestion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrdersQuestion> CreateOrdersQuestion(flatbuffers::FlatBufferBuilder &_fbb, const OrdersQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrdersQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _partition = _o->partition.empty() ? 0 : _fbb.CreateString(_o->partition);
+  auto _epoch = _o->epoch;
+  return yardhill::wire::CreateOrdersQuestion(
+      _fbb,
+      _partition,
+      _epoch);
+}
+
+inline OrdersReplyT *OrdersReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrdersReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrdersReply::UnPackTo(OrdersReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = partition(); if (_e) _o->partition = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = quiet_ms(); _o->quiet_ms = _e; }
+}
+
+inline flatbuffers::Offset<OrdersReply> OrdersReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrdersReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrdersReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrdersReply> CreateOrdersReply(flatbuffers::FlatBufferBuilder &_fbb, const OrdersReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrdersReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _partition = _o->partition.empty() ? 0 : _fbb.CreateString(_o->partition);
+  auto _epoch = _o->epoch;
+  auto _quiet_ms = _o->quiet_ms;
+  return yardhill::wire::CreateOrdersReply(
+      _fbb,
+      _partition,
+      _epoch,
+      _quiet_ms);
+}
+
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<FrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -4015,6 +4311,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::StrengthReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::OrdersQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersQuestion *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::OrdersReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4102,6 +4406,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::StrengthReport *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::OrdersQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersQuestion *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::OrdersReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4177,6 +4489,14 @@
       auto ptr = reinterpret_cast<const yardhill::wire::StrengthReportT *>(value);
       return CreateStrengthReport(_fbb, ptr, _rehasher).Union();
     }
+    case Message::OrdersQuestion: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersQuestionT *>(value);
+      return CreateOrdersQuestion(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::OrdersReply: {
+      auto ptr = reinterpret_cast<const yardhill::wire::OrdersReplyT *>(value);
+      return CreateOrdersReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4251,6 +4571,14 @@
       value = new yardhill::wire::StrengthReportT(*reinterpret_cast<yardhill::wire::StrengthReportT *>(u.value));
       break;
     }
+    case Message::OrdersQuestion: {
+      value = new yardhill::wire::OrdersQuestionT(*reinterpret_cast<yardhill::wire::OrdersQuestionT *>(u.value));
+      break;
+    }
+    case Message::OrdersReply: {
+      value = new yardhill::wire::OrdersReplyT(*reinterpret_cast<yardhill::wire::OrdersReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4343,6 +4671,16 @@
       delete ptr;
       break;
     }
+    case Message::OrdersQuestion: {
+      auto ptr = reinterpret_cast<yardhill::wire::OrdersQuestionT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::OrdersReply: {
+      auto ptr = reinterpret_cast<yardhill::wire::OrdersReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -102,6 +102,16 @@
   m_state.earlier_end = end;
 }
 
+void job_scheduler::bring_earlier_end_forward(time_point end)
+{
+  m_state.earlier_end = std::min(m_state.earlier_end, end);
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (!worker->claimed)
+      worker->lease_end = std::min(worker->lease_end, m_state.earlier_end);
+  }
+}
+
 void job_scheduler::begin_accounting()
 {
   m_holder.begin_accounting();
@@ -154,7 +164,7 @@
   const bool silent = worker.silent_for(m_state.options.close_claim, now);
   const bool end_kept = worker.claim && worker.claim->over;
   if (!worker.claimed)
-    return silent && !end_kept;
+    return silent && (!end_kept || worker.lease_end < *worker.claim->over);
   const bool closed = worker.wants_closed_claim(m_state.options.close_claim, now);
   return !worker.claim || worker.claim->closed != closed || end_kept != silent ||
          (closed && worker.runs.size() < worker.claim->tasks.size());
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -68,6 +68,8 @@
   // After this, nothing that an earlier owner ordered can be running on a worker not heard since.
   // Told before any worker is.
   void set_earlier_end(time_point end);
+  // It is over sooner than that.
+  void bring_earlier_end_forward(time_point end);
   // All earlier jobs and known workers are here: their tasks wait until every worker is heard.
   void begin_accounting();
   void cancel_job(const std::string& id, time_point now);
--- a/Source/UnitTests/Node/OwnerWatchTest.cpp
+++ b/Source/UnitTests/Node/OwnerWatchTest.cpp
@@ -19,11 +19,14 @@
   node::ownership_options options;
   node::owner_watch watch{time, {"instance-1", "life-1"}, "cell", options};
 
-  void see(const std::string& holder, const std::string& life, adapter::row_version version)
+  void see(const std::string& holder, const std::string& life, adapter::row_version version,
+           std::uint64_t epoch = 0, std::uint64_t renewal = 0)
   {
     node::owner_row row;
     row.holder = holder;
     row.life = life;
+    row.epoch = epoch;
+    row.renewal = renewal;
     watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), version});
   }
 
@@ -95,6 +98,28 @@
   BOOST_TEST((watch.orders_end() == watch.seen().changed_at));
 }
 
+// The one before it may be frozen, or cut off from the store, and go on with its orders.
+BOOST_FIXTURE_TEST_CASE(the_owner_before_an_earlier_process_of_this_instance_may_still_order,
+                        watched_owner)
+{
+  see("instance-1", "life-0", 5, 2, 0);
+  BOOST_TEST((watch.orders_end() == options.orders_end(watch.seen().changed_at)));
+  see("instance-1", "life-0", 6, 2, 6);
+  BOOST_TEST((watch.orders_end() ==
+              options.orders_end(watch.seen().changed_at) - 4 * options.renew_period));
+  see("instance-1", "life-0", 7, 2, 100); // 49 s
+  BOOST_TEST((watch.orders_end() == watch.seen().changed_at));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_owner_that_gave_the_partition_back_is_remembered, watched_owner)
+{
+  see("instance-2", "life-2", 5);
+  see("", "life-2", 6);
+  BOOST_TEST(watch.instance() == "instance-2");
+  see("", "life-3", 7);
+  BOOST_TEST(watch.instance().empty());
+}
+
 // A commit without a renewal extends an owner's authority, but others see renewals alone.
 BOOST_FIXTURE_TEST_CASE(an_owner_may_give_orders_for_its_authority_after_its_last_commit,
                         watched_owner)
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -136,6 +136,17 @@
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<strength_report>(std::get<peer_message>(*frame)).processor_millis == 250U);
 
+  frame = decode(bytes_of(encode(peer_message{orders_question{"cell", 7}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<orders_question>(std::get<peer_message>(*frame)).partition == "cell");
+  BOOST_TEST(std::get<orders_question>(std::get<peer_message>(*frame)).epoch == 7U);
+
+  frame = decode(bytes_of(encode(peer_message{orders_reply{"cell", 7, 400}})));
+  BOOST_TEST_REQUIRE(frame.has_value());
+  BOOST_TEST(std::get<orders_reply>(std::get<peer_message>(*frame)).partition == "cell");
+  BOOST_TEST(std::get<orders_reply>(std::get<peer_message>(*frame)).epoch == 7U);
+  BOOST_TEST(std::get<orders_reply>(std::get<peer_message>(*frame)).quiet_ms == 400U);
+
   frame = decode(bytes_of(encode(peer_message{way_report{true}})));
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<way_report>(std::get<peer_message>(*frame)).has_way);
