Model, Node: The explorer loses owners in series, and judges tasks that last

Gap: the explorer's lasting jobs were cancelled within 8 s, its judge had no rule for their tasks, and two losses of owners within one lease were rare. Change: each play has a job whose tasks last until its end; the judge notes LOST if one of them does not run for 3 s, from 6 s after its last run and 4 calm seconds on (a trouble counts for 3 s after its end), while a worker has room for it twice over: the platform's rule, its bounds as they are. The 21st trouble: one to three workers crash for good, and from that moment on one to four owners are killed, stopped, frozen or cut off from the store, 1 to 6 s apart. An owner now writes into its row when the orders of those before it are over, on the store's clock. All plays of the explorer change by this. No check is taken away.

--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -22,6 +22,7 @@
 
 constexpr unsigned k_submit_tries = 4;
 constexpr unsigned k_cancel_tries = 5;
+constexpr std::uint32_t k_lasting_tasks = 4;
 constexpr const char* k_patience_ms = "3000";
 // A caller that hears nothing for its patience and a little tries again.
 constexpr milliseconds k_silence{3100};
@@ -132,6 +133,21 @@
   return id;
 }
 
+void caller_model::hand_in_lasting()
+{
+  jobs::step_spec step;
+  step.count = k_lasting_tasks;
+  step.demand.cpu_millis = 1000;
+  step.demand.memory_mib = 100;
+  step.estimate = milliseconds(900);
+  step.long_running = true;
+  step.checkpointing = true;
+  jobs::job_spec spec;
+  spec.payload = "lasting";
+  spec.steps.push_back(step);
+  m_judge.expect_to_last(hand_in(spec));
+}
+
 void caller_model::submit_again(const std::string& id, const std::string& body, unsigned tries)
 {
   if (tries > 0)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -34,6 +34,8 @@
   void hand_in_until(time_point end);
   // One job of that kind, for a queue whose tasks may run anywhere. Returns its id.
   std::string hand_in(const jobs::job_spec& spec);
+  // One whose tasks last until the play ends.
+  void hand_in_lasting();
   // Asks for every job; the answers go to the judge.
   void ask_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -16,8 +16,28 @@
 constexpr seconds k_first_job{1};
 constexpr seconds k_troubled{20};
 constexpr seconds k_length{60};
+// How often the judge looks at tasks that are to last.
+constexpr std::chrono::milliseconds k_look_period{100};
 // For the answers to the last questions.
 constexpr seconds k_answers{3};
+
+std::vector<usable_worker> usable_workers(explored_cell& cell)
+{
+  std::vector<usable_worker> usable;
+  for (const fleet_worker& each : cell.workers())
+  {
+    if (each.model && each.listed && !each.draining &&
+        each.settings.service == worker_settings{}.service)
+      usable.push_back({each.settings.id, each.settings.capacity});
+  }
+  return usable;
+}
+
+void watch_lasting(explored_cell& cell, const cell_troubles& troubles)
+{
+  cell.judge().check_lasting(usable_workers(cell), cell.time().now(), troubles.disturbed_until());
+  cell.time().schedule(k_look_period, [&cell, &troubles] { watch_lasting(cell, troubles); });
+}
 } // namespace
 
 exploration explore_cell(std::uint64_t seed, omission without)
@@ -25,7 +45,12 @@
   explored_cell cell(seed);
   cell_troubles troubles(cell, without);
   cell.time().schedule(k_first_job,
-                       [&cell] { cell.callers().hand_in_until(cell.begin() + k_troubled); });
+                       [&cell]
+                       {
+                         cell.callers().hand_in_lasting();
+                         cell.callers().hand_in_until(cell.begin() + k_troubled);
+                       });
+  watch_lasting(cell, troubles);
   troubles.draw();
   cell.time().run_until(cell.begin() + k_length);
   cell.callers().ask_all();
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -32,6 +32,8 @@
 constexpr seconds k_stop_grace{6};
 // Until an instance that is stopped looks again whether it has handed over.
 constexpr milliseconds k_hand_over_period{50};
+// Entries are written anew after a cut.
+constexpr milliseconds k_entries_back{1500};
 } // namespace
 
 cell_troubles::cell_troubles(explored_cell& cell, omission without)
@@ -43,6 +45,12 @@
 {
   const auto at = std::chrono::duration_cast<milliseconds>(m_cell.time().now() - m_cell.begin());
   m_told.push_back(std::to_string(at.count()) + " ms: " + what);
+  lasts({});
+}
+
+void cell_troubles::lasts(duration time)
+{
+  m_disturbed_until = std::max(m_disturbed_until, m_cell.time().now() + time);
 }
 
 void cell_troubles::draw()
@@ -56,14 +64,27 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 20> k_kinds{
-      &cell_troubles::kill_owner,    &cell_troubles::kill_all,       &cell_troubles::stop_one,
-      &cell_troubles::freeze_one,    &cell_troubles::cut_from_store, &cell_troubles::store_away,
-      &cell_troubles::lose_answers,  &cell_troubles::lose_orders,    &cell_troubles::late_orders,
-      &cell_troubles::crash_worker,  &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
-      &cell_troubles::cut_zone,      &cell_troubles::forget_history, &cell_troubles::silence_parts,
-      &cell_troubles::step_clock,    &cell_troubles::slow_one,       &cell_troubles::slow_store,
-      &cell_troubles::reborn_worker, &cell_troubles::reuse_address};
+  static constexpr std::array<kind, 21> k_kinds{&cell_troubles::kill_owner,
+                                                &cell_troubles::kill_all,
+                                                &cell_troubles::stop_one,
+                                                &cell_troubles::freeze_one,
+                                                &cell_troubles::cut_from_store,
+                                                &cell_troubles::store_away,
+                                                &cell_troubles::lose_answers,
+                                                &cell_troubles::lose_orders,
+                                                &cell_troubles::late_orders,
+                                                &cell_troubles::crash_worker,
+                                                &cell_troubles::drain_worker,
+                                                &cell_troubles::cut_worker,
+                                                &cell_troubles::cut_zone,
+                                                &cell_troubles::forget_history,
+                                                &cell_troubles::silence_parts,
+                                                &cell_troubles::step_clock,
+                                                &cell_troubles::slow_one,
+                                                &cell_troubles::slow_store,
+                                                &cell_troubles::reborn_worker,
+                                                &cell_troubles::reuse_address,
+                                                &cell_troubles::lose_owners_in_series};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -72,6 +93,7 @@
   if (!which.up())
     return;
   m_cell.end_instance(which);
+  lasts(down);
   start_again(which, down);
 }
 
@@ -137,11 +159,13 @@
     return;
   const duration time = m_cell.draw_time(milliseconds(500), milliseconds(9000));
   note("freeze " + which->name);
+  lasts(time);
   which->time->freeze_until(m_cell.time().now() + time);
 }
 
 void cell_troubles::cut_for(const cut_pairs& pairs, duration time)
 {
+  lasts(time + k_entries_back);
   for (const auto& pair : pairs)
     m_cell.network().troubles.cuts.insert(pair);
   for (explored_instance& one : m_cell.instances())
@@ -172,7 +196,7 @@
                                  m_cell.link(one, other, true);
                              }
                            }
-                           m_cell.time().schedule(milliseconds(1500),
+                           m_cell.time().schedule(k_entries_back,
                                                   [this]
                                                   {
                                                     for (fleet_worker& each : m_cell.workers())
@@ -202,6 +226,7 @@
 void cell_troubles::lose_answers()
 {
   note("answers of the store are lost");
+  lasts(seconds(4));
   m_cell.network().troubles.answers_lost = 0.3;
   m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.answers_lost = 0.0; });
 }
@@ -209,6 +234,7 @@
 void cell_troubles::lose_orders()
 {
   note("answers of workers are lost");
+  lasts(seconds(4));
   m_cell.network().troubles.orders_lost = 0.1;
   m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.orders_lost = 0.0; });
 }
@@ -216,6 +242,7 @@
 void cell_troubles::late_orders()
 {
   note("orders are carried out late");
+  lasts(seconds(5));
   m_cell.network().troubles.orders_late = 0.05;
   m_cell.time().schedule(seconds(5), [this] { m_cell.network().troubles.orders_late = 0.0; });
 }
@@ -226,6 +253,7 @@
   if (!which.model)
     return;
   note("crash " + which.settings.id);
+  lasts(k_entry_lapse);
   worker_fleet::end_life(which);
   m_cell.time().schedule(k_entry_lapse,
                          [this, &which]
@@ -244,6 +272,7 @@
   if (!which.model || which.draining)
     return;
   note("drain " + which.settings.id);
+  lasts(seconds(12)); // until the next one is there
   which.draining = true;
   m_cell.update_entry(which);
   if (which.listed)
@@ -301,6 +330,7 @@
                          [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
   m_cell.time().schedule(written + k_entry_lapse,
                          [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+  lasts(written + k_entry_lapse);
 }
 
 // A worker crashes, and another service's worker is at its address at once.
@@ -312,6 +342,7 @@
   const std::string earlier = which.settings.id;
   const std::string service = which.settings.service;
   note("the address goes to another service: " + earlier);
+  lasts(seconds(9));
   worker_fleet::end_life(which);
   which.listed = false; // the entry lapses by itself
   m_cell.time().schedule(k_entry_lapse,
@@ -331,6 +362,7 @@
 void cell_troubles::slow_store()
 {
   note("the store is slow");
+  lasts(seconds(6));
   m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
   m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
                          [this] { m_cell.store().set_pace({}); });
@@ -378,6 +410,7 @@
     told += " " + part;
   }
   note("the store is silent for" + told);
+  lasts(milliseconds(7500));
   m_cell.store().silence_parts(std::move(silent));
   m_cell.time().schedule(m_cell.draw_time(milliseconds(1500), milliseconds(7500)),
                          [this] { m_cell.store().silence_parts({}); });
@@ -402,6 +435,7 @@
     return;
   note("slow " + which->name);
   const duration time = m_cell.draw_time(milliseconds(1000), milliseconds(6000));
+  lasts(time);
   spend_quota(*which, which->time.get(), m_cell.time().now() + time);
 }
 
@@ -416,6 +450,76 @@
                          [this, &which, process, end] { spend_quota(which, process, end); });
 }
 
+explored_instance* cell_troubles::owner()
+{
+  for (explored_instance& each : m_cell.instances())
+  {
+    if (each.up() && each.core->owns_any())
+      return &each;
+  }
+  return nullptr;
+}
+
+void cell_troubles::crash_for_good()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  note("crash for good " + which.settings.id);
+  worker_fleet::end_life(which);
+  lasts(k_entry_lapse);
+  m_cell.time().schedule(k_entry_lapse,
+                         [this, &which]
+                         {
+                           if (!which.model)
+                             m_cell.update_entry(which);
+                         });
+}
+
+// The owner is killed, stopped as planned, frozen, or cut off from the store.
+void cell_troubles::trouble_owner()
+{
+  explored_instance* const which = owner();
+  if (which == nullptr)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(300), milliseconds(3000));
+  switch (m_cell.draw(5))
+  {
+  case 0:
+    note("stop owner " + which->name);
+    which->core->begin_stop();
+    wait_for_hand_over(*which, m_cell.time().now() + k_stop_grace);
+    return;
+  case 1:
+    note("freeze owner " + which->name);
+    lasts(time);
+    which->time->freeze_until(m_cell.time().now() + time);
+    return;
+  case 2:
+    note("cut owner from the store: " + which->name);
+    cut_for({{which->name, "store"}}, time);
+    return;
+  default:
+    note("kill owner " + which->name);
+    kill_instance(*which, time);
+  }
+}
+
+// Workers are gone for good, and owners are lost one after the other from that moment on.
+void cell_troubles::lose_owners_in_series()
+{
+  const std::uint64_t workers = 1 + m_cell.draw(3);
+  for (std::uint64_t i = 0; i < workers; ++i)
+    crash_for_good();
+  const std::uint64_t owners = 1 + m_cell.draw(4);
+  duration after = m_cell.draw_time(milliseconds(0), milliseconds(6000));
+  for (std::uint64_t i = 0; i < owners; ++i)
+  {
+    m_cell.time().schedule(after, [this] { trouble_owner(); });
+    after += m_cell.draw_time(milliseconds(1000), milliseconds(6000));
+  }
+}
+
 // What a new owner would find if the mechanism were not there.
 void cell_troubles::forget_mechanism()
 {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -23,6 +23,8 @@
   void draw();
   // What has happened so far.
   const std::vector<std::string>& told() const { return m_told; }
+  // When the latest of them ended, or will.
+  time_point disturbed_until() const { return m_disturbed_until; }
 
 private:
   using cut_pairs = std::vector<std::pair<std::string, std::string>>;
@@ -48,6 +50,7 @@
   void slow_store();
   void reborn_worker();
   void reuse_address();
+  void lose_owners_in_series();
 
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
@@ -58,9 +61,15 @@
   void forget_mechanism();
   void spend_quota(explored_instance& which, const process_time* process, time_point end);
   void note(const std::string& what);
+  // What is told of lasts for so long from now on.
+  void lasts(duration time);
+  void crash_for_good();
+  void trouble_owner();
+  explored_instance* owner();
 
   explored_cell& m_cell;
   omission m_without;
   std::vector<std::string> m_told;
+  time_point m_disturbed_until{};
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -15,6 +15,11 @@
 // Nothing starts on a leaving worker any more by then: the usual 2 s and the authority of an owner
 // that is cut off.
 constexpr std::chrono::milliseconds k_leaving_time{6500};
+// The platform's bounds for a task that is to last: it runs again within 3 s that begin 6 s after
+// its last run, and after 4 calm seconds; a trouble counts for 3 s after its end.
+constexpr std::chrono::seconds k_after_last_run{6};
+constexpr std::chrono::seconds k_calm{3 + 4};
+constexpr std::chrono::seconds k_run_again{3};
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& what)
@@ -170,6 +175,47 @@
   m_violations.push_back("LIMIT: " + worker + ": " + what);
 }
 
+bool run_judge::has_room(const jobs::step_spec& step,
+                         const std::vector<usable_worker>& usable) const
+{
+  std::map<std::string, std::int64_t> used;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    for (const auto& [run, worker] : seen.active)
+      used[worker] += m_jobs.at(task.job).spec.steps[task.place.step].demand.cpu_millis;
+  }
+  return std::any_of(
+      usable.begin(), usable.end(),
+      [&](const usable_worker& each)
+      { return each.capacity.cpu_millis - used[each.id] >= 2 * step.demand.cpu_millis; });
+}
+
+void run_judge::check_lasting(const std::vector<usable_worker>& usable, common::time_point now,
+                              common::time_point disturbed_until)
+{
+  const bool calm = now - disturbed_until >= k_calm;
+  for (const std::string& id : m_lasting)
+  {
+    const seen_job& job = m_jobs.at(id);
+    if (!job.accepted || !job.started)
+      continue;
+    const bool room = has_room(job.spec.steps.front(), usable);
+    for (std::uint32_t index = 0; index < job.spec.steps.front().count; ++index)
+    {
+      const task_ref ref{id, {0, 0, index}};
+      seen_task& task = m_tasks[ref];
+      const bool idle = task.active.empty();
+      task.idle_since = idle ? task.idle_since.value_or(now) : std::optional<common::time_point>();
+      const bool due = idle && now - *task.idle_since >= k_after_last_run && calm && room;
+      task.due_since = due ? task.due_since.value_or(now) : std::optional<common::time_point>();
+      if (!due || now - *task.due_since < k_run_again)
+        continue;
+      violate("LOST", ref, "is to last and does not run, with room for it");
+      task.due_since = now; // told once in a while
+    }
+  }
+}
+
 void run_judge::check_all_ended(const std::map<std::string, jobs::job_state>& states)
 {
   for (const auto& [id, job] : m_jobs)
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -32,6 +32,13 @@
   common::time_point at;
 };
 
+// A worker that tasks could be started on.
+struct usable_worker
+{
+  std::string id;
+  common::resources capacity;
+};
+
 class run_judge
 {
 public:
@@ -39,6 +46,8 @@
   void submitted(const std::string& job, const jobs::job_spec& spec, std::uint32_t max_attempts);
   void answered(const std::string& job, unsigned status);
   void cancel_asked(const std::string& job);
+  // Nobody cancels it, and its tasks may run on any worker.
+  void expect_to_last(const std::string& job) { m_lasting.insert(job); }
   // The caller was told that it is cancelled.
   void cancelled(const std::string& job, common::time_point at);
   void shown(const std::string& job, jobs::job_state state);
@@ -54,6 +63,11 @@
   void worker_leaving(const std::string& worker, common::time_point at);
   void overloaded(const std::string& worker, const std::string& what);
 
+  // Called often: tasks that are to last have to run again soon, if some worker has room for them
+  // twice over. `disturbed_until`: when the latest trouble ended, or will.
+  void check_lasting(const std::vector<usable_worker>& usable, common::time_point now,
+                     common::time_point disturbed_until);
+
   // At the end of a play: accepted jobs that are neither done, failed for a reason, nor cancelled.
   void check_all_ended(const std::map<std::string, jobs::job_state>& states);
 
@@ -84,15 +98,20 @@
     bool done_acknowledged = false;
     std::set<run_number> failures_acknowledged;
     std::set<std::string> checkpoints;
+    // Of a task that is to last.
+    std::optional<common::time_point> idle_since;
+    std::optional<common::time_point> due_since; // it ought to run, and does not
   };
 
   void violate(const std::string& rule, const task_ref& task, const std::string& what);
   bool step_done(const std::string& job, const seen_job& of, std::uint32_t cycle,
                  std::uint32_t step) const;
+  bool has_room(const jobs::step_spec& step, const std::vector<usable_worker>& usable) const;
   void check_start(const seen_job& job, const observed_start& start);
   void check_leaving(const observed_start& start);
 
   std::map<std::string, seen_job> m_jobs;
+  std::set<std::string> m_lasting;
   std::map<task_ref, seen_task> m_tasks;
   std::map<std::string, common::time_point> m_leaving; // workers, since when
   std::vector<std::string> m_violations;
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -12,14 +12,16 @@
 namespace
 {
 constexpr const char* k_over_ms = "over_ms";
+constexpr const char* k_earlier_orders_end_ms = "earlier_orders_end_ms";
 } // namespace
 
 std::string to_row_text(const owner_row& row)
 {
-  const json out{{"holder", row.holder},    {"life", row.life},
-                 {"epoch", row.epoch},      {"renewal", row.renewal},
-                 {"pending", row.pending},  {"waiting_cpu", row.waiting_cpu},
-                 {"free_cpu", row.free_cpu}};
+  json out{{"holder", row.holder},    {"life", row.life},       {"epoch", row.epoch},
+           {"renewal", row.renewal},  {"pending", row.pending}, {"waiting_cpu", row.waiting_cpu},
+           {"free_cpu", row.free_cpu}};
+  if (row.earlier_orders_end)
+    out[k_earlier_orders_end_ms] = row.earlier_orders_end->count();
   return out.dump();
 }
 
@@ -37,6 +39,9 @@
                           row.pending = in.value("pending", row.pending);
                           row.waiting_cpu = in.value("waiting_cpu", std::int64_t{0});
                           row.free_cpu = in.value("free_cpu", std::int64_t{0});
+                          if (in.contains(k_earlier_orders_end_ms))
+                            row.earlier_orders_end = adapter::store_time(
+                                in.at(k_earlier_orders_end_ms).get<std::int64_t>());
                           return row;
                         });
 }
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Common/Error.h"
@@ -38,6 +39,8 @@
   std::map<std::string, std::uint64_t> pending;
   std::int64_t waiting_cpu = 0;
   std::int64_t free_cpu = 0;
+  // When the orders of the owners before are over; none: not known.
+  std::optional<adapter::store_time> earlier_orders_end = std::nullopt;
 };
 
 struct commit_row
--- a/Source/Core/Node/OwnerWatch.cpp
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -10,9 +10,14 @@
 
 namespace yardhill::node
 {
-owner_watch::owner_watch(const common::timekeeper& time, instance_identity self,
-                         std::string partition, const ownership_options& options)
-    : m_time(time), m_self(std::move(self)), m_partition(std::move(partition)), m_options(options)
+owner_watch::owner_watch(const common::timekeeper& time, const store_clock& clock,
+                         instance_identity self, std::string partition,
+                         const ownership_options& options)
+    : m_time(time),
+      m_clock(clock),
+      m_self(std::move(self)),
+      m_partition(std::move(partition)),
+      m_options(options)
 {
 }
 
@@ -93,14 +98,20 @@
                                    : m_options.orders_end(m_seen.changed_at);
 }
 
-// They renewed nothing after the owner's takeover, which is as long ago as its renewals took: they
-// are a period apart, but for the first one and one that gives the partition back.
+// The owner may have written it. Besides, they renewed nothing after its takeover, which is as long
+// ago as its renewals took: they are a period apart, but for the first one and one that gives the
+// partition back.
 common::time_point owner_watch::predecessors_end() const
 {
   if (m_seen.row.epoch <= 1)
     return {};
   const std::uint64_t spaced = m_seen.row.renewal - std::min<std::uint64_t>(m_seen.row.renewal, 2);
-  return m_options.orders_end(m_seen.changed_at) -
-         static_cast<common::duration::rep>(spaced) * m_options.renew_period;
+  const common::time_point counted =
+      m_options.orders_end(m_seen.changed_at) -
+      static_cast<common::duration::rep>(spaced) * m_options.renew_period;
+  const auto written = m_seen.row.earlier_orders_end
+                           ? m_clock.time_at(*m_seen.row.earlier_orders_end)
+                           : std::nullopt;
+  return std::min(counted, written.value_or(counted));
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/OwnerWatch.h
+++ b/Source/Core/Node/OwnerWatch.h
@@ -25,8 +25,8 @@
 class owner_watch
 {
 public:
-  owner_watch(const common::timekeeper& time, instance_identity self, std::string partition,
-              const ownership_options& options);
+  owner_watch(const common::timekeeper& time, const store_clock& clock, instance_identity self,
+              std::string partition, const ownership_options& options);
 
   const seen_owner& seen() const { return m_seen; }
   // The row as the feed or a conflict shows it; nothing if it is older than what was seen, or
@@ -59,6 +59,7 @@
   void see(const owner_row& row, adapter::row_version version);
 
   const common::timekeeper& m_time;
+  const store_clock& m_clock;
   instance_identity m_self;
   std::string m_partition;
   ownership_options m_options;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -26,7 +26,7 @@
       m_self(std::move(self)),
       m_partition(std::move(partition)),
       m_options(options),
-      m_watch(parts.time, m_self, m_partition, options),
+      m_watch(parts.time, m_store_clock, m_self, m_partition, options),
       m_better_owner(options, parts.path, parts.processor_millis, parts.strongest_peer),
       m_earlier(parts.time, m_partition, parts.send_to_peer),
       m_quiet_since(parts.time.now()),
@@ -314,6 +314,7 @@
   row.pending = load.pending;
   row.waiting_cpu = load.waiting_cpu;
   row.free_cpu = load.free_cpu;
+  row.earlier_orders_end = m_store_clock.store_time_at(m_earlier.end());
   m_parts.metrics.set(common::gauge::queued, load.queued_jobs());
   m_parts.metrics.set(common::gauge::active, load.open_jobs - load.queued_jobs());
   m_parts.metrics.set(common::gauge::workers_usable, load.usable_workers);
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -129,8 +129,8 @@
   std::string m_partition;
   ownership_options m_options;
   state m_state = state::watching;
-  owner_watch m_watch;
   store_clock m_store_clock;
+  owner_watch m_watch; // uses the clock
   better_owner m_better_owner;
   earlier_orders m_earlier;
   common::time_point m_quiet_since; // this process has given no orders, unless it is the owner
--- a/Source/UnitTests/Node/EarlierOrdersTest.cpp
+++ b/Source/UnitTests/Node/EarlierOrdersTest.cpp
@@ -38,7 +38,8 @@
 
   model::virtual_time time;
   node::ownership_options options;
-  node::owner_watch watch{time, {"instance-1", "life-1"}, "cell", options};
+  node::store_clock clock;
+  node::owner_watch watch{time, clock, {"instance-1", "life-1"}, "cell", options};
   std::vector<std::string> asked;
   node::earlier_orders earlier{time, "cell",
                                [this](const std::string& peer, const common::peer_message&)
@@ -121,6 +122,20 @@
   BOOST_TEST((taken.earlier.end() == taken.watch.orders_end() - 2 * taken.options.renew_period));
 }
 
+// As that owner wrote it, on the clock that all share.
+BOOST_AUTO_TEST_CASE(the_end_of_the_owners_before_is_handed_on)
+{
+  taken_over taken(4);
+  taken.clock.heard(adapter::store_time{500000}, taken.time.now(), taken.time.now());
+  node::owner_row row = taken.watch.seen().row;
+  row.earlier_orders_end = adapter::store_time{500700};
+  taken.watch.written(row, 10);
+  taken.earlier.begin(taken.watch, 5);
+  BOOST_TEST(taken.earlier.on_reply(k_earlier, {"cell", 5, 100}));
+  BOOST_TEST((taken.earlier.end() >= taken.time.now() + milliseconds{700}));
+  BOOST_TEST((taken.earlier.end() <= taken.time.now() + milliseconds{702}));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_instance_answers_once_it_has_seen_the_later_owner, answering_owner)
 {
   see_owner(4, 10);
--- a/Source/UnitTests/Node/OwnerWatchTest.cpp
+++ b/Source/UnitTests/Node/OwnerWatchTest.cpp
@@ -17,7 +17,8 @@
   model::virtual_time time;
   common::time_point healthy = time.now();
   node::ownership_options options;
-  node::owner_watch watch{time, {"instance-1", "life-1"}, "cell", options};
+  node::store_clock clock;
+  node::owner_watch watch{time, clock, {"instance-1", "life-1"}, "cell", options};
 
   void see(const std::string& holder, const std::string& life, adapter::row_version version,
            std::uint64_t epoch = 0, std::uint64_t renewal = 0)
