--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -38,6 +38,8 @@
   std::uint64_t waiting(const std::string& prefix, time_point accepted_by) const;
   // One job of that kind, for a queue whose tasks may run anywhere. Returns its id.
   std::string hand_in(const jobs::job_spec& spec);
+  // One whose tasks last until the play ends.
+  void hand_in_lasting();
   // Asks for every job; the answers go to the judge.
   void ask_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
--- a/Source/Core/Model/OwnerSeries.cpp
+++ b/Source/Core/Model/OwnerSeries.cpp
@@ -21,9 +21,9 @@
 constexpr std::uint64_t k_slow_share = 8;
 } // namespace
 
-void cell_troubles::lose_owners_in_series()
+void cell_troubles::lose_owners_under_burst()
 {
-  note("owners are lost in series under a burst");
+  note("owners are lost under a burst");
   if (m_cell.draw(k_slow_share) == 0)
     slow_store();
   m_cell.callers().burst(k_burst_jobs, k_burst_time);
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -11,7 +11,9 @@
 
 namespace
 {
+constexpr const char* k_counted_at_ms = "counted_at";
 constexpr const char* k_over_ms = "over_ms";
+constexpr const char* k_earlier_orders_end_ms = "earlier_orders_end_ms";
 } // namespace
 
 std::string to_row_text(const owner_row& row)
@@ -20,7 +22,9 @@
            {"renewal", row.renewal},  {"pending", row.pending}, {"waiting_cpu", row.waiting_cpu},
            {"free_cpu", row.free_cpu}};
   if (row.counted_at)
-    out["counted_at"] = row.counted_at->time_since_epoch().count();
+    out[k_counted_at_ms] = row.counted_at->time_since_epoch().count();
+  if (row.earlier_orders_end)
+    out[k_earlier_orders_end_ms] = row.earlier_orders_end->time_since_epoch().count();
   return out.dump();
 }
 
@@ -36,11 +40,14 @@
                           row.epoch = in.at("epoch").get<std::uint64_t>();
                           row.renewal = in.at("renewal").get<std::uint64_t>();
                           row.pending = in.value("pending", row.pending);
-                          if (in.contains("counted_at"))
+                          if (in.contains(k_counted_at_ms))
                             row.counted_at = adapter::store_time(
-                                std::chrono::milliseconds(in["counted_at"].get<std::int64_t>()));
+                                std::chrono::milliseconds(in[k_counted_at_ms].get<std::int64_t>()));
                           row.waiting_cpu = in.value("waiting_cpu", std::int64_t{0});
                           row.free_cpu = in.value("free_cpu", std::int64_t{0});
+                          if (in.contains(k_earlier_orders_end_ms))
+                            row.earlier_orders_end = adapter::store_time(std::chrono::milliseconds(
+                                in.at(k_earlier_orders_end_ms).get<std::int64_t>()));
                           return row;
                         });
 }
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -42,6 +42,8 @@
   std::optional<adapter::store_time> counted_at;
   std::int64_t waiting_cpu = 0;
   std::int64_t free_cpu = 0;
+  // When the orders of the owners before are over; none: not known.
+  std::optional<adapter::store_time> earlier_orders_end = std::nullopt;
 };
 
 struct commit_row
--- a/Source/Core/Node/OwnerWatch.cpp
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -10,9 +10,21 @@
 
 namespace yardhill::node
 {
-owner_watch::owner_watch(const common::timekeeper& time, instance_identity self,
-                         std::string partition, const ownership_options& options)
-    : m_time(time), m_self(std::move(self)), m_partition(std::move(partition)), m_options(options)
+namespace
+{
+// An owner's renewals that may come sooner than a period after the one before: the first one, the
+// one that first tells complete counts, the one that gives the partition back.
+constexpr std::uint64_t k_unspaced_renewals = 3;
+} // namespace
+
+owner_watch::owner_watch(const common::timekeeper& time, const store_clock& clock,
+                         instance_identity self, std::string partition,
+                         const ownership_options& options)
+    : m_time(time),
+      m_clock(clock),
+      m_self(std::move(self)),
+      m_partition(std::move(partition)),
+      m_options(options)
 {
 }
 
@@ -29,7 +41,7 @@
     return std::nullopt;
   }
   const bool other_owner = parsed->life != m_seen.row.life || parsed->holder != m_seen.row.holder;
-  m_seen = {*parsed, row.version, m_time.now()};
+  see(*parsed, row.version);
   if (other_owner)
     common::log_process("owner_seen", {{"partition", m_partition},
                                        {"holder", parsed->holder},
@@ -41,6 +53,13 @@
 void owner_watch::written(const owner_row& row, adapter::row_version version)
 {
   m_unclear_takeover.reset();
+  see(row, version);
+}
+
+void owner_watch::see(const owner_row& row, adapter::row_version version)
+{
+  if (!row.holder.empty() || row.life != m_seen.row.life)
+    m_instance = row.holder;
   m_seen = {row, version, m_time.now()};
 }
 
@@ -81,6 +100,25 @@
 
 common::time_point owner_watch::orders_end() const
 {
-  return earlier_process_of_ours() ? m_seen.changed_at : m_options.orders_end(m_seen.changed_at);
+  // The owners before that process may still order.
+  return earlier_process_of_ours() ? std::max(m_seen.changed_at, predecessors_end())
+                                   : m_options.orders_end(m_seen.changed_at);
+}
+
+// The owner may have written it. Besides, they renewed nothing after its takeover, which is as long
+// ago as its renewals took: they are a period apart, but for a few.
+common::time_point owner_watch::predecessors_end() const
+{
+  if (m_seen.row.epoch <= 1)
+    return {};
+  const std::uint64_t spaced =
+      m_seen.row.renewal - std::min(m_seen.row.renewal, k_unspaced_renewals);
+  const common::time_point counted =
+      m_options.orders_end(m_seen.changed_at) -
+      static_cast<common::duration::rep>(spaced) * m_options.renew_period;
+  const auto written = m_seen.row.earlier_orders_end
+                           ? m_clock.latest_time_at(*m_seen.row.earlier_orders_end)
+                           : std::nullopt;
+  return std::min(counted, written.value_or(counted));
 }
 } // namespace yardhill::node
