--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -5,6 +5,7 @@
 
 // What befalls an explored cell: troubles drawn from its seed, at any moment, also over each other.
 
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +15,9 @@
 
 namespace yardhill::model
 {
+// A worker whose entry is not renewed for this long is taken off the list.
+inline constexpr std::chrono::milliseconds k_entry_lapse{4500};
+
 class cell_troubles
 {
 public:
