UnitTests: An owner's authority outlasts what later owners count (fails)

Found by reading while the ends of earlier orders were looked at: a commit without a renewal that is written at a later try gives the owner its whole authority (4.5 s) from that try on, although later owners count from its latest renewal (0.5 s + 4.5 s). The harness can turn writes away.

--- /dev/null
+++ b/Source/UnitTests/Node/AuthorityTest.cpp
@@ -0,0 +1,59 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Found by reading: a later owner counts the end of an owner's orders from its latest renewal. A
+// commit without a renewal that was written at its second try, seconds after that, let the owner
+// order for its whole authority from then on, longer than the later owner waited.
+
+#include <boost/test/unit_test.hpp>
+
+#include "UnitTests/Node/OwnerHarness.h"
+
+using namespace yardhill;
+using node::owner_under_test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr const char* k_job = "0123456789abcdef";
+
+jobs::accepted_job some_job(const std::string& id)
+{
+  jobs::accepted_job job;
+  job.id = id;
+  job.home = node::k_partition;
+  job.spec.steps.resize(1);
+  return job;
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AuthorityTest)
+
+BOOST_FIXTURE_TEST_CASE(a_late_commit_without_a_renewal_gives_no_longer_authority, owner_under_test)
+{
+  pass(seconds{2});
+  owner.on_notice({k_job, jobs::to_row_text(some_job(k_job)), 1000});
+  const std::string cancelled = "fedcba9876543210";
+  owner.on_notice({cancelled, jobs::to_row_text(some_job(cancelled)), 1001});
+  const adapter::row_version before = owner.seen().version;
+  while (owner.seen().version == before)
+    pass(milliseconds{25});
+  const common::time_point renewed = time.now();
+  const adapter::row_version renewal = owner.seen().version;
+  pass(milliseconds{250});
+  wire.turn_away = true;
+  owner.on_notice({cancelled, {}, 0}); // a commit without a renewal
+  pass(seconds{2});
+  wire.turn_away = false;
+  while (!owner.written_state(cancelled) ||
+         *owner.written_state(cancelled) != jobs::job_state::cancelled)
+    time.run_until(time.now() + milliseconds{1});
+  wire.turn_away = true; // before the next renewal
+  BOOST_TEST_REQUIRE(owner.seen().version == renewal);
+  const node::ownership_options options;
+  pass(std::chrono::ceil<milliseconds>(options.orders_end(renewed) - time.now()));
+  BOOST_TEST(!owner.written_state(k_job).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -29,6 +29,11 @@
   void send(http::request call, common::duration, http::reply_handler done) override
   {
     ++calls;
+    if (turn_away && call.verb == http::method::post)
+    {
+      time.schedule(milliseconds{1}, [done = std::move(done)] { done({503, {}, {}, false}); });
+      return;
+    }
     const bool lost = lose_answers && call.verb == http::method::post;
     time.schedule(milliseconds{1},
                   [this, call = std::move(call), done = std::move(done), lost]
@@ -43,6 +48,7 @@
   model::virtual_time& time;
   model::store_model store;
   bool lose_answers = false;
+  bool turn_away = false; // writes, without having done them
   unsigned calls = 0;
 };
 
