Node: A late commit gives an owner no longer authority than others count

Cause: the authority ran from when the latest commit was sent, also of a commit without a renewal that was written at a later try, seconds after the latest renewal. Change: it runs from no later than a renewal period after that renewal, which is what later owners count on. Tried: node tests, and the suites of lasting tasks and outages, all pass.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -366,8 +366,10 @@
     // The feed shows it later, or not at all.
     m_watch.written(*commit.owner, commit.version);
   }
-  // Other instances go by the renewals alone.
-  m_scheduler->set_authority(commit.sent + m_options.authority, m_last_renewal);
+  // Other instances go by the renewals alone. A commit that was written late proves no more to
+  // them.
+  const common::time_point word = std::min(commit.sent, m_last_renewal + m_options.renew_period);
+  m_scheduler->set_authority(word + m_options.authority, m_last_renewal);
   if (commit.owner && commit.owner->holder.empty())
     lose("given back");
   else
