Model: The explorer asks all instances for their counts, and loses owners in series under a burst

Gap: nobody in the explorer asked how many jobs wait, and no trouble lost owners faster than one tells what it knows; so a count that is out of date could not be seen.

Change: a judge of its own (CountJudge) asks every instance in touch (ContactWatch: undisturbed for 3 s, as is the store) for each queue's count five times a second and holds it to the jobs accepted over 5 s before that have not begun. A twenty-first trouble kills or stops each owner within 25 to 250 ms, for 6 to 11 s, while 120 jobs come.

--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -3,6 +3,7 @@
 
 #include "Model/CallerModel.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <memory>
@@ -110,6 +111,23 @@
                   [this, end] { hand_in_until(end); });
 }
 
+void caller_model::burst(std::uint64_t jobs, milliseconds time)
+{
+  for (std::uint64_t i = 0; i < jobs; ++i)
+    m_time.schedule(draw_time(milliseconds(0), time), [this] { hand_in(); });
+}
+
+std::uint64_t caller_model::waiting(const std::string& prefix, time_point accepted_by) const
+{
+  return static_cast<std::uint64_t>(std::count_if(m_accepted_at.begin(), m_accepted_at.end(),
+                                                  [&](const auto& each)
+                                                  {
+                                                    return each.second <= accepted_by &&
+                                                           m_prefixes.at(each.first) == prefix &&
+                                                           m_judge.waits(each.first);
+                                                  }));
+}
+
 void caller_model::hand_in()
 {
   const std::string id = job_id(++m_jobs);
@@ -144,6 +162,8 @@
                               if (std::exchange(*answered, true))
                                 return;
                               m_judge.answered(id, answer.status);
+                              if (answer.status == 200)
+                                m_accepted_at.emplace(id, m_time.now());
                               if (answer.status == 503)
                                 submit_again(id, body, tries);
                               else if (tries > 0 && draw(6) == 0)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -32,6 +32,10 @@
 
   // Jobs come from now on until `end`.
   void hand_in_until(time_point end);
+  // So many jobs more, spread over that time.
+  void burst(std::uint64_t jobs, std::chrono::milliseconds time);
+  // Jobs of that queue which were accepted by then and have not begun; nobody has cancelled them.
+  std::uint64_t waiting(const std::string& prefix, time_point accepted_by) const;
   // Asks for every job; the answers go to the judge.
   void ask_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
@@ -53,7 +57,8 @@
   run_judge& m_judge;
   carrier m_carry;
   std::map<std::string, jobs::job_spec> m_specs;
-  std::map<std::string, std::string> m_prefixes; // by job
+  std::map<std::string, std::string> m_prefixes;   // by job
+  std::map<std::string, time_point> m_accepted_at; // by job: when it was first told
   std::map<std::string, jobs::job_state> m_states;
   std::uint64_t m_jobs = 0;
 };
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -3,7 +3,10 @@
 
 #include "Model/CellExplorer.h"
 
+#include <utility>
+
 #include "Model/CellTroubles.h"
+#include "Model/CountJudge.h"
 #include "Model/ExploredCell.h"
 
 namespace yardhill::model
@@ -26,12 +29,15 @@
   cell_troubles troubles(cell, without);
   cell.time().schedule(k_first_job,
                        [&cell] { cell.callers().hand_in_until(cell.begin() + k_troubled); });
+  const count_judge counts(cell, cell.begin() + k_length);
   troubles.draw();
   cell.time().run_until(cell.begin() + k_length);
   cell.callers().ask_all();
   cell.time().run_until(cell.begin() + k_length + k_answers);
   cell.judge().check_all_ended(cell.callers().states());
-  return {cell.judge().violations(), troubles.told(), cell.judge().accepted_jobs(),
-          cell.judge().starts()};
+  std::vector<std::string> violations = cell.judge().violations();
+  violations.insert(violations.end(), counts.violations().begin(), counts.violations().end());
+  return {std::move(violations), troubles.told(),  cell.judge().accepted_jobs(),
+          cell.judge().starts(), counts.counted(), counts.unknown()};
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/CellExplorer.h
+++ b/Source/Core/Model/CellExplorer.h
@@ -26,6 +26,9 @@
   std::vector<std::string> troubles; // what happened, in order
   std::size_t accepted = 0;
   std::size_t starts = 0;
+  // Counts of waiting jobs that instances in touch told, and that they did not know.
+  std::size_t counted = 0;
+  std::size_t unknown_counts = 0;
 };
 
 // The same seed gives the same play.
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -56,14 +56,27 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 20> k_kinds{
-      &cell_troubles::kill_owner,    &cell_troubles::kill_all,       &cell_troubles::stop_one,
-      &cell_troubles::freeze_one,    &cell_troubles::cut_from_store, &cell_troubles::store_away,
-      &cell_troubles::lose_answers,  &cell_troubles::lose_orders,    &cell_troubles::late_orders,
-      &cell_troubles::crash_worker,  &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
-      &cell_troubles::cut_zone,      &cell_troubles::forget_history, &cell_troubles::silence_parts,
-      &cell_troubles::step_clock,    &cell_troubles::slow_one,       &cell_troubles::slow_store,
-      &cell_troubles::reborn_worker, &cell_troubles::reuse_address};
+  static constexpr std::array<kind, 21> k_kinds{&cell_troubles::kill_owner,
+                                                &cell_troubles::kill_all,
+                                                &cell_troubles::stop_one,
+                                                &cell_troubles::freeze_one,
+                                                &cell_troubles::cut_from_store,
+                                                &cell_troubles::store_away,
+                                                &cell_troubles::lose_answers,
+                                                &cell_troubles::lose_orders,
+                                                &cell_troubles::late_orders,
+                                                &cell_troubles::crash_worker,
+                                                &cell_troubles::drain_worker,
+                                                &cell_troubles::cut_worker,
+                                                &cell_troubles::cut_zone,
+                                                &cell_troubles::forget_history,
+                                                &cell_troubles::silence_parts,
+                                                &cell_troubles::step_clock,
+                                                &cell_troubles::slow_one,
+                                                &cell_troubles::slow_store,
+                                                &cell_troubles::reborn_worker,
+                                                &cell_troubles::reuse_address,
+                                                &cell_troubles::lose_owners_in_series};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -85,15 +98,20 @@
                          });
 }
 
-// A planned stop: the process ends once it has handed over, or when its grace is over.
 void cell_troubles::stop_one()
 {
   explored_instance* const which = m_cell.any_up();
   if (which == nullptr)
     return;
   note("stop " + which->name);
-  which->core->begin_stop();
-  wait_for_hand_over(*which, m_cell.time().now() + k_stop_grace);
+  stop(*which);
+}
+
+// A planned stop: the process ends once it has handed over, or when its grace is over.
+void cell_troubles::stop(explored_instance& which)
+{
+  which.core->begin_stop();
+  wait_for_hand_over(which, m_cell.time().now() + k_stop_grace);
 }
 
 void cell_troubles::wait_for_hand_over(explored_instance& which, time_point latest)
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -31,6 +31,7 @@
   void kill_owner();
   void kill_all();
   void stop_one();
+  void lose_owners_in_series();
   void freeze_one();
   void cut_from_store();
   void store_away();
@@ -49,6 +50,9 @@
   void reborn_worker();
   void reuse_address();
 
+  void lose_next_owner(time_point end);
+  void lose_owner(explored_instance& which);
+  void stop(explored_instance& which);
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
   void wait_for_hand_over(explored_instance& which, time_point latest);
--- /dev/null
+++ b/Source/Core/Model/CountJudge.cpp
@@ -0,0 +1,78 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Model/CountJudge.h"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/WireNames.h"
+
+namespace yardhill::model
+{
+namespace
+{
+using std::chrono::milliseconds;
+
+constexpr milliseconds k_period{200};
+// A job that was accepted this long ago has to be counted: known after 3 s, told after 2 s more.
+constexpr milliseconds k_counted_after{5000};
+constexpr const char* k_patience_ms = "3000";
+} // namespace
+
+count_judge::count_judge(explored_cell& cell, time_point end)
+    : m_cell(cell), m_end(end), m_contacts(cell)
+{
+  ask_all();
+}
+
+void count_judge::ask_all()
+{
+  if (m_cell.time().now() > m_end)
+    return;
+  for (explored_instance& each : m_cell.instances())
+  {
+    if (!m_contacts.in_touch(each))
+      continue;
+    ask(each, k_urgent_prefix);
+    ask(each, k_plain_prefix);
+  }
+  m_cell.time().schedule(k_period, [this] { ask_all(); });
+}
+
+void count_judge::ask(explored_instance& which, const std::string& prefix)
+{
+  const time_point accepted_by = m_cell.time().now() - k_counted_after;
+  which.time->schedule(
+      duration{0},
+      [this, &which, prefix, accepted_by]
+      {
+        which.core->handle(
+            {http::method::get, k_host, prefix, "", k_patience_ms},
+            [this, &which, prefix, accepted_by](const http::outgoing_answer& answer)
+            { on_answer(which, prefix, m_cell.callers().waiting(prefix, accepted_by), answer); });
+      });
+}
+
+void count_judge::on_answer(const explored_instance& which, const std::string& prefix,
+                            std::uint64_t waiting, const http::outgoing_answer& answer)
+{
+  // Something may have befallen it on the way of the question.
+  if (!m_contacts.in_touch(which))
+    return;
+  if (answer.status != 200)
+  {
+    ++m_unknown;
+    return;
+  }
+  ++m_counted;
+  const std::uint64_t told =
+      nlohmann::json::parse(answer.body).at(adapter::wire::k_pending).get<std::uint64_t>();
+  if (2 * told < waiting)
+    m_violations.push_back("MIXED: " + which.name + " says that " + std::to_string(told) +
+                           " jobs of " + prefix + " wait, of " + std::to_string(waiting) + " at " +
+                           std::to_string(std::chrono::duration_cast<milliseconds>(
+                                              m_cell.time().now() - m_cell.begin())
+                                              .count()) +
+                           " ms");
+}
+} // namespace yardhill::model
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -194,6 +194,13 @@
   return runs;
 }
 
+bool run_judge::waits(const std::string& job) const
+{
+  const auto found = m_jobs.find(job);
+  return found != m_jobs.end() && found->second.accepted && !found->second.started &&
+         !found->second.cancel_asked;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -60,6 +60,9 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   std::size_t starts() const { return m_starts; }
   std::size_t accepted_jobs() const;
+  // Whether a job is accepted and none of its tasks has begun; not if its cancellation was asked
+  // for.
+  bool waits(const std::string& job) const;
   // Runs that have begun and not ended, on workers that live.
   std::size_t active_runs() const;
 
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -36,6 +36,8 @@
   // Each transaction takes so long (none: no time), those of one part in turn; while over a second
   // of them waits, more are turned away. Reads take as long.
   void set_pace(common::duration each) { m_pace = each; }
+  // Whether it is slow or silent at present.
+  bool disturbed() const { return m_pace.count() != 0 || !m_silent.empty(); }
   // Feeds that are behind have to read everything again.
   void forget_history();
   // All rows of a table are gone, as if nobody had written them.
--- a/Source/Core/Model/VirtualTime.h
+++ b/Source/Core/Model/VirtualTime.h
@@ -55,6 +55,7 @@
   {
     m_state->frozen_until = std::max(m_state->frozen_until, end);
   }
+  bool frozen() const { return now() < m_state->frozen_until; }
   // Lets calls from outside reach the process only as long as it lives; outlives it.
   std::function<void(std::function<void()>)> gate() const;
 
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -54,6 +54,7 @@
 
   // Planned stop: gives back what it owns.
   void begin_stop();
+  bool stopping() const { return m_stopping; }
   bool handed_over() const;
   bool owns_any() const;
 
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -52,14 +52,20 @@
     yardhill::common::open_event_log("explorer");
   const seed_range range = seeds();
   std::size_t accepted = 0;
+  std::size_t counted = 0;
+  std::size_t unknown_counts = 0;
   for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed)
   {
     const exploration played = explore_cell(seed);
     accepted += played.accepted;
+    counted += played.counted;
+    unknown_counts += played.unknown_counts;
     BOOST_TEST(played.violations.empty(), told(seed, played));
   }
   // The plays were about something.
   BOOST_TEST(accepted > range.count * 30);
+  BOOST_TEST_MESSAGE(counted << " counts told, " << unknown_counts << " not known");
+  BOOST_TEST(counted > range.count * 500);
 }
 
 // Without the claims of workers a new owner would not know whom to ask: seeds have to show it, or
