Model: The judge holds a refusal against the job, and callers ask young instances

Why the explorer missed it: it judged a 503 or 429 only if all answers of the job had been refusals and counted a silence as an answer; its callers waited 3.1 s for a killed instance, did not come back after a 504, hardly ever met an instance without a configuration, and came back after every refusal, so that what ran later had been handed in again.

Change: REFUSED is broken by a refusal of a job that has started, was accepted or is kept in the store, and by a start after a refusal without a call in between. A killed instance breaks its callers' connections; one connection in sixteen breaks while the instance goes on; callers come back after 504, 502 and silence in 0.05 to 0.9 s, a third do not after a refusal, and half of them meet an instance that has just started. New troubles: the store turns instances away; instances are killed one after the other while the store is slow or turns calls away. The troubles of workers are a file of their own.

--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -25,7 +25,12 @@
 constexpr const char* k_patience_ms = "3000";
 // A caller that hears nothing for its patience and a little tries again.
 constexpr milliseconds k_silence{3100};
-constexpr milliseconds k_retry{500};
+constexpr milliseconds k_least_retry{50};
+constexpr milliseconds k_most_retry{900};
+// One connection in so many breaks before the answer comes.
+constexpr std::uint64_t k_breaking_share = 16;
+// One caller in so many does not come back after a refusal.
+constexpr std::uint64_t k_leaving_share = 3;
 constexpr milliseconds k_cancel_retry{1500};
 
 std::string job_id(std::uint64_t number)
@@ -125,7 +130,8 @@
 void caller_model::submit_again(const std::string& id, const std::string& body, unsigned tries)
 {
   if (tries > 0)
-    m_time.schedule(k_retry, [this, id, body, tries] { submit(id, body, tries - 1); });
+    m_time.schedule(draw_time(k_least_retry, k_most_retry),
+                    [this, id, body, tries] { submit(id, body, tries - 1); });
 }
 
 // Some callers send the same job once more, seconds after it was taken.
@@ -137,31 +143,36 @@
 
 void caller_model::submit(const std::string& id, const std::string& body, unsigned tries)
 {
-  const auto answered = std::make_shared<bool>(false);
+  m_judge.tried(id);
+  const auto over = std::make_shared<bool>(false);
+  const auto ended = [this, id, body, tries, over](unsigned status)
+  {
+    if (!std::exchange(*over, true))
+      on_submitted(id, body, tries, status);
+  };
   const bool sent = m_carry({http::method::post, k_host, m_prefixes[id] + id, body, k_patience_ms},
-                            [this, id, body, tries, answered](const http::outgoing_answer& answer)
-                            {
-                              if (std::exchange(*answered, true))
-                                return;
-                              m_judge.answered(id, answer.status);
-                              if (answer.status == 503)
-                                submit_again(id, body, tries);
-                              else if (tries > 0 && draw(6) == 0)
-                                submit_late(id, body);
-                            });
+                            [ended](const http::outgoing_answer& answer) { ended(answer.status); });
   if (!sent)
   {
     submit_again(id, body, tries);
     return;
   }
-  m_time.schedule(k_silence,
-                  [this, id, body, tries, answered]
-                  {
-                    if (std::exchange(*answered, true))
-                      return;
-                    m_judge.answered(id, 0);
-                    submit_again(id, body, tries);
-                  });
+  // A connection may break while the instance goes on with the call.
+  const bool breaks = draw(k_breaking_share) == 0;
+  m_time.schedule(breaks ? draw_time(milliseconds(2), milliseconds(400)) : k_silence,
+                  [ended] { ended(0); });
+}
+
+void caller_model::on_submitted(const std::string& id, const std::string& body, unsigned tries,
+                                unsigned status)
+{
+  m_judge.answered(id, status);
+  const bool refused = status == 429 || status == 503;
+  const bool unclear = status == 0 || status == 502 || status == 504;
+  if (unclear || (refused && draw(k_leaving_share) != 0))
+    submit_again(id, body, tries);
+  else if (!refused && tries > 0 && draw(6) == 0)
+    submit_late(id, body);
 }
 
 void caller_model::cancel(const std::string& id, unsigned tries)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -25,7 +25,8 @@
 class caller_model
 {
 public:
-  // Brings a request to some instance that is up; false if none is. A dead instance never answers.
+  // Brings a request to some instance that is up; false if none is. An answer with status 0 says
+  // that the connection broke.
   using carrier = std::function<bool(http::incoming_request, http::responder)>;
 
   caller_model(virtual_time& time, std::uint64_t seed, run_judge& judge, carrier carry);
@@ -41,6 +42,8 @@
   void hand_in();
   jobs::job_spec random_spec();
   void submit(const std::string& id, const std::string& body, unsigned tries);
+  void on_submitted(const std::string& id, const std::string& body, unsigned tries,
+                    unsigned status);
   void submit_again(const std::string& id, const std::string& body, unsigned tries);
   void submit_late(const std::string& id, const std::string& body);
   void cancel(const std::string& id, unsigned tries);
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -18,8 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A worker whose entry is not renewed for this long is taken off the list.
-constexpr milliseconds k_entry_lapse{4500};
 constexpr milliseconds k_link_break{1500};
 // The instances' one partition, whose rows are one part of the store.
 constexpr const char* k_partition = "cell";
@@ -56,14 +54,15 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 20> k_kinds{
+  static constexpr std::array<kind, 22> k_kinds{
       &cell_troubles::kill_owner,    &cell_troubles::kill_all,       &cell_troubles::stop_one,
       &cell_troubles::freeze_one,    &cell_troubles::cut_from_store, &cell_troubles::store_away,
       &cell_troubles::lose_answers,  &cell_troubles::lose_orders,    &cell_troubles::late_orders,
       &cell_troubles::crash_worker,  &cell_troubles::drain_worker,   &cell_troubles::cut_worker,
       &cell_troubles::cut_zone,      &cell_troubles::forget_history, &cell_troubles::silence_parts,
       &cell_troubles::step_clock,    &cell_troubles::slow_one,       &cell_troubles::slow_store,
-      &cell_troubles::reborn_worker, &cell_troubles::reuse_address};
+      &cell_troubles::reborn_worker, &cell_troubles::reuse_address,  &cell_troubles::turn_away,
+      &cell_troubles::kill_in_series};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -220,120 +219,51 @@
   m_cell.time().schedule(seconds(5), [this] { m_cell.network().troubles.orders_late = 0.0; });
 }
 
-void cell_troubles::crash_worker()
-{
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
-    return;
-  note("crash " + which.settings.id);
-  worker_fleet::end_life(which);
-  m_cell.time().schedule(k_entry_lapse,
-                         [this, &which]
-                         {
-                           if (!which.model)
-                             m_cell.update_entry(which);
-                         });
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(8000)),
-                         [this, &which] { replace_worker(which); });
-}
-
-// It says that it leaves, serves on for a while, and is gone with all that runs there.
-void cell_troubles::drain_worker()
-{
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model || which.draining)
-    return;
-  note("drain " + which.settings.id);
-  which.draining = true;
-  m_cell.update_entry(which);
-  if (which.listed)
-    m_cell.judge().worker_leaving(which.settings.id, m_cell.time().now());
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(11000)),
-                         [this, &which, id = which.settings.id]
-                         {
-                           if (!which.model || which.settings.id != id)
-                             return; // it has crashed meanwhile
-                           worker_fleet::end_life(which);
-                           m_cell.fleet().remove_entry(which);
-                           m_cell.time().schedule(seconds(1),
-                                                  [this, &which] { replace_worker(which); });
-                         });
-}
-
-void cell_troubles::replace_worker(fleet_worker& which)
-{
-  if (which.model)
-    return;
-  m_cell.start_worker(which);
-}
-
-void cell_troubles::cut_worker()
+// Each transaction takes some 200 ms, and the store turns more away.
+void cell_troubles::slow_store()
 {
-  const fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  note("cut off " + which.settings.id);
-  cut_for(cut_of(which), m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+  note("the store is slow");
+  m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
+                         [this] { m_cell.store().set_pace({}); });
 }
 
-cell_troubles::cut_pairs cell_troubles::cut_of(const fleet_worker& which) const
+// The store turns some instances away, or all of them.
+void cell_troubles::turn_away()
 {
-  cut_pairs pairs{{which.machine, "store"}};
+  std::set<std::string> names;
+  const bool all = m_cell.draw(2) == 0;
   for (const explored_instance& each : m_cell.instances())
-    pairs.emplace_back(each.name, which.machine);
-  return pairs;
+  {
+    if (all || m_cell.draw(2) == 0)
+      names.insert(each.name);
+  }
+  note("the store turns away " + std::to_string(names.size()) + " instances");
+  m_cell.network().troubles.turned_away = std::move(names);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(6000)),
+                         [this] { m_cell.network().troubles.turned_away.clear(); });
 }
 
-// A worker is cut off, crashes there and starts again. Its earlier life's last entry waits behind
-// the cut and is written after the first one of the life that has its address now.
-void cell_troubles::reborn_worker()
+// Instances end one after the other, with calls under way, while the store is hard to reach.
+void cell_troubles::kill_in_series()
 {
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
-    return;
-  const duration time = m_cell.draw_time(milliseconds(2000), milliseconds(7000));
-  const std::string earlier = which.settings.id;
-  const std::string entry = which.model->entry(which.draining);
-  note("reborn behind a cut: " + earlier);
-  cut_for(cut_of(which), time);
-  worker_fleet::end_life(which);
-  m_cell.fleet().begin_life(which);
-  const duration written = time + m_cell.draw_time(milliseconds(1000), milliseconds(4000));
-  m_cell.time().schedule(written,
-                         [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
-  m_cell.time().schedule(written + k_entry_lapse,
-                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+  if (m_cell.draw(2) == 0)
+    slow_store();
+  else
+    turn_away();
+  const std::uint64_t kills = 3 + m_cell.draw(4);
+  for (std::uint64_t i = 0; i < kills; ++i)
+    m_cell.time().schedule(m_cell.draw_time(milliseconds(100), milliseconds(5000)),
+                           [this] { kill_one(); });
 }
 
-// A worker crashes, and another service's worker is at its address at once.
-void cell_troubles::reuse_address()
+void cell_troubles::kill_one()
 {
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
     return;
-  const std::string earlier = which.settings.id;
-  const std::string service = which.settings.service;
-  note("the address goes to another service: " + earlier);
-  worker_fleet::end_life(which);
-  which.listed = false; // the entry lapses by itself
-  m_cell.time().schedule(k_entry_lapse,
-                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
-  which.settings.service = "other-service";
-  m_cell.start_worker(which);
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(5000), milliseconds(9000)),
-                         [this, &which, service]
-                         {
-                           worker_fleet::end_life(which);
-                           which.settings.service = service;
-                           m_cell.start_worker(which);
-                         });
-}
-
-// Each transaction takes some 200 ms, and the store turns more away.
-void cell_troubles::slow_store()
-{
-  note("the store is slow");
-  m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
-                         [this] { m_cell.store().set_pace({}); });
+  note("kill " + which->name);
+  kill_instance(*which, m_cell.draw_time(milliseconds(50), milliseconds(700)));
 }
 
 void cell_troubles::cut_zone()
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -25,6 +25,9 @@
   const std::vector<std::string>& told() const { return m_told; }
 
 private:
+  // A worker whose entry is not renewed for this long is taken off the list.
+  static constexpr std::chrono::milliseconds k_entry_lapse{4500};
+
   using cut_pairs = std::vector<std::pair<std::string, std::string>>;
 
   void befall();
@@ -48,6 +51,9 @@
   void slow_store();
   void reborn_worker();
   void reuse_address();
+  void turn_away();
+  void kill_in_series();
+  void kill_one();
 
   void kill_instance(explored_instance& which, duration down);
   void start_again(explored_instance& which, duration after);
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/Hash.h"
+#include "Node/JobStore.h"
 #include "platform/WireNames.h"
 
 namespace yardhill::model
@@ -24,6 +25,9 @@
 constexpr std::array<std::uint32_t, k_instances> k_processor_millis{120, 500, 120, 500};
 constexpr std::size_t k_workers = 9;
 constexpr milliseconds k_tick{25};
+// An instance is young for this long.
+constexpr milliseconds k_young{300};
+constexpr milliseconds k_break_way{1};
 const common::endpoint k_store_address{"10.200.0.1", 80};
 const common::endpoint k_advice_address{"10.200.0.2", 80};
 
@@ -43,6 +47,12 @@
               {wire::k_routes, {urgent, route("plain", k_plain_prefix, 1)}}}
       .dump();
 }
+http::outgoing_answer broken_connection()
+{
+  http::outgoing_answer answer;
+  answer.status = 0;
+  return answer;
+}
 } // namespace
 
 explored_cell::explored_cell(std::uint64_t seed)
@@ -50,6 +60,7 @@
       m_network(m_time, seed + 1),
       m_advice(m_time, seed, {}),
       m_store(m_time),
+      m_judge([this](const std::string& job) { return keeps(job); }),
       m_callers(m_time, seed + 2, m_judge,
                 [this](http::incoming_request request, http::responder respond)
                 { return carry(std::move(request), std::move(respond)); }),
@@ -61,9 +72,15 @@
           m_callers.specs()),
       m_begin(m_time.now())
 {
-  m_network.serve(k_store_address, "store",
-                  [this](const std::string&, const http::request& call, http::reply_handler done)
-                  { m_store.handle(call, std::move(done)); });
+  m_network.serve(
+      k_store_address, "store",
+      [this](const std::string& from, const http::request& call, http::reply_handler done)
+      {
+        if (m_network.troubles.turned_away.contains(from))
+          done({503, {}, {}, false});
+        else
+          m_store.handle(call, std::move(done));
+      });
   m_network.serve(
       k_advice_address, "advice",
       [this](const std::string& from, const http::request& call, http::reply_handler done)
@@ -138,6 +155,12 @@
   which.core.reset();
   which.sender.reset();
   which.time.reset();
+  for (const auto& each : std::exchange(which.connections, {}))
+  {
+    if (*each)
+      m_time.schedule(k_break_way,
+                      [respond = std::exchange(*each, nullptr)] { respond(broken_connection()); });
+  }
   for (explored_instance& other : m_instances)
   {
     if (other.up())
@@ -153,6 +176,7 @@
 
 void explored_cell::start_instance(explored_instance& which)
 {
+  which.started = m_time.now();
   which.time = std::make_unique<process_time>(m_time);
   which.sender = std::make_unique<network_sender>(m_network, *which.time, which.name);
   which.metrics = std::make_unique<common::metrics>();
@@ -228,12 +252,39 @@
 
 bool explored_cell::carry(http::incoming_request request, http::responder respond)
 {
-  explored_instance* const where = any_up();
+  explored_instance* const where = asked_by_caller();
   if (where == nullptr)
     return false;
-  where->time->schedule(duration{0},
-                        [where, request = std::move(request), respond = std::move(respond)]
-                        { where->core->handle(request, respond); });
+  const auto connection = std::make_shared<http::responder>(std::move(respond));
+  std::erase_if(where->connections, [](const auto& each) { return !*each; });
+  where->connections.push_back(connection);
+  const auto answer = [connection](const http::outgoing_answer& told)
+  {
+    if (*connection)
+      std::exchange(*connection, nullptr)(told);
+  };
+  where->time->schedule(duration{0}, [where, request = std::move(request), answer]
+                        { where->core->handle(request, answer); });
   return true;
 }
+
+explored_instance* explored_cell::asked_by_caller()
+{
+  for (explored_instance& each : m_instances)
+  {
+    if (each.up() && m_time.now() - each.started < k_young && draw(2) == 0)
+      return &each;
+  }
+  return any_up();
+}
+
+bool explored_cell::keeps(const std::string& job) const
+{
+  const adapter::row_key at = node::job_key(job);
+  const auto value = m_store.value(at);
+  if (!value)
+    return false;
+  const auto row = node::job_row_from({at, *value});
+  return row && std::holds_alternative<jobs::accepted_job>(row->content);
+}
 } // namespace yardhill::model
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -32,6 +32,9 @@
   std::unique_ptr<process_time> time;
   std::unique_ptr<network_sender> sender;
   std::unique_ptr<common::metrics> metrics;
+  time_point started{};
+  // Of callers that wait for an answer; an empty one has its answer.
+  std::vector<std::shared_ptr<http::responder>> connections;
   std::unique_ptr<node::node_core> core; // last: it goes first
 
   bool up() const { return core != nullptr; }
@@ -64,7 +67,7 @@
   // The operator's next version, with the same queues.
   void configure(std::uint64_t version);
   void start_instance(explored_instance& which);
-  // Ends its process as it is; the others' links to it break.
+  // Ends its process as it is; the others' links and the callers' connections to it break.
   void end_instance(explored_instance& which);
   // Both ends of a link are told that it is up, or broken.
   void link(explored_instance& one, explored_instance& other, bool up);
@@ -77,6 +80,10 @@
   // How a run goes follows from the seed.
   run_course course_of(const task_ref& task, run_number run, const std::string& worker) const;
   void tick(explored_instance& which);
+  // Whether the store has the job, or the mark of a refusal or nothing in its place.
+  bool keeps(const std::string& job) const;
+  // Often one that has just started, if there is one.
+  explored_instance* asked_by_caller();
   // Brings a caller's request to an instance that is up.
   bool carry(http::incoming_request request, http::responder respond);
 
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -35,11 +35,26 @@
 void run_judge::answered(const std::string& job, unsigned status)
 {
   seen_job& seen = m_jobs[job];
+  seen.refused = status == 429 || status == 503;
+  if (seen.refused)
+    check_refusal(job, seen);
   seen.accepted = seen.accepted || (status >= 200 && status < 300);
-  const bool refused = status == 429 || status == 503;
-  seen.only_refused = seen.only_refused && refused;
-  if (seen.started && seen.only_refused)
+}
+
+void run_judge::tried(const std::string& job)
+{
+  m_jobs[job].refused = false;
+}
+
+// A refusal is a promise about the job: it is not taken and never runs.
+void run_judge::check_refusal(const std::string& job, const seen_job& seen)
+{
+  if (seen.started)
     violate("REFUSED", {job, {}}, "it was refused although it has started");
+  else if (seen.accepted)
+    violate("REFUSED", {job, {}}, "it was refused although it had been accepted");
+  else if (m_kept && m_kept(job))
+    violate("REFUSED", {job, {}}, "it was refused although it is kept");
 }
 
 void run_judge::cancel_asked(const std::string& job)
@@ -117,6 +132,8 @@
     violate("UNASKED", start.task, "no such job was handed in");
     return;
   }
+  if (found->second.refused)
+    violate("REFUSED", start.task, "started after it was refused, and not handed in since");
   check_start(found->second, start);
   check_leaving(start);
   found->second.started = true;
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -5,6 +5,7 @@
 
 // Sees every run at every worker and every answer to callers, and notes what must never happen.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,8 +36,17 @@
 class run_judge
 {
 public:
+  // Whether the store has a job, however it came there.
+  using keeper = std::function<bool(const std::string& job)>;
+
+  // Without a keeper, whether refused jobs are kept is not looked at.
+  explicit run_judge(keeper kept = nullptr) : m_kept(std::move(kept)) {}
+
   // What callers send and are told.
   void submitted(const std::string& job, const jobs::job_spec& spec, std::uint32_t max_attempts);
+  // A call to hand it in is under way, the first one or a later one.
+  void tried(const std::string& job);
+  // What became of the latest call; 0: there was no answer.
   void answered(const std::string& job, unsigned status);
   void cancel_asked(const std::string& job);
   // The caller was told that it is cancelled.
@@ -69,7 +79,7 @@
     jobs::job_spec spec;
     std::uint32_t max_attempts = 1;
     bool accepted = false;
-    bool only_refused = true; // every answer so far was a refusal
+    bool refused = false; // the latest call; nothing may come of it or of earlier ones
     bool started = false;
     bool cancel_asked = false;
     std::optional<common::time_point> cancelled_at;
@@ -89,7 +99,9 @@
                  std::uint32_t step) const;
   void check_start(const seen_job& job, const observed_start& start);
   void check_leaving(const observed_start& start);
+  void check_refusal(const std::string& job, const seen_job& seen);
 
+  keeper m_kept;
   std::map<std::string, seen_job> m_jobs;
   std::map<task_ref, seen_task> m_tasks;
   std::map<std::string, common::time_point> m_leaving; // workers, since when
--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -207,6 +207,14 @@
   answer_feeds();
 }
 
+std::optional<std::string> store_model::value(const adapter::row_key& at) const
+{
+  const auto found = m_rows.find(at);
+  if (found == m_rows.end())
+    return std::nullopt;
+  return common::from_base64(found->second.value);
+}
+
 void store_model::forget_history()
 {
   m_history.clear();
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,6 +31,8 @@
   // What the operator and the workers write.
   void put(const adapter::row_key& at, const std::string& value);
   void remove(const adapter::row_key& at);
+  // The row's value as it is; none if there is no such row.
+  std::optional<std::string> value(const adapter::row_key& at) const;
   // Calls that concern one of these parts get no answer and do nothing, as when the store is down
   // in part; feeds go on.
   void silence_parts(std::set<std::string> parts) { m_silent = std::move(parts); }
--- a/Source/Core/Model/VirtualNetwork.h
+++ b/Source/Core/Model/VirtualNetwork.h
@@ -20,9 +20,10 @@
 struct network_troubles
 {
   std::set<std::pair<std::string, std::string>> cuts; // pairs of names, either way
-  double answers_lost = 0.0; // carried out, and the answer lost: calls to the store
-  double orders_lost = 0.0;  // the same for calls to workers
-  double orders_late = 0.0;  // no answer, and carried out 2 to 12 s later: calls to workers
+  std::set<std::string> turned_away; // instances that the store answers 503, doing nothing
+  double answers_lost = 0.0;         // carried out, and the answer lost: calls to the store
+  double orders_lost = 0.0;          // the same for calls to workers
+  double orders_late = 0.0;          // no answer, and carried out 2 to 12 s later: calls to workers
 };
 
 class virtual_network
--- /dev/null
+++ b/Source/Core/Model/WorkerTroubles.cpp
@@ -0,0 +1,119 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// The part of cell_troubles that befalls workers.
+
+#include "Model/CellTroubles.h"
+
+namespace yardhill::model
+{
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void cell_troubles::crash_worker()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  note("crash " + which.settings.id);
+  worker_fleet::end_life(which);
+  m_cell.time().schedule(k_entry_lapse,
+                         [this, &which]
+                         {
+                           if (!which.model)
+                             m_cell.update_entry(which);
+                         });
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(8000)),
+                         [this, &which] { replace_worker(which); });
+}
+
+// It says that it leaves, serves on for a while, and is gone with all that runs there.
+void cell_troubles::drain_worker()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model || which.draining)
+    return;
+  note("drain " + which.settings.id);
+  which.draining = true;
+  m_cell.update_entry(which);
+  if (which.listed)
+    m_cell.judge().worker_leaving(which.settings.id, m_cell.time().now());
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(11000)),
+                         [this, &which, id = which.settings.id]
+                         {
+                           if (!which.model || which.settings.id != id)
+                             return; // it has crashed meanwhile
+                           worker_fleet::end_life(which);
+                           m_cell.fleet().remove_entry(which);
+                           m_cell.time().schedule(seconds(1),
+                                                  [this, &which] { replace_worker(which); });
+                         });
+}
+
+void cell_troubles::replace_worker(fleet_worker& which)
+{
+  if (which.model)
+    return;
+  m_cell.start_worker(which);
+}
+
+void cell_troubles::cut_worker()
+{
+  const fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  note("cut off " + which.settings.id);
+  cut_for(cut_of(which), m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+}
+
+cell_troubles::cut_pairs cell_troubles::cut_of(const fleet_worker& which) const
+{
+  cut_pairs pairs{{which.machine, "store"}};
+  for (const explored_instance& each : m_cell.instances())
+    pairs.emplace_back(each.name, which.machine);
+  return pairs;
+}
+
+// A worker is cut off, crashes there and starts again. Its earlier life's last entry waits behind
+// the cut and is written after the first one of the life that has its address now.
+void cell_troubles::reborn_worker()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(2000), milliseconds(7000));
+  const std::string earlier = which.settings.id;
+  const std::string entry = which.model->entry(which.draining);
+  note("reborn behind a cut: " + earlier);
+  cut_for(cut_of(which), time);
+  worker_fleet::end_life(which);
+  m_cell.fleet().begin_life(which);
+  const duration written = time + m_cell.draw_time(milliseconds(1000), milliseconds(4000));
+  m_cell.time().schedule(written,
+                         [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
+  m_cell.time().schedule(written + k_entry_lapse,
+                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+}
+
+// A worker crashes, and another service's worker is at its address at once.
+void cell_troubles::reuse_address()
+{
+  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+  if (!which.model)
+    return;
+  const std::string earlier = which.settings.id;
+  const std::string service = which.settings.service;
+  note("the address goes to another service: " + earlier);
+  worker_fleet::end_life(which);
+  which.listed = false; // the entry lapses by itself
+  m_cell.time().schedule(k_entry_lapse,
+                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+  which.settings.service = "other-service";
+  m_cell.start_worker(which);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(5000), milliseconds(9000)),
+                         [this, &which, service]
+                         {
+                           worker_fleet::end_life(which);
+                           which.settings.service = service;
+                           m_cell.start_worker(which);
+                         });
+}
+} // namespace yardhill::model
