UnitTests: A call that is still under way undoes a later call's refusal (failing)

Cause: a submission that finds the mark of a refusal replaces it by the job, taking it for an earlier refusal's. The mark may be a later call's: the caller's connection broke, it sent the job again, that call was refused by its mark, and the first call, tried again after it had been turned away, keeps the job.

--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -6,6 +6,7 @@
 // One submission on its way into the store's model, with the fate of each of its calls.
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -85,15 +86,19 @@
   {
     got.reset();
     wire.fates = std::move(fates);
+    submit([this](const accept_result& result) { got = result; });
+    time.run_until(time.now() + std::chrono::seconds{4});
+    BOOST_TEST_REQUIRE(got.has_value());
+  }
+
+  void submit(std::function<void(const accept_result&)> done)
+  {
     jobs::accepted_job job;
     job.id = "0123456789abcdef";
     job.queue = "queue";
     job.home = "cell";
     job.spec.steps.emplace_back();
-    jobs.accept(job, time.now() + std::chrono::seconds{3},
-                [this](const accept_result& result) { got = result; });
-    time.run_until(time.now() + std::chrono::seconds{4});
-    BOOST_TEST_REQUIRE(got.has_value());
+    jobs.accept(job, time.now() + std::chrono::seconds{3}, std::move(done));
   }
 
   bool kept()
--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -204,4 +204,29 @@
   BOOST_TEST((!refused || !kept()));
 }
 
+// The caller's connection broke, and it sent the job again while the first call went on: that one
+// must not undo the refusal that the second call has been told.
+BOOST_FIXTURE_TEST_CASE(an_earlier_call_that_is_still_under_way_does_not_undo_a_refusal, accepting)
+{
+  wire.fates = {fate::turned_away, fate::lost};
+  std::optional<node::accept_result> first;
+  submit([&first](const node::accept_result& result) { first = result; });
+  std::optional<node::accept_result> second;
+  submit([&second](const node::accept_result& result) { second = result; });
+  time.run_until(time.now() + seconds{4});
+  BOOST_TEST_REQUIRE((second && second->end == node::accept_end::refused));
+  BOOST_TEST_REQUIRE(first.has_value());
+  BOOST_TEST((first->end == node::accept_end::unknown));
+  BOOST_TEST(!kept());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_that_was_refused_may_be_handed_in_again, accepting)
+{
+  accept({fate::lost});
+  BOOST_TEST_REQUIRE((got->end == node::accept_end::refused));
+  accept({});
+  BOOST_TEST((got->end == node::accept_end::accepted));
+  BOOST_TEST(kept());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
