Node: A submission replaces only marks from before it came, and is tried until its deadline

Cause: a submission took any refusal's mark for an older one and replaced it by the job. A caller whose connection broke sends the job again; if that call is refused by its mark while the first one is still tried, the first one kept the job after all.

Ruled out: marks that are never replaced (callers come back after a 503 with the same id, and would be refused for good).

Change: the store's clients remember the newest version that they were told; a mark newer than what was known when the submission came is left alone, and the answer is 504. What the store turned away is tried again until the caller's deadline, after pauses of 60 to 480 ms (before: three times in 0.2 s): a 504 sent back at once brought callers back sooner than a 503 had, and they ran out of tries before the store was back. Nobody knows then that the job cannot be taken: the store may be back any moment. An isolated instance still answers at once, since another zone's instance can do better.

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -62,6 +62,7 @@
   auto what = std::make_shared<call>();
   what->respond = std::move(respond);
   what->received = m_time.now();
+  what->known = m_store.version_so_far();
   what->patience = patience_from(request.noted_header);
   what->body = std::move(request.body);
   if (m_queues.version == 0 && m_early.hold([this, what, request] { dispatch(what, request); }))
@@ -182,7 +183,7 @@
   job.accepted_at = m_time.wall();
   job.spec = *std::move(spec);
   const common::time_point deadline = what->received + what->patience - k_answer_margin;
-  m_store.accept(job, deadline,
+  m_store.accept(job, what->known, deadline,
                  [this, what, job](const accept_result& result)
                  { on_accepted(what, job, result); });
 }
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -44,6 +44,7 @@
     std::string body;
     std::chrono::milliseconds patience{0}; // of the caller
     common::time_point received{};
+    adapter::row_version known = 0; // of the store, when the request came
     http::responder respond;
   };
 
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -22,18 +22,23 @@
 constexpr const char* k_refused_text = "refused";
 // The store answers in 4 ms; under its slowest measured trouble (sixty times) in 240.
 constexpr std::chrono::milliseconds k_write_timeout{900};
-// Refusals for the rate or a short outage are tried again a little later, this often.
+// Writes that met another row are tried again this often.
 constexpr unsigned k_most_retries = 3;
+// What the store turned away is tried again after a pause that doubles from this to the longest.
 constexpr std::chrono::milliseconds k_retry_pause{60};
+constexpr std::chrono::milliseconds k_longest_pause{480};
 
 // One submission on its way into the store.
 class acceptance : public std::enable_shared_from_this<acceptance>
 {
 public:
-  acceptance(common::timekeeper& time, adapter::store_client& store, const jobs::accepted_job& job,
-             common::time_point deadline, std::function<void(accept_result)> done)
+  // `known`: a version of the store from when the submission came.
+  acceptance(common::timekeeper& time, adapter::store_client& store, adapter::row_version known,
+             const jobs::accepted_job& job, common::time_point deadline,
+             std::function<void(accept_result)> done)
       : m_time(time),
         m_store(store),
+        m_known(known),
         m_key(job_key(job.id)),
         m_text(jobs::to_row_text(job)),
         m_deadline(deadline),
@@ -69,10 +74,7 @@
       on_conflict(result);
       return;
     case adapter::store_end::unavailable:
-      if (++m_tries <= k_most_retries && m_time.now() + 4 * k_retry_pause < m_deadline)
-        later([this] { write(); });
-      else // of this try only: an earlier one may be kept, or wait in the store for its turn
-        m_done({accept_end::unknown, "the store is not available: " + result.detail, false, 0});
+      write_later(result.detail);
       return;
     default:
       m_detail = result.detail;
@@ -80,7 +82,23 @@
     }
   }
 
-  // Another row is there: the same job, or the mark of an earlier refusal, which may be replaced.
+  // Until the deadline: the store may be back any moment. No refusal is true then, since this try
+  // is known not to be kept, and nothing of earlier ones: they may wait in the store for their
+  // turn.
+  void write_later(const std::string& detail)
+  {
+    const common::duration pause = m_pause;
+    if (m_time.now() + pause >= m_deadline)
+    {
+      m_done({accept_end::unknown, "the store is not available: " + detail, false, 0});
+      return;
+    }
+    m_pause = std::min(2 * m_pause, k_longest_pause);
+    later(pause, [this] { write(); });
+  }
+
+  // Another row is there: the same job, or the mark of a refusal. It may be replaced if it was
+  // there before the submission came; else a later call of the caller may have been refused by it.
   void on_conflict(const adapter::transaction_result& result)
   {
     const auto present = std::find_if(result.conflicting.begin(), result.conflicting.end(),
@@ -96,6 +114,11 @@
       m_done({accept_end::accepted, "the id was there already", false, present->version});
       return;
     }
+    if (present->version > m_known)
+    {
+      m_done({accept_end::unknown, "another call for it was refused meanwhile", false, 0});
+      return;
+    }
     m_expected = present->version;
     retry_or_settle();
   }
@@ -132,7 +155,7 @@
     }
     if (result.end != adapter::store_end::conflict)
     {
-      later([this] { settle(); });
+      later(k_retry_pause, [this] { settle(); });
       return;
     }
     const auto kept = std::find_if(result.conflicting.begin(), result.conflicting.end(),
@@ -148,20 +171,21 @@
     settle();
   }
 
-  void later(std::function<void()> again)
+  void later(common::duration pause, std::function<void()> again)
   {
-    m_time.schedule(k_retry_pause,
-                    [self = shared_from_this(), again = std::move(again)] { again(); });
+    m_time.schedule(pause, [self = shared_from_this(), again = std::move(again)] { again(); });
   }
 
   common::timekeeper& m_time;
   adapter::store_client& m_store;
+  adapter::row_version m_known;
   adapter::row_key m_key;
   std::string m_text;
   common::time_point m_deadline;
   std::function<void(accept_result)> m_done;
   adapter::row_version m_expected = 0;
   unsigned m_tries = 0;
+  std::chrono::milliseconds m_pause = k_retry_pause;
   std::string m_detail;
 };
 } // namespace
@@ -212,15 +236,21 @@
   return job_row{row.at.key, *std::move(job)};
 }
 
-job_store::job_store(common::timekeeper& time, adapter::store_client& store)
-    : m_time(time), m_store(store)
+job_store::job_store(common::timekeeper& time, adapter::store_client& store,
+                     const adapter::store_client& feed_store)
+    : m_time(time), m_store(store), m_feed_store(feed_store)
+{
+}
+
+adapter::row_version job_store::version_so_far() const
 {
+  return std::max(m_store.newest_seen(), m_feed_store.newest_seen());
 }
 
-void job_store::accept(const jobs::accepted_job& job, common::time_point deadline,
-                       std::function<void(accept_result)> done)
+void job_store::accept(const jobs::accepted_job& job, adapter::row_version known,
+                       common::time_point deadline, std::function<void(accept_result)> done)
 {
-  std::make_shared<acceptance>(m_time, m_store, job, deadline, std::move(done))->write();
+  std::make_shared<acceptance>(m_time, m_store, known, job, deadline, std::move(done))->write();
 }
 
 void job_store::find(const std::string& id, common::duration timeout,
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -92,11 +92,15 @@
 class job_store
 {
 public:
-  job_store(common::timekeeper& time, adapter::store_client& store);
+  // `feed_store`: its answers tell as well how new the store's rows are.
+  job_store(common::timekeeper& time, adapter::store_client& store,
+            const adapter::store_client& feed_store);
 
-  // Keeps the job; an answer comes by `deadline`.
-  void accept(const jobs::accepted_job& job, common::time_point deadline,
-              std::function<void(accept_result)> done);
+  // A version of the store that is not newer than this moment.
+  adapter::row_version version_so_far() const;
+  // Keeps the job; an answer comes by `deadline`. `known`: a version from when the submission came.
+  void accept(const jobs::accepted_job& job, adapter::row_version known,
+              common::time_point deadline, std::function<void(accept_result)> done);
   void find(const std::string& id, common::duration timeout, std::function<void(found_job)> done);
   // `done` is told whether the mark is kept.
   void cancel(const std::string& id, common::duration timeout, std::function<void(bool)> done);
@@ -107,5 +111,6 @@
 private:
   common::timekeeper& m_time;
   adapter::store_client& m_store;
+  const adapter::store_client& m_feed_store;
 };
 } // namespace yardhill::node
--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -79,7 +79,7 @@
   common::metrics metrics;
   fated_store wire{time};
   adapter::store_client client{wire, metrics};
-  job_store jobs{time, client};
+  job_store jobs{time, client, client};
   std::optional<accept_result> got;
 
   void accept(std::deque<fate> fates)
@@ -98,7 +98,7 @@
     job.queue = "queue";
     job.home = "cell";
     job.spec.steps.emplace_back();
-    jobs.accept(job, time.now() + std::chrono::seconds{3}, std::move(done));
+    jobs.accept(job, jobs.version_so_far(), time.now() + std::chrono::seconds{3}, std::move(done));
   }
 
   bool kept()
--- a/Source/UnitTests/Node/JobStoreTest.cpp
+++ b/Source/UnitTests/Node/JobStoreTest.cpp
@@ -39,10 +39,19 @@
 // Nothing was done by this submission, but an earlier one of the same id may be kept.
 BOOST_FIXTURE_TEST_CASE(calls_that_were_all_turned_away_tell_nothing_of_the_job, accepting)
 {
-  accept({fate::turned_away, fate::turned_away, fate::turned_away, fate::turned_away});
+  accept(std::deque<fate>(20, fate::turned_away));
   BOOST_TEST((got->end == node::accept_end::unknown));
-  BOOST_TEST(wire.calls == 4);
+  BOOST_TEST(wire.calls == 9); // in 2.8 s
   BOOST_TEST(!kept());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_submission_is_kept_as_soon_as_the_store_takes_it, accepting)
+{
+  accept({fate::turned_away, fate::turned_away, fate::turned_away, fate::turned_away});
+  BOOST_TEST((got->end == node::accept_end::accepted));
+  BOOST_TEST(got->first);
+  BOOST_TEST(wire.calls == 5);
+  BOOST_TEST(kept());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
