UnitTests: A row that cannot be read is not a missing job (failing)

Cause: job_store::find passes over a damaged row, and the gateway answers 410 for the job. Same class as the refusals: an answer that vouches for more than was seen. One check fails.

--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -220,6 +220,17 @@
   BOOST_TEST(!kept());
 }
 
+// "No such job" is a promise as well.
+BOOST_FIXTURE_TEST_CASE(a_row_that_cannot_be_read_is_not_a_missing_job, accepting)
+{
+  wire.store.put(node::job_key(k_id), "{");
+  std::optional<node::found_job> found;
+  jobs.find(k_id, seconds{1}, [&found](const node::found_job& job) { found = job; });
+  time.run_until(time.now() + seconds{1});
+  BOOST_TEST_REQUIRE(found.has_value());
+  BOOST_TEST(!found->answered);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_job_that_was_refused_may_be_handed_in_again, accepting)
 {
   accept({fate::lost});
