Node: A job whose row cannot be read is not answered 410

Cause: find() passed over a damaged row, so that the job was missing for callers. Change: it counts as not answered (503 to a GET or DELETE; neither promises anything).

--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -265,7 +265,10 @@
                  {
                    auto row = job_row_from(each);
                    if (!row)
+                   {
+                     found.answered = false; // there may be a job
                      continue;
+                   }
                    if (auto* job = std::get_if<jobs::accepted_job>(&row->content))
                      found.job = std::move(*job);
                    found.cancelled |= std::holds_alternative<cancel_mark>(row->content);
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -77,7 +77,7 @@
 
 struct found_job
 {
-  bool answered = false;
+  bool answered = false; // by the store, with sound rows if any
   std::optional<jobs::accepted_job> job;
   bool cancelled = false;
 };
