--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -62,7 +62,7 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 22> k_kinds{&cell_troubles::kill_owner,
+  static constexpr std::array<kind, 24> k_kinds{&cell_troubles::kill_owner,
                                                 &cell_troubles::kill_all,
                                                 &cell_troubles::stop_one,
                                                 &cell_troubles::freeze_one,
@@ -83,7 +83,9 @@
                                                 &cell_troubles::reborn_worker,
                                                 &cell_troubles::reuse_address,
                                                 &cell_troubles::lose_owners_in_series,
-                                                &cell_troubles::lose_owners_under_burst};
+                                                &cell_troubles::lose_owners_under_burst,
+                                                &cell_troubles::turn_away,
+                                                &cell_troubles::kill_in_series};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -262,6 +264,45 @@
                          [this] { m_cell.store().set_pace({}); });
 }
 
+// The store turns some instances away, or all of them.
+void cell_troubles::turn_away()
+{
+  std::set<std::string> names;
+  const bool all = m_cell.draw(2) == 0;
+  for (const explored_instance& each : m_cell.instances())
+  {
+    if (all || m_cell.draw(2) == 0)
+      names.insert(each.name);
+  }
+  note("the store turns away " + std::to_string(names.size()) + " instances");
+  lasts(seconds(6));
+  m_cell.network().troubles.turned_away = std::move(names);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(6000)),
+                         [this] { m_cell.network().troubles.turned_away.clear(); });
+}
+
+// Instances end one after the other, with calls under way, while the store is hard to reach.
+void cell_troubles::kill_in_series()
+{
+  if (m_cell.draw(2) == 0)
+    slow_store();
+  else
+    turn_away();
+  const std::uint64_t kills = 3 + m_cell.draw(4);
+  for (std::uint64_t i = 0; i < kills; ++i)
+    m_cell.time().schedule(m_cell.draw_time(milliseconds(100), milliseconds(5000)),
+                           [this] { kill_one(); });
+}
+
+void cell_troubles::kill_one()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  note("kill " + which->name);
+  kill_instance(*which, m_cell.draw_time(milliseconds(50), milliseconds(700)));
+}
+
 void cell_troubles::cut_zone()
 {
   const std::string zone = "zone-" + std::to_string(m_cell.draw(explored_cell::k_zones));
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -56,6 +56,9 @@
   void reborn_worker();
   void reuse_address();
   void lose_owners_in_series();
+  void turn_away();
+  void kill_in_series();
+  void kill_one();
 
   void lose_next_owner(time_point end);
   void lose_owner(explored_instance& which);
--- a/Source/Core/Model/ContactWatch.cpp
+++ b/Source/Core/Model/ContactWatch.cpp
@@ -32,6 +32,7 @@
 {
   return which.up() && !which.core->stopping() && !which.time->frozen() &&
          !m_cell.store().disturbed() && m_cell.network().troubles.answers_lost == 0.0 &&
+         !m_cell.network().troubles.turned_away.contains(which.name) &&
          !m_cell.network().cut(which.name, "store");
 }
 
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -5,6 +5,7 @@
 
 // Sees every run at every worker and every answer to callers, and notes what must never happen.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,8 +43,17 @@
 class run_judge
 {
 public:
+  // Whether the store has a job, however it came there.
+  using keeper = std::function<bool(const std::string& job)>;
+
+  // Without a keeper, whether refused jobs are kept is not looked at.
+  explicit run_judge(keeper kept = nullptr) : m_kept(std::move(kept)) {}
+
   // What callers send and are told.
   void submitted(const std::string& job, const jobs::job_spec& spec, std::uint32_t max_attempts);
+  // A call to hand it in is under way, the first one or a later one.
+  void tried(const std::string& job);
+  // What became of the latest call; 0: there was no answer.
   void answered(const std::string& job, unsigned status);
   void cancel_asked(const std::string& job);
   // Nobody cancels it, and its tasks may run on any worker.
@@ -92,7 +102,7 @@
     jobs::job_spec spec;
     std::uint32_t max_attempts = 1;
     bool accepted = false;
-    bool only_refused = true; // every answer so far was a refusal
+    bool refused = false; // the latest call; nothing may come of it or of earlier ones
     bool started = false;
     bool cancel_asked = false;
     std::optional<common::time_point> cancelled_at;
@@ -116,7 +126,9 @@
   bool has_room(const jobs::step_spec& step, const std::vector<usable_worker>& usable) const;
   void check_start(const seen_job& job, const observed_start& start);
   void check_leaving(const observed_start& start);
+  void check_refusal(const std::string& job, const seen_job& seen);
 
+  keeper m_kept;
   std::map<std::string, seen_job> m_jobs;
   std::set<std::string> m_lasting;
   std::map<task_ref, seen_task> m_tasks;
--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -6,6 +6,7 @@
 // One submission on its way into the store's model, with the fate of each of its calls.
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -78,22 +79,26 @@
   common::metrics metrics;
   fated_store wire{time};
   adapter::store_client client{wire, metrics};
-  job_store jobs{time, client};
+  job_store jobs{time, client, client};
   std::optional<accept_result> got;
 
   void accept(std::deque<fate> fates)
   {
     got.reset();
     wire.fates = std::move(fates);
+    submit([this](const accept_result& result) { got = result; });
+    time.run_until(time.now() + std::chrono::seconds{4});
+    BOOST_TEST_REQUIRE(got.has_value());
+  }
+
+  void submit(std::function<void(const accept_result&)> done)
+  {
     jobs::accepted_job job;
     job.id = "0123456789abcdef";
     job.queue = "queue";
     job.home = "cell";
     job.spec.steps.emplace_back();
-    jobs.accept(job, time.now() + std::chrono::seconds{3},
-                [this](const accept_result& result) { got = result; });
-    time.run_until(time.now() + std::chrono::seconds{4});
-    BOOST_TEST_REQUIRE(got.has_value());
+    jobs.accept(job, jobs.version_so_far(), time.now() + std::chrono::seconds{3}, std::move(done));
   }
 
   bool kept()
