--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -23,8 +23,6 @@
 // An answer has to reach the caller before its patience ends.
 constexpr std::chrono::milliseconds k_answer_margin{150};
 constexpr std::chrono::milliseconds k_read_timeout{900};
-// A day with a cut zone is worth 0.785 without it, 0.826 with it (0.825 with a second).
-constexpr std::chrono::milliseconds k_isolated_pause{500};
 // A partition whose owner has not renewed its row for this long gets no new jobs if another does.
 constexpr std::chrono::milliseconds k_owner_fresh{2500};
 // Callers may be told counts that are up to 2 s old (the platform's bound); the rest is for the
@@ -170,7 +168,9 @@
 {
   if (m_path.isolated())
   {
-    submit_isolated(what);
+    // An earlier try may have been kept, here or elsewhere, and cannot be looked for.
+    refuse(*what,
+           {504, refusal_reason::store_unavailable, "cut off from the store and other zones"});
     return;
   }
   auto spec = adapter::submission_from(what->body);
@@ -196,18 +196,6 @@
                  { on_accepted(what, job, result); });
 }
 
-// An earlier try may have been kept, here or elsewhere, and cannot be looked for. A caller that is
-// told so comes back at once, and until the platform has taken the instances of this zone off its
-// list it meets them again: without the pause it has used up its tries by then.
-void caller_gateway::submit_isolated(const std::shared_ptr<call>& what)
-{
-  if (!std::exchange(what->paused, true))
-    m_time.schedule(std::min(k_isolated_pause, what->patience / 2), [this, what] { submit(what); });
-  else
-    refuse(*what,
-           {504, refusal_reason::store_unavailable, "cut off from the store and other zones"});
-}
-
 void caller_gateway::on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                                  const accept_result& result)
 {
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -45,7 +45,6 @@
     std::chrono::milliseconds patience{0}; // of the caller
     common::time_point received{};
     adapter::row_version known = 0; // of the store, when the request came
-    bool paused = false;            // because this instance was isolated
     http::responder respond;
   };
 
@@ -60,7 +59,6 @@
   // To what the request's verb and path say.
   void dispatch(const std::shared_ptr<call>& what, const http::incoming_request& request);
   void submit(const std::shared_ptr<call>& what);
-  void submit_isolated(const std::shared_ptr<call>& what);
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
   void show(const std::shared_ptr<call>& what);
