Node: A new owner counts by its predecessor's row once it knows the store's clock

Cause: a process that has just started cannot date the row that it sees, and when its takeover begins it does not know the store's clock either; so what the row says of the owners before counted for nothing, and 5 s from its own start did. Change: the end is counted again when the takeover's answer has told the clock. The test of the case fails without count_again by construction; OwnersLostInSeriesTest and the node tests pass.

--- a/Source/Core/Node/EarlierOrders.cpp
+++ b/Source/Core/Node/EarlierOrders.cpp
@@ -24,12 +24,18 @@
 
 void earlier_orders::begin(const owner_watch& watch, std::uint64_t epoch)
 {
-  const bool any = watch.seen().version != 0;
-  m_end = any ? watch.orders_end() : common::time_point{};
-  m_end_of_others = any ? watch.predecessors_end() : common::time_point{};
-  m_instance = any ? watch.instance() : std::string();
+  m_before.emplace(watch);
+  m_instance = watch.seen().version == 0 ? std::string() : watch.instance();
   m_epoch = epoch;
   m_last_asked = {};
+  count_again();
+}
+
+void earlier_orders::count_again()
+{
+  const bool any = m_before && m_before->seen().version != 0;
+  m_end = any ? m_before->orders_end() : common::time_point{};
+  m_end_of_others = any ? m_before->predecessors_end() : common::time_point{};
 }
 
 void earlier_orders::tick()
--- a/Source/Core/Node/EarlierOrders.h
+++ b/Source/Core/Node/EarlierOrders.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "Common/PeerMessages.h"
@@ -26,6 +27,9 @@
 
   // The partition is being taken over from the owner that `watch` has seen, as the owner `epoch`.
   void begin(const owner_watch& watch, std::uint64_t epoch);
+  // The takeover's answer has told the store's clock: what the earlier owner has written of those
+  // before it counts now. A new process knows no more of them than that.
+  void count_again();
   // None of their orders is given later; the beginning of time if there were no owners.
   common::time_point end() const { return m_end; }
   // Asks the earlier owner's instance, while that may help. Called often, as long as this is the
@@ -38,7 +42,8 @@
   const common::timekeeper& m_time;
   std::string m_partition;
   sender m_send_to_peer;
-  std::string m_instance; // to be asked; empty: nobody
+  std::optional<owner_watch> m_before; // as it was when the takeover began
+  std::string m_instance;              // to be asked; empty: nobody
   std::uint64_t m_epoch = 0;
   common::time_point m_end{};
   common::time_point m_end_of_others{}; // of the owners before the latest
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -157,6 +157,7 @@
   m_parts.metrics.add(common::counter::takeovers);
   m_row = row;
   m_token = result.version;
+  m_earlier.count_again();
   m_watch.written(row, result.version);
   m_last_renewal = m_takeover_sent;
   m_ownership = std::make_shared<int>(0);
--- a/Source/UnitTests/Node/EarlierOrdersTest.cpp
+++ b/Source/UnitTests/Node/EarlierOrdersTest.cpp
@@ -136,6 +136,31 @@
   BOOST_TEST((taken.earlier.end() <= taken.time.now() + milliseconds{702}));
 }
 
+// Explorer, seed 200855: an owner was killed soon after its takeover, and its next process took
+// over. It had seen no more than the latest row, and could not read the time in it before the store
+// had told it its clock; it counted 5 s from its own start for the owners before.
+BOOST_AUTO_TEST_CASE(a_new_process_counts_by_the_row_once_it_knows_the_stores_clock)
+{
+  model::virtual_time time;
+  node::store_clock clock;
+  const node::ownership_options options;
+  node::owner_watch watch{time, clock, {"instance-1", "life-1"}, "cell", options};
+  node::owner_row row;
+  row.holder = "instance-1";
+  row.life = "life-0";
+  row.epoch = 4;
+  row.renewal = 1;
+  row.earlier_orders_end = adapter::store_time{500700};
+  watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), 9});
+  node::earlier_orders earlier{time, "cell", [](const std::string&, const auto&) {}};
+  earlier.begin(watch, 5);
+  BOOST_TEST((earlier.end() == options.orders_end(time.now())));
+  clock.heard(adapter::store_time{500000}, time.now(), time.now());
+  earlier.count_again();
+  BOOST_TEST((earlier.end() >= time.now() + milliseconds{700}));
+  BOOST_TEST((earlier.end() <= time.now() + milliseconds{702}));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_instance_answers_once_it_has_seen_the_later_owner, answering_owner)
 {
   see_owner(4, 10);
