--- a/Source/Core/Model/CellWorkerTroubles.cpp
+++ b/Source/Core/Model/CellWorkerTroubles.cpp
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// From a worker's loss for good until another one is there in its place.
+constexpr seconds k_room_back{20};
 } // namespace
 
 void cell_troubles::crash_worker()
@@ -142,5 +144,8 @@
                            if (!which.model)
                              m_cell.update_entry(which);
                          });
+  // The room comes back, so that the jobs of a burst can end within the play; long after tasks that
+  // last have to run again elsewhere.
+  m_cell.time().schedule(k_room_back, [this, &which] { replace_worker(which); });
 }
 } // namespace yardhill::model
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -56,6 +56,17 @@
   m_state.confirmed = confirmed;
 }
 
+void job_scheduler::hold_orders()
+{
+  m_state.orders_begun = false;
+}
+
+void job_scheduler::begin_orders()
+{
+  m_state.orders_begun = true;
+  m_state.place_again = true;
+}
+
 void job_scheduler::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
   m_holder.restore_claim(id, claim, now);
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -54,6 +54,9 @@
   // Orders may be given until this time; the latest renewal of the ownership that the store has
   // answered was asked for at `confirmed`.
   void set_authority(time_point until, time_point confirmed);
+  // Nothing is started and no lease extended between these two; workers are held all the same.
+  void hold_orders();
+  void begin_orders();
 
   // A worker that an earlier owner had claimed.
   void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -39,6 +39,9 @@
   std::set<worker_id> released; // claimed workers that are gone, to be written
   // Until when this owner may order anything; it is extended by the store's word.
   time_point authority_end{};
+  // Whether anything may be started or a lease extended: not before the first renewal is written,
+  // since a successor takes an owner that never renewed for one that never gave orders.
+  bool orders_begun = true;
   time_point confirmed{};   // when the latest renewal was asked for
   time_point earlier_end{}; // of what earlier owners ordered on workers not heard since
   bool fenced = false;      // a worker obeys a later owner
--- a/Source/UnitTests/Node/EarlierOrdersTest.cpp
+++ b/Source/UnitTests/Node/EarlierOrdersTest.cpp
@@ -142,7 +142,7 @@
 BOOST_AUTO_TEST_CASE(a_new_process_counts_by_the_row_once_it_knows_the_stores_clock)
 {
   model::virtual_time time;
-  node::store_clock clock;
+  node::store_clock clock{time};
   const node::ownership_options options;
   node::owner_watch watch{time, clock, {"instance-1", "life-1"}, "cell", options};
   node::owner_row row;
@@ -150,12 +150,12 @@
   row.life = "life-0";
   row.epoch = 4;
   row.renewal = 1;
-  row.earlier_orders_end = adapter::store_time{500700};
+  row.earlier_orders_end = adapter::store_time{milliseconds{500700}};
   watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), 9});
   node::earlier_orders earlier{time, "cell", [](const std::string&, const auto&) {}};
   earlier.begin(watch, 5);
   BOOST_TEST((earlier.end() == options.orders_end(time.now())));
-  clock.heard(adapter::store_time{500000}, time.now(), time.now());
+  clock.heard(adapter::store_time{milliseconds{500000}}, time.now());
   earlier.count_again();
   BOOST_TEST((earlier.end() >= time.now() + milliseconds{700}));
   BOOST_TEST((earlier.end() <= time.now() + milliseconds{702}));
--- a/Source/UnitTests/Node/OwnerWatchTest.cpp
+++ b/Source/UnitTests/Node/OwnerWatchTest.cpp
@@ -112,6 +112,26 @@
   BOOST_TEST((watch.orders_end() == watch.seen().changed_at));
 }
 
+// Owners were lost every tenth of a second, and each successor counted 5 s anew for one that had
+// not ordered anything yet: tasks on lost workers waited as long as the series lasted and 12.5 s
+// more.
+BOOST_FIXTURE_TEST_CASE(an_owner_that_never_renewed_has_given_no_orders, watched_owner)
+{
+  const adapter::store_time shown{milliseconds{500000}};
+  clock.heard(shown, time.now());
+  node::owner_row row;
+  row.holder = "instance-2";
+  row.life = "life-2";
+  row.epoch = 3;
+  row.earlier_orders_end = shown + milliseconds{700};
+  watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), 5});
+  BOOST_TEST((watch.orders_end() >= time.now() + milliseconds{700}));
+  BOOST_TEST((watch.orders_end() <= time.now() + milliseconds{702}));
+  row.renewal = 1;
+  watch.take_in({{node::k_owners_table, "cell", "owner"}, node::to_row_text(row), 6});
+  BOOST_TEST((watch.orders_end() == options.orders_end(watch.seen().changed_at)));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_owner_that_gave_the_partition_back_is_remembered, watched_owner)
 {
   see("instance-2", "life-2", 5);
