Node, Scheduling: An owner orders only from its first renewal on

Cause: a successor cannot tell an owner that had ordered nothing from one that had extended leases until its end; in a series of owners lost before their first renewal each began the wait for authority and leases anew.

Change: nothing is started and no lease extended before the owner's first renewal is written, which is now its first commit after it has read its rows. The takeover's row carries when the orders of earlier owners are over; who replaces an owner that never renewed goes by that. A row of an older program lacks it and is counted as before.

FirstOrdersTest's second case lets the begin mark be written first, as every start must (that case failed for it, not for the fault).

--- a/Source/Core/Node/OwnerWatch.cpp
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -101,8 +101,19 @@
 common::time_point owner_watch::orders_end() const
 {
   // The owners before that process may still order.
-  return earlier_process_of_ours() ? std::max(m_seen.changed_at, predecessors_end())
-                                   : m_options.orders_end(m_seen.changed_at);
+  if (earlier_process_of_ours())
+    return std::max(m_seen.changed_at, predecessors_end());
+  // It has given no orders before its first renewal, and cannot renew once it is replaced.
+  if (const auto told = told_predecessors_end(); told && m_seen.row.renewal == 0)
+    return *told;
+  return m_options.orders_end(m_seen.changed_at);
+}
+
+std::optional<common::time_point> owner_watch::told_predecessors_end() const
+{
+  if (!m_seen.row.earlier_orders_end)
+    return std::nullopt;
+  return m_clock.latest_time_at(*m_seen.row.earlier_orders_end);
 }
 
 // The owner may have written it. Besides, they renewed nothing after its takeover, which is as long
@@ -116,9 +127,6 @@
   const common::time_point counted =
       m_options.orders_end(m_seen.changed_at) -
       static_cast<common::duration::rep>(spaced) * m_options.renew_period;
-  const auto written = m_seen.row.earlier_orders_end
-                           ? m_clock.latest_time_at(*m_seen.row.earlier_orders_end)
-                           : std::nullopt;
-  return std::min(counted, written.value_or(counted));
+  return std::min(counted, told_predecessors_end().value_or(counted));
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/OwnerWatch.h
+++ b/Source/Core/Node/OwnerWatch.h
@@ -56,6 +56,8 @@
 
 private:
   bool earlier_process_of_ours() const;
+  // As the owner that was seen has written it.
+  std::optional<common::time_point> told_predecessors_end() const;
   void see(const owner_row& row, adapter::row_version version);
 
   const common::timekeeper& m_time;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -83,6 +83,7 @@
   row.counted_at = earlier.row.counted_at;
   row.waiting_cpu = earlier.row.waiting_cpu;
   row.free_cpu = earlier.row.free_cpu;
+  row.earlier_orders_end = m_parts.clock.latest_at(m_earlier.end());
   adapter::transaction change;
   change.conditions.push_back({owner_key(m_partition), earlier.version});
   change.puts.push_back({owner_key(m_partition), to_row_text(row)});
@@ -191,6 +192,7 @@
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
   // Later owners count from the takeover's row; reading may have taken seconds since.
   m_scheduler->set_authority(m_takeover_sent + m_options.authority, m_takeover_sent);
+  m_scheduler->hold_orders();
   m_scheduler->set_earlier_end(earlier_leases_end());
   tell_time(now);
   queues_changed();
@@ -357,7 +359,9 @@
 {
   if (m_commits->busy())
     return;
-  const bool renew = counts_due() || now - m_last_renewal >= m_options.renew_period;
+  // The first one is waited for: orders begin with it.
+  const bool renew =
+      m_row.renewal == 0 || counts_due() || now - m_last_renewal >= m_options.renew_period;
   const bool spaced = now - m_last_commit >= m_options.commit_spacing;
   const bool stronger = m_better_owner.stronger_for_long(now);
   if (!m_releasing &&
@@ -388,6 +392,7 @@
     m_last_renewal = commit.sent;
     // The feed shows it later, or not at all.
     m_watch.written(*commit.owner, commit.version);
+    m_scheduler->begin_orders();
   }
   // Other instances go by the renewals alone. A commit that was written late proves no more to
   // them.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -133,7 +133,8 @@
   order.acknowledged = worker.durable;
   // A worker that does not answer gets no longer lease: its runs must end some day. Nor does one of
   // which the store says when they do, until that is taken back.
-  if (worker.claimed && !worker.suspect && worker.clock_ahead && !worker.end_stated())
+  if (m_state.orders_begun && worker.claimed && !worker.suspect && worker.clock_ahead &&
+      !worker.end_stated())
     order.lease_end = extended_lease(worker, now);
   const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable &&
                        worker.durable == worker.acknowledged;
--- a/Source/UnitTests/Scheduling/FirstOrdersTest.cpp
+++ b/Source/UnitTests/Scheduling/FirstOrdersTest.cpp
@@ -48,6 +48,8 @@
 {
   scheduler->begin_orders();
   step();
+  commit(); // that the step begins
+  step();
   BOOST_TEST(starts.size() == 1U);
 }
 
