Common, docs: The setting forward_timeout, which nothing used, is gone

Cause: forward_timeout was read from the settings and documented, but no code used the value: a request is asked again when the peer that had it is unlinked or silent (peer_silence). Whoever set it saw nothing change.

Ruled out: a use by name elsewhere (searched in Source, platform, deploy, Data, Tools, docs).

A settings file that still names it is refused as with any unknown field; none of the committed files does.

--- a/Source/Core/Common/InstanceSettings.cpp
+++ b/Source/Core/Common/InstanceSettings.cpp
@@ -50,7 +50,6 @@
 });
 
 constexpr auto k_routing_spans = std::to_array<span_field<routing_options>>({
-    {"forward_timeout", &routing_options::forward_timeout},
     {"owner_patience", &routing_options::owner_patience},
     {"wait_limit", &routing_options::wait_limit},
     {"come_back", &routing_options::come_back},
--- a/Source/Core/Common/Options.h
+++ b/Source/Core/Common/Options.h
@@ -83,9 +83,8 @@
 {
   std::uint32_t most_hops = 3;
   std::uint32_t most_tries = 4;
-  duration forward_timeout = std::chrono::milliseconds{1500}; // no answer from a silent peer
-  duration owner_patience = std::chrono::milliseconds{4000};  // no owner is known
-  duration wait_limit = std::chrono::minutes{10};             // of a waiting caller
+  duration owner_patience = std::chrono::milliseconds{4000}; // no owner is known
+  duration wait_limit = std::chrono::minutes{10};            // of a waiting caller
   std::size_t most_pending = 20000;
   duration come_back = std::chrono::seconds{2}; // retry_after where nothing better is known
 };
