Common: Exponential backoff is computed in one place

Cause: the table's calls, the configuration's polls and the retries of tasks each doubled a pause, bounded the doublings and the pause, in lines of their own.

Change: Common/Backoff.h does so for the three; each keeps its first and longest pause and its bound of doublings. No behaviour changes.

--- a/Source/Core/Decision/RetryDelay.cpp
+++ b/Source/Core/Decision/RetryDelay.cpp
@@ -3,8 +3,7 @@
 
 #include "Decision/RetryDelay.h"
 
-#include <algorithm>
-
+#include "Common/Backoff.h"
 #include "Common/Hash.h"
 
 namespace yardhill::decision
@@ -17,8 +16,7 @@
 
 duration backoff_after(std::uint32_t failures, const scheduling_options& options)
 {
-  const std::uint32_t doublings = std::min(failures, k_most_doublings);
-  return std::min(options.retry_first * (1U << doublings), options.retry_most);
+  return backoff{options.retry_first, options.retry_most, k_most_doublings}.after(failures);
 }
 
 duration spread_out(duration delay, const task_id& task, attempt_number attempt)
--- a/Source/Core/Instance/ConfigKeeper.cpp
+++ b/Source/Core/Instance/ConfigKeeper.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <utility>
 
+#include "Common/Backoff.h"
 #include "Common/ConfigParser.h"
 #include "Common/Error.h"
 #include "Common/Json.h"
@@ -22,6 +23,7 @@
 constexpr const char* k_head_key = "config/head";
 constexpr std::size_t k_remembered_applies = 20;
 constexpr duration k_apply_patience = std::chrono::seconds{5};
+constexpr std::uint32_t k_most_doublings = 6;
 
 std::string document_key(std::uint64_t version)
 {
@@ -212,9 +214,8 @@
 void config_keeper::failed(time_point now)
 {
   ++m_failures;
-  const std::uint32_t doublings = std::min(m_failures - 1, 6U);
-  m_next_poll =
-      now + std::min(m_options.store_retry_first * (1U << doublings), m_options.config_poll);
+  const backoff pauses{m_options.store_retry_first, m_options.config_poll, k_most_doublings};
+  m_next_poll = now + pauses.after(m_failures - 1);
 }
 
 void config_keeper::advance(time_point now)
--- a/Source/Core/Ownership/StorePace.cpp
+++ b/Source/Core/Ownership/StorePace.cpp
@@ -3,9 +3,9 @@
 
 #include "Ownership/StorePace.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "Common/Backoff.h"
 #include "Common/Hash.h"
 
 namespace yardhill::ownership
@@ -30,9 +30,8 @@
 void store_pace::failed(store_status status, time_point now)
 {
   ++m_failures;
-  const std::uint32_t doublings = std::min(m_failures - 1, k_most_doublings);
-  const duration most =
-      std::min(m_options.store_retry_first * (1U << doublings), m_options.store_retry_most);
+  const backoff pauses{m_options.store_retry_first, m_options.store_retry_most, k_most_doublings};
+  const duration most = pauses.after(m_failures - 1);
   // Spread over the upper half, differently for each instance, so that none come back together.
   const std::uint64_t step = stable_hash(m_self.value, m_failures) % k_spread_steps;
   m_not_before =
