Peer: A connection's frames are a class in a file of its own

Cause: PeerMesh.cpp (431 lines) held the reading and writing of frames on one connection beside the book of who is linked to whom; a newcomer met the sockets first.

Change: FrameConnection reads, writes and closes; PeerMesh dials, accepts and reports links. The code is moved, not changed.

--- a/Source/Core/Peer/PeerMesh.cpp
+++ b/Source/Core/Peer/PeerMesh.cpp
@@ -4,19 +4,16 @@
 #include "Peer/PeerMesh.h"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
-#include <deque>
 #include <map>
 #include <set>
 #include <thread>
 #include <utility>
-#include <vector>
-
-#include <netinet/tcp.h>
 
 #include <boost/asio.hpp>
 
+#include "Peer/FrameConnection.h"
+
 namespace yardhill::peer
 {
 namespace
@@ -29,136 +26,6 @@
 constexpr std::chrono::milliseconds k_redial_most{1000};
 // A machine without power or behind a cut never answers; links within a region take 3 ms.
 constexpr std::chrono::milliseconds k_connect_timeout{1000};
-// Bytes that stay unacknowledged for this long break the link, so that a peer that has vanished
-// without a word is reported as unlinked.
-constexpr int k_user_timeout_ms = 1500;
-// What may wait to be sent to one peer; a peer that takes less is cut off and asked again later.
-constexpr std::size_t k_most_unsent_bytes = 4U << 20U;
-
-// One connection: reads frames, writes frames, closes once.
-class connection : public std::enable_shared_from_this<connection>
-{
-public:
-  using frame_handler = std::function<void(const std::shared_ptr<connection>&, frame)>;
-  using close_handler = std::function<void(const std::shared_ptr<connection>&, const std::string&)>;
-
-  connection(tcp::socket socket, frame_handler on_frame, close_handler on_close)
-      : m_socket(std::move(socket)),
-        m_on_frame(std::move(on_frame)),
-        m_on_close(std::move(on_close))
-  {
-    error_code ignored;
-    m_socket.set_option(tcp::no_delay(true), ignored);
-    m_socket.set_option(
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(k_user_timeout_ms),
-        ignored);
-  }
-
-  void start() { read_length(); }
-
-  void send(std::string bytes)
-  {
-    if (m_closed)
-      return;
-    m_unsent_bytes += bytes.size();
-    if (m_unsent.size() > 1 && m_unsent_bytes > k_most_unsent_bytes)
-    {
-      close("takes its messages too slowly");
-      return;
-    }
-    m_unsent.push_back(std::move(bytes));
-    if (m_unsent.size() == 1)
-      write_next();
-  }
-
-  void close(const std::string& why)
-  {
-    if (std::exchange(m_closed, true))
-      return;
-    error_code ignored;
-    m_socket.close(ignored);
-    m_on_close(shared_from_this(), why);
-  }
-
-  bool drained() const { return m_unsent.empty(); }
-
-  instance_id peer; // known after its hello
-
-private:
-  void read_length()
-  {
-    asio::async_read(m_socket, asio::buffer(m_length),
-                     [self = shared_from_this()](const error_code& error, std::size_t)
-                     {
-                       if (error)
-                         self->close(error.message());
-                       else
-                         self->read_body();
-                     });
-  }
-
-  void read_body()
-  {
-    const std::optional<std::uint32_t> length = frame_length(m_length);
-    if (!length)
-    {
-      close("bad frame: length out of bounds");
-      return;
-    }
-    m_body.resize(k_length_bytes + *length);
-    std::ranges::copy(m_length, m_body.begin());
-    asio::async_read(m_socket, asio::buffer(m_body) + k_length_bytes,
-                     [self = shared_from_this()](const error_code& error, std::size_t)
-                     {
-                       if (error)
-                         self->close(error.message());
-                       else
-                         self->take_frame();
-                     });
-  }
-
-  void take_frame()
-  {
-    std::optional<frame> taken = decode(m_body);
-    if (!taken)
-    {
-      close("bad frame: not a valid message");
-      return;
-    }
-    constexpr std::size_t kept_bytes = 64U << 10U;
-    if (m_body.capacity() > kept_bytes)
-      std::vector<std::uint8_t>().swap(m_body);
-    m_on_frame(shared_from_this(), std::move(*taken));
-    if (!m_closed)
-      read_length();
-  }
-
-  void write_next()
-  {
-    asio::async_write(m_socket, asio::buffer(m_unsent.front()),
-                      [self = shared_from_this()](const error_code& error, std::size_t)
-                      {
-                        if (error)
-                        {
-                          self->close(error.message());
-                          return;
-                        }
-                        self->m_unsent_bytes -= self->m_unsent.front().size();
-                        self->m_unsent.pop_front();
-                        if (!self->m_unsent.empty())
-                          self->write_next();
-                      });
-  }
-
-  tcp::socket m_socket;
-  frame_handler m_on_frame;
-  close_handler m_on_close;
-  std::array<std::uint8_t, k_length_bytes> m_length{};
-  std::vector<std::uint8_t> m_body;
-  std::deque<std::string> m_unsent;
-  std::size_t m_unsent_bytes = 0;
-  bool m_closed = false;
-};
 } // namespace
 
 class peer_mesh::implementation
@@ -228,7 +95,7 @@
 
   struct incoming_link
   {
-    std::shared_ptr<connection> link;
+    frame_connection::pointer link;
     zone_id zone;
   };
 
@@ -245,14 +112,14 @@
 
   void accepted(tcp::socket socket)
   {
-    const auto link = std::make_shared<connection>(
+    const auto link = std::make_shared<frame_connection>(
         std::move(socket),
         [this](const auto& from, frame received) { incoming_frame(from, std::move(received)); },
         [this](const auto& from, const std::string& why) { incoming_closed(from, why); });
     link->start();
   }
 
-  void incoming_frame(const std::shared_ptr<connection>& link, frame received)
+  void incoming_frame(const frame_connection::pointer& link, frame received)
   {
     if (const auto* greeting = std::get_if<hello>(&received))
     {
@@ -276,7 +143,7 @@
     m_events.received(link->peer, std::move(std::get<peer_message>(received)));
   }
 
-  void incoming_closed(const std::shared_ptr<connection>& link, const std::string& why)
+  void incoming_closed(const frame_connection::pointer& link, const std::string& why)
   {
     complain(link->peer, why);
     const auto found = m_incoming.find(link->peer);
@@ -337,7 +204,7 @@
 
   void connected(dialled& target, tcp::socket socket)
   {
-    const auto link = std::make_shared<connection>(
+    const auto link = std::make_shared<frame_connection>(
         std::move(socket),
         [this, &target](const auto& from, frame received)
         { outgoing_frame(target, from, received); },
@@ -348,8 +215,7 @@
   }
 
   // The other side only ever says hello on a connection that it accepted.
-  void outgoing_frame(dialled& target, const std::shared_ptr<connection>& link,
-                      const frame& received)
+  void outgoing_frame(dialled& target, const frame_connection::pointer& link, const frame& received)
   {
     const auto* greeting = std::get_if<hello>(&received);
     if (greeting == nullptr || greeting->protocol != k_protocol_version || !link->peer.empty())
@@ -363,7 +229,7 @@
     report(link->peer);
   }
 
-  void outgoing_closed(dialled& target, const std::shared_ptr<connection>& link,
+  void outgoing_closed(dialled& target, const frame_connection::pointer& link,
                        const std::string& why)
   {
     complain(link->peer, why);
@@ -401,7 +267,7 @@
   asio::io_context m_context;
   tcp::acceptor m_acceptor;
   std::map<std::string, dialled> m_dialled;
-  std::map<instance_id, std::shared_ptr<connection>> m_outgoing;
+  std::map<instance_id, frame_connection::pointer> m_outgoing;
   std::map<instance_id, incoming_link> m_incoming;
   std::set<instance_id> m_linked; // as reported
   std::thread m_thread;
