Ownership: What told_unclear means in each of its two places is said at the field

A newcomer met a flag of that name being set where nobody is told anything (the lookup of a known task uses it for the row that is next). Only the comment is new; ownership_tests pass.

--- a/Source/Core/Ownership/WriteQueue.h
+++ b/Source/Core/Ownership/WriteQueue.h
@@ -22,6 +22,8 @@
 {
   record_write write;
   time_point since;
+  // Its caller was told that the write may have taken effect; while the task is looked up: its
+  // ended row was read, and the open one is next.
   bool told_unclear = false;
 };
 
