--- a/Tools/soak/callers.py
+++ b/Tools/soak/callers.py
@@ -1,6 +1,7 @@
 # SPDX-FileCopyrightText: 2026 yardhill contributors
 # SPDX-License-Identifier: Apache-2.0
 """Callers on connections that they keep open until the instance behind them is gone."""
+import enum
 import heapq
 import http.client
 import itertools
@@ -19,11 +20,21 @@
 ANY_SHARE = 0.1
 
 
+class Outcome(enum.Enum):
+    ANSWERED = "answered"
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed without a byte"
+    CUT = "cut in the middle"
+    SILENT = "silent"
+
+
 class Answer:
-    def __init__(self, status=0, body=b"", how="answer"):
+    """What came of a call; the status is 0 without a whole answer."""
+
+    def __init__(self, outcome, status=0, body=b""):
+        self.outcome = outcome
         self.status = status
         self.body = body
-        self.how = how  # answer | unreachable | closed | cut | silent
 
 
 class Connections:
@@ -48,11 +59,11 @@
             try:
                 connection.connect()
             except OSError:
-                return Answer(how="unreachable")
+                return Answer(Outcome.UNREACHABLE)
             self.open[name] = connection
         sent_at = time.monotonic()
         answer = self.exchange(connection, method, path, body)
-        if answer.how != "answer" or connection.sock is None:
+        if answer.outcome != Outcome.ANSWERED or connection.sock is None:
             connection.close()
             self.open.pop(name, None)
         self.check_cut(name, answer, sent_at, f"{method} {path}")
@@ -63,28 +74,29 @@
         headers = {"Host": "docs.example", "X-Request-Deadline": str(DEADLINE_MS)}
         data = None if body is None else json.dumps(body)
         connection.auto_open = 0
-        how = "closed"
+        ended = Outcome.CLOSED
         try:
             connection.request(method, path, data, headers)
             reply = connection.getresponse()
-            how = "cut"
-            return Answer(reply.status, reply.read())
+            ended = Outcome.CUT
+            return Answer(Outcome.ANSWERED, reply.status, reply.read())
         except TimeoutError:
-            return Answer(how="silent")
+            return Answer(Outcome.SILENT)
         except (http.client.RemoteDisconnected, http.client.NotConnected, ConnectionError):
-            return Answer(how=how)
+            return Answer(ended)
         except (http.client.HTTPException, OSError):
-            return Answer(how="cut")
+            return Answer(Outcome.CUT)
 
     def check_cut(self, name, answer, sent_at, what):
         """An answer that had begun is sent whole; so is one to a request that was read."""
         late = time.monotonic() - sent_at
-        read = answer.how == "cut" or (answer.how == "closed" and late > READ_BY_SECONDS)
+        cut = answer.outcome == Outcome.CUT
+        read = cut or (answer.outcome == Outcome.CLOSED and late > READ_BY_SECONDS)
         if not read or self.cell.disturbed_since(name, sent_at):
             return
         stopping = self.cell.records[name].stop_asked_at is not None
-        if answer.how == "cut" or stopping:
-            self.ledger.breaks("CUT", f"{what} at {name}: {answer.how} after {late:.2f} s"
+        if cut or stopping:
+            self.ledger.breaks("CUT", f"{what} at {name}: {answer.outcome.value} after {late:.2f} s"
                                       f"{', under SIGTERM' if stopping else ''}")
 
     def tell_judge(self, path, body=None):
@@ -197,7 +209,7 @@
         if not job.tries:
             connections.tell_judge(f"/jobs/{job.id}", job.body)
         name, answer = self.call(connections, draw, "POST", job, job.body)
-        if answer.how != "unreachable":
+        if answer.outcome != Outcome.UNREACHABLE:
             connections.tell_judge(f"/jobs/{job.id}/answers/{answer.status}")
             self.ledger.answered(job, answer.status, name)
         if answer.status in ACCEPTED:
--- a/Tools/soak/ledger.py
+++ b/Tools/soak/ledger.py
@@ -37,7 +37,7 @@
     def final(self):
         return RANKS[self.state] == FINAL_RANK
 
-    def called_refused(self):
+    def last_refused(self):
         """Whether the last clear answer said that it never runs."""
         return bool(self.tries) and self.tries[-1] in REFUSALS
 
@@ -101,6 +101,6 @@
     def check_refusals(self, started):
         """`started`: ids of all jobs of which a task ever ran."""
         for job in self.all():
-            if job.called_refused() and job.accepted_at is None and job.id in started:
+            if job.last_refused() and job.accepted_at is None and job.id in started:
                 self.breaks("REFUSED", f"{job.id}: it ran, and the last answer was a refusal "
                                        f"({job.tries})")
--- a/Tools/soak/proxy.py
+++ b/Tools/soak/proxy.py
@@ -13,6 +13,7 @@
 import struct
 import subprocess
 import sys
+import threading
 
 PIECE = 65536
 # Closes with a reset: linger is on, for no time.
@@ -22,6 +23,8 @@
 
 
 class Route:
+    """A proxy's address, with the fault that its connections meet."""
+
     def __init__(self):
         self.fault, self.delay = "works", 0.0
         self.links = set()
@@ -117,13 +120,15 @@
             [sys.executable, __file__, json.dumps(routes)], stdin=subprocess.PIPE,
             stdout=subprocess.PIPE, stderr=open(group.path / "proxies.log", "ab"), text=True)
         group.processes["proxies"] = self.process
+        self.lock = threading.Lock()
         if self.process.stdout.readline() != "listening\n":
             raise RuntimeError("the proxies do not listen")
 
     def set(self, route, fault, reach="all", ms=0):
         order = {"route": route, "fault": fault, "reach": reach, "ms": ms}
-        self.process.stdin.write(json.dumps(order) + "\n")
-        self.process.stdin.flush()
+        with self.lock:
+            self.process.stdin.write(json.dumps(order) + "\n")
+            self.process.stdin.flush()
 
 
 if __name__ == "__main__":
