--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -16,8 +16,11 @@
 from platform_cell import ADVICE, CALLERS, OWN, READY, PlatformCell  # noqa: E402
 from proxy import ProxyProcess  # noqa: E402
 
-# Below the ports that the system hands out; other tools of the repository use lower ones.
-PORT_BLOCKS, BLOCK_SIZE = range(27000, 32000, 1000), 1000
+# Below the ports that the system hands out, and beside those of the repository's other tools.
+BLOCK_SIZE = 1000
+PORT_BLOCKS = [*range(27000, 32000, BLOCK_SIZE), *range(10000, 16000, BLOCK_SIZE)]
+# Other soaks on the machine give theirs back.
+PORTS_WAIT = 300.0
 LAST_PORT = BLOCK_SIZE - 1
 # Ports within a block; the stand-in and its workers take those before.
 OWN_PORTS = {CALLERS: 600, READY: 650, OWN: 700, "store proxy": 800, "advice proxy": 850}
@@ -28,6 +31,10 @@
 
 def claim_ports():
     """(first port, guard): a free block, and the socket that keeps other soaks off it."""
+    return wait_until("a free block of ports", find_ports, PORTS_WAIT)
+
+
+def find_ports():
     for first in PORT_BLOCKS:
         guard = socket.socket()
         sockets = [guard]
@@ -45,7 +52,7 @@
         for each in sockets[1:]:
             each.close()
         return first, guard
-    raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS.start} on")
+    return None
 
 
 class InstanceRecord:
