--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -20,7 +20,7 @@
 BLOCK_SIZE = 1000
 PORT_BLOCKS = [*range(27000, 32000, BLOCK_SIZE), *range(10000, 16000, BLOCK_SIZE)]
 # Other soaks on the machine give theirs back.
-PORTS_WAIT = 300.0
+PORTS_PATIENCE = 300.0
 LAST_PORT = BLOCK_SIZE - 1
 # Ports within a block; the stand-in and its workers take those before.
 OWN_PORTS = {CALLERS: 600, READY: 650, OWN: 700, "store proxy": 800, "advice proxy": 850}
@@ -31,10 +31,16 @@
 
 def claim_ports():
     """(first port, guard): a free block, and the socket that keeps other soaks off it."""
-    return wait_until("a free block of ports", find_ports, PORTS_WAIT)
+    give_up = time.monotonic() + PORTS_PATIENCE
+    while (claimed := free_block()) is None:
+        if time.monotonic() > give_up:
+            raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS[0]} on")
+        time.sleep(1.0)
+    return claimed
 
 
-def find_ports():
+def free_block():
+    """As above, or None if other soaks hold them all."""
     for first in PORT_BLOCKS:
         guard = socket.socket()
         sockets = [guard]
