Soak: A SIGTERM before an instance says that it has started may end it at once

Its log has the ends and begins of four lives and none of a fifth that began after 21:56:37.36 and ended before 21:56:39.29: SIGTERM reached it before it had set its handlers, so that the system's own action ended it. It served nobody and had read nothing. Any other code, or this one after the line 'started', is reported as before.

--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -70,6 +70,7 @@
         self.disturbed_at = 0.0  # latest kill, freeze or wake
         self.frozen = False
         self.stop_asked_at = None
+        self.log_bytes = 0  # written by its earlier lives
         self.faults = 0  # of its connections or the store, under way
         self.faults_end = 0.0  # of the latest
 
@@ -113,6 +114,8 @@
             record.frozen = False
             record.stop_asked_at = None
             record.disturbed_at = time.monotonic()
+            log = self.path / f"{name}.log"
+            record.log_bytes = log.stat().st_size if log.exists() else 0
             super().start_instance(name)
 
     def apply_next(self, change):
@@ -211,12 +214,24 @@
         return self.kept
 
     def wait_stopped(self, name):
-        """The exit code after a planned stop, or None if it went on beyond the limit."""
+        """What is wrong with a planned stop that was asked for, or None."""
         try:
             wait_until(f"{name} to end", lambda: not self.lives(name), STOP_LIMIT)
         except RuntimeError:
+            return f"SIGTERM, and it goes on for {STOP_LIMIT:.0f} s"
+        code = self.processes[name].returncode
+        if code == 0 or (code == -signal.SIGTERM and not self.has_started(name)):
             return None
-        return self.processes[name].returncode
+        return f"code {code} after SIGTERM"
+
+    def has_started(self, name):
+        """Whether its present or latest life got so far as to say so.
+
+        Before, it serves nobody, and SIGTERM ends it at once.
+        """
+        with open(self.path / f"{name}.log", "rb") as log:
+            log.seek(self.records[name].log_bytes)
+            return b'"event":"started"' in log.read()
 
     def stop(self):
         self.end_processes()
--- a/Tools/soak/checks.py
+++ b/Tools/soak/checks.py
@@ -195,6 +195,6 @@
     for name in cell.instances:
         cell.ask_to_stop(name)
     for name in cell.instances:
-        code = cell.wait_stopped(name)
-        if code != 0:
-            ledger.breaks("STOP", f"{name}: code {code} after the last SIGTERM")
+        mistake = cell.wait_stopped(name)
+        if mistake is not None:
+            ledger.breaks("STOP", f"{name}: {mistake}, the last one")
--- a/Tools/soak/troubles.py
+++ b/Tools/soak/troubles.py
@@ -117,12 +117,10 @@
         asked = time.monotonic()
         if not self.cell.ask_to_stop(name):
             return
-        code = self.cell.wait_stopped(name)
-        disturbed = self.cell.disturbed_since(name, asked)
-        if code != 0 and not disturbed:
-            self.ledger.breaks("STOP", f"{name}: " + (
-                f"code {code}" if code is not None else "SIGTERM, and it goes on and on"))
-        if code is None:
+        mistake = self.cell.wait_stopped(name)
+        if mistake is not None and not self.cell.disturbed_since(name, asked):
+            self.ledger.breaks("STOP", f"{name}: {mistake}")
+        if not self.cell.records[name].should_live:  # not started again by another trouble
             self.cell.kill_instance(name)
         self.come_back(name, down)
 
