--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -25,7 +25,8 @@
 class caller_model
 {
 public:
-  // Brings a request to some instance that is up; false if none is. A dead instance never answers.
+  // Brings a request to some instance that is up; false if none is. An answer with status 0 says
+  // that the connection broke.
   using carrier = std::function<bool(http::incoming_request, http::responder)>;
 
   caller_model(virtual_time& time, std::uint64_t seed, run_judge& judge, carrier carry);
@@ -38,6 +39,8 @@
   std::uint64_t waiting(const std::string& prefix, time_point accepted_by) const;
   // One job of that kind, for a queue whose tasks may run anywhere. Returns its id.
   std::string hand_in(const jobs::job_spec& spec);
+  // One whose tasks last until the play ends.
+  void hand_in_lasting();
   // Asks for every job; the answers go to the judge.
   void ask_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
@@ -47,6 +50,8 @@
   void hand_in();
   jobs::job_spec random_spec();
   void submit(const std::string& id, const std::string& body, unsigned tries);
+  void on_submitted(const std::string& id, const std::string& body, unsigned tries,
+                    unsigned status);
   void submit_again(const std::string& id, const std::string& body, unsigned tries);
   void submit_late(const std::string& id, const std::string& body);
   void cancel(const std::string& id, unsigned tries);
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -18,8 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A worker whose entry is not renewed for this long is taken off the list.
-constexpr milliseconds k_entry_lapse{4500};
 constexpr milliseconds k_link_break{1500};
 // The instances' one partition, whose rows are one part of the store.
 constexpr const char* k_partition = "cell";
@@ -32,6 +30,8 @@
 constexpr seconds k_stop_grace{6};
 // Until an instance that is stopped looks again whether it has handed over.
 constexpr milliseconds k_hand_over_period{50};
+// Entries are written anew after a cut.
+constexpr milliseconds k_entries_back{1500};
 } // namespace
 
 cell_troubles::cell_troubles(explored_cell& cell, omission without)
@@ -43,6 +43,12 @@
 {
   const auto at = std::chrono::duration_cast<milliseconds>(m_cell.time().now() - m_cell.begin());
   m_told.push_back(std::to_string(at.count()) + " ms: " + what);
+  lasts({});
+}
+
+void cell_troubles::lasts(duration time)
+{
+  m_disturbed_until = std::max(m_disturbed_until, m_cell.time().now() + time);
 }
 
 void cell_troubles::draw()
@@ -56,7 +62,7 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 21> k_kinds{&cell_troubles::kill_owner,
+  static constexpr std::array<kind, 24> k_kinds{&cell_troubles::kill_owner,
                                                 &cell_troubles::kill_all,
                                                 &cell_troubles::stop_one,
                                                 &cell_troubles::freeze_one,
@@ -76,7 +82,10 @@
                                                 &cell_troubles::slow_store,
                                                 &cell_troubles::reborn_worker,
                                                 &cell_troubles::reuse_address,
-                                                &cell_troubles::lose_owners_in_series};
+                                                &cell_troubles::lose_owners_in_series,
+                                                &cell_troubles::lose_owners_under_burst,
+                                                &cell_troubles::turn_away,
+                                                &cell_troubles::kill_in_series};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -85,6 +94,7 @@
   if (!which.up())
     return;
   m_cell.end_instance(which);
+  lasts(down);
   start_again(which, down);
 }
 
@@ -110,6 +120,7 @@
 // A planned stop: the process ends once it has handed over, or when its grace is over.
 void cell_troubles::stop(explored_instance& which)
 {
+  lasts({});
   which.core->begin_stop();
   wait_for_hand_over(which, m_cell.time().now() + k_stop_grace);
 }
@@ -155,11 +166,13 @@
     return;
   const duration time = m_cell.draw_time(milliseconds(500), milliseconds(9000));
   note("freeze " + which->name);
+  lasts(time);
   which->time->freeze_until(m_cell.time().now() + time);
 }
 
 void cell_troubles::cut_for(const cut_pairs& pairs, duration time)
 {
+  lasts(time + k_entries_back);
   for (const auto& pair : pairs)
     m_cell.network().troubles.cuts.insert(pair);
   for (explored_instance& one : m_cell.instances())
@@ -190,7 +203,7 @@
                                  m_cell.link(one, other, true);
                              }
                            }
-                           m_cell.time().schedule(milliseconds(1500),
+                           m_cell.time().schedule(k_entries_back,
                                                   [this]
                                                   {
                                                     for (fleet_worker& each : m_cell.workers())
@@ -220,6 +233,7 @@
 void cell_troubles::lose_answers()
 {
   note("answers of the store are lost");
+  lasts(seconds(4));
   m_cell.network().troubles.answers_lost = 0.3;
   m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.answers_lost = 0.0; });
 }
@@ -227,6 +241,7 @@
 void cell_troubles::lose_orders()
 {
   note("answers of workers are lost");
+  lasts(seconds(4));
   m_cell.network().troubles.orders_lost = 0.1;
   m_cell.time().schedule(seconds(4), [this] { m_cell.network().troubles.orders_lost = 0.0; });
 }
@@ -234,124 +249,58 @@
 void cell_troubles::late_orders()
 {
   note("orders are carried out late");
+  lasts(seconds(5));
   m_cell.network().troubles.orders_late = 0.05;
   m_cell.time().schedule(seconds(5), [this] { m_cell.network().troubles.orders_late = 0.0; });
 }
 
-void cell_troubles::crash_worker()
-{
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
-    return;
-  note("crash " + which.settings.id);
-  worker_fleet::end_life(which);
-  m_cell.time().schedule(k_entry_lapse,
-                         [this, &which]
-                         {
-                           if (!which.model)
-                             m_cell.update_entry(which);
-                         });
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(8000)),
-                         [this, &which] { replace_worker(which); });
-}
-
-// It says that it leaves, serves on for a while, and is gone with all that runs there.
-void cell_troubles::drain_worker()
-{
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model || which.draining)
-    return;
-  note("drain " + which.settings.id);
-  which.draining = true;
-  m_cell.update_entry(which);
-  if (which.listed)
-    m_cell.judge().worker_leaving(which.settings.id, m_cell.time().now());
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(11000)),
-                         [this, &which, id = which.settings.id]
-                         {
-                           if (!which.model || which.settings.id != id)
-                             return; // it has crashed meanwhile
-                           worker_fleet::end_life(which);
-                           m_cell.fleet().remove_entry(which);
-                           m_cell.time().schedule(seconds(1),
-                                                  [this, &which] { replace_worker(which); });
-                         });
-}
-
-void cell_troubles::replace_worker(fleet_worker& which)
-{
-  if (which.model)
-    return;
-  m_cell.start_worker(which);
-}
-
-void cell_troubles::cut_worker()
+// Each transaction takes some 200 ms, and the store turns more away.
+void cell_troubles::slow_store()
 {
-  const fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  note("cut off " + which.settings.id);
-  cut_for(cut_of(which), m_cell.draw_time(milliseconds(1000), milliseconds(12000)));
+  note("the store is slow");
+  lasts(seconds(6));
+  m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
+                         [this] { m_cell.store().set_pace({}); });
 }
 
-cell_troubles::cut_pairs cell_troubles::cut_of(const fleet_worker& which) const
+// The store turns some instances away, or all of them.
+void cell_troubles::turn_away()
 {
-  cut_pairs pairs{{which.machine, "store"}};
+  std::set<std::string> names;
+  const bool all = m_cell.draw(2) == 0;
   for (const explored_instance& each : m_cell.instances())
-    pairs.emplace_back(each.name, which.machine);
-  return pairs;
+  {
+    if (all || m_cell.draw(2) == 0)
+      names.insert(each.name);
+  }
+  note("the store turns away " + std::to_string(names.size()) + " instances");
+  lasts(seconds(6));
+  m_cell.network().troubles.turned_away = std::move(names);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(6000)),
+                         [this] { m_cell.network().troubles.turned_away.clear(); });
 }
 
-// A worker is cut off, crashes there and starts again. Its earlier life's last entry waits behind
-// the cut and is written after the first one of the life that has its address now.
-void cell_troubles::reborn_worker()
+// Instances end one after the other, with calls under way, while the store is hard to reach.
+void cell_troubles::kill_in_series()
 {
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
-    return;
-  const duration time = m_cell.draw_time(milliseconds(2000), milliseconds(7000));
-  const std::string earlier = which.settings.id;
-  const std::string entry = which.model->entry(which.draining);
-  note("reborn behind a cut: " + earlier);
-  cut_for(cut_of(which), time);
-  worker_fleet::end_life(which);
-  m_cell.fleet().begin_life(which);
-  const duration written = time + m_cell.draw_time(milliseconds(1000), milliseconds(4000));
-  m_cell.time().schedule(written,
-                         [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
-  m_cell.time().schedule(written + k_entry_lapse,
-                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
-}
-
-// A worker crashes, and another service's worker is at its address at once.
-void cell_troubles::reuse_address()
-{
-  fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
-  if (!which.model)
-    return;
-  const std::string earlier = which.settings.id;
-  const std::string service = which.settings.service;
-  note("the address goes to another service: " + earlier);
-  worker_fleet::end_life(which);
-  which.listed = false; // the entry lapses by itself
-  m_cell.time().schedule(k_entry_lapse,
-                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
-  which.settings.service = "other-service";
-  m_cell.start_worker(which);
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(5000), milliseconds(9000)),
-                         [this, &which, service]
-                         {
-                           worker_fleet::end_life(which);
-                           which.settings.service = service;
-                           m_cell.start_worker(which);
-                         });
+  if (m_cell.draw(2) == 0)
+    slow_store();
+  else
+    turn_away();
+  const std::uint64_t kills = 3 + m_cell.draw(4);
+  for (std::uint64_t i = 0; i < kills; ++i)
+    m_cell.time().schedule(m_cell.draw_time(milliseconds(100), milliseconds(5000)),
+                           [this] { kill_one(); });
 }
 
-// Each transaction takes some 200 ms, and the store turns more away.
-void cell_troubles::slow_store()
+void cell_troubles::kill_one()
 {
-  note("the store is slow");
-  m_cell.store().set_pace(m_cell.draw_time(milliseconds(100), milliseconds(250)));
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(3000), milliseconds(6000)),
-                         [this] { m_cell.store().set_pace({}); });
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  note("kill " + which->name);
+  kill_instance(*which, m_cell.draw_time(milliseconds(50), milliseconds(700)));
 }
 
 void cell_troubles::cut_zone()
@@ -396,6 +345,7 @@
     told += " " + part;
   }
   note("the store is silent for" + told);
+  lasts(milliseconds(7500));
   m_cell.store().silence_parts(std::move(silent));
   m_cell.time().schedule(m_cell.draw_time(milliseconds(1500), milliseconds(7500)),
                          [this] { m_cell.store().silence_parts({}); });
@@ -420,6 +370,7 @@
     return;
   note("slow " + which->name);
   const duration time = m_cell.draw_time(milliseconds(1000), milliseconds(6000));
+  lasts(time);
   spend_quota(*which, which->time.get(), m_cell.time().now() + time);
 }
 
@@ -434,6 +385,60 @@
                          [this, &which, process, end] { spend_quota(which, process, end); });
 }
 
+explored_instance* cell_troubles::owner()
+{
+  for (explored_instance& each : m_cell.instances())
+  {
+    if (each.up() && each.core->owns_any())
+      return &each;
+  }
+  return nullptr;
+}
+
+// The owner is killed, stopped as planned, frozen, or cut off from the store.
+void cell_troubles::trouble_owner()
+{
+  explored_instance* const which = owner();
+  if (which == nullptr)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(300), milliseconds(3000));
+  switch (m_cell.draw(5))
+  {
+  case 0:
+    note("stop owner " + which->name);
+    which->core->begin_stop();
+    wait_for_hand_over(*which, m_cell.time().now() + k_stop_grace);
+    return;
+  case 1:
+    note("freeze owner " + which->name);
+    lasts(time);
+    which->time->freeze_until(m_cell.time().now() + time);
+    return;
+  case 2:
+    note("cut owner from the store: " + which->name);
+    cut_for({{which->name, "store"}}, time);
+    return;
+  default:
+    note("kill owner " + which->name);
+    kill_instance(*which, time);
+  }
+}
+
+// Workers are gone for good, and owners are lost one after the other from that moment on.
+void cell_troubles::lose_owners_in_series()
+{
+  const std::uint64_t workers = 1 + m_cell.draw(3);
+  for (std::uint64_t i = 0; i < workers; ++i)
+    crash_for_good();
+  const std::uint64_t owners = 1 + m_cell.draw(4);
+  duration after = m_cell.draw_time(milliseconds(0), milliseconds(6000));
+  for (std::uint64_t i = 0; i < owners; ++i)
+  {
+    m_cell.time().schedule(after, [this] { trouble_owner(); });
+    after += m_cell.draw_time(milliseconds(1000), milliseconds(6000));
+  }
+}
+
 // What a new owner would find if the mechanism were not there.
 void cell_troubles::forget_mechanism()
 {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -5,6 +5,7 @@
 
 // What befalls an explored cell: troubles drawn from its seed, at any moment, also over each other.
 
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +15,9 @@
 
 namespace yardhill::model
 {
+// A worker whose entry is not renewed for this long is taken off the list.
+inline constexpr std::chrono::milliseconds k_entry_lapse{4500};
+
 class cell_troubles
 {
 public:
@@ -23,6 +27,8 @@
   void draw();
   // What has happened so far.
   const std::vector<std::string>& told() const { return m_told; }
+  // When the latest of them ended, or will.
+  time_point disturbed_until() const { return m_disturbed_until; }
 
 private:
   using cut_pairs = std::vector<std::pair<std::string, std::string>>;
@@ -31,7 +37,7 @@
   void kill_owner();
   void kill_all();
   void stop_one();
-  void lose_owners_in_series();
+  void lose_owners_under_burst();
   void freeze_one();
   void cut_from_store();
   void store_away();
@@ -49,6 +55,10 @@
   void slow_store();
   void reborn_worker();
   void reuse_address();
+  void lose_owners_in_series();
+  void turn_away();
+  void kill_in_series();
+  void kill_one();
 
   void lose_next_owner(time_point end);
   void lose_owner(explored_instance& which);
@@ -62,9 +72,15 @@
   void forget_mechanism();
   void spend_quota(explored_instance& which, const process_time* process, time_point end);
   void note(const std::string& what);
+  // What is told of lasts for so long from now on.
+  void lasts(duration time);
+  void crash_for_good();
+  void trouble_owner();
+  explored_instance* owner();
 
   explored_cell& m_cell;
   omission m_without;
   std::vector<std::string> m_told;
+  time_point m_disturbed_until{};
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -15,6 +15,11 @@
 // Nothing starts on a leaving worker any more by then: the usual 2 s and the authority of an owner
 // that is cut off.
 constexpr std::chrono::milliseconds k_leaving_time{6500};
+// The platform's bounds for a task that is to last: it runs again within 3 s that begin 6 s after
+// its last run, and after 4 calm seconds; a trouble counts for 3 s after its end.
+constexpr std::chrono::seconds k_after_last_run{6};
+constexpr std::chrono::seconds k_calm{3 + 4};
+constexpr std::chrono::seconds k_run_again{3};
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& what)
@@ -35,11 +40,26 @@
 void run_judge::answered(const std::string& job, unsigned status)
 {
   seen_job& seen = m_jobs[job];
+  seen.refused = status == 429 || status == 503;
+  if (seen.refused)
+    check_refusal(job, seen);
   seen.accepted = seen.accepted || (status >= 200 && status < 300);
-  const bool refused = status == 429 || status == 503;
-  seen.only_refused = seen.only_refused && refused;
-  if (seen.started && seen.only_refused)
+}
+
+void run_judge::tried(const std::string& job)
+{
+  m_jobs[job].refused = false;
+}
+
+// A refusal is a promise about the job: it is not taken and never runs.
+void run_judge::check_refusal(const std::string& job, const seen_job& seen)
+{
+  if (seen.started)
     violate("REFUSED", {job, {}}, "it was refused although it has started");
+  else if (seen.accepted)
+    violate("REFUSED", {job, {}}, "it was refused although it had been accepted");
+  else if (m_kept && m_kept(job))
+    violate("REFUSED", {job, {}}, "it was refused although it is kept");
 }
 
 void run_judge::cancel_asked(const std::string& job)
@@ -117,6 +137,8 @@
     violate("UNASKED", start.task, "no such job was handed in");
     return;
   }
+  if (found->second.refused)
+    violate("REFUSED", start.task, "started after it was refused, and not handed in since");
   check_start(found->second, start);
   check_leaving(start);
   found->second.started = true;
@@ -170,6 +192,47 @@
   m_violations.push_back("LIMIT: " + worker + ": " + what);
 }
 
+bool run_judge::has_room(const jobs::step_spec& step,
+                         const std::vector<usable_worker>& usable) const
+{
+  std::map<std::string, std::int64_t> used;
+  for (const auto& [task, seen] : m_tasks)
+  {
+    for (const auto& [run, worker] : seen.active)
+      used[worker] += m_jobs.at(task.job).spec.steps[task.place.step].demand.cpu_millis;
+  }
+  return std::any_of(
+      usable.begin(), usable.end(),
+      [&](const usable_worker& each)
+      { return each.capacity.cpu_millis - used[each.id] >= 2 * step.demand.cpu_millis; });
+}
+
+void run_judge::check_lasting(const std::vector<usable_worker>& usable, common::time_point now,
+                              common::time_point disturbed_until)
+{
+  const bool calm = now - disturbed_until >= k_calm;
+  for (const std::string& id : m_lasting)
+  {
+    const seen_job& job = m_jobs.at(id);
+    if (!job.accepted || !job.started)
+      continue;
+    const bool room = has_room(job.spec.steps.front(), usable);
+    for (std::uint32_t index = 0; index < job.spec.steps.front().count; ++index)
+    {
+      const task_ref ref{id, {0, 0, index}};
+      seen_task& task = m_tasks[ref];
+      const bool idle = task.active.empty();
+      task.idle_since = idle ? task.idle_since.value_or(now) : std::optional<common::time_point>();
+      const bool due = idle && now - *task.idle_since >= k_after_last_run && calm && room;
+      task.due_since = due ? task.due_since.value_or(now) : std::optional<common::time_point>();
+      if (!due || now - *task.due_since < k_run_again)
+        continue;
+      violate("LOST", ref, "is to last and does not run, with room for it");
+      task.due_since = now; // told once in a while
+    }
+  }
+}
+
 void run_judge::check_all_ended(const std::map<std::string, jobs::job_state>& states)
 {
   for (const auto& [id, job] : m_jobs)
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -42,7 +42,7 @@
       m_advice_client(world.workers, settings.advice.value_or(common::endpoint{})),
       m_advice_desk(world.time, m_advice_client),
       m_advice(world.time, m_advice_desk, world.send_to_peer),
-      m_jobs(world.time, m_store),
+      m_jobs(world.time, m_store, m_feed_store),
       m_states(world.time, world.send_to_peer, m_partitions),
       m_gateway(world.time, m_jobs, m_states, m_store_path, m_queues, m_capacities, m_partitions,
                 world.metrics),
@@ -179,6 +179,16 @@
     m_states.on_question(peer, *state);
   else if (const auto* known = std::get_if<common::state_reply>(&message))
     m_states.on_reply(peer, *known);
+  else if (const auto* orders = std::get_if<common::orders_question>(&message))
+  {
+    for (const auto& each : m_partitions)
+      each->on_orders_question(peer, *orders);
+  }
+  else if (const auto* quiet = std::get_if<common::orders_reply>(&message))
+  {
+    for (const auto& each : m_partitions)
+      each->on_orders_reply(peer, *quiet);
+  }
   else if (const auto* notice = std::get_if<common::job_notice>(&message))
   {
     for (const auto& each : m_partitions)
