--- a/Tools/soak/cell.py
+++ b/Tools/soak/cell.py
@@ -16,16 +16,17 @@
 from platform_cell import ADVICE, CALLERS, OWN, READY, PlatformCell  # noqa: E402
 from proxy import ProxyProcess  # noqa: E402
 
-# Below the ports that the system hands out; other tools of the repository use lower ones.
-PORT_BLOCKS, BLOCK_SIZE = range(27000, 32000, 1000), 1000
+# Below the ports that the system hands out, and beside those of the repository's other tools.
+BLOCK_SIZE = 1000
+PORT_BLOCKS = [*range(27000, 32000, BLOCK_SIZE), *range(10000, 16000, BLOCK_SIZE)]
+# Other soaks on the machine give theirs back.
+PORTS_PATIENCE = 300.0
 LAST_PORT = BLOCK_SIZE - 1
 # Ports within a block; the stand-in and its workers take those before.
 OWN_PORTS = {CALLERS: 600, READY: 650, OWN: 700, "store proxy": 800, "advice proxy": 850}
 MOST_INSTANCES, MOST_WORKERS = 45, 400
-# Other soaks on this machine end within this time, in seconds.
-PORTS_PATIENCE = 120.0
-# The settings' planned stop; a busy machine may take longer.
-STOP_GRACE, STOP_LIMIT = 6.0, 20.0
+# Seconds for a planned stop: the settings say 6, and a busy machine may take longer.
+STOP_LIMIT = 20.0
 
 
 def claim_ports():
@@ -33,7 +34,7 @@
     give_up = time.monotonic() + PORTS_PATIENCE
     while (claimed := free_block()) is None:
         if time.monotonic() > give_up:
-            raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS.start} on")
+            raise RuntimeError(f"no free block of {BLOCK_SIZE} ports from {PORT_BLOCKS[0]} on")
         time.sleep(1.0)
     return claimed
 
@@ -69,6 +70,7 @@
         self.disturbed_at = 0.0  # latest kill, freeze or wake
         self.frozen = False
         self.stop_asked_at = None
+        self.log_bytes = 0  # written by its earlier lives
         self.faults = 0  # of its connections or the store, under way
         self.faults_end = 0.0  # of the latest
 
@@ -112,6 +114,8 @@
             record.frozen = False
             record.stop_asked_at = None
             record.disturbed_at = time.monotonic()
+            log = self.path / f"{name}.log"
+            record.log_bytes = log.stat().st_size if log.exists() else 0
             super().start_instance(name)
 
     def apply_next(self, change):
@@ -210,12 +214,24 @@
         return self.kept
 
     def wait_stopped(self, name):
-        """The exit code after a planned stop, or None if it went on beyond the limit."""
+        """What is wrong with a planned stop that was asked for, or None."""
         try:
             wait_until(f"{name} to end", lambda: not self.lives(name), STOP_LIMIT)
         except RuntimeError:
+            return f"SIGTERM, and it goes on for {STOP_LIMIT:.0f} s"
+        code = self.processes[name].returncode
+        if code == 0 or (code == -signal.SIGTERM and not self.has_started(name)):
             return None
-        return self.processes[name].returncode
+        return f"code {code} after SIGTERM"
+
+    def has_started(self, name):
+        """Whether its present or latest life got so far as to say so.
+
+        Before, it serves nobody, and SIGTERM ends it at once.
+        """
+        with open(self.path / f"{name}.log", "rb") as log:
+            log.seek(self.records[name].log_bytes)
+            return b'"event":"started"' in log.read()
 
     def stop(self):
         self.end_processes()
