--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -125,7 +125,7 @@
 
 std::string caller_model::hand_in(const jobs::job_spec& spec)
 {
-  const std::string id = job_id(++m_jobs);
+  std::string id = job_id(++m_jobs);
   m_prefixes[id] = k_plain_prefix;
   m_specs[id] = spec;
   m_judge.submitted(id, spec, k_max_attempts);
--- a/Source/UnitTests/Node/EarlierOrdersTest.cpp
+++ b/Source/UnitTests/Node/EarlierOrdersTest.cpp
@@ -9,7 +9,6 @@
 #include "UnitTests/Node/OwnerHarness.h"
 
 using namespace yardhill;
-using common::orders_question;
 using common::orders_reply;
 using node::owner_under_test;
 using std::chrono::milliseconds;
