--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -231,7 +231,8 @@
   {
     if (worker->seen > worker->durable)
       batch.ends[id] = worker->seen;
-    if (!claim_outdated(*worker, now) || batch.size() >= most_rows)
+    // A claim that returns follows its removal: one transaction does not tell which comes last.
+    if (!claim_outdated(*worker, now) || batch.size() >= most_rows || batch.releases.contains(id))
       continue;
     worker->claim_sent = claim_of(*worker, now);
     batch.claims[id] = *worker->claim_sent;
