Model: A worker that rejects a start as old extends its lease all the same

The model had them leave the lease alone, so the explorer could not see an owner that reckons without it.

--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -138,7 +138,10 @@
   }
   const auto past = m_past.find(task);
   if ((past != m_past.end() && number <= past->second) || running != m_runs.end())
+  {
+    extend_lease(until); // the platform's workers do so although they start nothing
     return refusal("old");
+  }
   if (until < clock_ms())
     return refusal("late");
   const std::string ticket = body.value(wire::k_ticket, std::string());
