Model: The explorer holds cells to it that nothing of a cancelled job goes on

Starts after a cancellation were judged, runs that go on were not: neither one that its worker began late, nor one whose starter has been replaced.

--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "Model/CancelJudge.h"
 #include "Model/CellTroubles.h"
 #include "Model/CountJudge.h"
 #include "Model/ExploredCell.h"
@@ -55,6 +56,7 @@
                        });
   watch_lasting(cell, troubles);
   const count_judge counts(cell, cell.begin() + k_length);
+  const cancel_judge cancelled(cell, cell.begin() + k_length);
   troubles.draw();
   cell.time().run_until(cell.begin() + k_length);
   cell.callers().ask_all();
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -4,6 +4,7 @@
 #include "Model/RunJudge.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yardhill::model
 {
@@ -116,7 +117,8 @@
   if (!spec.speculative && !task.active.empty())
     violate("TWICE", start.task,
             "run " + std::to_string(start.run) + " on " + start.worker + " beside run " +
-                std::to_string(task.active.begin()->first) + " on " + task.active.begin()->second);
+                std::to_string(task.active.begin()->first) + " on " +
+                task.active.begin()->second.worker);
   if (!spec.speculative && !spec.long_running && task.done_acknowledged)
     violate("TWICE", start.task, "started after its end was acknowledged");
   if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running)
@@ -142,7 +144,7 @@
   check_start(found->second, start);
   check_leaving(start);
   found->second.started = true;
-  m_tasks[start.task].active[start.run] = start.worker;
+  m_tasks[start.task].active[start.run] = {start.worker, start.at};
 }
 
 void run_judge::check_leaving(const observed_start& start)
@@ -161,7 +163,7 @@
 {
   seen_task& seen = m_tasks[task];
   const auto found = seen.active.find(run);
-  if (found != seen.active.end() && found->second == worker)
+  if (found != seen.active.end() && found->second.worker == worker)
     seen.active.erase(found);
   if (how == run_end::done)
     seen.done.insert(run);
@@ -184,7 +186,8 @@
 void run_judge::worker_gone(const std::string& worker)
 {
   for (auto& [task, seen] : m_tasks)
-    std::erase_if(seen.active, [&worker](const auto& each) { return each.second == worker; });
+    std::erase_if(seen.active,
+                  [&worker](const auto& each) { return each.second.worker == worker; });
 }
 
 void run_judge::overloaded(const std::string& worker, const std::string& what)
@@ -198,8 +201,8 @@
   std::map<std::string, std::int64_t> used;
   for (const auto& [task, seen] : m_tasks)
   {
-    for (const auto& [run, worker] : seen.active)
-      used[worker] += m_jobs.at(task.job).spec.steps[task.place.step].demand.cpu_millis;
+    for (const auto& [number, run] : seen.active)
+      used[run.worker] += m_jobs.at(task.job).spec.steps[task.place.step].demand.cpu_millis;
   }
   return std::any_of(
       usable.begin(), usable.end(),
@@ -233,6 +236,23 @@
   }
 }
 
+void run_judge::check_cancelled_gone(common::time_point by)
+{
+  for (auto& [task, seen] : m_tasks)
+  {
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || !job->second.cancelled_at || *job->second.cancelled_at > by)
+      continue;
+    for (auto& [number, run] : seen.active)
+    {
+      if (run.begun <= by && !std::exchange(run.told, true))
+        violate("UNASKED", task,
+                "run " + std::to_string(number) + " goes on at " + run.worker +
+                    " although its job is cancelled");
+    }
+  }
+}
+
 void run_judge::check_all_ended(const std::map<std::string, jobs::job_state>& states)
 {
   for (const auto& [id, job] : m_jobs)
@@ -291,8 +311,8 @@
   std::set<std::string> workers;
   for (const auto& [task, seen] : m_tasks)
   {
-    for (const auto& [run, worker] : seen.active)
-      workers.insert(worker);
+    for (const auto& [number, run] : seen.active)
+      workers.insert(run.worker);
   }
   return workers;
 }
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -78,6 +78,10 @@
   void check_lasting(const std::vector<usable_worker>& usable, common::time_point now,
                      common::time_point disturbed_until);
 
+  // Runs still going on that had begun, and whose job's cancellation had been acknowledged, by
+  // then; each is told once.
+  void check_cancelled_gone(common::time_point by);
+
   // At the end of a play: accepted jobs that are neither done, failed for a reason, nor cancelled.
   void check_all_ended(const std::map<std::string, jobs::job_state>& states);
 
@@ -108,9 +112,16 @@
     std::optional<common::time_point> cancelled_at;
   };
 
+  struct active_run
+  {
+    std::string worker;
+    common::time_point begun;
+    bool told = false; // that it goes on although its job is cancelled
+  };
+
   struct seen_task
   {
-    std::map<run_number, std::string> active; // by run: the worker
+    std::map<run_number, active_run> active;
     std::set<run_number> done;
     bool done_acknowledged = false;
     std::set<run_number> failures_acknowledged;
