Node: A store's clock that has been set is believed from its next answer

Answers that no drift reconciles with what was heard before are about another clock: the earlier bounds go. Before: 1 check of StoreClockRestartTest fails; after: all 83 cases of node_tests pass. Left: what a row said on the earlier clock cannot be told from the new one's; a clock set back makes such an end later than the wait without it, which is taken then, a clock set ahead earlier.

--- a/Source/Core/Node/StoreClock.cpp
+++ b/Source/Core/Node/StoreClock.cpp
@@ -16,6 +16,7 @@
 // Clocks drift apart, so answers of long ago do not count: two such periods of a clock that is off
 // by one in 500 come to 40 ms, and the slack of each lease is 150 ms.
 constexpr std::chrono::seconds k_period{10};
+constexpr milliseconds k_drift{40};
 } // namespace
 
 void store_clock::heard(adapter::store_time named, common::time_point sent)
@@ -30,6 +31,13 @@
   }
   const bounds latest{named.time_since_epoch() - received.time_since_epoch(),
                       named.time_since_epoch() + k_rounding - sent.time_since_epoch()};
+  // No drift explains it: the store's clock has been set, and what was heard was of another one.
+  const auto before = known();
+  if (before && (latest.most + k_drift < before->least || before->most + k_drift < latest.least))
+  {
+    m_current.reset();
+    m_earlier.reset();
+  }
   // A long way back makes the store's clock seem to be behind, a long way there ahead.
   m_current = m_current ? bounds{std::max(m_current->least, latest.least),
                                  std::min(m_current->most, latest.most)}
