--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -331,7 +331,8 @@
   const scheduling::partition_load load = m_scheduler->load();
   row.pending = load.pending;
   row.counted_at = m_parts.clock.earliest_at(m_intake->known_until());
-  m_has_told_counts = m_intake->caught_up();
+  // Once in an ownership: watchers reckon with one such renewal (owner_watch::predecessors_end).
+  m_has_told_counts = m_has_told_counts || m_intake->caught_up();
   row.waiting_cpu = load.waiting_cpu;
   row.free_cpu = load.free_cpu;
   row.earlier_orders_end = m_parts.clock.latest_at(m_earlier.end());
