--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -67,6 +67,11 @@
   m_state.place_again = true;
 }
 
+void job_scheduler::end_placing()
+{
+  m_state.placing_ended = true;
+}
+
 void job_scheduler::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
   m_holder.restore_claim(id, claim, now);
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -35,6 +35,8 @@
   // which none can be any more. A later owner asks all of them, with entries or without.
   std::map<worker_id, worker_claim> claims;
   std::set<worker_id> releases;
+  // Nothing that there was to write when it was taken is left out.
+  bool complete = false;
 
   std::size_t size() const { return rows.size() + claims.size() + releases.size(); }
 };
@@ -57,6 +59,8 @@
   // Nothing is started and no lease extended between these two; workers are held all the same.
   void hold_orders();
   void begin_orders();
+  // From now on nothing is started; leases are still extended, ends still taken in.
+  void end_placing();
 
   // A worker that an earlier owner had claimed.
   void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
