Node, Scheduling: An owner that is stopped gives its partition back under load

Cause: the row that gives a partition back was written only at a moment when nothing was left to write, and the owner went on starting tasks; under load ends come all the time, so it was killed at the end of its grace instead and the next owner came seconds later.

Change: from the decision on nothing is started any more, and the row goes with the first commit that leaves nothing out of what there was when it was taken. What comes meanwhile is kept: ends stay with their workers until they are acknowledged, jobs and cancellations with the store.

--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -369,6 +369,7 @@
       (m_stopping || stronger || m_better_owner.reached_through_peers(now, m_last_written)))
   {
     m_releasing = true;
+    m_scheduler->end_placing();
     common::log_process(
         "partition_release",
         {{"partition", m_partition}, {"stop", m_stopping}, {"stronger_peer", stronger}});
@@ -377,7 +378,9 @@
     return;
   m_last_commit = now;
   scheduling::commit_batch batch = m_scheduler->take_commit(m_options.most_commit_rows, now);
-  const bool release = m_releasing && !m_scheduler->has_changes(now);
+  // What comes while this commit is on its way is kept for the next owner: ends stay with their
+  // workers, jobs and cancellations with the store. Under load there is always something.
+  const bool release = m_releasing && batch.complete;
   std::optional<owner_row> row;
   if (renew || release)
     row = next_row(release);
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -232,13 +232,19 @@
     return batch;
   while (!m_state.released.empty() && batch.size() < most_rows)
     batch.releases.insert(m_state.released.extract(m_state.released.begin()));
+  batch.complete = m_state.released.empty();
   for (const auto& [id, worker] : m_state.workers)
   {
     if (worker->seen > worker->durable)
       batch.ends[id] = worker->seen;
+    if (!claim_outdated(*worker, now))
+      continue;
     // A claim that returns follows its removal: one transaction does not tell which comes last.
-    if (!claim_outdated(*worker, now) || batch.size() >= most_rows || batch.releases.contains(id))
+    if (batch.size() >= most_rows || batch.releases.contains(id))
+    {
+      batch.complete = false;
       continue;
+    }
     worker->claim_sent = claim_of(*worker, now);
     batch.claims[id] = *worker->claim_sent;
   }
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -37,7 +37,7 @@
 
 void placer::place(time_point now)
 {
-  if (!m_state.may_act(now) || !m_state.orders_begun)
+  if (!m_state.may_act(now) || !m_state.orders_begun || m_state.placing_ended)
     return;
   std::int64_t free = 0;
   for (const auto& [id, worker] : m_state.workers)
