--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds k_without_processor{85};
 // One in so many parts is silent when the store is down in part.
 constexpr std::uint64_t k_silent_share = 3;
-// A planned stop's grace; a process that is not through by then is killed.
-constexpr seconds k_stop_grace{6};
 // Until an instance that is stopped looks again whether it has handed over.
 constexpr milliseconds k_hand_over_period{50};
 // Entries are written anew after a cut.
@@ -264,45 +262,6 @@
                          [this] { m_cell.store().set_pace({}); });
 }
 
-// The store turns some instances away, or all of them.
-void cell_troubles::turn_away()
-{
-  std::set<std::string> names;
-  const bool all = m_cell.draw(2) == 0;
-  for (const explored_instance& each : m_cell.instances())
-  {
-    if (all || m_cell.draw(2) == 0)
-      names.insert(each.name);
-  }
-  note("the store turns away " + std::to_string(names.size()) + " instances");
-  lasts(seconds(6));
-  m_cell.network().troubles.turned_away = std::move(names);
-  m_cell.time().schedule(m_cell.draw_time(milliseconds(1000), milliseconds(6000)),
-                         [this] { m_cell.network().troubles.turned_away.clear(); });
-}
-
-// Instances end one after the other, with calls under way, while the store is hard to reach.
-void cell_troubles::kill_in_series()
-{
-  if (m_cell.draw(2) == 0)
-    slow_store();
-  else
-    turn_away();
-  const std::uint64_t kills = 3 + m_cell.draw(4);
-  for (std::uint64_t i = 0; i < kills; ++i)
-    m_cell.time().schedule(m_cell.draw_time(milliseconds(100), milliseconds(5000)),
-                           [this] { kill_one(); });
-}
-
-void cell_troubles::kill_one()
-{
-  explored_instance* const which = m_cell.any_up();
-  if (which == nullptr)
-    return;
-  note("kill " + which->name);
-  kill_instance(*which, m_cell.draw_time(milliseconds(50), milliseconds(700)));
-}
-
 void cell_troubles::cut_zone()
 {
   const std::string zone = "zone-" + std::to_string(m_cell.draw(explored_cell::k_zones));
@@ -395,50 +354,6 @@
   return nullptr;
 }
 
-// The owner is killed, stopped as planned, frozen, or cut off from the store.
-void cell_troubles::trouble_owner()
-{
-  explored_instance* const which = owner();
-  if (which == nullptr)
-    return;
-  const duration time = m_cell.draw_time(milliseconds(300), milliseconds(3000));
-  switch (m_cell.draw(5))
-  {
-  case 0:
-    note("stop owner " + which->name);
-    which->core->begin_stop();
-    wait_for_hand_over(*which, m_cell.time().now() + k_stop_grace);
-    return;
-  case 1:
-    note("freeze owner " + which->name);
-    lasts(time);
-    which->time->freeze_until(m_cell.time().now() + time);
-    return;
-  case 2:
-    note("cut owner from the store: " + which->name);
-    cut_for({{which->name, "store"}}, time);
-    return;
-  default:
-    note("kill owner " + which->name);
-    kill_instance(*which, time);
-  }
-}
-
-// Workers are gone for good, and owners are lost one after the other from that moment on.
-void cell_troubles::lose_owners_in_series()
-{
-  const std::uint64_t workers = 1 + m_cell.draw(3);
-  for (std::uint64_t i = 0; i < workers; ++i)
-    crash_for_good();
-  const std::uint64_t owners = 1 + m_cell.draw(4);
-  duration after = m_cell.draw_time(milliseconds(0), milliseconds(6000));
-  for (std::uint64_t i = 0; i < owners; ++i)
-  {
-    m_cell.time().schedule(after, [this] { trouble_owner(); });
-    after += m_cell.draw_time(milliseconds(1000), milliseconds(6000));
-  }
-}
-
 // What a new owner would find if the mechanism were not there.
 void cell_troubles::forget_mechanism()
 {
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -17,6 +17,8 @@
 {
 // A worker whose entry is not renewed for this long is taken off the list.
 inline constexpr std::chrono::milliseconds k_entry_lapse{4500};
+// A planned stop's grace; a process that is not through by then is killed.
+inline constexpr std::chrono::seconds k_stop_grace{6};
 
 class cell_troubles
 {
