--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -72,6 +72,11 @@
   m_state.placing_ended = true;
 }
 
+void job_scheduler::doubt_stated_ends()
+{
+  m_state.stated_ends_doubted = true;
+}
+
 void job_scheduler::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
   m_holder.restore_claim(id, claim, now);
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -42,10 +42,11 @@
   // Whether anything may be started or a lease extended: not before the first renewal is written,
   // since a successor takes an owner that never renewed for one that never gave orders.
   bool orders_begun = true;
-  bool placing_ended = false; // the partition is being given back
-  time_point confirmed{};     // when the latest renewal was asked for
-  time_point earlier_end{};   // of what earlier owners ordered on workers not heard since
-  bool fenced = false;        // a worker obeys a later owner
+  bool stated_ends_doubted = false; // those that the claims of earlier owners say
+  bool placing_ended = false;       // the partition is being given back
+  time_point confirmed{};           // when the latest renewal was asked for
+  time_point earlier_end{};         // of what earlier owners ordered on workers not heard since
+  bool fenced = false;              // a worker obeys a later owner
   bool place_again = true;
   // Orders in a row that no worker of the zone has answered.
   struct zone_silence
--- a/Source/UnitTests/Scheduling/StatedEndTest.cpp
+++ b/Source/UnitTests/Scheduling/StatedEndTest.cpp
@@ -242,4 +242,20 @@
   BOOST_TEST(!next_claim("w9").has_value());
 }
 
+// While instances are updated one after the other an owner of an earlier version may come in
+// between: it extends leases and leaves an end that was stated before as it is.
+BOOST_FIXTURE_TEST_CASE(an_end_is_not_believed_if_the_last_owner_knew_of_none, later_owner)
+{
+  scheduler->doubt_stated_ends();
+  take_over(listed_until(now + seconds{1}));
+  BOOST_TEST(!starts_after(seconds{2}));
+  miss_hold("w9");
+  pass(options.close_claim);
+  step();
+  const auto claim = next_claim("w9");
+  BOOST_TEST_REQUIRE(claim.has_value());
+  BOOST_TEST_REQUIRE(claim->over.has_value());
+  BOOST_TEST((*claim->over > now + seconds{8}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
