Scheduling, Node: Stated ends are not believed after an owner of an earlier version

Cause: an owner of a version without stated ends neither takes them back nor keeps from extending leases. Class: what one version keeps true, another does not know of.

Change: owners of this version say in their row when earlier orders are over; where the row of the owner that is replaced lacks that, the ends in claims are not believed, no lease is extended on those workers and nothing started there until another claim is written. Left: the owner after that one, if it comes within 0.7 s, believes them.

--- a/Source/Core/Node/EarlierOrders.cpp
+++ b/Source/Core/Node/EarlierOrders.cpp
@@ -27,6 +27,7 @@
   m_before.emplace(watch);
   m_instance = watch.seen().version == 0 ? std::string() : watch.instance();
   m_epoch = epoch;
+  m_told = watch.seen().row.earlier_orders_end.has_value();
   m_last_asked = {};
   count_again();
 }
--- a/Source/Core/Node/EarlierOrders.h
+++ b/Source/Core/Node/EarlierOrders.h
@@ -32,6 +32,9 @@
   void count_again();
   // None of their orders is given later; the beginning of time if there were no owners.
   common::time_point end() const { return m_end; }
+  // Whether the owner that was taken over from said when those before it were over, as owners of
+  // this version do.
+  bool told() const { return m_told; }
   // Asks the earlier owner's instance, while that may help. Called often, as long as this is the
   // owner.
   void tick();
@@ -45,6 +48,7 @@
   std::optional<owner_watch> m_before; // as it was when the takeover began
   std::string m_instance;              // to be asked; empty: nobody
   std::uint64_t m_epoch = 0;
+  bool m_told = false;
   common::time_point m_end{};
   common::time_point m_end_of_others{}; // of the owners before the latest
   common::time_point m_last_asked{};
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -196,6 +196,8 @@
   m_scheduler->set_earlier_end(earlier_leases_end());
   tell_time(now);
   queues_changed();
+  if (!m_earlier.told())
+    m_scheduler->doubt_stated_ends();
   for (const auto& [id, claim] : loaded.claims)
     m_scheduler->restore_claim(id, claim, now);
   for (const auto& [id, info] : m_parts.worker_entries)
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -183,6 +183,8 @@
   if (worker.claim_sent)
     return false;
   const bool silent = worker.silent_for(m_state.options.close_claim, now);
+  if (worker.claim_doubted)
+    return worker.claimed || silent;
   const bool end_kept = worker.claim && worker.claim->over;
   if (!worker.claimed)
     return silent && (!end_kept || worker.lease_end < *worker.claim->over);
@@ -280,6 +282,7 @@
       // Its leases may be extended again, and have not been meanwhile.
       worker->ask_at_once |= worker->end_stated() && !claim.over;
       worker->claim = claim;
+      worker->claim_doubted = false;
       worker->claim_sent.reset();
     }
   }
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -62,8 +62,8 @@
   // From now on nothing is started; leases are still extended, ends still taken in.
   void end_placing();
 
-  // The latest owner was of a version that states no ends in claims, nor takes them back: those that
-  // stand there are not believed, and replaced. Told before any claim is restored.
+  // The latest owner was of a version that states no ends in claims, nor takes them back: those
+  // that stand there are not believed, and replaced. Told before any claim is restored.
   void doubt_stated_ends();
   // A worker that an earlier owner had claimed.
   void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -36,7 +36,10 @@
   worker.info.address = claim.address;
   worker.listed = false;
   worker.claim = claim;
-  if (claim.over)
+  worker.claim_doubted = claim.over && m_state.stated_ends_doubted;
+  if (worker.claim_doubted)
+    worker.claim->over.reset();
+  else if (claim.over)
     worker.lease_end = std::min(worker.lease_end, *claim.over);
   if (claim.closed)
     m_listed[id] = claim.tasks;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -65,7 +65,8 @@
   // nothing is added to it.
   std::optional<worker_claim> claim;
   std::optional<worker_claim> claim_sent;
-  bool suspect = false; // its last answer did not come
+  bool claim_doubted = false; // it states an end that is not believed, until another one is written
+  bool suspect = false;       // its last answer did not come
   time_point silent_since{};
   // The worker's clock less ours, from its latest answer.
   std::optional<std::chrono::milliseconds> clock_ahead;
@@ -98,9 +99,15 @@
   // runs there can be told. And whether runs may be started there.
   bool wants_closed_claim(duration patience, time_point now) const;
   bool silent_for(duration patience, time_point now) const;
-  bool claim_open() const { return claim && !claim->closed && !claim->over && !claim_sent; }
+  bool claim_open() const
+  {
+    return claim && !claim->closed && !claim->over && !claim_sent && !claim_doubted;
+  }
   // Whether later owners may read when all that runs there is over: no lease may be extended.
-  bool end_stated() const { return (claim && claim->over) || (claim_sent && claim_sent->over); }
+  bool end_stated() const
+  {
+    return claim_doubted || (claim && claim->over) || (claim_sent && claim_sent->over);
+  }
   common::resources free() const { return info.capacity - used; }
   std::uint32_t tasks_of(const job_record& job, std::uint32_t cycle, std::uint32_t step) const;
   bool has_label(const std::string& label) const;
--- a/Source/UnitTests/Scheduling/StatedEndTest.cpp
+++ b/Source/UnitTests/Scheduling/StatedEndTest.cpp
@@ -258,4 +258,20 @@
   BOOST_TEST((*claim->over > now + seconds{8}));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_end_that_is_not_believed_is_taken_back_before_a_lease_is_extended,
+                        later_owner)
+{
+  scheduler->doubt_stated_ends();
+  take_over(listed_until(now + seconds{1}));
+  scheduler->worker_entry(worker("w9"), now);
+  clear();
+  answer_hold("w9", {});
+  step();
+  for (const hold_command& each : holds)
+    BOOST_TEST((each.worker != worker_id("w9") || !each.lease_end.has_value()));
+  const auto claim = next_claim("w9");
+  BOOST_TEST_REQUIRE(claim.has_value());
+  BOOST_TEST(!claim->over.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
