Http, Node: A call given up tells how much of its answer had come

Cause: the logs of the incident could not tell an answer that was still coming when its call's time ended (hypothesis 1) from a store that said nothing (2) or a row that was not taken (3). Change: the failure of a call names the bytes that had come and those that were announced; feed_lost says how long after the question. Conclusion: sight only, no change of logic.

--- a/Source/Core/Http/HttpClient.cpp
+++ b/Source/Core/Http/HttpClient.cpp
@@ -207,7 +207,8 @@
         {
           if (failed)
           {
-            self->finish(key, link, {0, {}, "receive: " + failed.message(), false}, false);
+            self->finish(key, link, {0, {}, "receive: " + failed.message() + came_of(*link), false},
+                         false);
             return;
           }
           auto& message = link->incoming->get();
@@ -219,6 +220,18 @@
         });
   }
 
+  // How much of an answer came before its call ended; nothing if none of its body did. Tells a peer
+  // that is silent from a link that is too narrow for the time given.
+  static std::string came_of(const connection& link)
+  {
+    const std::size_t came = link.incoming->get().body().size();
+    if (came == 0)
+      return {};
+    const auto whole = link.incoming->content_length();
+    return " after " + std::to_string(came) + " of " +
+           (whole ? std::to_string(*whole) : std::string("an unknown number of")) + " bytes";
+  }
+
   void finish(const peer_key& key, const std::shared_ptr<connection>& link, reply answer, bool keep)
   {
     reply_handler done = std::move(link->done);
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -100,6 +100,7 @@
   std::function<void(adapter::rows_result)> call(step which, answer_handler handle)
   {
     m_step = which;
+    m_asked_at = m_time.now();
     ++m_call;
     return [self = shared_from_this(), handle, number = m_call](const adapter::rows_result& result)
     {
@@ -198,9 +199,10 @@
     if (!m_healthy_since)
       return;
     m_healthy_since.reset();
-    common::log_process(
-        "feed_lost",
-        {{"table", m_table}, {"end", adapter::to_text(result.end)}, {"detail", result.detail}});
+    common::log_process("feed_lost", {{"table", m_table},
+                                      {"end", adapter::to_text(result.end)},
+                                      {"detail", result.detail},
+                                      {"after_ms", m_time.now() - m_asked_at}});
   }
 
   void retry()
@@ -223,6 +225,7 @@
   std::uint64_t m_call = 0;
   std::chrono::milliseconds m_retry = k_retry_first;
   std::optional<common::time_point> m_healthy_since;
+  common::time_point m_asked_at{}; // the latest call
   common::time_point m_heard_at{};
   bool m_behind = false; // may have missed a change
   bool m_loaded = false;
