Model: What a frozen process has scheduled can still be cancelled

Cause: an event that fell into a freeze was scheduled anew under a number that nobody knew, so cancelling it did nothing. Ruled out: the product's timers, which forget a cancelled entry (AsioTimekeeper). Change: a process numbers what it schedules itself and keeps the present number in virtual time. Conclusion: a fault of the model alone.

--- a/Source/Core/Model/VirtualTime.cpp
+++ b/Source/Core/Model/VirtualTime.cpp
@@ -46,18 +46,39 @@
 
 common::timekeeper::entry process_time::schedule(duration delay, std::function<void()> what)
 {
-  return m_time.schedule(delay, reaching(std::move(what)));
+  const entry number = ++m_state->last;
+  m_state->scheduled[number] =
+      m_time.schedule(delay, [&time = m_time, process = m_state, number, what = std::move(what)]
+                      { fire(time, process, number, what); });
+  return number;
 }
 
-std::function<void(std::function<void()>)> process_time::gate() const
+void process_time::cancel(entry which)
 {
-  return [&time = m_time, process = m_state](const std::function<void()>& what)
-  { arrive(time, process, what); };
+  const auto found = m_state->scheduled.extract(which);
+  if (!found.empty())
+    m_time.cancel(found.mapped());
+}
+
+void process_time::fire(virtual_time& time, const std::shared_ptr<state>& process, entry which,
+                        const std::function<void()>& what)
+{
+  if (!process->alive)
+    return;
+  if (time.now() >= process->frozen_until)
+  {
+    process->scheduled.erase(which);
+    what();
+    return;
+  }
+  process->scheduled[which] =
+      time.schedule(process->frozen_until - time.now(),
+                    [&time, process, which, what] { fire(time, process, which, what); });
 }
 
-std::function<void()> process_time::reaching(std::function<void()> what) const
+std::function<void(std::function<void()>)> process_time::gate() const
 {
-  return [&time = m_time, process = m_state, what = std::move(what)]
+  return [&time = m_time, process = m_state](const std::function<void()>& what)
   { arrive(time, process, what); };
 }
 
--- a/Source/Core/Model/VirtualTime.h
+++ b/Source/Core/Model/VirtualTime.h
@@ -46,7 +46,7 @@
   time_point now() const override { return m_time.now(); }
   common::wall_clock_time wall() const override { return m_time.wall() + m_wall_ahead; }
   entry schedule(duration delay, std::function<void()> what) override;
-  void cancel(entry which) override { m_time.cancel(which); }
+  void cancel(entry which) override;
 
   // Its time of day is ahead of the others' from now on, or behind.
   void step_wall(std::chrono::milliseconds ahead) { m_wall_ahead = ahead; }
@@ -64,9 +64,14 @@
   {
     bool alive = true;
     time_point frozen_until{};
+    entry last = 0;
+    // What is scheduled, by its number here and there: it gets another one there for each freeze
+    // that it falls into, and can be cancelled all the same.
+    std::map<entry, entry> scheduled;
   };
 
-  std::function<void()> reaching(std::function<void()> what) const;
+  static void fire(virtual_time& time, const std::shared_ptr<state>& process, entry which,
+                   const std::function<void()>& what);
   static void arrive(virtual_time& time, const std::shared_ptr<state>& process,
                      const std::function<void()>& what);
 
