Http, Node, platform: A long answer lasts as long as it comes; a late configuration refuses

Cause: a call to the store had a fixed time for its whole answer. A row that takes the link longer (1.07 MB at 10 Mbit/s: 0.86 s of the 0.43 that were left, of 0.40 for each retry) was thrown away and asked for anew until the store had dropped its history, 20 s later. Class: a bound on the time of an answer whose length depends on what it carries, so that giving up loses all progress and makes the same work again. Second cause: nothing kept an instance whose configuration may be out of force from serving by it. Ruled out: a store that tells late (the change was on its way), rows not taken (none came whole); a longer fixed time (the next size breaks it again). Change: reads and feeds have a time until their answer begins, and then last while bytes come, with no pause over 2.5 s; a feed of which only the newest state counts gives up a history longer than the table and reads the table; known_until counts from an answer's beginning; configuration_watch refuses (503, submissions 504) and is not ready once a change has been coming, or has been known to a peer, for the limit less 0.5 s, or the store has not been heard for 3 s while somebody reaches it; way reports name the newest version; one that a peer knows is read through a peer.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -137,6 +137,8 @@
 struct way_report
 {
   bool has_way = false; // the sender's direct calls to the store are answered
+  // The operator's newest, which is in force at the sender; 0: it does not know whether one is.
+  std::uint64_t newest_config = 0;
 };
 
 // Sent once a link is up: an owner's work wants an instance that can bear it.
--- a/Source/Core/Http/HttpClient.cpp
+++ b/Source/Core/Http/HttpClient.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -65,6 +66,7 @@
   // Of the call under way.
   bhttp::request<bhttp::string_body> outgoing;
   std::unique_ptr<bhttp::response_parser<bhttp::string_body>> incoming;
+  std::optional<long_answer> expects;
   reply_handler done;
 };
 
@@ -119,6 +121,7 @@
     if (!connected)
       link = std::make_shared<connection>(m_io);
     link->done = std::move(call.done);
+    link->expects = std::move(call.call.expects);
     link->outgoing = {};
     link->outgoing.method(verb_of(call.call.verb));
     link->outgoing.target(call.call.target);
@@ -200,24 +203,52 @@
   void read(const peer_key& key, const std::shared_ptr<connection>& link)
   {
     link->incoming = std::make_unique<bhttp::response_parser<bhttp::string_body>>();
-    link->incoming->body_limit(m_options.most_body);
-    bhttp::async_read(
+    link->incoming->eager(true);
+    link->incoming->body_limit(link->expects && link->expects->most_bytes > 0
+                                   ? link->expects->most_bytes
+                                   : m_options.most_body);
+    read_some(key, link);
+  }
+
+  void read_some(const peer_key& key, const std::shared_ptr<connection>& link)
+  {
+    bhttp::async_read_some(
         link->stream, link->buffer, *link->incoming,
         [self = shared_from_this(), key, link](const error_code& failed, std::size_t)
-        {
-          if (failed)
-          {
-            self->finish(key, link, {0, {}, "receive: " + failed.message() + came_of(*link), false},
-                         false);
-            return;
-          }
-          auto& message = link->incoming->get();
-          const bool keep = message.keep_alive();
-          reply answer;
-          answer.status = message.result_int();
-          answer.body = std::move(message.body());
-          self->finish(key, link, std::move(answer), keep);
-        });
+        { self->on_read(key, link, failed); });
+  }
+
+  void on_read(const peer_key& key, const std::shared_ptr<connection>& link,
+               const error_code& failed)
+  {
+    if (failed == bhttp::error::body_limit && link->expects)
+    {
+      reply answer;
+      answer.status = link->incoming->get().result_int();
+      answer.too_long = true;
+      finish(key, link, std::move(answer), false);
+      return;
+    }
+    if (failed)
+    {
+      finish(key, link, {0, {}, "receive: " + failed.message() + came_of(*link), false}, false);
+      return;
+    }
+    if (link->expects && link->expects->coming)
+      link->expects->coming();
+    if (!link->incoming->is_done())
+    {
+      if (link->expects)
+        link->stream.expires_after(link->expects->longest_pause);
+      read_some(key, link);
+      return;
+    }
+    auto& message = link->incoming->get();
+    const bool keep = message.keep_alive();
+    reply answer;
+    answer.status = message.result_int();
+    answer.body = std::move(message.body());
+    finish(key, link, std::move(answer), keep);
   }
 
   // How much of an answer came before its call ended; nothing if none of its body did. Tells a peer
--- a/Source/Core/Http/HttpClient.h
+++ b/Source/Core/Http/HttpClient.h
@@ -35,8 +35,8 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
-  // `timeout` covers waiting in line, connecting and the answer. `done` is called exactly once,
-  // from the event loop.
+  // `timeout` covers waiting in line, connecting and the answer; of a call that expects a long one,
+  // its beginning. `done` is called exactly once, from the event loop.
   void send(const common::endpoint& peer, request call, common::duration timeout,
             reply_handler done) override;
   // Closes the idle connections to a peer that is gone.
--- a/Source/Core/Http/HttpMessage.h
+++ b/Source/Core/Http/HttpMessage.h
@@ -5,11 +5,15 @@
 
 // HTTP/1.1 messages as the rest of the code sees them, free of the library that carries them.
 
+#include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "Common/Time.h"
+
 namespace yardhill::http
 {
 enum class method
@@ -23,20 +27,35 @@
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
+// How to wait for an answer whose length is not known beforehand.
+//
+// A bound on the time of the whole answer is wrong where a link is the bottleneck: an answer that
+// needs longer is thrown away with all that has come of it, asked for anew and given up again,
+// without end. So the call's time-out holds until the answer begins, and from then on the call
+// lasts for as long as bytes keep coming.
+struct long_answer
+{
+  common::duration longest_pause{}; // between bytes
+  std::size_t most_bytes = 0;       // of the body; 0: as the client is set
+  std::function<void()> coming;     // called each time that bytes have come; may be empty
+};
+
 struct request
 {
   method verb = method::get;
   std::string target; // path and query
   std::string body;
   header_list headers;
+  std::optional<long_answer> expects = std::nullopt; // none: the time-out covers the whole answer
 };
 
 struct reply
 {
   unsigned status = 0; // 0: no whole answer came
   std::string body;
-  std::string failure;  // why no answer came
-  bool refused = false; // no connection could be made, so the peer knows nothing of the call
+  std::string failure;   // why no answer came
+  bool refused = false;  // no connection could be made, so the peer knows nothing of the call
+  bool too_long = false; // answered with more bytes than were expected; the body is empty
 
   bool answered() const { return status != 0; }
   bool ok() const { return status >= 200 && status < 300; }
--- a/Source/Core/Model/VirtualNetwork.cpp
+++ b/Source/Core/Model/VirtualNetwork.cpp
@@ -12,8 +12,8 @@
 {
 // Of a call or an answer: headers, and those of its packets.
 constexpr std::size_t k_head_bytes = 200;
-// So much of an answer is under way at a time; then others have their turn.
-constexpr std::size_t k_window_bytes = 8192;
+// So much of an answer goes over a narrow link at a time; then others have their turn.
+constexpr std::size_t k_packet_bytes = 1400;
 } // namespace
 
 virtual_network::virtual_network(virtual_time& time, std::uint64_t seed)
@@ -38,21 +38,50 @@
   return busy - m_time.now();
 }
 
-void virtual_network::carry(const std::string& instance, std::size_t bytes, duration way,
-                            std::function<bool()> broken, std::function<void()> arrived)
+void virtual_network::exchange::end(http::reply with)
 {
-  if (broken())
+  if (const http::reply_handler handler = std::exchange(done, nullptr))
+    handler(std::move(with));
+}
+
+void virtual_network::end_unanswered(const std::shared_ptr<exchange>& what, duration left,
+                                     bool unreachable)
+{
+  m_time.schedule(left,
+                  [this, what, unreachable]
+                  {
+                    if (what->expects && what->latest_bytes)
+                    {
+                      const duration pause = m_time.now() - *what->latest_bytes;
+                      if (pause < what->expects->longest_pause)
+                      {
+                        end_unanswered(what, what->expects->longest_pause - pause, unreachable);
+                        return;
+                      }
+                    }
+                    what->end({0, {}, "no answer in time", unreachable});
+                  });
+}
+
+void virtual_network::carry(const std::string& instance, const std::shared_ptr<exchange>& what,
+                            std::size_t bytes, duration way, const std::function<bool()>& broken)
+{
+  // Whoever gives a call up closes its connection, and no more of the answer is sent.
+  if (broken() || !what->done)
     return;
-  const bool narrow = troubles.links.contains(instance);
-  const std::size_t now = narrow ? std::min(bytes, k_window_bytes) : bytes;
-  const std::size_t rest = bytes - now;
-  m_time.schedule(way + transfer(instance, now),
-                  [this, instance, rest, broken = std::move(broken), arrived = std::move(arrived)]
+  const std::size_t packet =
+      troubles.links.contains(instance) ? std::min(bytes, k_packet_bytes) : bytes;
+  const std::size_t rest = bytes - packet;
+  m_time.schedule(way + transfer(instance, packet),
+                  [this, instance, what, rest, broken]
                   {
+                    what->latest_bytes = m_time.now();
+                    if (what->done && what->expects && what->expects->coming)
+                      what->expects->coming();
                     if (rest == 0)
-                      arrived();
+                      what->end(std::move(what->reply));
                     else
-                      carry(instance, rest, duration{0}, broken, arrived);
+                      carry(instance, what, rest, duration{0}, broken);
                   });
 }
 
@@ -84,18 +113,11 @@
     return;
   }
   const served& target = found->second;
-  const auto under_way = std::make_shared<exchange>(exchange{std::move(done)});
-  // Called back once: by the answer or by the time-out, whichever comes first.
-  const auto answer = [under_way](http::reply reply)
-  {
-    if (const http::reply_handler handler = std::exchange(under_way->done, nullptr))
-      handler(std::move(reply));
-  };
+  const auto under_way = std::make_shared<exchange>();
+  under_way->done = std::move(done);
+  under_way->expects = call.expects;
   const bool unreachable = cut(from, target.name);
-  m_time.schedule(timeout,
-                  [answer, unreachable] {
-                    answer({0, {}, "no answer in time", unreachable});
-                  });
+  end_unanswered(under_way, timeout, unreachable);
   if (unreachable)
     return;
   const bool to_store = target.name == "store";
@@ -104,30 +126,36 @@
   const duration way =
       late ? duration(std::chrono::milliseconds(2000 + m_random() % 10000))
            : delay() + transfer(from, call.target.size() + call.body.size() + k_head_bytes);
-  const auto send_back =
-      [this, from, answer, under_way, lost](const std::string& name, http::reply reply)
-  {
-    // Whoever gives a call up closes its connection, and no more of the answer is sent.
-    const auto broken = [this, from, name, under_way, lost]
-    { return lost || cut(from, name) || !under_way->done; };
-    if (broken())
-      return;
-    const std::size_t bytes = reply.body.size() + k_head_bytes;
-    carry(from, bytes, delay(), broken, [answer, reply = std::move(reply)] { answer(reply); });
-  };
   m_time.schedule(way,
-                  [this, from, to, call, send_back]
+                  [this, from, to, call, lost, under_way]
                   {
                     // Whoever is there by then.
                     const served& there = m_servers[{to.address, to.port}];
                     if (!there.answer)
                       return;
                     there.answer(from, call,
-                                 [send_back, name = there.name](http::reply reply)
-                                 { send_back(name, std::move(reply)); });
+                                 [this, from, name = there.name, lost, under_way](http::reply reply)
+                                 {
+                                   if (!lost && !cut(from, name))
+                                     send_back(from, name, under_way, std::move(reply));
+                                 });
                   });
 }
 
+void virtual_network::send_back(const std::string& from, const std::string& answerer,
+                                const std::shared_ptr<exchange>& what, http::reply reply)
+{
+  const std::size_t most = what->expects ? what->expects->most_bytes : 0;
+  if (most > 0 && reply.body.size() > most)
+  {
+    reply.body.clear();
+    reply.too_long = true;
+  }
+  const std::size_t bytes = reply.body.size() + k_head_bytes;
+  what->reply = std::move(reply);
+  carry(from, what, bytes, delay(), [this, from, answerer] { return cut(from, answerer); });
+}
+
 void virtual_network::message(const std::string& from, const std::string& to,
                               std::function<void()> deliver)
 {
@@ -138,6 +166,9 @@
 void network_sender::send(const common::endpoint& peer, http::request call, duration timeout,
                           http::reply_handler done)
 {
+  if (call.expects && call.expects->coming)
+    call.expects->coming = [gate = m_process.gate(), coming = std::move(call.expects->coming)]
+    { gate(coming); };
   // A dead process hears no answers; a frozen one hears them when it wakes.
   const auto answer = [gate = m_process.gate(), done = std::move(done)](http::reply reply)
   { gate([done, reply = std::move(reply)] { done(reply); }); };
--- a/Source/Core/Model/VirtualNetwork.h
+++ b/Source/Core/Model/VirtualNetwork.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -58,17 +60,25 @@
   struct exchange
   {
     http::reply_handler done; // empty once it has been called
+    std::optional<http::long_answer> expects;
+    http::reply reply;                      // on its way, once there is one
+    std::optional<time_point> latest_bytes; // of the reply
+
+    void end(http::reply with);
   };
 
   duration delay();
   bool happens(double share);
   // How long so many bytes take over the instance's link, behind what waits there already.
   duration transfer(const std::string& instance, std::size_t bytes);
-  // Carries `bytes` over the instance's link, window by window, so that others come between.
-  // `arrived` is called after the last one, unless `broken` says before one of them that no more
-  // will come.
-  void carry(const std::string& instance, std::size_t bytes, duration way,
-             std::function<bool()> broken, std::function<void()> arrived);
+  void send_back(const std::string& from, const std::string& answerer,
+                 const std::shared_ptr<exchange>& what, http::reply reply);
+  // Ends the call after `left` without an answer, or without more of the one that is coming.
+  void end_unanswered(const std::shared_ptr<exchange>& what, duration left, bool unreachable);
+  // Carries an answer over the instance's link, packet by packet, so that others come between,
+  // until the call is given up or `broken` says that no more will come.
+  void carry(const std::string& instance, const std::shared_ptr<exchange>& what, std::size_t bytes,
+             duration way, const std::function<bool()>& broken);
 
   virtual_time& m_time;
   std::mt19937_64 m_random;
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -48,6 +48,7 @@
 
 caller_gateway::caller_gateway(common::timekeeper& time, job_store& store, state_desk& states,
                                const store_path& path, const jobs::queue_table& queues,
+                               const configuration_watch& configuration,
                                const seen_capacities& capacities,
                                const std::vector<std::unique_ptr<partition_owner>>& partitions,
                                common::metrics& counts)
@@ -56,6 +57,7 @@
       m_states(states),
       m_path(path),
       m_queues(queues),
+      m_configuration(configuration),
       m_capacities(capacities),
       m_partitions(partitions),
       m_metrics(counts),
@@ -92,9 +94,12 @@
 {
   if (m_queues.version == 0)
   {
-    // Another instance may have kept the job that is handed in here again.
-    const unsigned status = request.verb == http::method::post ? 504 : 503;
-    refuse(*what, {status, refusal_reason::config_invalid, "no configuration has arrived yet"});
+    refuse_unconfigured(*what, request.verb, "no configuration has arrived yet");
+    return;
+  }
+  if (m_configuration.late())
+  {
+    refuse_unconfigured(*what, request.verb, "a newer configuration may be due here");
     return;
   }
   const std::string path = request.target.substr(0, request.target.find('?'));
@@ -120,6 +125,14 @@
     refuse(*what, {405, refusal_reason::malformed_request, "no such method"});
 }
 
+void caller_gateway::refuse_unconfigured(const call& what, http::method verb,
+                                         const std::string& why)
+{
+  // Another instance may have kept the job that is handed in here again.
+  const unsigned status = verb == http::method::post ? 504 : 503;
+  refuse(what, {status, refusal_reason::config_invalid, why});
+}
+
 void caller_gateway::refuse(const call& what, const refusal& how)
 {
   m_metrics.add(how.why);
@@ -140,8 +153,8 @@
     answer.headers.emplace_back("Retry-After",
                                 std::to_string(come_back_after(priority, what.id).count()));
   }
-  // The caller's next try then opens a connection, which the platform takes to another zone.
-  answer.close = m_path.isolated();
+  // The caller's next try then opens a connection, which the platform takes elsewhere.
+  answer.close = m_path.isolated() || m_configuration.late();
   what.respond(std::move(answer));
 }
 
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -15,6 +15,7 @@
 
 #include "Http/HttpListener.h"
 #include "Jobs/QueueTable.h"
+#include "Node/ConfigurationWatch.h"
 #include "Node/EarlyCalls.h"
 #include "Node/JobStore.h"
 #include "Node/PartitionOwner.h"
@@ -28,7 +29,7 @@
 public:
   caller_gateway(common::timekeeper& time, job_store& store, state_desk& states,
                  const store_path& path, const jobs::queue_table& queues,
-                 const seen_capacities& capacities,
+                 const configuration_watch& configuration, const seen_capacities& capacities,
                  const std::vector<std::unique_ptr<partition_owner>>& partitions,
                  common::metrics& counts);
 
@@ -63,6 +64,8 @@
   std::chrono::milliseconds patience_of(const http::incoming_request& request) const;
   // To what the request's verb and path say.
   void dispatch(const std::shared_ptr<call>& what, const http::incoming_request& request);
+  // Without a configuration that is certain to be in force nothing true can be said.
+  void refuse_unconfigured(const call& what, http::method verb, const std::string& why);
   void submit(const std::shared_ptr<call>& what);
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
@@ -88,6 +91,7 @@
   state_desk& m_states;
   const store_path& m_path;
   const jobs::queue_table& m_queues;
+  const configuration_watch& m_configuration;
   const seen_capacities& m_capacities;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   common::metrics& m_metrics;
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -24,6 +24,8 @@
 // Of three calls for renewals this leaves two. Counts in an owner's row are told while they are
 // under 1.8 s old; they are 1.25 s old at most by this and the renewals' period.
 constexpr std::chrono::milliseconds k_gather_owners{750};
+// A configuration that comes through a peer is asked for this often, and has so long to come.
+constexpr std::chrono::milliseconds k_fetch_period{1500};
 // Rows of ended jobs stay this many times as long as callers may ask for them.
 constexpr int k_keep_factor = 2;
 // Of a text from the store, so much is told in the log.
@@ -48,23 +50,30 @@
       m_advice_client(world.workers, settings.advice.value_or(common::endpoint{})),
       m_advice_desk(world.time, m_advice_client),
       m_advice(world.time, m_advice_desk, world.send_to_peer),
-      m_jobs(world.time, m_store, m_feed_store),
-      m_states(world.time, world.send_to_peer, m_partitions),
-      m_gateway(world.time, m_jobs, m_states, m_store_path, m_queues, m_capacities, m_partitions,
-                world.metrics),
       m_operator_feed(world.time, m_feed_store, adapter::wire::k_operator_table, {""},
                       {[this](const auto& rows) { on_operator_rows(rows); },
                        [this](const auto& rows) { on_operator_rows(rows); },
-                       {}}),
+                       {},
+                       common::duration{0},
+                       true}),
+      m_configuration(world.time, m_operator_feed, m_store_path, m_peers, m_queues,
+                      settings.configuration_limit),
+      m_jobs(world.time, m_store, m_feed_store),
+      m_states(world.time, world.send_to_peer, m_partitions),
+      m_gateway(world.time, m_jobs, m_states, m_store_path, m_queues, m_configuration, m_capacities,
+                m_partitions, world.metrics),
       m_worker_feed(world.time, m_feed_store, adapter::wire::k_workers_table, {""},
                     {[this](const auto& rows) { on_worker_rows(rows, true); },
                      [this](const auto& rows) { on_worker_rows(rows, false); },
                      {},
-                     k_gather_workers}),
+                     k_gather_workers,
+                     true}),
       m_owner_feed(world.time, m_feed_store, k_owners_table, {k_whole_cell},
                    {[this](const auto& rows) { on_owner_rows(rows); },
                     [this](const auto& rows) { on_owner_rows(rows); },
-                    {}})
+                    {},
+                    common::duration{0},
+                    true})
 {
   const node_parts parts{world.time,
                          m_store,
@@ -105,6 +114,7 @@
     each->tick(now, healthy);
   follow_workers();
   pace_owner_feed();
+  fetch_configuration();
   m_world.metrics.set(common::gauge::partitions_owned, owns_any() ? 1 : 0);
   m_advice.tick(now);
   m_store_path.tick(now);
@@ -154,7 +164,7 @@
 
 bool node_core::ready() const
 {
-  if (m_stopping || m_queues.version == 0 || m_store_path.isolated())
+  if (m_stopping || m_queues.version == 0 || m_store_path.isolated() || m_configuration.late())
     return false;
   // While the store is away for all, other instances serve callers no better.
   return m_operator_feed.healthy_since().has_value() || !m_peers.way_through();
@@ -194,9 +204,9 @@
 {
   m_peers.heard(peer);
   if (const auto* question = std::get_if<common::way_question>(&message))
-    m_peers.on_question(peer, *question, !m_store_path.in_doubt());
+    m_peers.on_question(peer, *question, {!m_store_path.in_doubt(), m_configuration.newest()});
   else if (const auto* report = std::get_if<common::way_report>(&message))
-    m_peers.on_report(peer, *report);
+    on_way_report(peer, *report);
   else if (const auto* strength = std::get_if<common::strength_report>(&message))
     m_peers.on_strength(peer, *strength);
   else if (const auto* request = std::get_if<common::advice_request>(&message))
@@ -228,6 +238,12 @@
   }
 }
 
+void node_core::on_way_report(const std::string& peer, const common::way_report& report)
+{
+  m_peers.on_report(peer, report);
+  m_configuration.peer_told(report.newest_config);
+}
+
 void node_core::begin_stop(std::optional<common::duration> left)
 {
   m_stopping = true;
@@ -258,6 +274,18 @@
   }
 }
 
+void node_core::fetch_configuration()
+{
+  const common::time_point now = m_world.time.now();
+  if (!m_configuration.newer_elsewhere() || m_operator_feed.healthy_since() ||
+      now - m_configuration_fetched < k_fetch_period)
+    return;
+  m_configuration_fetched = now;
+  m_store.read({adapter::wire::k_operator_table, "", adapter::wire::k_config_key, {}, 1},
+               k_fetch_period,
+               [this](const adapter::rows_result& result) { on_operator_rows(result.rows); });
+}
+
 void node_core::take_configuration(const adapter::row& row)
 {
   auto table = adapter::queue_table_from(row.value);
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -16,6 +16,7 @@
 
 #include "Http/RequestSender.h"
 #include "Node/CallerGateway.h"
+#include "Node/ConfigurationWatch.h"
 #include "Node/NodeSettings.h"
 #include "Node/PartitionOwner.h"
 #include "platform/AdviceClient.h"
@@ -66,8 +67,12 @@
 private:
   void peer_reachable(const std::string& peer);
   void peer_unreachable(const std::string& peer);
+  void on_way_report(const std::string& peer, const common::way_report& report);
   void on_operator_rows(const std::vector<adapter::row>& rows);
   void take_configuration(const adapter::row& row);
+  // A peer knows a newer one, and the direct way to the store does not bring it: it is read through
+  // a peer.
+  void fetch_configuration();
   void on_worker_rows(const std::vector<adapter::row>& rows, bool all);
   void on_owner_rows(const std::vector<adapter::row>& rows);
   void on_worker_row(const adapter::row& row);
@@ -96,6 +101,8 @@
   advice_desk m_advice_desk;
   advice_pool m_advice;
   jobs::queue_table m_queues;
+  table_feed m_operator_feed;
+  configuration_watch m_configuration;
   std::map<std::string, scheduling::worker_info> m_worker_entries;
   std::set<std::string> m_doubted_workers; // those whose present entry is not valid
   seen_capacities m_capacities;
@@ -103,10 +110,10 @@
   job_store m_jobs;
   state_desk m_states;
   caller_gateway m_gateway;
-  table_feed m_operator_feed;
   table_feed m_worker_feed;
   table_feed m_owner_feed;
-  common::time_point m_feeds_asked{}; // again, after a silence of the store
+  common::time_point m_feeds_asked{};           // again, after a silence of the store
+  common::time_point m_configuration_fetched{}; // when it was last asked for through a peer
   bool m_follows_workers = false;
   bool m_stopping = false;
 };
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -57,6 +57,8 @@
   settings.lease_limit =
       time_field(fields, "lease_limit_ms", 3600000, std::chrono::milliseconds{1});
   settings.keep_status = time_field(fields, "keep_status_s", 864000, std::chrono::seconds{1});
+  settings.configuration_limit =
+      std::chrono::milliseconds(fields.integer("configuration_limit_ms", {1000, 3600000}, 3000));
   const double share = fields.number("processor_share", {0.001, k_most_cores}, 1.0);
   const double cores = fields.number("processor_cores", {0.001, k_most_cores}, 1.0);
   settings.processor_millis = static_cast<std::uint32_t>(share * cores * k_millis_of_a_core);
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -29,6 +29,7 @@
   common::duration stop_grace = std::chrono::seconds{6};
   common::duration lease_limit = std::chrono::seconds{10};
   common::duration keep_status = std::chrono::seconds{120};
+  common::duration configuration_limit = std::chrono::seconds{3}; // until it is in force
   std::uint32_t processor_millis = 1000; // that this instance may use, in thousandths of a core
 };
 
--- a/Source/Core/Node/PeerMonitor.cpp
+++ b/Source/Core/Node/PeerMonitor.cpp
@@ -75,12 +75,12 @@
 }
 
 void peer_monitor::on_question(const std::string& name, const common::way_question& question,
-                               bool has_way)
+                               const common::way_report& own)
 {
   const auto found = m_peers.find(name);
   if (found != m_peers.end())
     found->second.asks_often = question.often;
-  m_send(name, common::way_report{has_way});
+  m_send(name, own);
 }
 
 void peer_monitor::on_report(const std::string& name, const common::way_report& report)
--- a/Source/Core/Node/PeerMonitor.h
+++ b/Source/Core/Node/PeerMonitor.h
@@ -50,8 +50,9 @@
   void unlinked(const std::string& peer);
   // Any message of the peer shows that it lives.
   void heard(const std::string& peer);
-  // `has_way`: whether this instance's own calls to the store are answered.
-  void on_question(const std::string& peer, const common::way_question& question, bool has_way);
+  // `own`: what this instance says of itself.
+  void on_question(const std::string& peer, const common::way_question& question,
+                   const common::way_report& own);
   void on_report(const std::string& peer, const common::way_report& report);
   void on_strength(const std::string& peer, const common::strength_report& report);
   // The peer has just turned a relayed call away, or left it unanswered.
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -99,6 +99,14 @@
 void store_path::send_directly(http::request call, common::duration timeout,
                                http::reply_handler done)
 {
+  // Bytes of a long answer show as well as an answer does that the store is there.
+  if (call.expects)
+    call.expects->coming = [this, coming = std::move(call.expects->coming)]
+    {
+      m_last_heard = m_time.now();
+      if (coming)
+        coming();
+    };
   m_client.send(m_store, std::move(call), timeout,
                 [this, began = m_time.now(), done = std::move(done)](http::reply answer)
                 {
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -13,12 +13,19 @@
 namespace
 {
 // A feed waits this long for a change: a lost answer or a silent path to the store is noticed
-// within this time and the client's slack of 0.4 s, which is within the 3 s (the platform's
+// within this time and the slack of 0.4 s, which is within the 3 s (the platform's
 // contact_ms) after which a machine counts as in touch again. Shorter waits cost (1.9 s and 1 s:
 // 0.006 on both sites).
 constexpr std::chrono::milliseconds k_feed_wait{2500};
-// The longest that a call may then be without an answer, with the client's slack.
-constexpr std::chrono::milliseconds k_longest_wait{2900};
+// An answer may begin this much after it is due; a slow store takes 240 ms (sixty times its usual
+// 4). The slack doubles with each failure after the first: on a link that is full, answers wait
+// behind others for longer than any fixed slack.
+constexpr std::chrono::milliseconds k_first_slack{400};
+constexpr std::chrono::milliseconds k_most_slack{1600};
+// Bytes that came so lately show that more are under way.
+constexpr std::chrono::milliseconds k_still_coming{500};
+// The longest that a call may then be without an answer.
+constexpr std::chrono::milliseconds k_longest_wait = k_feed_wait + k_first_slack;
 // The first call of a feed that begins behind a version, and after a failure, asks what has changed
 // since and does not wait for more: until it is answered, nobody can say how old this knowledge is.
 constexpr std::chrono::milliseconds k_catch_up_wait{1};
@@ -26,6 +33,10 @@
 // Retries begin quickly, since most failures are one call's, and slow down: each call is priced.
 constexpr std::chrono::milliseconds k_retry_first{60};
 constexpr std::chrono::milliseconds k_retry_most{500};
+// Changes are taken for longer than the table where they have half as many bytes more; a row may
+// have grown, and answers have bytes of their own.
+constexpr std::size_t k_answer_bytes = 64U << 10U;
+constexpr std::size_t k_row_bytes = 200; // of its names
 } // namespace
 
 class table_feed::implementation : public std::enable_shared_from_this<implementation>
@@ -48,6 +59,7 @@
     m_part = 0;
     m_first_key.clear();
     m_since.reset();
+    m_state_bytes = 0;
     read_next();
   }
 
@@ -63,6 +75,9 @@
   {
     if (m_stopped || m_step == nullptr)
       return;
+    // An answer that is coming would only be asked for twice.
+    if (m_bytes_at && m_time.now() - *m_bytes_at < k_still_coming)
+      return;
     m_timer.cancel();
     (this->*m_step)();
   }
@@ -74,6 +89,7 @@
     m_timer.cancel();
     m_loaded = false;
     m_healthy_since.reset();
+    m_coming_since.reset();
   }
 
   void gather(common::duration time) { m_handlers.gather = time; }
@@ -87,8 +103,14 @@
   std::optional<common::time_point> healthy_since() const { return m_healthy_since; }
   common::time_point known_until() const
   {
+    if (const auto behind = behind_since())
+      return *behind;
     // A change would have been told, unless that very answer is lost.
-    return m_healthy_since ? std::min(m_time.now(), m_heard_at + k_longest_wait) : m_heard_at;
+    return std::min(m_time.now(), m_heard_at + k_longest_wait);
+  }
+  std::optional<common::time_point> behind_since() const
+  {
+    return m_healthy_since ? m_coming_since : m_heard_at;
   }
   bool loaded() const { return m_loaded; }
 
@@ -101,6 +123,7 @@
   {
     m_step = which;
     m_asked_at = m_time.now();
+    m_bytes_at.reset();
     ++m_call;
     return [self = shared_from_this(), handle, number = m_call](const adapter::rows_result& result)
     {
@@ -109,10 +132,24 @@
     };
   }
 
+  // Bytes of an answer have come; a late one, of a call that was given up, tells nothing.
+  std::function<void()> coming()
+  {
+    return [self = shared_from_this(), number = m_call + 1]
+    {
+      if (self->m_stopped || number != self->m_call)
+        return;
+      self->m_bytes_at = self->m_time.now();
+      if (!self->m_coming_since)
+        self->m_coming_since = self->m_bytes_at;
+    };
+  }
+
   void read_next()
   {
+    const std::function<void()> bytes_come = coming();
     m_store.read({m_table, m_parts[m_part], m_first_key, {}, 500}, k_read_timeout,
-                 call(&implementation::read_next, &implementation::on_page));
+                 call(&implementation::read_next, &implementation::on_page), bytes_come);
   }
 
   void on_page(const adapter::rows_result& result)
@@ -127,6 +164,7 @@
     if (!m_since)
       m_since = result.version;
     m_rows.insert(m_rows.end(), result.rows.begin(), result.rows.end());
+    m_state_bytes += bytes_of(result.rows);
     if (result.more && !result.rows.empty())
     {
       // The next key in byte order.
@@ -147,9 +185,23 @@
       wait_for_changes();
   }
 
+  // As the store sends them: in base64.
+  static std::size_t bytes_of(const std::vector<adapter::row>& rows)
+  {
+    std::size_t bytes = 0;
+    for (const adapter::row& row : rows)
+      bytes += (row.value.size() + 2) / 3 * 4 + k_row_bytes;
+    return bytes;
+  }
+
   void wait_for_changes()
   {
-    m_store.changes(m_table, *m_since, m_behind ? k_catch_up_wait : k_feed_wait,
+    adapter::expected_rows expected;
+    expected.slack = m_slack;
+    expected.coming = coming();
+    if (m_handlers.newest_only)
+      expected.most_bytes = m_state_bytes + m_state_bytes / 2 + k_answer_bytes;
+    m_store.changes(m_table, *m_since, m_behind ? k_catch_up_wait : k_feed_wait, expected,
                     call(&implementation::wait_for_changes, &implementation::on_changes));
   }
 
@@ -164,6 +216,16 @@
         start();
       return;
     }
+    if (result.end == adapter::store_end::too_long)
+    {
+      common::log_process(
+          "feed_reads_anew",
+          {{"table", m_table}, {"since", *m_since}, {"known_bytes", m_state_bytes}});
+      if (!m_coming_since)
+        m_coming_since = m_time.now();
+      start();
+      return;
+    }
     if (result.end != adapter::store_end::done)
     {
       failed(result);
@@ -172,6 +234,7 @@
     }
     succeeded();
     m_since = std::max(*m_since, result.version);
+    m_state_bytes = std::max(m_state_bytes, bytes_of(result.rows));
     if (!result.rows.empty())
       m_handlers.changed(result.rows);
     if (m_stopped)
@@ -185,8 +248,11 @@
   void succeeded()
   {
     m_retry = k_retry_first;
+    m_slack = k_first_slack;
     m_behind = false;
-    m_heard_at = m_time.now();
+    // What the store was told while its answer was on the way is not in it.
+    m_heard_at = m_coming_since.value_or(m_time.now());
+    m_coming_since.reset();
     if (m_healthy_since)
       return;
     m_healthy_since = m_time.now();
@@ -197,8 +263,12 @@
   {
     m_behind = true;
     if (!m_healthy_since)
+    {
+      m_slack = std::min(m_slack * 2, k_most_slack);
       return;
+    }
     m_healthy_since.reset();
+    m_coming_since.reset();
     common::log_process("feed_lost", {{"table", m_table},
                                       {"end", adapter::to_text(result.end)},
                                       {"detail", result.detail},
@@ -224,6 +294,10 @@
   step m_step = nullptr; // of the latest call; none before the first
   std::uint64_t m_call = 0;
   std::chrono::milliseconds m_retry = k_retry_first;
+  std::chrono::milliseconds m_slack = k_first_slack;
+  std::size_t m_state_bytes = 0;                    // of the table, as far as is known; at most
+  std::optional<common::time_point> m_coming_since; // changes that have not come whole yet
+  std::optional<common::time_point> m_bytes_at;     // the latest ones, of the latest call
   std::optional<common::time_point> m_healthy_since;
   common::time_point m_asked_at{}; // the latest call
   common::time_point m_heard_at{};
@@ -269,6 +343,11 @@
   m_implementation->ask_again();
 }
 
+std::optional<common::time_point> table_feed::behind_since() const
+{
+  return m_implementation->behind_since();
+}
+
 std::optional<common::time_point> table_feed::healthy_since() const
 {
   return m_implementation->healthy_since();
--- a/Source/Core/Node/TableFeed.h
+++ b/Source/Core/Node/TableFeed.h
@@ -5,7 +5,8 @@
 
 // Follows one table of the store: reads it whole, then waits for changes, for as long as it lives.
 //
-// After a gap in the history it reads the table whole again.
+// After a gap in the history it reads the table whole again. No answer is given up while it is
+// still coming: a row may take a narrow link longer than any fixed time.
 
 #include <functional>
 #include <memory>
@@ -28,6 +29,10 @@
   std::function<void()> expired;
   // Changes that come within this time of others are fetched together with them.
   common::duration gather{0};
+  // Only the newest state counts. Changes that are longer than the table itself are not taken:
+  // it is read instead. A history grows with each version of a row that was missed, the table does
+  // not (five versions of a row of 0.9 s: 4.5 s, read 0.9 s).
+  bool newest_only = false;
 };
 
 class table_feed
@@ -53,6 +58,9 @@
   std::optional<common::time_point> healthy_since() const;
   // Up to when all changes are known here, but for an answer that has just been lost.
   common::time_point known_until() const;
+  // Since when changes have been on their way here, or may have been missed; none while all that
+  // the store has told is known.
+  std::optional<common::time_point> behind_since() const;
   bool loaded() const;
 
 private:
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -207,6 +207,7 @@
 {
   wire::WayReportT to;
   to.has_way = from.has_way;
+  to.newest_config = from.newest_config;
   return to;
 }
 
@@ -446,7 +447,8 @@
   case wire::Message::WayQuestion:
     return peer_message{way_question{parsed.message.AsWayQuestion()->often}};
   case wire::Message::WayReport:
-    return peer_message{way_report{parsed.message.AsWayReport()->has_way}};
+    return peer_message{way_report{parsed.message.AsWayReport()->has_way,
+                                   parsed.message.AsWayReport()->newest_config}};
   case wire::Message::StateQuestion:
   {
     const wire::StateQuestionT& question = *parsed.message.AsStateQuestion();
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -2621,6 +2621,7 @@
 struct WayReportT : public flatbuffers::NativeTable {
   typedef WayReport TableType;
   bool has_way = false;
+  uint64_t newest_config = 0;
 };
 
 struct WayReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2628,14 +2629,19 @@
   typedef WayReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HAS_WAY = 4
+    VT_HAS_WAY = 4,
+    VT_NEWEST_CONFIG = 6
   };
   bool has_way() const {
     return GetField<uint8_t>(VT_HAS_WAY, 0) != 0;
   }
+  uint64_t newest_config() const {
+    return GetField<uint64_t>(VT_NEWEST_CONFIG, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_HAS_WAY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NEWEST_CONFIG, 8) &&
            verifier.EndTable();
   }
   WayReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2650,6 +2656,9 @@
   void add_has_way(bool has_way) {
     fbb_.AddElement<uint8_t>(WayReport::VT_HAS_WAY, static_cast<uint8_t>(has_way), 0);
   }
+  void add_newest_config(uint64_t newest_config) {
+    fbb_.AddElement<uint64_t>(WayReport::VT_NEWEST_CONFIG, newest_config, 0);
+  }
   explicit WayReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2663,8 +2672,10 @@
 
 inline flatbuffers::Offset<WayReport> CreateWayReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool has_way = false) {
+    bool has_way = false,
+    uint64_t newest_config = 0) {
   WayReportBuilder builder_(_fbb);
+  builder_.add_newest_config(newest_config);
   builder_.add_has_way(has_way);
   return builder_.Finish();
 }
@@ -4045,6 +4056,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = has_way(); _o->has_way = _e; }
+  { auto _e = newest_config(); _o->newest_config = _e; }
 }
 
 inline flatbuffers::Offset<WayReport> WayReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4056,9 +4068,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WayReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _has_way = _o->has_way;
+  auto _newest_config = _o->newest_config;
   return yardhill::wire::CreateWayReport(
       _fbb,
-      _has_way);
+      _has_way,
+      _newest_config);
 }
 
 inline StrengthReportT *StrengthReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/UnitTests/Node/NodeSettingsTest.cpp
+++ b/Source/UnitTests/Node/NodeSettingsTest.cpp
@@ -18,6 +18,7 @@
   "own_address": "10.1.0.13", "first_own_port": 7720, "store_address": ")" +
          store + R"(",
   "advice_address": "", "stop_grace_s": 6, "lease_limit_ms": 10000, "keep_status_s": 120,
+  "configuration_limit_ms": 2000,
   "processor_share": 0.25, "processor_cores": 2 })";
 }
 } // namespace
@@ -35,6 +36,7 @@
   BOOST_TEST(settings->peers.port == 7721);
   BOOST_TEST(!settings->advice.has_value());
   BOOST_TEST((settings->stop_grace == std::chrono::seconds{6}));
+  BOOST_TEST((settings->configuration_limit == std::chrono::seconds{2}));
   BOOST_TEST(settings->processor_millis == 500U);
 }
 
--- a/Source/UnitTests/Node/PeerMonitorTest.cpp
+++ b/Source/UnitTests/Node/PeerMonitorTest.cpp
@@ -84,7 +84,7 @@
   for (int i = 0; i < 8; ++i)
   {
     peers.heard("owner");
-    peers.on_question("owner", {true}, true);
+    peers.on_question("owner", {true}, {true});
     pass(milliseconds{250});
   }
   BOOST_TEST(events.size() == 1U);
@@ -96,10 +96,10 @@
 {
   peers.linked("owner", "other");
   peers.heard("owner");
-  peers.on_question("owner", {true}, true);
+  peers.on_question("owner", {true}, {true});
   pass(milliseconds{250});
   peers.heard("owner");
-  peers.on_question("owner", {false}, true);
+  peers.on_question("owner", {false}, {true});
   pass(milliseconds{3000});
   BOOST_TEST(events.size() == 1U);
 
@@ -241,9 +241,9 @@
   peers.linked("b", "other");
   for (const char* owner : {"a", "b"})
   {
-    peers.on_question("a", {false}, true);
-    peers.on_question("b", {false}, true);
-    peers.on_question(owner, {true}, true);
+    peers.on_question("a", {false}, {true});
+    peers.on_question("b", {false}, {true});
+    peers.on_question(owner, {true}, {true});
     BOOST_TEST(*peers.way_through() != owner);
   }
 }
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -147,9 +147,10 @@
   BOOST_TEST(std::get<orders_reply>(std::get<peer_message>(*frame)).epoch == 7U);
   BOOST_TEST(std::get<orders_reply>(std::get<peer_message>(*frame)).quiet_ms == 400U);
 
-  frame = decode(bytes_of(encode(peer_message{way_report{true}})));
+  frame = decode(bytes_of(encode(peer_message{way_report{true, 18}})));
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<way_report>(std::get<peer_message>(*frame)).has_way);
+  BOOST_TEST(std::get<way_report>(std::get<peer_message>(*frame)).newest_config == 18U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
