Node: A call keeps its route when the configuration changes under it

Cause: a call under way held a pointer into the table of routes; a configuration that came into force meanwhile freed it, and a refusal of the call read its priority there. Change: the call has a copy of its route.

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -104,12 +104,13 @@
   }
   const std::string path = request.target.substr(0, request.target.find('?'));
   const std::string host = request.host.substr(0, request.host.find(':'));
-  what->route = m_queues.find(host, path);
-  if (what->route == nullptr)
+  const jobs::queue_route* const route = m_queues.find(host, path);
+  if (route == nullptr)
   {
     refuse(*what, {404, refusal_reason::unknown_workload, "no such queue"});
     return;
   }
+  what->route = *route;
   what->id = path.substr(what->route->path_prefix.size());
   if (what->id.empty() && request.verb == http::method::get)
     count(*what);
@@ -149,7 +150,7 @@
   answer.body = adapter::error_body(how.detail);
   if (how.status == 503 || how.status == 504)
   {
-    const std::uint32_t priority = what.route == nullptr ? 0 : what.route->policy.priority;
+    const std::uint32_t priority = what.route ? what.route->policy.priority : 0;
     answer.headers.emplace_back("Retry-After",
                                 std::to_string(come_back_after(priority, what.id).count()));
   }
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -43,7 +43,8 @@
   // A request whose queue is known.
   struct call
   {
-    const jobs::queue_route* route = nullptr;
+    // As the configuration had it when the request came, which the call may outlive.
+    std::optional<jobs::queue_route> route;
     std::string id; // of the job; empty for the queue itself
     std::string body;
     std::chrono::milliseconds patience{0}; // of the caller
