--- /dev/null
+++ b/Source/UnitTests/Http/HttpClientTest.cpp
@@ -0,0 +1,163 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// How the client waits for an answer that comes slowly, over real sockets on the loopback address.
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Http/HttpClient.h"
+
+using namespace yardhill;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers one call with these pieces, one after each pause, and then says nothing more.
+class slow_server
+{
+public:
+  slow_server(asio::io_context& io, std::vector<std::string> pieces, milliseconds pause)
+      : m_acceptor(io, {asio::ip::address_v4::loopback(), 0}),
+        m_socket(io),
+        m_timer(io),
+        m_pieces(std::move(pieces)),
+        m_pause(pause)
+  {
+    m_acceptor.async_accept(m_socket,
+                            [this](const boost::system::error_code& failed)
+                            {
+                              if (!failed)
+                                read_call();
+                            });
+  }
+
+  common::endpoint where() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+private:
+  void read_call()
+  {
+    asio::async_read_until(m_socket, m_call, "\r\n\r\n",
+                           [this](const boost::system::error_code& failed, std::size_t)
+                           {
+                             if (!failed)
+                               send_next();
+                           });
+  }
+
+  void send_next()
+  {
+    if (m_sent == m_pieces.size())
+      return;
+    m_timer.expires_after(m_pause);
+    m_timer.async_wait(
+        [this](const boost::system::error_code& stopped)
+        {
+          if (stopped)
+            return;
+          asio::async_write(m_socket, asio::buffer(m_pieces[m_sent++]),
+                            [this](const boost::system::error_code& failed, std::size_t)
+                            {
+                              if (!failed)
+                                send_next();
+                            });
+        });
+  }
+
+  tcp::acceptor m_acceptor;
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  asio::streambuf m_call;
+  std::vector<std::string> m_pieces;
+  milliseconds m_pause;
+  std::size_t m_sent = 0;
+};
+
+std::string head(std::size_t length)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+struct client_under_test
+{
+  asio::io_context io;
+  http::http_client client{io, {}};
+
+  // The answer to one call.
+  http::reply answer(std::vector<std::string> pieces, milliseconds pause, milliseconds timeout,
+                     std::optional<http::long_answer> expects)
+  {
+    slow_server server(io, std::move(pieces), pause);
+    std::optional<http::reply> got;
+    http::request call{http::method::get, "/rows", {}, {}};
+    call.expects = std::move(expects);
+    client.send(server.where(), std::move(call), timeout,
+                [&got](http::reply reply) { got = std::move(reply); });
+    while (!got && io.run_one() > 0)
+    {
+    }
+    BOOST_TEST_REQUIRE(got.has_value());
+    return *got;
+  }
+};
+
+const std::vector<std::string> k_pieces{head(40), std::string(10, 'a'), std::string(10, 'b'),
+                                        std::string(10, 'c'), std::string(10, 'd')};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+BOOST_FIXTURE_TEST_CASE(an_answer_lasts_for_as_long_as_it_comes, client_under_test)
+{
+  unsigned times = 0;
+  const http::reply reply = answer(k_pieces, milliseconds{500}, seconds{2},
+                                   http::long_answer{seconds{20}, 0, [&times] { ++times; }});
+  BOOST_TEST(reply.status == 200U);
+  BOOST_TEST(reply.body.size() == 40U);
+  BOOST_TEST(times >= 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_that_its_whole_time_is_bounded, client_under_test)
+{
+  const http::reply reply = answer(k_pieces, milliseconds{500}, seconds{2}, std::nullopt);
+  BOOST_TEST(!reply.answered());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_stops_coming_is_given_up, client_under_test)
+{
+  const http::reply reply = answer({head(40), std::string(10, 'a')}, milliseconds{50}, seconds{20},
+                                   http::long_answer{milliseconds{500}, 0, {}});
+  BOOST_TEST(!reply.answered());
+  BOOST_TEST(reply.failure.find("10 of 40 bytes") != std::string::npos, reply.failure);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_does_not_begin_is_given_up, client_under_test)
+{
+  const http::reply reply =
+      answer({}, milliseconds{0}, milliseconds{500}, http::long_answer{seconds{20}, 0, {}});
+  BOOST_TEST(!reply.answered());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_with_too_many_bytes_ends_at_its_head, client_under_test)
+{
+  const http::reply reply =
+      answer({head(2000)}, milliseconds{0}, seconds{20}, http::long_answer{seconds{20}, 1000, {}});
+  BOOST_TEST(reply.status == 200U);
+  BOOST_TEST(reply.too_long);
+  BOOST_TEST(reply.body.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
