--- a/Source/Core/Model/CountJudge.cpp
+++ b/Source/Core/Model/CountJudge.cpp
@@ -17,6 +17,8 @@
 // A job that was accepted this long ago has to be counted: known after 3 s, told after 2 s more.
 constexpr milliseconds k_counted_after{5000};
 constexpr const char* k_patience_ms = "3000";
+// A configuration is in force so long after it was written.
+constexpr milliseconds k_in_force_after{3000};
 } // namespace
 
 count_judge::count_judge(explored_cell& cell, time_point end)
@@ -42,14 +44,19 @@
 void count_judge::ask(explored_instance& which, const std::string& prefix)
 {
   const time_point accepted_by = m_cell.time().now() - k_counted_after;
+  const std::uint64_t due = m_cell.version_written_by(m_cell.time().now() - k_in_force_after);
   which.time->schedule(
       duration{0},
-      [this, &which, prefix, accepted_by]
+      [this, &which, prefix, accepted_by, due]
       {
         which.core->handle(
             {http::method::get, k_host, prefix, "", k_patience_ms},
-            [this, &which, prefix, accepted_by](const http::outgoing_answer& answer)
-            { on_answer(which, prefix, m_cell.callers().waiting(prefix, accepted_by), answer); });
+            [this, &which, prefix, accepted_by, due](const http::outgoing_answer& answer)
+            {
+              on_answer(which, prefix, m_cell.callers().waiting(prefix, accepted_by), answer);
+              if (answer.status == 200 && m_contacts.in_touch(which))
+                check_configuration(which, due);
+            });
       });
 }
 
@@ -69,10 +76,21 @@
       nlohmann::json::parse(answer.body).at(adapter::wire::k_pending).get<std::uint64_t>();
   if (2 * told < waiting)
     m_violations.push_back("MIXED: " + which.name + " says that " + std::to_string(told) +
-                           " jobs of " + prefix + " wait, of " + std::to_string(waiting) + " at " +
-                           std::to_string(std::chrono::duration_cast<milliseconds>(
-                                              m_cell.time().now() - m_cell.begin())
-                                              .count()) +
-                           " ms");
+                           " jobs of " + prefix + " wait, of " + std::to_string(waiting) +
+                           now_text());
+}
+
+void count_judge::check_configuration(const explored_instance& which, std::uint64_t due)
+{
+  const std::uint64_t has = which.metrics->value(common::gauge::config_version);
+  if (has < due)
+    m_violations.push_back("CONFIG: " + which.name + " serves by version " + std::to_string(has) +
+                           ", " + std::to_string(due) + " is due" + now_text());
+}
+
+std::string count_judge::now_text() const
+{
+  const auto now = std::chrono::duration_cast<milliseconds>(m_cell.time().now() - m_cell.begin());
+  return " at " + std::to_string(now.count()) + " ms";
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -102,6 +102,13 @@
 {
   m_store.put({wire::k_operator_table, "", wire::k_config_key},
               configuration(version, unused_queues));
+  m_configured[m_time.now()] = version;
+}
+
+std::uint64_t explored_cell::version_written_by(time_point when) const
+{
+  const auto later = m_configured.upper_bound(when);
+  return later == m_configured.begin() ? 0 : std::prev(later)->second;
 }
 
 void explored_cell::add_workers()
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -7,6 +7,7 @@
 // store, the workers, the advice service, the network and the callers.
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -67,6 +68,8 @@
   // The operator's next version, with the same queues and so many that nobody uses, each of which
   // makes the row some 0.25 KB longer.
   void configure(std::uint64_t version, std::size_t unused_queues = 0);
+  // The newest version that had been written by then; 0 if there was none.
+  std::uint64_t version_written_by(time_point when) const;
   void start_instance(explored_instance& which);
   // Ends its process as it is; the others' links and the callers' connections to it break.
   void end_instance(explored_instance& which);
@@ -98,6 +101,7 @@
   std::uint64_t m_seed;
   worker_fleet m_fleet;
   std::vector<explored_instance> m_instances;
+  std::map<time_point, std::uint64_t> m_configured; // the operator's versions, by when
   std::uint64_t m_lives = 0;
   time_point m_begin;
 };
--- a/Source/UnitTests/Model/NarrowConfigurationTest.cpp
+++ b/Source/UnitTests/Model/NarrowConfigurationTest.cpp
@@ -14,6 +14,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Model/CellTroubles.h"
+#include "Model/CountJudge.h"
 #include "Model/ExploredCell.h"
 
 using namespace yardhill;
@@ -33,7 +35,7 @@
 {
   // The link is that of the two weak instances; the strong ones, one of which owns the partition
   // and calls its workers, have a narrow one at least.
-  explicit configured_cell(double weak = k_narrow)
+  explicit configured_cell(double weak = k_narrow, std::uint64_t seed = 1) : cell(seed)
   {
     for (std::size_t i = 0; i < cell.instances().size(); ++i)
       cell.network().troubles.links[cell.instances()[i].name] =
@@ -89,7 +91,7 @@
     return refused;
   }
 
-  explored_cell cell{1};
+  explored_cell cell;
 };
 } // namespace
 
@@ -174,4 +176,30 @@
   wide.expect_everywhere(2, "through a peer");
 }
 
+// Drawn troubles, and a configuration that grows and shrinks meanwhile: whoever serves in touch
+// does it by one that is in force.
+BOOST_AUTO_TEST_CASE(no_seed_serves_by_an_older_configuration)
+{
+  for (std::uint64_t seed = 1; seed <= 24; ++seed)
+  {
+    configured_cell narrow(k_narrow, seed);
+    explored_cell& cell = narrow.cell;
+    cell_troubles troubles(cell, omission::none);
+    cell.callers().hand_in_until(cell.begin() + seconds{25});
+    const count_judge counts(cell, cell.begin() + seconds{35});
+    troubles.draw();
+    for (std::uint64_t version = 2; version <= 9; ++version)
+    {
+      cell.time().run_until(cell.time().now() +
+                            cell.draw_time(milliseconds{500}, milliseconds{4000}));
+      cell.configure(version, cell.draw(k_many_queues));
+    }
+    cell.time().run_until(cell.begin() + seconds{40});
+    for (const std::string& violation : counts.violations())
+      BOOST_TEST_CONTEXT("seed " << seed) BOOST_ERROR(violation);
+    BOOST_TEST(counts.counted() > 100U);
+    narrow.expect_everywhere(9, "seed " + std::to_string(seed));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
