--- a/Source/Core/Node/ConfigurationWatch.h
+++ b/Source/Core/Node/ConfigurationWatch.h
@@ -13,9 +13,9 @@
 #include <cstdint>
 #include <optional>
 
+#include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
 #include "Jobs/QueueTable.h"
-#include "Node/PeerMonitor.h"
 #include "Node/StorePath.h"
 #include "Node/TableFeed.h"
 
@@ -26,12 +26,10 @@
 public:
   // `limit`: how long a confirmed version may take until it is in force.
   configuration_watch(common::timekeeper& time, const table_feed& feed, const store_path& path,
-                      const peer_monitor& peers, const jobs::queue_table& queues,
-                      common::duration limit);
+                      const jobs::queue_table& queues, common::duration limit);
 
-  // A peer that knows of all changes says which version is the newest; 0: it does not know.
-  void peer_told(std::uint64_t newest);
-  // The same for peers.
+  void peer_told(const common::way_report& report);
+  // For peers: the version that is certain to be the newest; 0 if none is.
   std::uint64_t newest() const;
   // Whether a peer knows a newer version than the one in force here.
   bool newer_elsewhere() const { return m_newer > m_queues.version; }
@@ -43,11 +41,11 @@
   common::timekeeper& m_time;
   const table_feed& m_feed;
   const store_path& m_path;
-  const peer_monitor& m_peers;
   const jobs::queue_table& m_queues;
   common::duration m_limit;
   std::uint64_t m_newer = 0; // that a peer has told of
   common::time_point m_newer_since{};
-  common::time_point m_vouched_at{}; // when a peer last said that the version here is the newest
+  common::time_point m_vouched_at{};      // a peer said that the version here is the newest
+  common::time_point m_peer_reached_at{}; // a peer said that the store answers it
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -56,7 +56,7 @@
                        {},
                        common::duration{0},
                        true}),
-      m_configuration(world.time, m_operator_feed, m_store_path, m_peers, m_queues,
+      m_configuration(world.time, m_operator_feed, m_store_path, m_queues,
                       settings.configuration_limit),
       m_jobs(world.time, m_store, m_feed_store),
       m_states(world.time, world.send_to_peer, m_partitions),
@@ -241,7 +241,7 @@
 void node_core::on_way_report(const std::string& peer, const common::way_report& report)
 {
   m_peers.on_report(peer, report);
-  m_configuration.peer_told(report.newest_config);
+  m_configuration.peer_told(report);
 }
 
 void node_core::begin_stop(std::optional<common::duration> left)
