--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -34,6 +34,11 @@
 // One caller in so many does not come back after a refusal.
 constexpr std::uint64_t k_leaving_share = 3;
 constexpr milliseconds k_cancel_retry{1500};
+// A task that crashes its workers does so soon after its start; one in so many takes longer.
+constexpr milliseconds k_crash{1};
+constexpr milliseconds k_late_crash{30};
+constexpr milliseconds k_latest_crash{2500};
+constexpr std::uint64_t k_late_crash_share = 4;
 
 std::string job_id(std::uint64_t number)
 {
@@ -134,9 +139,9 @@
                                                   }));
 }
 
-void caller_model::hand_in()
+std::string caller_model::hand_in()
 {
-  const std::string id = job_id(++m_jobs);
+  std::string id = job_id(++m_jobs);
   m_prefixes[id] = draw(2) == 0 ? k_urgent_prefix : k_plain_prefix;
   m_specs[id] = random_spec();
   m_judge.submitted(id, m_specs[id], k_max_attempts);
@@ -144,6 +149,44 @@
   if (m_specs[id].long_running() || draw(12) == 0)
     m_time.schedule(draw_time(milliseconds(300), milliseconds(8000)),
                     [this, id] { cancel(id, k_cancel_tries); });
+  return id;
+}
+
+void caller_model::hand_in_crashing(std::uint64_t jobs)
+{
+  for (std::uint64_t i = 0; i < jobs; ++i)
+  {
+    const std::string id = hand_in();
+    const auto step = static_cast<std::uint32_t>(draw(m_specs[id].steps.size()));
+    const auto index = static_cast<std::uint32_t>(draw(m_specs[id].steps[step].count));
+    const bool late = draw(k_late_crash_share) == 0;
+    crash_at(id, step, index,
+             late ? draw_time(k_late_crash, k_latest_crash) : draw_time(k_crash, k_late_crash));
+  }
+}
+
+std::string caller_model::hand_in_crashing(const jobs::job_spec& spec, duration after)
+{
+  std::string id = hand_in(spec);
+  crash_at(id, 0, 0, after);
+  return id;
+}
+
+void caller_model::crash_at(const std::string& id, std::uint32_t step, std::uint32_t index,
+                            duration after)
+{
+  for (std::uint32_t cycle = 0; cycle < m_specs[id].cycles(); ++cycle)
+  {
+    const task_ref task{id, {cycle, step, index}};
+    m_crashes[task] = after;
+    m_judge.expect_crashes(task);
+  }
+}
+
+std::optional<duration> caller_model::crashes_after(const task_ref& task) const
+{
+  const auto found = m_crashes.find(task);
+  return found == m_crashes.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::string caller_model::hand_in(const jobs::job_spec& spec)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -39,6 +40,13 @@
   std::uint64_t waiting(const std::string& prefix, time_point accepted_by) const;
   // One job of that kind, for a queue whose tasks may run anywhere. Returns its id.
   std::string hand_in(const jobs::job_spec& spec);
+  // So many jobs of any kind, one task of each of which crashes its workers.
+  void hand_in_crashing(std::uint64_t jobs);
+  // The same of a job of that kind: its first step's first task, so long after its start. Returns
+  // its id.
+  std::string hand_in_crashing(const jobs::job_spec& spec, duration after);
+  // How long after its start the task crashes its worker, if it does.
+  std::optional<duration> crashes_after(const task_ref& task) const;
   // One whose tasks last until the play ends.
   void hand_in_lasting();
   // Asks for every job; the answers go to the judge.
@@ -47,7 +55,8 @@
   const std::map<std::string, jobs::job_state>& states() const { return m_states; }
 
 private:
-  void hand_in();
+  std::string hand_in();
+  void crash_at(const std::string& id, std::uint32_t step, std::uint32_t index, duration after);
   jobs::job_spec random_spec();
   void submit(const std::string& id, const std::string& body, unsigned tries);
   void on_submitted(const std::string& id, const std::string& body, unsigned tries,
@@ -65,6 +74,7 @@
   carrier m_carry;
   std::map<std::string, jobs::job_spec> m_specs;
   std::map<std::string, std::string> m_prefixes;   // by job
+  std::map<task_ref, duration> m_crashes;          // tasks that crash their workers
   std::map<std::string, time_point> m_accepted_at; // by job: when it was first told
   std::map<std::string, jobs::job_state> m_states;
   std::uint64_t m_jobs = 0;
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -60,7 +60,7 @@
 void cell_troubles::befall()
 {
   using kind = void (cell_troubles::*)();
-  static constexpr std::array<kind, 25> k_kinds{&cell_troubles::kill_owner,
+  static constexpr std::array<kind, 28> k_kinds{&cell_troubles::kill_owner,
                                                 &cell_troubles::kill_all,
                                                 &cell_troubles::stop_one,
                                                 &cell_troubles::freeze_one,
@@ -84,7 +84,10 @@
                                                 &cell_troubles::lose_owners_under_burst,
                                                 &cell_troubles::turn_away,
                                                 &cell_troubles::kill_in_series,
-                                                &cell_troubles::break_entries};
+                                                &cell_troubles::break_entries,
+                                                &cell_troubles::hand_in_crashing,
+                                                &cell_troubles::shrink_rooms,
+                                                &cell_troubles::suspend_one};
   (this->*k_kinds[m_cell.draw(k_kinds.size())])();
 }
 
@@ -169,6 +172,18 @@
   which->time->freeze_until(m_cell.time().now() + time);
 }
 
+// A machine stands still as in a freeze, and its timers do not count that time.
+void cell_troubles::suspend_one()
+{
+  explored_instance* const which = m_cell.any_up();
+  if (which == nullptr)
+    return;
+  const duration time = m_cell.draw_time(milliseconds(500), milliseconds(9000));
+  note("suspend " + which->name);
+  lasts(time);
+  which->time->suspend_until(m_cell.time().now() + time);
+}
+
 void cell_troubles::cut_for(const cut_pairs& pairs, duration time)
 {
   lasts(time + k_entries_back);
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -58,6 +58,9 @@
   void reborn_worker();
   void reuse_address();
   void break_entries();
+  void hand_in_crashing();
+  void shrink_rooms();
+  void suspend_one();
   void lose_owners_in_series();
   void turn_away();
   void kill_in_series();
@@ -71,6 +74,7 @@
   void wait_for_hand_over(explored_instance& which, time_point latest);
   void cut_for(const cut_pairs& pairs, duration time);
   void replace_worker(fleet_worker& which);
+  void set_room(fleet_worker& which, const common::resources& room);
   cut_pairs cut_of(const fleet_worker& which) const;
   void forget_mechanism();
   void spend_quota(explored_instance& which, const process_time* process, time_point end);
--- a/Source/Core/Model/CellWorkerTroubles.cpp
+++ b/Source/Core/Model/CellWorkerTroubles.cpp
@@ -18,6 +18,10 @@
 
 // From a worker's loss for good until another one is there in its place.
 constexpr seconds k_room_back{20};
+// For as long as tasks that crash their workers may be tried.
+constexpr seconds k_crashes_last{20};
+// How often workers write their entries.
+constexpr milliseconds k_beat{1500};
 // What another writer leaves in place of an entry.
 const std::array<std::string, 6> k_broken_entries{
     R"({"service":"service","zone":"zone-0","state":"ready"})",
@@ -35,6 +39,7 @@
   if (!which.model)
     return;
   note("crash " + which.settings.id);
+  m_cell.judge().worker_crashed(which.settings.id);
   lasts(k_entry_lapse);
   worker_fleet::end_life(which);
   m_cell.time().schedule(k_entry_lapse,
@@ -104,6 +109,7 @@
   const std::string earlier = which.settings.id;
   const std::string entry = which.model->entry(which.draining);
   note("reborn behind a cut: " + earlier);
+  m_cell.judge().worker_crashed(earlier);
   cut_for(cut_of(which), time);
   worker_fleet::end_life(which);
   m_cell.fleet().begin_life(which);
@@ -143,6 +149,50 @@
   m_cell.fleet().write_entry_of("worker-of-nobody", std::string(k_broken_entries.front()));
 }
 
+// Jobs come of which a task crashes each worker that starts it.
+void cell_troubles::hand_in_crashing()
+{
+  note("jobs come that crash their workers");
+  lasts(k_crashes_last);
+  m_cell.callers().hand_in_crashing(1 + m_cell.draw(3));
+}
+
+// Some workers have less room for a while, down to none at all; what runs there goes on.
+void cell_troubles::shrink_rooms()
+{
+  const std::uint64_t count = 1 + m_cell.draw(3);
+  for (std::uint64_t i = 0; i < count; ++i)
+  {
+    fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
+    if (!which.model || which.shrunk)
+      continue;
+    const common::resources whole = which.settings.capacity;
+    note("the room of " + which.settings.id + " shrinks");
+    which.shrunk = true;
+    set_room(which, common::scaled(whole, 0.25 * static_cast<double>(m_cell.draw(4))));
+    const duration time = m_cell.draw_time(milliseconds(500), milliseconds(14000));
+    lasts(time);
+    m_cell.time().schedule(time,
+                           [this, &which, whole]
+                           {
+                             which.shrunk = false;
+                             set_room(which, whole);
+                           });
+  }
+}
+
+// The entry says it at the worker's next beat.
+void cell_troubles::set_room(fleet_worker& which, const common::resources& room)
+{
+  worker_fleet::set_capacity(which, room);
+  m_cell.time().schedule(m_cell.draw_time(milliseconds(1), k_beat),
+                         [this, &which]
+                         {
+                           if (which.model)
+                             m_cell.update_entry(which);
+                         });
+}
+
 // A worker crashes, and another service's worker is at its address at once.
 void cell_troubles::reuse_address()
 {
@@ -152,6 +202,7 @@
   const std::string earlier = which.settings.id;
   const std::string service = which.settings.service;
   note("the address goes to another service: " + earlier);
+  m_cell.judge().worker_crashed(earlier);
   lasts(seconds(9));
   worker_fleet::end_life(which);
   which.listed = false; // the entry lapses by itself
@@ -174,6 +225,7 @@
   if (!which.model)
     return;
   note("crash for good " + which.settings.id);
+  m_cell.judge().worker_crashed(which.settings.id);
   worker_fleet::end_life(which);
   lasts(k_entry_lapse);
   m_cell.time().schedule(k_entry_lapse,
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -28,6 +28,9 @@
 // An instance is young for this long.
 constexpr milliseconds k_young{300};
 constexpr milliseconds k_break_way{1};
+// From a crash by what a worker ran until its next life.
+constexpr milliseconds k_crash_back{1500};
+constexpr milliseconds k_crash_back_latest{5000};
 const common::endpoint k_store_address{"10.200.0.1", 80};
 const common::endpoint k_advice_address{"10.200.0.2", 80};
 
@@ -87,6 +90,7 @@
       k_advice_address, "advice",
       [this](const std::string& from, const http::request& call, http::reply_handler done)
       { m_advice.handle(from, call, std::move(done)); });
+  m_fleet.set_crash_handler([this](fleet_worker& which) { worker_crashed(which); });
   configure(1);
   add_workers();
   m_instances.resize(k_instances);
@@ -143,9 +147,22 @@
   course.fails = luck / 2000 % 25 == 0;
   if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
     course.takes = seconds(1 + static_cast<std::int64_t>(luck % 20));
+  course.crashes_after = m_callers.crashes_after(task);
   return course;
 }
 
+// It is back after some seconds. Its entry lapses meanwhile, or the next life's replaces it.
+void explored_cell::worker_crashed(fleet_worker& which)
+{
+  const duration back = draw_time(k_crash_back, k_crash_back_latest);
+  m_time.schedule(back,
+                  [this, &which]
+                  {
+                    if (!which.model)
+                      start_worker(which);
+                  });
+}
+
 void explored_cell::start_worker(fleet_worker& which)
 {
   m_fleet.begin_life(which);
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -83,6 +83,7 @@
   void add_workers();
   // How a run goes follows from the seed.
   run_course course_of(const task_ref& task, run_number run, const std::string& worker) const;
+  void worker_crashed(fleet_worker& which);
   void tick(explored_instance& which);
   // Whether the store has the job, or the mark of a refusal or nothing in its place.
   bool keeps(const std::string& job) const;
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -21,6 +21,11 @@
 constexpr std::chrono::seconds k_after_last_run{6};
 constexpr std::chrono::seconds k_calm{3 + 4};
 constexpr std::chrono::seconds k_run_again{3};
+// A task under which so many workers have crashed may be given up, and one that crashes them may be
+// started twice more after the third.
+constexpr std::size_t k_crashes_to_give_up = 2;
+constexpr std::size_t k_crashes_bounded = 3;
+constexpr std::size_t k_starts_beyond = 3;
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& what)
@@ -78,6 +83,8 @@
   const seen_job& seen = m_jobs[job];
   if (state == jobs::job_state::cancelled && !seen.cancel_asked)
     violate("LOST", {job, {}}, "shown as cancelled, which nobody asked for");
+  if (state == jobs::job_state::failed)
+    check_failed(job, seen);
   if (state != jobs::job_state::completed)
     return;
   for (std::uint32_t cycle = 0; cycle < seen.spec.cycles(); ++cycle)
@@ -90,6 +97,41 @@
   }
 }
 
+bool run_judge::out_of_attempts(const std::string& job, const seen_job& seen) const
+{
+  std::map<task_ref, std::set<run_number>> failures; // of a gang at its first member
+  for (auto each = m_tasks.lower_bound({job, {}}); each != m_tasks.end() && each->first.job == job;
+       ++each)
+  {
+    task_ref counted = each->first;
+    if (seen.spec.steps[counted.place.step].gang)
+      counted.place.index = 0;
+    failures[counted].insert(each->second.failures.begin(), each->second.failures.end());
+  }
+  return std::any_of(failures.begin(), failures.end(),
+                     [&seen](const auto& each) { return each.second.size() >= seen.max_attempts; });
+}
+
+// A job fails by its attempts, or since a task of it crashes workers; one that was on workers which
+// others have crashed must still be done.
+void run_judge::check_failed(const std::string& job, const seen_job& seen)
+{
+  if (out_of_attempts(job, seen))
+    return;
+  bool crashes = false;
+  bool guilty = false;
+  for (auto each = m_tasks.lower_bound({job, {}}); each != m_tasks.end() && each->first.job == job;
+       ++each)
+  {
+    crashes |= each->second.crashes >= k_crashes_to_give_up;
+    guilty |= each->second.crashes_workers;
+  }
+  if (!crashes)
+    violate("LOST", {job, {}}, "shown as failed, without attempts or crashes that explain it");
+  else if (!guilty)
+    violate("INNOCENT", {job, {}}, "shown as failed, and others have crashed its workers");
+}
+
 bool run_judge::step_done(const std::string& job, const seen_job& of, std::uint32_t cycle,
                           std::uint32_t step) const
 {
@@ -144,6 +186,7 @@
   check_start(found->second, start);
   check_leaving(start);
   check_entry(start);
+  check_crashes(start);
   found->second.started = true;
   m_tasks[start.task].active[start.run] = {start.worker, start.at};
 }
@@ -162,6 +205,26 @@
     violate("ENTRY", start.task, "started on " + start.worker + ", whose entry is not valid");
 }
 
+void run_judge::check_crashes(const observed_start& start)
+{
+  seen_task& task = m_tasks[start.task];
+  if (!task.crashes_workers || task.crashes < k_crashes_bounded)
+    return;
+  if (++task.starts_beyond == k_starts_beyond)
+    violate("BUDGET", start.task, "started three times more after three workers had crashed");
+}
+
+void run_judge::worker_crashed(const std::string& worker)
+{
+  for (auto& [task, seen] : m_tasks)
+  {
+    const bool there =
+        std::any_of(seen.active.begin(), seen.active.end(),
+                    [&worker](const auto& each) { return each.second.worker == worker; });
+    seen.crashes += there ? 1 : 0;
+  }
+}
+
 void run_judge::entry_broken(const std::string& worker, common::time_point at)
 {
   m_broken_entries.emplace(worker, at);
@@ -185,6 +248,8 @@
     seen.active.erase(found);
   if (how == run_end::done)
     seen.done.insert(run);
+  if (how == run_end::failed)
+    seen.failures.insert(run);
 }
 
 void run_judge::saved(const task_ref& task, const std::string& checkpoint)
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -69,6 +69,10 @@
   void saved(const task_ref& task, const std::string& checkpoint);
   void acknowledged(const task_ref& task, run_number run, run_end how);
   void worker_gone(const std::string& worker);
+  // The worker has been crashed by what it ran, or by chance.
+  void worker_crashed(const std::string& worker);
+  // The task crashes each worker that starts it; its job can't be done.
+  void expect_crashes(const task_ref& task) { m_tasks[task].crashes_workers = true; }
   // The store has taken the worker's word that it is about to leave.
   void worker_leaving(const std::string& worker, common::time_point at);
   // Another writer has put something in place of the worker's entry, and it is its own again.
@@ -128,6 +132,10 @@
     std::set<run_number> done;
     bool done_acknowledged = false;
     std::set<run_number> failures_acknowledged;
+    std::set<run_number> failures;
+    bool crashes_workers = false;
+    std::size_t crashes = 0;       // of workers under it
+    std::size_t starts_beyond = 0; // after the third of them
     std::set<std::string> checkpoints;
     // Of a task that is to last.
     std::optional<common::time_point> idle_since;
@@ -142,6 +150,10 @@
   void check_leaving(const observed_start& start);
   void check_entry(const observed_start& start);
   void check_refusal(const std::string& job, const seen_job& seen);
+  void check_failed(const std::string& job, const seen_job& seen);
+  // Whether its attempts are used up.
+  bool out_of_attempts(const std::string& job, const seen_job& seen) const;
+  void check_crashes(const observed_start& start);
 
   keeper m_kept;
   std::map<std::string, seen_job> m_jobs;
--- a/Source/Core/Model/VirtualTime.cpp
+++ b/Source/Core/Model/VirtualTime.cpp
@@ -32,6 +32,17 @@
   m_when.erase(found);
 }
 
+void virtual_time::put_off(entry which, duration by)
+{
+  const auto found = m_when.find(which);
+  if (found == m_when.end())
+    return;
+  auto event = m_events.extract({found->second, which});
+  found->second += by;
+  event.key().first = found->second;
+  m_events.insert(std::move(event));
+}
+
 void virtual_time::run_until(time_point end)
 {
   while (!m_events.empty() && m_events.begin()->first.first <= end)
@@ -53,6 +64,22 @@
   return number;
 }
 
+time_point process_time::now() const
+{
+  return m_state->reads_suspended_clock ? m_time.now() - m_state->suspended : m_time.now();
+}
+
+void process_time::suspend_until(time_point end)
+{
+  const time_point from = std::max(m_time.now(), m_state->frozen_until);
+  if (end <= from)
+    return;
+  m_state->suspended += end - from;
+  for (const auto& [number, there] : m_state->scheduled)
+    m_time.put_off(there, end - from);
+  freeze_until(end);
+}
+
 void process_time::cancel(entry which)
 {
   const auto found = m_state->scheduled.extract(which);
--- a/Source/Core/Model/VirtualTime.h
+++ b/Source/Core/Model/VirtualTime.h
@@ -24,6 +24,8 @@
   common::wall_clock_time wall() const override;
   entry schedule(duration delay, std::function<void()> what) override;
   void cancel(entry which) override;
+  // What is scheduled under that number happens so much later.
+  void put_off(entry which, duration by);
 
   // Plays all events up to then.
   void run_until(time_point end);
@@ -43,7 +45,7 @@
   explicit process_time(virtual_time& time) : m_time(time), m_state(std::make_shared<state>()) {}
   ~process_time() override { m_state->alive = false; }
 
-  time_point now() const override { return m_time.now(); }
+  time_point now() const override;
   common::wall_clock_time wall() const override { return m_time.wall() + m_wall_ahead; }
   entry schedule(duration delay, std::function<void()> what) override;
   void cancel(entry which) override;
@@ -55,7 +57,11 @@
   {
     m_state->frozen_until = std::max(m_state->frozen_until, end);
   }
-  bool frozen() const { return now() < m_state->frozen_until; }
+  // The machine is suspended: as a freeze, but timers do not count that time. Nor does the clock,
+  // if the process reads one that stands still meanwhile.
+  void suspend_until(time_point end);
+  void read_suspended_clock() { m_state->reads_suspended_clock = true; }
+  bool frozen() const { return m_time.now() < m_state->frozen_until; }
   // Lets calls from outside reach the process only as long as it lives; outlives it.
   std::function<void(std::function<void()>)> gate() const;
 
@@ -64,6 +70,8 @@
   {
     bool alive = true;
     time_point frozen_until{};
+    duration suspended{}; // in all, until now or until the suspension that goes on ends
+    bool reads_suspended_clock = false;
     entry last = 0;
     // What is scheduled, by its number here and there: it gets another one there for each freeze
     // that it falls into, and can be cancelled all the same.
--- a/Source/Core/Model/WorkerFleet.cpp
+++ b/Source/Core/Model/WorkerFleet.cpp
@@ -46,6 +46,14 @@
   which.settings.id = "worker-" + which.machine + "-" + std::to_string(++which.life);
   which.model = std::make_unique<worker_model>(m_time, which.settings, m_advice, m_judge, m_course);
   which.model->set_specs(m_specs);
+  which.model->set_crash_handler(
+      [this, &which]
+      {
+        ++which.crashes;
+        end_life(which);
+        if (m_crashed)
+          m_crashed(which);
+      });
 }
 
 void worker_fleet::end_life(fleet_worker& which)
@@ -53,6 +61,13 @@
   which.model.reset();
 }
 
+void worker_fleet::set_capacity(fleet_worker& which, const common::resources& capacity)
+{
+  which.settings.capacity = capacity;
+  if (which.model)
+    which.model->set_capacity(capacity);
+}
+
 void worker_fleet::write_entry(fleet_worker& which)
 {
   const std::string& id = which.settings.id;
@@ -62,6 +77,7 @@
     m_judge.entry_broken(id, m_time.now());
   m_store.put(entry_of(id),
               which.broken_entry.empty() ? which.model->entry(which.draining) : which.broken_entry);
+  which.model->room_told();
   which.listed = true;
 }
 
--- a/Source/Core/Model/WorkerFleet.h
+++ b/Source/Core/Model/WorkerFleet.h
@@ -7,6 +7,7 @@
 // store.
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
   unsigned life = 0;
   bool listed = false;
   bool draining = false;
+  unsigned crashes = 0;     // by what it ran
+  bool shrunk = false;      // it has less room for a while
   std::string broken_entry; // stands in place of its own, if not empty
 };
 
@@ -42,6 +45,13 @@
   void begin_life(fleet_worker& which);
   // All that runs there dies; its entry stays until it is removed or a new life begins.
   static void end_life(fleet_worker& which);
+  // From now on it has so much room; its entry tells it when it is written again.
+  static void set_capacity(fleet_worker& which, const common::resources& capacity);
+  // What becomes of a machine whose worker has been crashed by what it ran.
+  void set_crash_handler(std::function<void(fleet_worker&)> crashed)
+  {
+    m_crashed = std::move(crashed);
+  }
   // As it is now; `draining` says that it leaves.
   void write_entry(fleet_worker& which);
   void remove_entry(fleet_worker& which);
@@ -60,6 +70,7 @@
   run_judge& m_judge;
   worker_model::course_function m_course;
   const std::map<std::string, jobs::job_spec>& m_specs;
+  std::function<void(fleet_worker&)> m_crashed;
   std::deque<fleet_worker> m_workers;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::int64_t k_longest_lease_ms = 10000; // the platform's bound
 constexpr std::size_t k_most_ends_listed = 500;
+// A room that has shrunk counts 3 s and a beat of 1.5 s after the worker has said so; an owner that
+// is cut off may not hear of it and goes on for its authority (4.5 s).
+constexpr std::chrono::milliseconds k_shrunk_counts{3000 + 1500 + 4500};
 
 task_ref task_in(const json& body)
 {
@@ -42,7 +45,10 @@
 worker_model::~worker_model()
 {
   for (const auto& [task, run] : m_runs)
+  {
     m_time.cancel(run.end_event);
+    m_time.cancel(run.crash_event);
+  }
   m_time.cancel(m_lapse_event);
   for (const waiting_hold& each : m_holds)
     m_time.cancel(each.timeout);
@@ -157,10 +163,35 @@
   run.end_event =
       m_time.schedule(course.takes, [this, task, course]
                       { finish(task, course.fails ? run_end::failed : run_end::done); });
+  if (course.crashes_after)
+    run.crash_event = m_time.schedule(*course.crashes_after, [this] { crash(); });
   check_room(task);
   return {200, json{{wire::k_clock_ms, clock_ms()}}.dump(), {}, false};
 }
 
+void worker_model::crash()
+{
+  m_judge.worker_crashed(m_settings.id);
+  const std::function<void()> crashed = m_crashed;
+  if (crashed)
+    crashed(); // this life has ended
+}
+
+void worker_model::set_capacity(const common::resources& capacity)
+{
+  m_earlier_rooms.push_back({m_settings.capacity, std::nullopt});
+  m_settings.capacity = capacity;
+}
+
+void worker_model::room_told()
+{
+  for (earlier_room& each : m_earlier_rooms)
+  {
+    if (!each.until)
+      each.until = m_time.now() + k_shrunk_counts;
+  }
+}
+
 void worker_model::check_room(const task_ref& task)
 {
   common::resources used;
@@ -170,7 +201,12 @@
     if (spec != m_specs->end())
       used += scheduling::room_of(spec->second.steps[each.place.step]);
   }
-  if (!used.fits_in(m_settings.capacity))
+  std::erase_if(m_earlier_rooms, [this](const earlier_room& each)
+                { return each.until && *each.until < m_time.now(); });
+  const bool fitted =
+      std::any_of(m_earlier_rooms.begin(), m_earlier_rooms.end(),
+                  [&used](const earlier_room& each) { return used.fits_in(each.capacity); });
+  if (!used.fits_in(m_settings.capacity) && !fitted)
     m_judge.overloaded(m_settings.id, "by a start of " + adapter::to_wire(task));
 }
 
@@ -199,6 +235,7 @@
     return;
   const active_run& run = ended.mapped();
   m_time.cancel(run.end_event);
+  m_time.cancel(run.crash_event);
   m_past[task] = std::max(m_past[task], run.number);
   ++m_last_end;
   m_ends[m_last_end] = {m_last_end, task, run.number, how, run.checkpoint};
--- a/Source/Core/Model/WorkerModel.h
+++ b/Source/Core/Model/WorkerModel.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -20,11 +21,13 @@
 
 namespace yardhill::model
 {
-// How a run goes: how long it takes at full speed, and whether it fails at its end.
+// How a run goes: how long it takes at full speed, whether it fails at its end, and how long after
+// its beginning it crashes its worker, if it does.
 struct run_course
 {
   common::duration takes{};
   bool fails = false;
+  std::optional<common::duration> crashes_after;
 };
 
 struct worker_settings
@@ -58,12 +61,19 @@
   const worker_settings& settings() const { return m_settings; }
   // The jobs' steps, for the room that runs take.
   void set_specs(const std::map<std::string, jobs::job_spec>& specs) { m_specs = &specs; }
+  // Called when a run has crashed the worker; it ends this life.
+  void set_crash_handler(std::function<void()> crashed) { m_crashed = std::move(crashed); }
+  // Its room from now on; its entry tells it once it is written again.
+  void set_capacity(const common::resources& capacity);
+  // The entry that tells of its room as it is now has been written.
+  void room_told();
 
 private:
   struct active_run
   {
     run_number number = 0;
     common::timekeeper::entry end_event = 0;
+    common::timekeeper::entry crash_event = 0;
     bool stopping = false;
     std::string checkpoint;
   };
@@ -83,6 +93,7 @@
   void lapse();
   void finish(const task_ref& task, run_end how);
   void check_room(const task_ref& task);
+  void crash();
   std::int64_t clock_ms() const;
 
   common::timekeeper& m_time;
@@ -91,6 +102,14 @@
   run_judge& m_judge;
   course_function m_course;
   const std::map<std::string, jobs::job_spec>* m_specs = nullptr;
+  std::function<void()> m_crashed;
+  // A larger room that it had counts until then; none while its entry does not tell of its loss.
+  struct earlier_room
+  {
+    common::resources capacity;
+    std::optional<common::time_point> until;
+  };
+  std::vector<earlier_room> m_earlier_rooms;
   std::uint64_t m_fence = 0;
   std::int64_t m_lease_end = 0; // on its own clock
   common::timekeeper::entry m_lapse_event = 0;
