Scheduling, Common, Node: Shrunk rooms take nothing from others; time goes on while a machine is suspended

Cause (ShrunkRoomTest, seen failing): a worker whose room has shrunk below what runs there counted as negative room of the cell, so the budget of advice was below zero and no queue with a policy was advised on other workers; owners told others too little free room. SuspendedOwnerTest (seen failing with the clock as it was): an owner whose machine was suspended for longer than its authority, and which nobody could tell of its successor, went on ordering workers, as std::chrono::steady_clock stands still meanwhile. Change: worker_record::idle_cpu_millis; common::boot_time (CLOCK_BOOTTIME) for the event loops of both paths and for the age of idle connections. Ruled out: timers of a loop may still be late by a suspension; passes every few milliseconds read the time anew, and the explorer's suspensions put timers off in this way.

--- a/Source/Core/Http/HttpClient.cpp
+++ b/Source/Core/Http/HttpClient.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Common/BootClock.h"
+
 namespace yardhill::http
 {
 namespace
@@ -62,7 +64,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  clock::time_point idle_since;
+  common::time_point idle_since;
   // Of the call under way.
   bhttp::request<bhttp::string_body> outgoing;
   std::unique_ptr<bhttp::response_parser<bhttp::string_body>> incoming;
@@ -144,7 +146,7 @@
     {
       std::shared_ptr<connection> link = std::move(pool.idle.back());
       pool.idle.pop_back();
-      if (clock::now() - link->idle_since < k_longest_idle && !closed_by_peer(*link))
+      if (common::boot_time() - link->idle_since < k_longest_idle && !closed_by_peer(*link))
         return link;
     }
     return nullptr;
@@ -272,7 +274,7 @@
     --pool.busy;
     if (keep)
     {
-      link->idle_since = clock::now();
+      link->idle_since = common::boot_time();
       pool.idle.push_back(link);
     }
     else
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -177,6 +177,13 @@
     m_fleet.remove_entry(which);
 }
 
+void explored_cell::read_suspended_clocks()
+{
+  m_suspended_clocks = true;
+  for (explored_instance& each : m_instances)
+    each.time->read_suspended_clock();
+}
+
 void explored_cell::end_instance(explored_instance& which)
 {
   which.core.reset();
@@ -205,6 +212,8 @@
 {
   which.started = m_time.now();
   which.time = std::make_unique<process_time>(m_time);
+  if (m_suspended_clocks)
+    which.time->read_suspended_clock();
   which.sender = std::make_unique<network_sender>(m_network, *which.time, which.name);
   which.metrics = std::make_unique<common::metrics>();
   node::node_settings settings;
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -71,6 +71,8 @@
   // The newest version that had been written by then; 0 if there was none.
   std::uint64_t version_written_by(time_point when) const;
   void start_instance(explored_instance& which);
+  // From now on all processes read a clock that stands still while their machines are suspended.
+  void read_suspended_clocks();
   // Ends its process as it is; the others' links and the callers' connections to it break.
   void end_instance(explored_instance& which);
   // Both ends of a link are told that it is up, or broken.
@@ -104,6 +106,7 @@
   std::vector<explored_instance> m_instances;
   std::map<time_point, std::uint64_t> m_configured; // the operator's versions, by when
   std::uint64_t m_lives = 0;
+  bool m_suspended_clocks = false;
   time_point m_begin;
 };
 } // namespace yardhill::model
--- a/Source/Core/Node/AsioTimekeeper.cpp
+++ b/Source/Core/Node/AsioTimekeeper.cpp
@@ -5,12 +5,13 @@
 
 #include <utility>
 
+#include "Common/BootClock.h"
+
 namespace yardhill::node
 {
 common::time_point asio_timekeeper::now() const
 {
-  return common::time_point(std::chrono::duration_cast<common::duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return common::boot_time();
 }
 
 common::wall_clock_time asio_timekeeper::wall() const
--- a/Source/Core/Scheduling/PartitionLoad.cpp
+++ b/Source/Core/Scheduling/PartitionLoad.cpp
@@ -43,7 +43,7 @@
     if (!worker->offered() || !worker->claimed || worker->suspect)
       continue;
     ++load.usable_workers;
-    load.free_cpu += worker->free().cpu_millis;
+    load.free_cpu += worker->idle_cpu_millis();
   }
   return load;
 }
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -62,7 +62,7 @@
     return;
   std::int64_t free = 0;
   for (const auto& [id, worker] : m_state.workers)
-    free += worker->offered() && !worker->suspect ? worker->free().cpu_millis : 0;
+    free += worker->offered() && !worker->suspect ? worker->idle_cpu_millis() : 0;
   m_advice.set_budget(free);
   if (survey)
     avoid_slow_workers(now);
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -5,6 +5,7 @@
 
 // A worker as its partition's owner holds it in memory: its room, what runs there, its lease.
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -124,6 +125,9 @@
     return claim_doubted || (claim && claim->over) || (claim_sent && claim_sent->over);
   }
   common::resources free() const { return info.capacity - used; }
+  // What it can give of the cell's free processors: nothing where its room has shrunk below what
+  // runs there.
+  std::int64_t idle_cpu_millis() const { return std::max<std::int64_t>(0, free().cpu_millis); }
   std::uint32_t tasks_of(const job_record& job, std::uint32_t cycle, std::uint32_t step) const;
   bool has_label(const std::string& label) const;
 };
--- a/Source/Core/Service/EventLoop.cpp
+++ b/Source/Core/Service/EventLoop.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "Common/BootClock.h"
+
 namespace yardhill::service
 {
 namespace
@@ -36,8 +38,7 @@
 
 time_point event_loop::now()
 {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point{std::chrono::duration_cast<duration>(since_boot)};
+  return common::boot_time();
 }
 
 void event_loop::start()
