soak, StandIns, Scheduling: The soak plays crashing jobs and shrinking rooms; doubtful crashes need a second trial alone

Change: after a run that was not blamed a task is given up only at its second crash in a trial alone. The stand-in's jobs of payload 'crashing' crash their workers 10 ms after the start, back 2.5 s later; rooms_shrink; the stand-in's judge counts crashes.

--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -44,6 +44,8 @@
   // is known, or there was none.
   std::uint32_t announced = 0;
   std::string announced_on = {};
+  // How many of the blamed runs were tried alone.
+  std::uint32_t alone = 0;
 
   bool any() const { return !blamed.empty() || !unclear.empty() || announced != 0; }
   void take_back()
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -13,9 +13,11 @@
 {
 // From its second count on a task is tried where nothing else has just begun, and from its first
 // one if it was not blamed, as it may take longer to crash its worker. If it alone is blamed then,
-// it is given up. The platform's bound is five starts of a task that crashes its workers, and the
+// it is given up; after a run that was not blamed it has one try more, since that one may have been
+// lost by others. The platform's bound is five starts of a task that crashes its workers, and the
 // first one is not announced.
 constexpr std::size_t k_counts_to_isolate = 2;
+constexpr std::uint32_t k_alone_if_doubtful = 2;
 // Otherwise it takes more counts, since those whose end is unclear may have been lost with a cut.
 constexpr std::size_t k_counts_to_give_up = 4;
 constexpr std::size_t k_unclear_to_give_up = 6;
@@ -141,12 +143,13 @@
                         time_point now)
 {
   task_record& task = job.task(place);
-  const bool tried_alone = how == verdict::blamed_alone && isolated(task);
   const bool blamed = how != verdict::unclear;
+  task.crashes.alone += how == verdict::blamed_alone && isolated(task) ? 1 : 0;
   add_once(blamed ? task.crashes.blamed : task.crashes.unclear, run);
   m_state.mark_dirty(job);
   const std::size_t most = task.crashes.blamed.empty() ? k_unclear_to_give_up : k_counts_to_give_up;
-  if (tried_alone || counts_of(task.crashes) >= most)
+  const std::uint32_t enough = task.crashes.unclear.empty() ? 1 : k_alone_if_doubtful;
+  if (task.crashes.alone >= enough || counts_of(task.crashes) >= most)
     give_up(job, place, now);
 }
 
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -46,6 +46,10 @@
 constexpr std::uint64_t k_policy_seed = 1;
 constexpr const char* k_flaky_payload = "flaky";
 constexpr std::uint64_t k_runs_per_failure = 6; // of a flaky job, on average
+// The first task of such a job crashes each worker that starts it, which is back after some time.
+constexpr const char* k_crashing_payload = "crashing";
+constexpr milliseconds k_crash{10};
+constexpr milliseconds k_crash_back{2500};
 
 http::request model_call(const incoming_request& request)
 {
@@ -115,6 +119,7 @@
             { return course_of(task, run); },
             m_specs)
   {
+    m_fleet.set_crash_handler([this](model::fleet_worker& worker) { worker_crashed(worker); });
     listen(io, 0,
            [this](const incoming_request& request, responder respond)
            { call_store(request, std::move(respond)); });
@@ -164,6 +169,22 @@
            { call_worker(worker, request, std::move(respond)); });
   }
 
+  void worker_crashed(model::fleet_worker& worker)
+  {
+    m_time.schedule(k_crash_back,
+                    [this, &worker]
+                    {
+                      if (!worker.model)
+                        begin_life(worker);
+                    });
+  }
+
+  void begin_life(model::fleet_worker& worker)
+  {
+    m_fleet.begin_life(worker);
+    m_fleet.write_entry(worker);
+  }
+
   void call_worker(model::fleet_worker& worker, const incoming_request& request, responder respond)
   {
     ++m_worker_calls;
@@ -202,6 +223,8 @@
                                      : std::chrono::duration_cast<common::duration>(
                                            step.estimate * m_options.run_time_share);
     course.fails = spec->second.payload == k_flaky_payload && fails(task, run);
+    if (spec->second.payload == k_crashing_payload && task.place == jobs::task_place{})
+      course.crashes_after = k_crash;
     return course;
   }
 
@@ -272,6 +295,8 @@
         return {400, common::to_text(spec.error()), "text/plain", {}};
       m_specs[id] = *spec;
       m_judge.submitted(id, *spec, k_max_attempts);
+      if (spec->payload == k_crashing_payload)
+        m_judge.expect_crashes({id, {}});
     }
     else if (what == "answers")
       m_judge.answered(id, static_cast<unsigned>(std::stoul(words.at(3))));
@@ -317,17 +342,19 @@
     model::fleet_worker& worker = m_fleet.workers().at(std::stoul(words.at(1)));
     const std::string& what = words.at(2);
     if (what == "crash")
+    {
+      m_judge.worker_crashed(worker.settings.id);
       model::worker_fleet::end_life(worker);
+    }
     else if (what == "leave")
     {
       model::worker_fleet::end_life(worker);
       m_fleet.remove_entry(worker);
     }
     else if (what == "replace")
-    {
-      m_fleet.begin_life(worker);
-      m_fleet.write_entry(worker);
-    }
+      begin_life(worker);
+    else if (what == "room")
+      set_room(worker, std::stod(words.at(3)) / 100.0);
     else if (what == "drain")
       drain(worker);
     else if (what == "silence")
@@ -341,6 +368,14 @@
     return {};
   }
 
+  // It has that share of its room from now on, and its entry says so.
+  void set_room(model::fleet_worker& worker, double share)
+  {
+    model::worker_fleet::set_capacity(worker, common::scaled(m_options.capacity, share));
+    if (worker.model)
+      m_fleet.write_entry(worker);
+  }
+
   // Nothing comes from one that is gone.
   void drain(model::fleet_worker& worker)
   {
--- a/Tools/soak/ledger.py
+++ b/Tools/soak/ledger.py
@@ -33,6 +33,11 @@
     def flaky(self):
         return self.body["spec"] == "flaky"
 
+    @property
+    def crashing(self):
+        """A task of it crashes each worker that starts it."""
+        return self.body["spec"] == "crashing"
+
     @property
     def final(self):
         return RANKS[self.state] == FINAL_RANK
@@ -85,7 +90,7 @@
         before, job.state = job.state, state
         if RANKS[state] < RANKS[before] or (RANKS[before] == FINAL_RANK and state != before):
             self.breaks("BACK", f"{job.id}: {before}, then {state} from {instance}")
-        if state == "failed" and not job.flaky:
+        if state == "failed" and not job.flaky and not job.crashing:
             self.breaks("LOST", f"{job.id}: shown as failed by {instance}, and none of its tasks fail")
         if state == "completed" and job.lasting:
             self.breaks("LOST", f"{job.id}: shown as completed by {instance}, but it lasts")
--- a/Tools/soak/load.py
+++ b/Tools/soak/load.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Draws the jobs of a run: when each is handed in, and what its caller does with it."""
 import json
+import random
 import zlib
 from dataclasses import dataclass
 from typing import Optional
@@ -69,6 +70,7 @@
         self.run_time = run_time
         self.add_bursts(seconds, cores)
         self.add_steady(seconds, cores)
+        self.add_crashing(random.Random(f"{seed}/crashing"), seconds)
         self.jobs.sort(key=lambda job: job.plan.at)
 
     def add(self, kind, steps, at, cancel_after=None):
@@ -115,6 +117,17 @@
             budget -= cpu_seconds(steps, self.run_time)
             self.add(kind, steps, self.draw.uniform(0.5, seconds))
 
+    def add_crashing(self, draw, seconds):
+        """Jobs whose first task crashes each worker that starts it; drawn apart from the others."""
+        for _ in range(draw.choice([0, 0, 1, 2, 4])):
+            steps = draw.choice([preview, rebuild, gang, watch])(draw)
+            if draw.random() < 0.3 and not steps[0].get("gang"):
+                steps[0]["speculative"] = True
+            number = self.first_number + len(self.jobs)
+            body = {"spec": "crashing", "phases": steps}
+            plan = Plan(draw.uniform(1, seconds * 0.8), None, None)
+            self.jobs.append(Job(number, KINDS["preview"], body, plan))
+
     def told(self):
         again = sum(job.plan.again_after is not None for job in self.jobs)
         lasting = sum(job.lasting for job in self.jobs)
--- a/Tools/soak/troubles.py
+++ b/Tools/soak/troubles.py
@@ -44,7 +44,12 @@
                 drawn.append((at + self.draw.uniform(0, wave), kind))
             at += wave + self.draw.choice([3, 6, 14, 16])
         drawn.sort()
-        return [(when, kind, number) for number, (when, kind) in enumerate(drawn)]
+        drawn += self.rooms(seconds)  # last: the others' numbers are what their luck follows from
+        return sorted((when, kind, number) for number, (when, kind) in enumerate(drawn))
+
+    def rooms(self, seconds):
+        draw = random.Random(f"{self.seed}/rooms")
+        return [(draw.uniform(2, seconds - 4), "rooms_shrink") for _ in range(draw.randint(0, 3))]
 
     def play(self, began, drawn):
         for at, kind, number in drawn:
@@ -308,6 +313,14 @@
         self.pause(4.0)
         self.befall_workers(numbers, "late/0")
 
+    def rooms_shrink(self, draw, note):
+        numbers, left = self.workers(draw, 0.3), draw.choice([0, 25, 50, 75])
+        seconds = draw.choice([0.5, 3.0, 8.0])
+        note(f"{len(numbers)} workers have {left} % of their room for {seconds} s")
+        self.befall_workers(numbers, f"room/{left}")
+        self.pause(seconds)
+        self.befall_workers(numbers, "room/100")
+
 
 # With how often each is drawn.
 KINDS = [("stop_series", 4), ("stop_owners", 3), ("kill_owners", 4), ("kill_several", 2),
