Scheduling: A crash that nobody can pin on a task convicts none; starts without an answer are told apart

Change: starts without an answer are counted by themselves and bound the tries (5), but convict nobody; a trial alone convicts only with one more loss, and with two trials where the losses before point both ways. The soak leaves out crashing jobs in its look at lasting tasks (they fail).

--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -46,8 +46,13 @@
   std::string announced_on = {};
   // How many of the blamed runs were tried alone.
   std::uint32_t alone = 0;
+  // Runs whose workers have ended, and whose starts were not answered: they may never have begun.
+  std::uint32_t unanswered = 0;
 
-  bool any() const { return !blamed.empty() || !unclear.empty() || announced != 0; }
+  bool any() const
+  {
+    return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0;
+  }
   void take_back()
   {
     announced = 0;
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -11,16 +11,15 @@
 {
 namespace
 {
-// From its second count on a task is tried where nothing else has just begun, and from its first
-// one if it was not blamed, as it may take longer to crash its worker. If it alone is blamed then,
-// it is given up; after a run that was not blamed it has one try more, since that one may have been
-// lost by others. The platform's bound is five starts of a task that crashes its workers, and the
-// first one is not announced.
+// From its second count on, or the first one if that is unclear, a task is tried where nothing else
+// has just begun. If it alone is blamed
+// then, it is given up; if losses before point both ways it has one try more. The platform's bound
+// is five starts of a task that crashes its workers, and the first one is not announced.
 constexpr std::size_t k_counts_to_isolate = 2;
 constexpr std::uint32_t k_alone_if_doubtful = 2;
 // Otherwise it takes more counts, since those whose end is unclear may have been lost with a cut.
 constexpr std::size_t k_counts_to_give_up = 4;
-constexpr std::size_t k_unclear_to_give_up = 6;
+constexpr std::size_t k_tries = 5;
 // Its trial lasts twice as long with each count, so that one that takes longer to crash its worker
 // is found out as well.
 constexpr std::size_t k_most_trial_doublings = 3;
@@ -43,6 +42,21 @@
 }
 } // namespace
 
+bool crash_watch::convicted(const jobs::crash_history& crashes)
+{
+  // Once it was the youngest of several, once it was not: its neighbours may be at fault.
+  const bool doubtful = !crashes.unclear.empty() && crashes.blamed.size() > crashes.alone;
+  return crashes.alone >= (doubtful ? k_alone_if_doubtful : 1) &&
+         counts_of(crashes) >= k_counts_to_isolate;
+}
+
+bool crash_watch::out_of_tries(const jobs::crash_history& crashes)
+{
+  const std::size_t counts = counts_of(crashes);
+  return counts + crashes.unanswered >= k_tries ||
+         (counts >= k_counts_to_give_up && !crashes.blamed.empty());
+}
+
 std::size_t counts_of(const jobs::crash_history& crashes)
 {
   return crashes.blamed.size() + crashes.unclear.size();
@@ -63,8 +77,8 @@
 }
 
 // The ones that are known to have begun last: what had begun before them had shown for longer that
-// it does no harm. And those whose start was not answered: they may have crashed the worker at
-// once, or came too late to begin at all.
+// it does no harm. Starts without an answer count as unclear: they may have crashed the worker at
+// once, or have come too late to begin at all.
 void crash_watch::blame(const worker_record& worker, std::vector<lost_run>& runs,
                         time_point now) const
 {
@@ -75,17 +89,23 @@
       youngest = std::min(youngest, lived(*run));
   }
   std::size_t blamed = 0;
+  std::size_t unanswered = 0;
   for (lost_run& each : runs)
   {
     const run_record& run = *worker.runs.at({each.job, each.place});
     const bool survived = run.spec().long_running && lived(run) >= m_state.options.crash_survived;
-    each.blamed = !run.start_answered ||
-                  (!survived && lived(run) - youngest <= m_state.options.crash_cluster);
-    blamed += each.blamed ? 1 : 0;
+    if (!run.start_answered)
+      each.how = verdict::unanswered;
+    else if (!survived && lived(run) <= youngest + m_state.options.crash_cluster)
+      each.how = verdict::blamed_with_others;
+    blamed += each.how == verdict::blamed_with_others ? 1 : 0;
+    unanswered += each.how == verdict::unanswered ? 1 : 0;
   }
   for (lost_run& each : runs)
-    each.alone = each.blamed && blamed == 1 &&
-                 worker.runs.at({each.job, each.place})->start_answered.has_value();
+  {
+    if (each.how == verdict::blamed_with_others && blamed == 1 && unanswered == 0)
+      each.how = verdict::blamed_alone;
+  }
   common::log_process("worker_crashed",
                       {{"worker", worker.info.id.value},
                        {"runs", runs.size()},
@@ -127,29 +147,23 @@
     const bool announced = crashes.announced == each.number;
     if (announced)
       crashes.take_back();
-    if (each.blamed || announced)
-      count(*job, each.place, each.number, verdict_on(each), now);
+    if (each.how || announced)
+      count(*job, each.place, each.number, each.how.value_or(verdict::unclear), now);
   }
 }
 
-crash_watch::verdict crash_watch::verdict_on(const lost_run& run)
-{
-  if (!run.blamed)
-    return verdict::unclear;
-  return run.alone ? verdict::blamed_alone : verdict::blamed_with_others;
-}
-
 void crash_watch::count(job_record& job, const task_place& place, run_number run, verdict how,
                         time_point now)
 {
   task_record& task = job.task(place);
-  const bool blamed = how != verdict::unclear;
-  task.crashes.alone += how == verdict::blamed_alone && isolated(task) ? 1 : 0;
-  add_once(blamed ? task.crashes.blamed : task.crashes.unclear, run);
+  jobs::crash_history& crashes = task.crashes;
+  crashes.alone += how == verdict::blamed_alone && isolated(task) ? 1 : 0;
+  if (how == verdict::unanswered)
+    ++crashes.unanswered;
+  else
+    add_once(how == verdict::unclear ? crashes.unclear : crashes.blamed, run);
   m_state.mark_dirty(job);
-  const std::size_t most = task.crashes.blamed.empty() ? k_unclear_to_give_up : k_counts_to_give_up;
-  const std::uint32_t enough = task.crashes.unclear.empty() ? 1 : k_alone_if_doubtful;
-  if (task.crashes.alone >= enough || counts_of(task.crashes) >= most)
+  if (convicted(crashes) || out_of_tries(crashes))
     give_up(job, place, now);
 }
 
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -8,9 +8,9 @@
 //
 // A crashed worker lists no end of what ran there, so two things are counted. Blamed runs: the ones
 // that had begun last when the worker was heard last; others had shown that they do no harm.
-// Unclear ones: announced runs that were lost with a worker and not blamed. A run is announced in
-// the job's row, with its worker, if its task has lost a run before, so that no change of owner
-// loses count.
+// Unclear ones: announced runs that were not blamed. A run is
+// announced in the job's row, with its worker, if its task has lost a run before, so that no change
+// of owner loses count.
 //
 // What tells the guilty from its neighbours: a suspected task is kept apart from others, and from
 // its second count on it is tried where nothing else has just begun and nothing else begins.
@@ -57,24 +57,28 @@
   void mark_trial(run_record& run, time_point now) const;
 
 private:
-  // A run that was lost with its worker.
+  // What a loss says of the run's task.
+  enum class verdict
+  {
+    blamed_alone,
+    blamed_with_others,
+    unclear,
+    unanswered
+  };
+
+  // A run that was lost with its worker. Without a verdict it had shown that it does no harm.
   struct lost_run
   {
     std::string job;
     task_place place;
     run_number number = 0;
-    bool blamed = false;
-    bool alone = false; // no other run is blamed
-  };
-
-  enum class verdict
-  {
-    blamed_alone,
-    blamed_with_others,
-    unclear
+    std::optional<verdict> how = std::nullopt;
   };
 
-  static verdict verdict_on(const lost_run& run);
+  // A trial alone has shown it.
+  static bool convicted(const jobs::crash_history& crashes);
+  // It is too often lost with its worker, whatever the cause.
+  static bool out_of_tries(const jobs::crash_history& crashes);
   std::vector<lost_run> runs_of(const worker_record& worker) const;
   void blame(const worker_record& worker, std::vector<lost_run>& runs, time_point now) const;
   void take_in(const std::vector<lost_run>& runs, time_point now);
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -98,7 +98,7 @@
 jobs::job_progress announced_on_w9()
 {
   jobs::job_progress progress = takeover_harness::begun();
-  progress.histories[{0, 0, 0}].crashes = {{3, 5}, {}, 7, "w9", 0};
+  progress.histories[{0, 0, 0}].crashes = {{3, 5}, {}, 7, "w9", 0, 0};
   return progress;
 }
 } // namespace
--- a/Tools/soak/checks.py
+++ b/Tools/soak/checks.py
@@ -101,7 +101,8 @@
 
     def lasting_tasks(self):
         for job in self.ledger.all():
-            if job.lasting and job.accepted_at is not None and not job.cancel_asked:
+            if (job.lasting and not job.crashing and job.accepted_at is not None
+                    and not job.cancel_asked):
                 step = job.body["phases"][0]
                 for index in range(step["count"]):
                     yield job, (job.id, 0, index)
