Scheduling, Jobs, Model: What an owner has lost is written before the claim that tells of it goes

Change: crash_history::lost, kept with the job's row, which a commit writes before it releases claims.

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -86,7 +86,8 @@
     if (history.crashes.any())
       row.insert(row.end(),
                  {history.crashes.blamed, history.crashes.unclear, history.crashes.announced,
-                  history.crashes.announced_on, history.crashes.alone, history.crashes.unanswered});
+                  history.crashes.announced_on, history.crashes.alone, history.crashes.unanswered,
+                  history.crashes.lost});
   }
   json begun = json::array();
   for (const auto& [step, zone] : progress.begun)
@@ -124,7 +125,8 @@
       task_history& history = progress.histories[{task.at(0), task.at(1), task.at(2)}];
       history = {task.at(3), task.at(4), {}};
       if (task.size() > k_history_without_crashes)
-        history.crashes = {task.at(5), task.at(6), task.at(7), task.at(8), task.at(9), task.at(10)};
+        history.crashes = {task.at(5), task.at(6),  task.at(7), task.at(8),
+                           task.at(9), task.at(10), task.at(11)};
     }
   }
   return progress;
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -48,10 +48,12 @@
   std::uint32_t alone = 0;
   // Runs whose workers have ended, and whose starts were not answered: they may never have begun.
   std::uint32_t unanswered = 0;
+  // A run may have been lost with a worker, so the next one is announced.
+  bool lost = false;
 
   bool any() const
   {
-    return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0;
+    return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0 || lost;
   }
   void take_back()
   {
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -148,6 +148,9 @@
   if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
     course.takes = seconds(1 + static_cast<std::int64_t>(luck % 20));
   course.crashes_after = m_callers.crashes_after(task);
+  // No run of such a task ends before that.
+  if (course.crashes_after)
+    course = {*course.crashes_after + seconds(1), false, course.crashes_after};
   return course;
 }
 
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -4,6 +4,7 @@
 #include "Scheduling/CrashWatch.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/EventLog.h"
 
@@ -147,6 +148,7 @@
     const bool announced = crashes.announced == each.number;
     if (announced)
       crashes.take_back();
+    may_be_lost(*job, each.place);
     if (each.how || announced)
       count(*job, each.place, each.number, each.how.value_or(verdict::unclear), now);
   }
@@ -203,6 +205,15 @@
   m_state.mark_dirty(*run.job);
 }
 
+void crash_watch::may_be_lost(job_record& job, const task_place& place)
+{
+  task_record& task = job.task(place);
+  task.lost = true;
+  if (std::exchange(task.crashes.lost, true))
+    return;
+  m_state.mark_dirty(job);
+}
+
 void crash_watch::released(job_record& job, const task_place& place, earlier_worker fate,
                            time_point now)
 {
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -43,6 +43,9 @@
     ended, // its life is over
     unheard
   };
+  // A run of the task may have been lost with its worker. This is written before the worker's claim
+  // goes, which is all that tells a later owner of it.
+  void may_be_lost(job_record& job, const task_place& place);
   // An earlier owner's task waits again, and an announced run of it has not been heard of.
   void released(job_record& job, const task_place& place, earlier_worker fate, time_point now);
 
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -390,7 +390,8 @@
         if (step.tasks[i].phase != task_phase::unaccounted || held.contains({job.id(), place}))
           continue;
         job.set_phase(place, task_phase::waiting);
-        job.task(place).lost |= !m_lost_workers.empty();
+        if (!m_lost_workers.empty())
+          m_crashes.may_be_lost(job, place);
         m_crashes.released(job, place, fate_of(job.task(place).crashes.announced_on), now);
         ++released;
       }
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Scheduling/CrashWatch.h"
 #include "Scheduling/SchedulerHarness.h"
 
 using namespace yardhill::scheduling;
@@ -98,7 +99,7 @@
 jobs::job_progress announced_on_w9()
 {
   jobs::job_progress progress = takeover_harness::begun();
-  progress.histories[{0, 0, 0}].crashes = {{3, 5}, {}, 7, "w9", 0, 0};
+  progress.histories[{0, 0, 0}].crashes = {{3, 5}, {}, 7, "w9", 0, 0, true};
   return progress;
 }
 } // namespace
@@ -140,7 +141,10 @@
   crash_under(guilty);
   const commit_batch batch = scheduler->take_commit(1000, now);
   BOOST_TEST(history_of(jobs::job_progress_from(batch.rows.at(k_job))).crashes.blamed.size() == 1U);
-  BOOST_TEST(!batch.rows.contains(k_other_job));
+  const jobs::crash_history other =
+      history_of(jobs::job_progress_from(batch.rows.at(k_other_job))).crashes;
+  BOOST_TEST(counts_of(other) == 0U);
+  BOOST_TEST(other.lost); // and its next run is announced
 }
 
 BOOST_FIXTURE_TEST_CASE(a_worker_that_leaves_as_planned_has_not_crashed, crashing_cell)
