--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -360,8 +360,11 @@
     return false;
   const worker_record& worker = *run.worker;
   // A copy of what may have crashed its worker would take the next one before that is known.
+  const jobs::crash_history& crashes = run.job->task(run.place).crashes;
+  if (counts_of(crashes) > 0 || (worker.suspect && crashes.any()))
+    return false;
   if (worker.suspect && now - worker.silent_since >= m_state.options.copy_silent)
-    return !run.job->task(run.place).crashes.any();
+    return true;
   return m_state.overdue(run, now);
 }
 
