--- a/Source/Core/Explain/Explanation.cpp
+++ b/Source/Core/Explain/Explanation.cpp
@@ -17,11 +17,12 @@
 // Events about a process that can hold a request up. Those about a worker count if the request's
 // own lines name that worker.
 constexpr auto k_holding_up = std::to_array<std::string_view>(
-    {"store_lost",        "store_heard",       "take_over",         "partition_owned",
-     "partition_lost",    "partition_release", "tasks_accounted",   "zone_silent",
-     "peer_silent",       "peer_unlinked",     "stopping",          "started",
-     "worker_silent",     "worker_heard",      "worker_slow",       "worker_paused",
-     "worker_entry_gone", "advice_overdue",    "commit_unanswered", "feed_history_gone"});
+    {"store_lost",       "store_heard",       "take_over",       "partition_owned",
+     "partition_lost",   "partition_release", "tasks_accounted", "zone_silent",
+     "peer_silent",      "peer_unlinked",     "stopping",        "started",
+     "worker_silent",    "worker_heard",      "worker_slow",     "worker_paused",
+     "worker_crashed",   "worker_entry_gone", "advice_overdue",  "commit_unanswered",
+     "feed_history_gone"});
 
 // Lines that only show what somebody asked.
 bool shows_progress(const log_line& line)
@@ -120,8 +121,24 @@
          evidence_of(line);
 }
 
+// A task was lost with its workers too often: none of its runs has listed an end.
+std::string crash_cause(const log_line& given_up)
+{
+  const auto count = [&given_up](const char* field)
+  { return std::to_string(static_cast<int>(given_up.number(field))); };
+  return "task " + count("task") + " of step " + count("step") +
+         " was given up: " + count("crashes") + " workers crashed just after it had begun, " +
+         count("unclear") + " more runs were lost and " + count("unanswered") +
+         " starts not answered; the job itself is most likely at fault";
+}
+
 std::string failure_cause(const std::vector<log_line>& lines)
 {
+  const auto given_up =
+      std::find_if(lines.begin(), lines.end(),
+                   [](const log_line& line) { return line.event == "task_given_up"; });
+  if (given_up != lines.end())
+    return crash_cause(*given_up);
   std::set<std::string> workers;
   std::size_t failures = 0;
   for (const log_line& line : lines)
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -177,7 +177,8 @@
                       {{"step", place.step},
                        {"task", place.index},
                        {"crashes", crashes.blamed.size()},
-                       {"unclear", crashes.unclear.size()}});
+                       {"unclear", crashes.unclear.size()},
+                       {"unanswered", crashes.unanswered}});
   m_state.end_job(job, jobs::job_state::failed, now);
 }
 
--- a/Source/UnitTests/Explain/ExplanationTest.cpp
+++ b/Source/UnitTests/Explain/ExplanationTest.cpp
@@ -87,6 +87,18 @@
   BOOST_TEST(to_text(told).find("|    4.900  c  tasks_accounted") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_job_that_crashed_its_workers_is_told_as_such)
+{
+  const auto told = explain(
+      k_id, {line(0, "a", of_request("job_accepted")),
+             line(900, "a",
+                  of_request("task_given_up", ",\"step\":1,\"task\":2,\"crashes\":3,\"unclear\":1,"
+                                              "\"unanswered\":0")),
+             line(901, "a", of_request("job_ended", ",\"state\":\"failed\""))});
+  BOOST_TEST((told.how == outcome::failed));
+  BOOST_TEST(told.cause.find("task 2 of step 1 was given up: 3 workers crashed") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_job_is_told_with_where_its_runs_failed)
 {
   const auto failed = [](int at, const char* worker)
