Scheduling: A step that waits has its turn to be asked about; a worker is kept for a suspected task's trial

Change: the step that has waited longest for its turn, over 2 s, is asked about before more urgent ones, one at a time. The best worker for a suspected task is kept free of starts until it is fit for the trial, instead of giving up on that after 1.5 s alone. Ruled out: more slots, since the service takes an instance's calls in turn.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -121,6 +121,14 @@
   ask(job, cycle, step, occasion::waiting, now);
 }
 
+void advice_planner::want_in_turn(job_record& job, std::uint32_t cycle, std::uint32_t step,
+                                  time_point now)
+{
+  const bool first_long =
+      is_long(*job.policy().advice) && job.cycles()[cycle].steps[step].permits.permitted.empty();
+  ask(job, cycle, step, first_long ? occasion::first_long : occasion::waiting, now);
+}
+
 void advice_planner::ask(job_record& job, std::uint32_t cycle, std::uint32_t step, occasion why,
                          time_point now)
 {
@@ -134,6 +142,7 @@
                     [long_call](const auto& each) { return each.second.is_long == long_call; });
   if (static_cast<std::size_t>(taken) >= (long_call ? m_slots.long_calls : m_slots.short_calls))
     return;
+  permits.latest_turn = now;
   // Written while the advice is on its way.
   m_state.want_begun(job, in, m_zones.choose(job, cycle, step, now));
   std::vector<worker_id> workers = worth_asking(job, {job.id(), cycle, step}, why, now);
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -23,6 +23,8 @@
   void set_budget(std::int64_t cpu_millis) { m_budget = cpu_millis; }
   // Asks for steps that should become ready soon.
   void look_ahead(job_record& job, time_point now);
+  // The same for a step that has waited for its turn, whatever room more urgent ones may use.
+  void want_in_turn(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
   void on_answer(const advice_answer& answer, time_point now);
   void set_slots(const advice_slots& slots) { m_slots = slots; }
   // The ticket to start a task of the step on that worker; null if there is none. An empty text
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -248,7 +248,7 @@
 bool crash_watch::fit(const worker_record& worker, const task_record& task, time_point now) const
 {
   // Nothing else begins beside an isolated trial.
-  if (worker.isolated_until > now)
+  if (worker.isolated_until > now && worker.kept_for_trial != &task)
     return false;
   if (counts_of(task.crashes) == 0)
     return true;
@@ -260,6 +260,15 @@
   return !isolated(task) || worker.latest_start + m_state.options.crash_trial <= now;
 }
 
+void crash_watch::keep_for_trial(worker_record& worker, const task_record& task,
+                                 time_point now) const
+{
+  if (!isolated(task) || worker.isolated_until > now)
+    return;
+  worker.kept_for_trial = &task;
+  worker.isolated_until = now + m_state.options.crash_trial_patience;
+}
+
 void crash_watch::mark_trial(run_record& run, time_point now) const
 {
   worker_record& worker = *run.worker;
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -56,6 +56,8 @@
                  const worker_record& worker, bool beside_silent);
   // Whether the task may be tried there at this moment, as far as crashes go.
   bool fit(const worker_record& worker, const task_record& task, time_point now) const;
+  // Nothing begins on the worker for a while, so that it becomes fit for the task's trial.
+  void keep_for_trial(worker_record& worker, const task_record& task, time_point now) const;
   // What else may begin beside the run, if its task is suspected.
   void mark_trial(run_record& run, time_point now) const;
 
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -64,6 +64,7 @@
   std::map<worker_id, bool> permitted; // every worker asked about: the policy does not change
   bool asking = false;
   time_point ask_after{};
+  time_point latest_turn{}; // when it was last asked about, or there was no worker worth it
 };
 
 // Where tasks of a step may be started, as far as later owners know or are about to.
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -70,7 +70,9 @@
   blocked_steps blocked;
   m_looked_at = 0;
   ++m_passes;
-  for (const waiting_step& each : in_order(now))
+  const std::vector<waiting_step> steps = in_order(now);
+  advise_in_turn(steps, now);
+  for (const waiting_step& each : steps)
   {
     if (!its_turn(each, blocked))
     {
@@ -207,8 +209,13 @@
 void placer::note_trial_wanted(job_record& job, const task_place& place, time_point now) const
 {
   task_record& task = job.task(place);
-  if (!task.trial_wanted && best_worker(job, place, now, trials::ignored) != nullptr)
-    task.trial_wanted = now;
+  if (task.trial_wanted)
+    return;
+  worker_record* const worker = best_worker(job, place, now, trials::ignored);
+  if (worker == nullptr)
+    return;
+  task.trial_wanted = now;
+  m_crashes.keep_for_trial(*worker, task, now);
 }
 
 bool placer::may_begin(const waiting_step& each, const worker_record& worker, time_point now)
@@ -226,6 +233,25 @@
     m_state.want_anywhere(job, step);
 }
 
+void placer::advise_in_turn(const std::vector<waiting_step>& steps, time_point now)
+{
+  const waiting_step* longest = nullptr;
+  time_point earliest = now - m_state.options.advice_turn;
+  for (const waiting_step& each : steps)
+  {
+    const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
+    if (!each.job->policy().advice || permits.asking)
+      continue;
+    const time_point waits_since = std::max(permits.latest_turn, each.job->accepted_at());
+    if (waits_since > earliest)
+      continue;
+    longest = &each;
+    earliest = waits_since;
+  }
+  if (longest != nullptr)
+    m_advice.want_in_turn(*longest->job, longest->cycle, longest->step, now);
+}
+
 void placer::place_step(const waiting_step& each, time_point now)
 {
   job_record& job = *each.job;
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -62,6 +62,8 @@
   bool gang_may_start(const std::vector<run_record*>& members);
   // A step whose tasks find no room in its zone, though workers there were permitted, leaves it.
   void leave_small_zone(job_record& job, step_record& step);
+  // Asks for advice for the step that has waited longest for its turn, if it is due.
+  void advise_in_turn(const std::vector<waiting_step>& steps, time_point now);
   void place_step(const waiting_step& each, time_point now);
   void place_gang(const waiting_step& each, time_point now);
   // Whether suspected tasks and their neighbours are kept apart.
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -96,6 +96,10 @@
   duration advice_retry = std::chrono::milliseconds{200};
   // A ticket is not used in the last part of its life: the start has to arrive in time.
   duration ticket_margin = std::chrono::milliseconds{150};
+  // A step that has waited so long since it was last asked about has its turn before more urgent
+  // ones. Without it late jobs were asked about 45 s after they came, with room for them all the
+  // time (LateAdviceTest); the platform expects a task that has room to begin within 3 s.
+  duration advice_turn = std::chrono::milliseconds{2000};
   // Advice for a step is asked for when what it depends on should end within this time.
   duration advice_ahead = std::chrono::milliseconds{1200};
   // The most workers named in one call for advice: of 24, about 8 are permitted at the sites'
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -82,7 +82,8 @@
   // A suspected task is on trial there until then, and until then nothing else begins there.
   time_point trial_until{};
   time_point isolated_until{};
-  const run_record* trial = nullptr; // the latest run that set these two
+  const task_record* kept_for_trial = nullptr; // the one that may begin there all the same
+  const run_record* trial = nullptr;           // the latest run that set these two
   time_point latest_start{};
   time_point avoid_until{};
   time_point slow_until{}; // last choice until then
--- a/Source/UnitTests/Jobs/RowsTest.cpp
+++ b/Source/UnitTests/Jobs/RowsTest.cpp
@@ -45,7 +45,8 @@
   job_progress progress;
   progress.state = job_state::active;
   progress.done = {{{true, false, true}, {false}}};
-  progress.histories[{0, 0, 1}] = {{17, 1004}, "checkpoint", {{3}, {4, 5}, 6, "worker", 1, 2, true}};
+  progress.histories[{0, 0, 1}] = {
+      {17, 1004}, "checkpoint", {{3}, {4, 5}, 6, "worker", 1, 2, true}};
   progress.begun = {{{0, 0, 0}, "zone"}, {{0, 1, 0}, ""}};
   const job_progress read = job_progress_from(to_row_text(progress));
   BOOST_TEST((read.state == progress.state));
