--- a/Source/UnitTests/Model/RunJudgeTest.cpp
+++ b/Source/UnitTests/Model/RunJudgeTest.cpp
@@ -73,4 +73,43 @@
   BOOST_TEST(judge.violations().empty());
 }
 
+// The workers of a job's first task crash so often, each under a new run.
+void crash(judged_job& job, model::run_number times)
+{
+  for (model::run_number run = 1; run <= times; ++run)
+  {
+    const std::string worker = k_worker + std::to_string(run);
+    job.judge.started({job.task, run, worker, {}, {}, judged_job::at(seconds{run})});
+    job.judge.worker_crashed(worker);
+    job.judge.worker_gone(worker);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_crashing_task_may_be_started_twice_after_the_third_crash, judged_job)
+{
+  judge.expect_crashes(task);
+  crash(*this, 5);
+  BOOST_TEST(judge.violations().empty());
+  start(seconds{6});
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_fails_by_crashes_only_if_a_task_of_it_causes_them, judged_job)
+{
+  crash(*this, 3);
+  judge.shown(k_job, jobs::job_state::failed);
+  BOOST_TEST(judge.violations().size() == 1U);
+  judge.expect_crashes(task);
+  judge.shown(k_job, jobs::job_state::failed);
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(one_crash_is_no_reason_to_fail, judged_job)
+{
+  judge.expect_crashes(task);
+  crash(*this, 1);
+  judge.shown(k_job, jobs::job_state::failed);
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
