--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -13,9 +13,9 @@
 namespace
 {
 // From its second count on, or the first one if that is unclear, a task is tried where nothing else
-// has just begun. If it alone is blamed
-// then, it is given up; if losses before point both ways it has one try more. The platform's bound
-// is five starts of a task that crashes its workers, and the first one is not announced.
+// has just begun. If it alone is blamed then, it is given up; if losses before point both ways it
+// has one try more. The platform's bound is five starts of a task that crashes its workers, and the
+// first one is not announced.
 constexpr std::size_t k_counts_to_isolate = 2;
 constexpr std::uint32_t k_alone_if_doubtful = 2;
 // Otherwise it takes more counts, since those whose end is unclear may have been lost with a cut.
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -8,9 +8,8 @@
 //
 // A crashed worker lists no end of what ran there, so two things are counted. Blamed runs: the ones
 // that had begun last when the worker was heard last; others had shown that they do no harm.
-// Unclear ones: announced runs that were not blamed. A run is
-// announced in the job's row, with its worker, if its task has lost a run before, so that no change
-// of owner loses count.
+// Unclear ones: announced runs that were not blamed. A run is announced in the job's row, with its
+// worker, if its task has lost a run before, so that no change of owner loses count.
 //
 // What tells the guilty from its neighbours: a suspected task is kept apart from others, and from
 // its second count on it is tried where nothing else has just begun and nothing else begins.
