Scheduling, platform: The log tells when another life answers under a worker's id

Lists are read with the start of the life that answers; worker_restarted names the clocks of both lives, the ends that had been read and those that the call acknowledged. No logic is changed.

--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -35,6 +35,10 @@
 // Of a partition's owner; workers obey no lower one than the highest they have seen.
 using fencing_token = std::uint64_t;
 
+// When a worker's life began, by its own time of day. It tells the lives of one id apart and orders
+// nothing: clocks jump.
+using born_time = std::chrono::time_point<std::chrono::system_clock, milliseconds>;
+
 struct task_ref
 {
   std::string job;
@@ -55,7 +59,8 @@
 // What is known of a worker from its entry in the store.
 struct worker_info
 {
-  worker_id id; // new at each life
+  worker_id id; // several lives in a row may have it
+  std::optional<born_time> born;
   common::endpoint address;
   std::string zone;
   std::string service;
@@ -210,6 +215,7 @@
 {
   worker_id worker;
   call_end end = call_end::unanswered;
+  std::optional<born_time> born; // of the life that has answered
   std::optional<worker_clock_time> clock;
   end_number acknowledged = 0; // as it was sent
   std::vector<listed_run> running;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -211,6 +211,7 @@
   note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
   if (lost)
     return;
+  tell_life(*worker, answer);
   m_state.note_heard(*worker);
   worker->heard_at = now;
   if (answer.clock)
@@ -233,6 +234,18 @@
   accounted(worker->info.id, now);
 }
 
+void worker_holder::tell_life(worker_record& worker, const hold_answer& answer)
+{
+  if (worker.born && answer.born != worker.born)
+    common::log_process("worker_restarted", {{"worker", worker.info.id.value},
+                                             {"runs", worker.runs.size()},
+                                             {"listed_at_ms", worker.listed_at},
+                                             {"clock_ms", answer.clock.value_or(milliseconds{0})},
+                                             {"acknowledged", answer.acknowledged},
+                                             {"ends_read", worker.seen}});
+  worker.born = answer.born;
+}
+
 // A worker without an entry is there as long as it answers.
 void worker_holder::note_unlisted(worker_record& worker, bool heard)
 {
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -56,6 +56,7 @@
   // A new entry names an address that other lives have had.
   void ask_others_at(const worker_info& info);
   void note_unlisted(worker_record& worker, bool heard);
+  static void tell_life(worker_record& worker, const hold_answer& answer);
   void gone(worker_record& worker, const char* why, time_point now);
 
   scheduler_state& m_state;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -79,6 +79,7 @@
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
   time_point heard_at{};  // its latest answer
+  std::optional<born_time> born; // of the life that has answered last
   // A suspected task is on trial there until then, and until then nothing else begins there.
   time_point trial_until{};
   time_point isolated_until{};
