--- a/Source/Core/Model/AdviceModel.cpp
+++ b/Source/Core/Model/AdviceModel.cpp
@@ -26,9 +26,9 @@
 {
 }
 
-bool advice_model::permits(const std::string& step, const std::string& worker) const
+bool advice_model::permits(const std::string& step, const std::string& life) const
 {
-  return static_cast<double>(common::stable_hash(step + "/" + worker, m_seed) % k_share_steps) <
+  return static_cast<double>(common::stable_hash(step + "/" + life, m_seed) % k_share_steps) <
          m_settings.permitted_share * static_cast<double>(k_share_steps);
 }
 
@@ -55,10 +55,12 @@
   for (const json& each : in.at(wire::k_workers))
   {
     const std::string worker = each;
-    if (!permits(step, worker))
+    const auto known = m_lives.find(worker);
+    const std::string& life = known == m_lives.end() ? worker : known->second;
+    if (!permits(step, life))
       continue;
     const std::string ticket = "t" + std::to_string(m_tickets.size());
-    m_tickets[ticket] = {step, worker, m_time.now() + m_settings.valid};
+    m_tickets[ticket] = {step, life, m_time.now() + m_settings.valid};
     good.push_back({worker, ticket});
   }
   return {
@@ -69,10 +71,10 @@
 }
 
 bool advice_model::valid(const std::string& ticket, const std::string& step,
-                         const std::string& worker) const
+                         const std::string& life) const
 {
   const auto found = m_tickets.find(ticket);
-  return found != m_tickets.end() && found->second.step == step && found->second.worker == worker &&
+  return found != m_tickets.end() && found->second.step == step && found->second.life == life &&
          m_time.now() <= found->second.until;
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -32,7 +32,7 @@
   {
     if (each.model && each.listed && !each.draining &&
         each.settings.service == worker_settings{}.service)
-      usable.push_back({each.settings.id, each.settings.capacity});
+      usable.push_back({each.settings.life, each.settings.capacity});
   }
   return usable;
 }
@@ -44,7 +44,7 @@
 }
 } // namespace
 
-exploration explore_cell(std::uint64_t seed, omission without)
+exploration explore_cell(std::uint64_t seed, omission without, restarts how)
 {
   explored_cell cell(seed);
   cell_troubles troubles(cell, without);
@@ -58,6 +58,8 @@
   const count_judge counts(cell, cell.begin() + k_length);
   const cancel_judge cancelled(cell, cell.begin() + k_length);
   troubles.draw();
+  if (how == restarts::under_one_id)
+    troubles.draw_restarts(seed);
   cell.time().run_until(cell.begin() + k_length);
   cell.callers().ask_all();
   cell.time().run_until(cell.begin() + k_length + k_answers);
--- a/Source/Core/Model/CellExplorer.h
+++ b/Source/Core/Model/CellExplorer.h
@@ -20,6 +20,13 @@
   begun_forgotten   // a new owner finds no step begun
 };
 
+// Whether workers start again under the ids that they had, besides a seed's other troubles.
+enum class restarts
+{
+  none,
+  under_one_id
+};
+
 struct exploration
 {
   std::vector<std::string> violations;
@@ -32,5 +39,6 @@
 };
 
 // The same seed gives the same play.
-exploration explore_cell(std::uint64_t seed, omission without = omission::none);
+exploration explore_cell(std::uint64_t seed, omission without = omission::none,
+                         restarts how = restarts::none);
 } // namespace yardhill::model
--- a/Source/Core/Model/CellTroubles.h
+++ b/Source/Core/Model/CellTroubles.h
@@ -6,6 +6,7 @@
 // What befalls an explored cell: troubles drawn from its seed, at any moment, also over each other.
 
 #include <chrono>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,8 @@
 
   // Schedules two to six troubles for the first seconds of the play.
   void draw();
+  // Schedules restarts of workers besides: from now on most new lives keep their worker's id.
+  void draw_restarts(std::uint64_t seed);
   // What has happened so far.
   const std::vector<std::string>& told() const { return m_told; }
   // When the latest of them ended, or will.
@@ -36,6 +39,7 @@
   using cut_pairs = std::vector<std::pair<std::string, std::string>>;
 
   void befall();
+  void befall_restart();
   void kill_owner();
   void kill_all();
   void stop_one();
@@ -65,6 +69,11 @@
   void turn_away();
   void kill_in_series();
   void kill_one();
+  void restart_workers();
+  void restart_behind_cut();
+  void restart_beside_late_orders();
+  void restart_beside_lost_owner();
+  void restart_beside_crashing();
 
   void lose_next_owner(time_point end);
   void lose_owner(explored_instance& which);
@@ -74,6 +83,12 @@
   void wait_for_hand_over(explored_instance& which, time_point latest);
   void cut_for(const cut_pairs& pairs, duration time);
   void replace_worker(fleet_worker& which);
+  std::uint64_t draw_restart(std::uint64_t below);
+  duration draw_restart_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
+  life_plan plan_life();
+  // So many times in a row.
+  void restart(fleet_worker& which, std::uint64_t times);
+  void begin_again(fleet_worker& which, std::uint64_t times);
   void set_room(fleet_worker& which, const common::resources& room);
   cut_pairs cut_of(const fleet_worker& which) const;
   void forget_mechanism();
@@ -89,5 +104,6 @@
   omission m_without;
   std::vector<std::string> m_told;
   time_point m_disturbed_until{};
+  std::mt19937_64 m_restart_random;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/CellWorkerTroubles.cpp
+++ b/Source/Core/Model/CellWorkerTroubles.cpp
@@ -39,7 +39,7 @@
   if (!which.model)
     return;
   note("crash " + which.settings.id);
-  m_cell.judge().worker_crashed(which.settings.id);
+  m_cell.judge().worker_crashed(which.settings.life);
   lasts(k_entry_lapse);
   worker_fleet::end_life(which);
   m_cell.time().schedule(k_entry_lapse,
@@ -63,11 +63,11 @@
   which.draining = true;
   m_cell.update_entry(which);
   if (which.listed)
-    m_cell.judge().worker_leaving(which.settings.id, m_cell.time().now());
+    m_cell.judge().worker_leaving(which.settings.life, m_cell.time().now());
   m_cell.time().schedule(m_cell.draw_time(milliseconds(2000), milliseconds(11000)),
-                         [this, &which, id = which.settings.id]
+                         [this, &which, life = which.settings.life]
                          {
-                           if (!which.model || which.settings.id != id)
+                           if (!which.model || which.settings.life != life)
                              return; // it has crashed meanwhile
                            worker_fleet::end_life(which);
                            m_cell.fleet().remove_entry(which);
@@ -109,7 +109,7 @@
   const std::string earlier = which.settings.id;
   const std::string entry = which.model->entry(which.draining);
   note("reborn behind a cut: " + earlier);
-  m_cell.judge().worker_crashed(earlier);
+  m_cell.judge().worker_crashed(which.settings.life);
   cut_for(cut_of(which), time);
   worker_fleet::end_life(which);
   m_cell.fleet().begin_life(which);
@@ -117,7 +117,14 @@
   m_cell.time().schedule(written,
                          [this, earlier, entry] { m_cell.fleet().write_entry_of(earlier, entry); });
   m_cell.time().schedule(written + k_entry_lapse,
-                         [this, earlier] { m_cell.fleet().remove_entry_of(earlier); });
+                         [this, earlier, &which]
+                         {
+                           // Under the same id the present life writes its own at the next beat.
+                           if (which.settings.id == earlier && which.model)
+                             m_cell.update_entry(which);
+                           else
+                             m_cell.fleet().remove_entry_of(earlier);
+                         });
   lasts(written + k_entry_lapse);
 }
 
@@ -131,16 +138,16 @@
     fleet_worker& which = m_cell.workers()[m_cell.draw(m_cell.workers().size())];
     if (!which.model || !which.broken_entry.empty())
       continue;
-    const std::string id = which.settings.id;
-    note("break the entry of " + id);
+    const std::string life = which.settings.life;
+    note("break the entry of " + life);
     which.broken_entry = k_broken_entries[m_cell.draw(k_broken_entries.size())];
     m_cell.update_entry(which);
     const duration time = m_cell.draw_time(milliseconds(500), milliseconds(12000));
     lasts(time);
     m_cell.time().schedule(time,
-                           [this, &which, id]
+                           [this, &which, life]
                            {
-                             if (!which.model || which.settings.id != id)
+                             if (!which.model || which.settings.life != life)
                                return;
                              which.broken_entry.clear();
                              m_cell.update_entry(which);
@@ -202,7 +209,7 @@
   const std::string earlier = which.settings.id;
   const std::string service = which.settings.service;
   note("the address goes to another service: " + earlier);
-  m_cell.judge().worker_crashed(earlier);
+  m_cell.judge().worker_crashed(which.settings.life);
   lasts(seconds(9));
   worker_fleet::end_life(which);
   which.listed = false; // the entry lapses by itself
@@ -225,7 +232,7 @@
   if (!which.model)
     return;
   note("crash for good " + which.settings.id);
-  m_cell.judge().worker_crashed(which.settings.id);
+  m_cell.judge().worker_crashed(which.settings.life);
   worker_fleet::end_life(which);
   lasts(k_entry_lapse);
   m_cell.time().schedule(k_entry_lapse,
--- a/Source/Core/Model/WorkerFleet.cpp
+++ b/Source/Core/Model/WorkerFleet.cpp
@@ -3,6 +3,7 @@
 
 #include "Model/WorkerFleet.h"
 
+#include <cmath>
 #include <utility>
 
 #include "platform/WireNames.h"
@@ -11,13 +12,15 @@
 {
 namespace
 {
+using std::chrono::milliseconds;
+
 adapter::row_key entry_of(const std::string& id)
 {
   return {adapter::wire::k_workers_table, "", id};
 }
 } // namespace
 
-worker_fleet::worker_fleet(common::timekeeper& time, store_model& store, const advice_model& advice,
+worker_fleet::worker_fleet(common::timekeeper& time, store_model& store, advice_model& advice,
                            run_judge& judge, worker_model::course_function course,
                            const std::map<std::string, jobs::job_spec>& specs)
     : m_time(time),
@@ -38,12 +41,36 @@
   return added;
 }
 
+void worker_fleet::name_life(fleet_worker& which, const life_plan& plan)
+{
+  worker_settings& settings = which.settings;
+  ++which.life;
+  const auto now = std::chrono::duration_cast<milliseconds>(m_time.now().time_since_epoch());
+  const auto wall = std::chrono::duration_cast<milliseconds>(m_time.wall().time_since_epoch());
+  std::int64_t born = (wall + plan.wall_ahead).count();
+  if (plan.keeps_id)
+  {
+    born += born == settings.born_ms ? 1 : 0;
+    settings.life = settings.id + "~" + std::to_string(which.life);
+    settings.clock_ahead =
+        plan.clock - milliseconds(std::llround(static_cast<double>(now.count()) *
+                                               settings.clock_rate));
+  }
+  else
+  {
+    remove_entry(which);
+    settings.id = "worker-" + which.machine + "-" + std::to_string(which.life);
+    settings.life = settings.id;
+  }
+  settings.born_ms = born;
+  m_advice.worker_begins(settings.id, settings.life);
+}
+
 void worker_fleet::begin_life(fleet_worker& which)
 {
-  remove_entry(which);
+  name_life(which, which.life > 0 && m_plan ? m_plan() : life_plan{});
   which.draining = false;
   which.broken_entry.clear();
-  which.settings.id = "worker-" + which.machine + "-" + std::to_string(++which.life);
   which.model = std::make_unique<worker_model>(m_time, which.settings, m_advice, m_judge, m_course);
   which.model->set_specs(m_specs);
   which.model->set_crash_handler(
@@ -78,12 +105,11 @@
 
 void worker_fleet::write_entry(fleet_worker& which)
 {
-  const std::string& id = which.settings.id;
   if (which.broken_entry.empty())
-    m_judge.entry_whole(id);
+    m_judge.entry_whole(which.settings.life);
   else
-    m_judge.entry_broken(id, m_time.now());
-  m_store.put(entry_of(id),
+    m_judge.entry_broken(which.settings.life, m_time.now());
+  m_store.put(entry_of(which.settings.id),
               which.broken_entry.empty() ? which.model->entry(which.draining) : which.broken_entry);
   which.model->room_told();
   which.listed = true;
--- a/Source/Core/Model/WorkerFleet.h
+++ b/Source/Core/Model/WorkerFleet.h
@@ -17,6 +17,14 @@
 
 namespace yardhill::model
 {
+// How the next life of a worker begins.
+struct life_plan
+{
+  bool keeps_id = false;
+  std::chrono::milliseconds clock{0};      // of one that keeps its id: what it shows at first
+  std::chrono::milliseconds wall_ahead{0}; // its time of day is so far ahead, or behind
+};
+
 // A machine that runs one life of a worker after the other.
 struct fleet_worker
 {
@@ -34,14 +42,17 @@
 {
 public:
   // `specs`: the jobs' steps, for the room that runs take.
-  worker_fleet(common::timekeeper& time, store_model& store, const advice_model& advice,
+  worker_fleet(common::timekeeper& time, store_model& store, advice_model& advice,
                run_judge& judge, worker_model::course_function course,
                const std::map<std::string, jobs::job_spec>& specs);
 
   // Begins the machine's first life, without an entry. Workers stay where they are in memory.
   fleet_worker& add(const std::string& machine, const worker_settings& settings);
-  // The latest life's entry goes, if it is still there, and a new life without one begins.
+  // A new life without an entry begins, as planned. The latest one's entry goes, if it is still
+  // there; that of the same id stays until the new life writes its own.
   void begin_life(fleet_worker& which);
+  // Asked at each new life but a machine's first one. Without it, each has a new id.
+  void set_life_planner(std::function<life_plan()> plan) { m_plan = std::move(plan); }
   // All that runs there dies; its entry stays until it is removed or a new life begins.
   static void end_life(fleet_worker& which);
   // From now on it has so much room; its entry tells it when it is written again.
@@ -63,13 +74,17 @@
   std::deque<fleet_worker>& workers() { return m_workers; }
 
 private:
+  // Another id, or the same one and a clock that begins anew.
+  void name_life(fleet_worker& which, const life_plan& plan);
+
   common::timekeeper& m_time;
   store_model& m_store;
-  const advice_model& m_advice;
+  advice_model& m_advice;
   run_judge& m_judge;
   worker_model::course_function m_course;
   const std::map<std::string, jobs::job_spec>& m_specs;
   std::function<void(fleet_worker&)> m_crashed;
+  std::function<life_plan()> m_plan;
   std::deque<fleet_worker> m_workers;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -52,7 +52,7 @@
   m_time.cancel(m_lapse_event);
   for (const waiting_hold& each : m_holds)
     m_time.cancel(each.timeout);
-  m_judge.worker_gone(m_settings.id);
+  m_judge.worker_gone(m_settings.life);
 }
 
 std::int64_t worker_model::clock_ms() const
@@ -71,7 +71,8 @@
       {wire::k_zone, m_settings.zone},
       {wire::k_state, draining ? wire::k_draining : "ready"},
       {wire::k_labels, {"a", m_settings.rack}},
-      {wire::k_clock_ms, clock_ms()}};
+      {wire::k_clock_ms, clock_ms()},
+      {wire::k_born, m_settings.born_ms}};
   out[wire::k_capacity] = {{wire::k_cpu, m_settings.capacity.cpu_millis},
                            {wire::k_memory, m_settings.capacity.memory_mib},
                            {wire::k_accelerators, m_settings.capacity.accelerators}};
@@ -152,12 +153,12 @@
     return refusal("late");
   const std::string ticket = body.value(wire::k_ticket, std::string());
   const scheduling::step_ref step{task.job, task.place.cycle, task.place.step};
-  if (!ticket.empty() && !m_advice.valid(ticket, adapter::to_wire(step), m_settings.id))
+  if (!ticket.empty() && !m_advice.valid(ticket, adapter::to_wire(step), m_settings.life))
     return refusal("ticket");
   extend_lease(until);
-  m_judge.started({task, number, m_settings.id, body.value(wire::k_payload, std::string()),
+  m_judge.started({task, number, m_settings.life, body.value(wire::k_payload, std::string()),
                    body.value(wire::k_checkpoint, std::string()), m_time.now()});
-  const run_course course = m_course(task, number, m_settings.id);
+  const run_course course = m_course(task, number, m_settings.life);
   active_run& run = m_runs[task];
   run.number = number;
   run.end_event =
@@ -171,7 +172,7 @@
 
 void worker_model::crash()
 {
-  m_judge.worker_crashed(m_settings.id);
+  m_judge.worker_crashed(m_settings.life);
   const std::function<void()> crashed = m_crashed;
   if (crashed)
     crashed(); // this life has ended
@@ -231,7 +232,7 @@
       std::any_of(m_earlier_rooms.begin(), m_earlier_rooms.end(),
                   [&used](const earlier_room& each) { return used.fits_in(each.capacity); });
   if (!used.fits_in(m_settings.capacity) && !fitted)
-    m_judge.overloaded(m_settings.id, "by a start of " + adapter::to_wire(task));
+    m_judge.overloaded(m_settings.life, "by a start of " + adapter::to_wire(task));
 }
 
 http::reply worker_model::stop(const json& body)
@@ -263,7 +264,7 @@
   m_past[task] = std::max(m_past[task], run.number);
   ++m_last_end;
   m_ends[m_last_end] = {m_last_end, task, run.number, how, run.checkpoint};
-  m_judge.ended(task, run.number, m_settings.id, how);
+  m_judge.ended(task, run.number, m_settings.life, how);
   for (const waiting_hold& each : std::exchange(m_holds, {}))
   {
     m_time.cancel(each.timeout);
@@ -284,6 +285,7 @@
                        std::string(scheduling::to_text(end.how)), end.checkpoint});
   }
   const json out{{wire::k_clock_ms, clock_ms()},
+                 {wire::k_born, m_settings.born_ms},
                  {wire::k_running, std::move(running)},
                  {wire::k_finished, std::move(ended)}};
   return {200, out.dump(), {}, false};
--- a/Source/Core/Model/WorkerModel.h
+++ b/Source/Core/Model/WorkerModel.h
@@ -33,6 +33,8 @@
 struct worker_settings
 {
   std::string id;
+  std::string life; // another one for each life, also under the same id; what judges go by
+  std::int64_t born_ms = 0; // Unix time of the life's start, on its own clock
   common::endpoint address;
   std::string zone;
   std::string service = "service";
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -343,7 +343,7 @@
     const std::string& what = words.at(2);
     if (what == "crash")
     {
-      m_judge.worker_crashed(worker.settings.id);
+      m_judge.worker_crashed(worker.settings.life);
       model::worker_fleet::end_life(worker);
     }
     else if (what == "leave")
@@ -383,7 +383,7 @@
       return;
     worker.draining = true;
     m_fleet.write_entry(worker);
-    m_judge.worker_leaving(worker.settings.id, m_time.now());
+    m_judge.worker_leaving(worker.settings.life, m_time.now());
   }
 
   outgoing_answer report(const std::vector<std::string>&, const std::string&)
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -68,6 +68,19 @@
   BOOST_TEST(counted > range.count * 500);
 }
 
+// The same seeds, and workers that start again under their ids besides.
+BOOST_AUTO_TEST_CASE(no_seed_breaks_a_promise_when_workers_keep_their_ids)
+{
+  if (std::getenv("YARDHILL_LOG") != nullptr)
+    yardhill::common::open_event_log("explorer-restarts");
+  const seed_range range = seeds();
+  for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed)
+  {
+    const exploration played = explore_cell(seed, omission::none, restarts::under_one_id);
+    BOOST_TEST(played.violations.empty(), told(seed, played));
+  }
+}
+
 // Without the claims of workers a new owner would not know whom to ask: seeds have to show it, or
 // the explorer is blind there.
 BOOST_AUTO_TEST_CASE(leaving_out_the_claims_of_workers_is_noticed)
--- a/Source/UnitTests/Model/LastingCell.h
+++ b/Source/UnitTests/Model/LastingCell.h
@@ -43,7 +43,7 @@
     const std::set<std::string> busy = cell.judge().busy_workers();
     for (fleet_worker& each : cell.workers())
     {
-      if (most == 0 || !busy.contains(each.settings.id))
+      if (most == 0 || !busy.contains(each.settings.life))
         continue;
       --most;
       worker_fleet::end_life(each);
--- a/Source/UnitTests/Model/OwnerStartedAnewTest.cpp
+++ b/Source/UnitTests/Model/OwnerStartedAnewTest.cpp
@@ -69,7 +69,7 @@
       cell.link(which, other, false);
       for (const model::fleet_worker& each : cell.workers())
       {
-        if (busy.contains(each.settings.id))
+        if (busy.contains(each.settings.life))
           cuts.insert({other.name, each.machine});
       }
     }
