Scheduling, Node, platform: What is known of a worker is kept by its life, not by its id

Callers saw tasks run again after their end had been taken note of, and tasks that last stay away for ten seconds and more. Cause: a worker may start again under its id, and an id stood for a life. The new life's ends were skipped as read and acknowledged unread; its lists were dropped until its clock had passed the old one's; no crash was counted.

What is known of a life stands in worker_life, which begins empty with each: clock, lists, ends, lease, suspicion, pauses, what a commit says of its ends. Lists say whose they are by born, which is compared for equality alone, as clocks jump; the later life is the one whose call was sent after the other had answered. An entry names no life: a worker described by another life's entry, or another writer's, gets nothing new until it answers. Claims, tickets and permissions are of one life.

Calls that are on their way reach the next life with the run numbers, leases and acknowledgements of the one before, and it has seen no token. So a life that follows one which this owner has ordered about is claimed with a higher token: the versions of the owner's own commits serve, since nobody else's meet its row. A start that may be on its way keeps its task until that life is claimed. Ends are acknowledged only just after lists of the same life.

Ruled out: stops for each start on its way (they do not reach holds with acknowledgements, nor copies of starts whose runs have ended); waiting for leases (another clock).

--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -45,6 +45,7 @@
   config_changes,
   entries_invalid,
   workers_crashed,
+  workers_restarted,
   tasks_given_up,
   count
 };
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -13,6 +13,7 @@
 {
 constexpr const char* k_counted_at_ms = "counted_at";
 constexpr const char* k_over_ms = "over_ms";
+constexpr const char* k_born_ms = "born_ms";
 constexpr const char* k_earlier_orders_end_ms = "earlier_orders_end_ms";
 constexpr const char* k_largest = "largest";
 
@@ -95,6 +96,8 @@
 std::string to_row_text(const scheduling::worker_claim& claim, const store_clock& clock)
 {
   json out{{"address", claim.address.address}, {"port", claim.address.port}, {"zone", claim.zone}};
+  if (claim.born)
+    out[k_born_ms] = claim.born->time_since_epoch().count();
   if (const auto over = claim.over ? clock.latest_at(*claim.over) : std::nullopt)
     out[k_over_ms] = over->time_since_epoch().count();
   if (!claim.closed)
@@ -117,6 +120,9 @@
         claim.address = {in.at("address").get<std::string>(), in.at("port").get<std::uint16_t>()};
         claim.zone = in.value("zone", std::string());
         claim.closed = in.contains("tasks");
+        if (in.contains(k_born_ms))
+          claim.born = scheduling::born_time(
+              std::chrono::milliseconds(in.at(k_born_ms).get<std::int64_t>()));
         if (in.contains(k_over_ms))
           claim.over = clock.latest_time_at(
               adapter::store_time(std::chrono::milliseconds(in.at(k_over_ms).get<std::int64_t>())));
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -212,6 +212,7 @@
   const scheduling::scheduler_options options;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
+  m_scheduler->token_given(m_token);
   // Later owners count from the takeover's row; reading may have taken seconds since.
   m_scheduler->set_authority(m_takeover_sent + m_options.authority, m_takeover_sent);
   m_scheduler->hold_orders();
@@ -428,16 +429,16 @@
   using scheduling::job_scheduler;
   const common::time_point now = m_parts.time.now();
   if (const auto* start = std::get_if<scheduling::start_command>(&what))
-    m_parts.workers.start(*start, m_token, now,
+    m_parts.workers.start(*start, now,
                           while_owner<scheduling::start_answer>(&job_scheduler::start_answered));
   else if (const auto* stop = std::get_if<scheduling::stop_command>(&what))
-    m_parts.workers.stop(*stop, m_token, now,
+    m_parts.workers.stop(*stop, now,
                          while_owner<scheduling::stop_answer>(&job_scheduler::stop_answered));
   else if (const auto* hold = std::get_if<scheduling::hold_command>(&what))
-    m_parts.workers.hold(*hold, m_token, now,
+    m_parts.workers.hold(*hold, now,
                          while_owner<scheduling::hold_answer>(&job_scheduler::hold_answered));
   else if (const auto* pace = std::get_if<scheduling::pace_command>(&what))
-    m_parts.workers.pace(*pace, m_token);
+    m_parts.workers.pace(*pace);
   else if (const auto* advice = std::get_if<scheduling::advice_command>(&what))
     m_parts.advice.ask(*advice,
                        while_owner<scheduling::advice_answer>(&job_scheduler::advice_answered));
--- a/Source/Core/Node/PartitionOwnerCommits.cpp
+++ b/Source/Core/Node/PartitionOwnerCommits.cpp
@@ -81,6 +81,8 @@
 void partition_owner::on_written(const written_commit& commit)
 {
   m_last_written = m_parts.time.now();
+  // Only the owner's own commits meet its row, so their versions are tokens of this owner as well.
+  m_scheduler->token_given(commit.version);
   m_scheduler->commit_done(commit.batch, true);
   if (commit.owner)
   {
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -157,7 +157,10 @@
   const auto expected =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
-  m_under_way[{job.id(), cycle, step}] = {long_call, now + expected + k_answer_way};
+  question& asked = m_under_way[{job.id(), cycle, step}];
+  asked = {long_call, now + expected + k_answer_way, {}};
+  for (const worker_id& worker : workers)
+    asked.lives[worker] = m_state.workers.at(worker)->number;
   m_state.commands.emplace_back(
       advice_command{{job.id(), cycle, step}, std::move(workers), expected});
 }
@@ -203,12 +206,23 @@
   }
 }
 
+bool advice_planner::same_life(const question& asked, const worker_id& worker) const
+{
+  const auto life = asked.lives.find(worker);
+  const auto present = m_state.workers.find(worker);
+  return life != asked.lives.end() && present != m_state.workers.end() &&
+         present->second->number == life->second;
+}
+
 void advice_planner::on_answer(const advice_answer& answer, time_point now)
 {
   time_point issued = answer.received;
-  const auto asked = m_under_way.extract(answer.step);
-  if (!asked.empty())
-    issued = std::min(issued, asked.mapped().answer_due);
+  question asked;
+  if (auto found = m_under_way.extract(answer.step); !found.empty())
+  {
+    asked = std::move(found.mapped());
+    issued = std::min(issued, asked.answer_due);
+  }
   m_state.place_again = true;
   job_record* const job = m_state.find_job(answer.step.job);
   if (job == nullptr || !job->contains({answer.step.cycle, answer.step.step, 0}))
@@ -221,11 +235,16 @@
     return;
   }
   for (const worker_id& worker : answer.asked)
-    permits.permitted[worker] = false;
+  {
+    if (same_life(asked, worker))
+      permits.permitted[worker] = false;
+  }
   std::erase_if(permits.tickets, [now](const auto& each) { return each.second.until <= now; });
   const time_point until = issued + answer.valid - m_state.options.ticket_margin;
   for (const admission_ticket& each : answer.permitted)
   {
+    if (!same_life(asked, each.worker))
+      continue;
     permits.permitted[each.worker] = true;
     permits.tickets[each.worker] = {each.ticket, until};
   }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -44,6 +44,13 @@
     ahead       // it should become ready soon
   };
 
+  struct question
+  {
+    bool is_long = false;
+    time_point answer_due;
+    std::map<worker_id, std::uint64_t> lives; // of the workers named, as they were
+  };
+
   std::vector<worker_id> worth_asking(const job_record& job, const step_ref& which, occasion why,
                                       time_point now) const;
   // Whether the worker has room for a task of the step, or is kept for it and should have room when
@@ -51,6 +58,8 @@
   bool room_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
                     time_point now) const;
   void ask(job_record& job, std::uint32_t cycle, std::uint32_t step, occasion why, time_point now);
+  // Whether that is the life that was asked about.
+  bool same_life(const question& asked, const worker_id& worker) const;
   bool soon(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now) const;
 
   scheduler_state& m_state;
@@ -58,11 +67,6 @@
   const reservations& m_reservations;
   std::int64_t m_budget = 0;
   advice_slots m_slots;
-  struct question
-  {
-    bool is_long = false;
-    time_point answer_due;
-  };
   std::map<step_ref, question> m_under_way;
 };
 
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -115,7 +115,8 @@
                        {"silent_ms", now - worker.heard_at}});
 }
 
-void crash_watch::worker_ended(worker_record& worker, const char* why, time_point now)
+void crash_watch::worker_ended(worker_record& worker, scheduler_state::lost_runs which,
+                               const char* why, time_point now)
 {
   std::vector<lost_run> runs = runs_of(worker);
   // One whose entry went while it still answered was about to leave.
@@ -126,14 +127,14 @@
     m_state.metrics.add(common::counter::workers_crashed);
     blame(worker, runs, now);
   }
-  m_state.lose_runs(worker, why);
+  m_state.lose_runs(worker, which, why);
   take_in(runs, now);
 }
 
 void crash_watch::leases_over(worker_record& worker, const char* why, time_point now)
 {
   const std::vector<lost_run> runs = runs_of(worker);
-  m_state.lose_runs(worker, why);
+  m_state.lose_runs(worker, scheduler_state::lost_runs::all, why);
   take_in(runs, now);
 }
 
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -28,7 +28,8 @@
 
   // The worker's life is known to have ended; what ran there is lost with it. A planned end is no
   // crash.
-  void worker_ended(worker_record& worker, const char* why, time_point now);
+  void worker_ended(worker_record& worker, scheduler_state::lost_runs which, const char* why,
+                    time_point now);
   // Nothing can run there any more, as its leases are over; whether it has crashed is not known.
   void leases_over(worker_record& worker, const char* why, time_point now);
   // How the run ended is known, or that it never began.
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -63,6 +63,12 @@
   m_state.confirmed = confirmed;
 }
 
+void job_scheduler::token_given(fencing_token token)
+{
+  m_state.newest_token = std::max(m_state.newest_token, token);
+  m_holder.token_given();
+}
+
 void job_scheduler::hold_orders()
 {
   m_state.orders_begun = false;
@@ -161,7 +167,7 @@
 void job_scheduler::start_answered(const start_answer& answer, time_point now)
 {
   if (answer.end == call_end::other_life)
-    m_holder.on_other_life(answer.worker, now);
+    m_holder.on_other_worker(answer.worker, answer.sent, now);
   else
     m_follower.on_start(answer, now);
 }
@@ -169,7 +175,7 @@
 void job_scheduler::stop_answered(const stop_answer& answer, time_point now)
 {
   if (answer.end == call_end::other_life)
-    m_holder.on_other_life(answer.worker, now);
+    m_holder.on_other_worker(answer.worker, answer.sent, now);
   else
     m_follower.on_stop(answer, now);
 }
@@ -202,8 +208,8 @@
   if (!worker.claimed)
     return silent && (!end_kept || worker.lease_end < *worker.claim->over);
   const bool closed = worker.wants_closed_claim(m_state.options.close_claim, now);
-  return !worker.claim || worker.claim->closed != closed || end_kept != silent ||
-         (closed && worker.runs.size() < worker.claim->tasks.size());
+  return !worker.claim || worker.claim->born != worker.born || worker.claim->closed != closed ||
+         end_kept != silent || (closed && worker.runs.size() < worker.claim->tasks.size());
 }
 
 worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
@@ -219,6 +225,7 @@
     return claim;
   claim.address = worker.info.address;
   claim.zone = worker.info.zone;
+  claim.born = worker.born;
   if (!worker.claimed)
     return claim;
   claim.closed = worker.wants_closed_claim(m_state.options.close_claim, now);
@@ -256,7 +263,7 @@
   for (const auto& [id, worker] : m_state.workers)
   {
     if (worker->seen > worker->durable)
-      batch.ends[id] = worker->seen;
+      batch.ends[id] = {worker->number, worker->seen};
     if (!claim_outdated(*worker, now))
       continue;
     // A claim that returns follows its removal: one transaction does not tell which comes last.
@@ -283,10 +290,11 @@
     m_state.released.insert(batch.releases.begin(), batch.releases.end());
     return;
   }
-  for (const auto& [id, end] : batch.ends)
+  for (const auto& [id, read] : batch.ends)
   {
-    if (worker_record* const worker = m_state.find_worker(id))
-      worker->durable = std::max(worker->durable, end);
+    worker_record* const worker = m_state.find_worker(id);
+    if (worker != nullptr && worker->number == read.life)
+      worker->durable = std::max(worker->durable, read.highest);
   }
   for (const auto& [id, claim] : batch.claims)
   {
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -30,7 +30,13 @@
 struct commit_batch
 {
   std::map<std::string, std::string> rows; // progress by job
-  std::map<worker_id, end_number> ends;
+  // The highest end of the worker's life of that number.
+  struct read_ends
+  {
+    std::uint64_t life = 0;
+    end_number highest = 0;
+  };
+  std::map<worker_id, read_ends> ends;
   // Workers on which runs may be started once this is written (or may no longer), and workers on
   // which none can be any more. A later owner asks all of them, with entries or without.
   std::map<worker_id, worker_claim> claims;
@@ -58,6 +64,8 @@
   // Orders may be given until this time; the latest renewal of the ownership that the store has
   // answered was asked for at `confirmed`.
   void set_authority(time_point until, time_point confirmed);
+  // Another token of this owner, higher than those before; the first one comes before any order.
+  void token_given(fencing_token token);
   // Nothing is started and no lease extended between these two; workers are held all the same.
   void hold_orders();
   void begin_orders();
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -366,6 +366,6 @@
     m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
-      run.start_expires, job.task(place).checkpoint, run.ticket});
+      run.start_expires, job.task(place).checkpoint, run.ticket, worker.token});
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -19,7 +19,7 @@
 {
   if (answer.end == call_end::fenced)
   {
-    m_state.fenced = true;
+    m_state.note_fenced(answer.worker, answer.token);
     return;
   }
   worker_record* const worker = m_state.find_worker(answer.worker);
@@ -27,8 +27,10 @@
     return;
   m_state.note_order(*worker, answer.end != call_end::unanswered, now);
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
-  if (run == nullptr)
+  // Which life has answered the start of an orphan is not told.
+  if (run == nullptr || run->orphaned)
     return;
+  run->answers += answer.end == call_end::unanswered ? 0 : 1;
   switch (answer.end)
   {
   case call_end::done:
@@ -87,13 +89,13 @@
 void run_follower::on_stop(const stop_answer& answer, time_point now)
 {
   if (answer.end == call_end::fenced)
-    m_state.fenced = true;
+    m_state.note_fenced(answer.worker, answer.token);
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
   m_state.note_order(*worker, answer.end != call_end::unanswered, now);
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
-  if (run != nullptr && answer.end == call_end::done)
+  if (run != nullptr && !run->orphaned && answer.end == call_end::done)
     run->stop_answered = now;
 }
 
@@ -237,6 +239,8 @@
   if (found != worker.runs.end() && found->second->number == listed.run)
   {
     run_record& run = *found->second;
+    run.listed = true;
+    run.orphaned = false;
     run.percent = listed.percent;
     run.load = listed.load;
     run.job->note_begun();
@@ -264,6 +268,7 @@
 {
   run_record& run = m_state.add_run(job, listed.task.place, listed.run, worker, now);
   run.phase = run_phase::running;
+  run.listed = true;
   run.start_answered = now;
   job.note_begun();
   run.percent = listed.percent;
@@ -285,7 +290,7 @@
                        {"worker", worker.info.id.value}});
   if (m_state.may_act(now))
     m_state.commands.emplace_back(
-        stop_command{worker.info.id, worker.info.address, listed.task, listed.run});
+        stop_command{worker.info.id, worker.info.address, listed.task, listed.run, worker.token});
 }
 
 // Runs that the lists should show and do not.
@@ -303,7 +308,8 @@
     const bool stopped_before = run->stop_answered && *run->stop_answered < answer.sent;
     const bool start_void = (answer.clock && *answer.clock > run->start_expires) ||
                             (run->start_void && *run->start_void <= answer.sent);
-    if (started_before || stopped_before || start_void)
+    // Lists of a life that is claimed show all that it will ever carry out of what was sent before.
+    if (run->orphaned || started_before || stopped_before || start_void)
       missing.push_back(run.get());
   }
   for (run_record* run : missing)
@@ -313,6 +319,7 @@
                          {"task", run->place.index},
                          {"run", run->number},
                          {"worker", worker.info.id.value},
+                         {"orphaned", run->orphaned},
                          {"start_answered", run->start_answered.has_value()},
                          {"stop_answered", run->stop_answered.has_value()}});
     job_record& job = *run->job;
@@ -353,7 +360,7 @@
 void run_follower::repeat_start(run_record& run, time_point now)
 {
   worker_record& worker = *run.worker;
-  if (worker.suspect || run.start_answered || run.start_void ||
+  if (worker.suspect || run.orphaned || run.start_answered || run.start_void ||
       worker.clock_at(now) >= run.start_expires)
     return;
   // A copy would be rejected, and so would an earlier one that comes now.
@@ -367,7 +374,7 @@
   ++run.sends;
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), run.number, run.job->accepted().spec.payload,
-      run.start_expires, run.job->task(run.place).checkpoint, run.ticket});
+      run.start_expires, run.job->task(run.place).checkpoint, run.ticket, worker.token});
 }
 
 void run_follower::cancel(job_record& job, time_point now)
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -81,6 +81,7 @@
   // All that runs there has surely ended then. Whoever has it written extends no lease there and
   // starts nothing until another claim is.
   std::optional<time_point> over = std::nullopt;
+  std::optional<born_time> born = std::nullopt; // of the worker's life that it is of
 };
 
 // A time on a worker's own clock, in milliseconds.
@@ -96,6 +97,7 @@
   worker_clock_time lease_end{};
   std::string checkpoint;
   std::string ticket;
+  fencing_token token = 0;
 };
 
 struct stop_command
@@ -104,6 +106,7 @@
   common::endpoint address;
   task_ref task;
   run_number run = 0;
+  fencing_token token = 0;
 };
 
 // Extends the lease of all that runs there and asks for news.
@@ -114,6 +117,7 @@
   end_number acknowledged = 0;
   std::optional<worker_clock_time> lease_end; // none: the worker's clock is not known yet
   milliseconds wait{0};
+  fencing_token token = 0;
 };
 
 struct pace_command
@@ -123,6 +127,7 @@
   task_ref task;
   run_number run = 0;
   std::uint32_t percent = 100;
+  fencing_token token = 0;
 };
 
 struct advice_command
@@ -162,6 +167,7 @@
 
 std::string_view to_text(call_end end);
 
+// `token` and `sent` of an answer are those of its call.
 struct start_answer
 {
   worker_id worker;
@@ -170,6 +176,7 @@
   call_end end = call_end::unanswered;
   std::optional<worker_clock_time> clock;
   time_point sent;
+  fencing_token token = 0;
 };
 
 struct stop_answer
@@ -179,6 +186,7 @@
   run_number run = 0;
   call_end end = call_end::unanswered;
   time_point sent;
+  fencing_token token = 0;
 };
 
 struct listed_run
@@ -215,14 +223,15 @@
 {
   worker_id worker;
   call_end end = call_end::unanswered;
-  std::optional<born_time> born; // of the life that has answered
   std::optional<worker_clock_time> clock;
   end_number acknowledged = 0; // as it was sent
   std::vector<listed_run> running;
   std::vector<listed_end> ended;
   time_point sent;
+  fencing_token token = 0;
   // The call was told as unanswered before this answer came.
   bool late = false;
+  std::optional<born_time> born = std::nullopt; // of the life that has answered
 };
 
 struct admission_ticket
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -30,6 +30,9 @@
   duration hold_wait_most = std::chrono::milliseconds{2000};
   // While ends wait to be written, leases are still extended this often.
   duration hold_refresh = std::chrono::milliseconds{700};
+  // Ends are acknowledged within this time of the worker's lists: no task that a life nobody knows
+  // of may have begun meanwhile ends sooner.
+  duration fresh_lists = std::chrono::milliseconds{250};
   // A worker that has not answered its first hold is asked again after this time: after a takeover
   // tasks wait for it.
   duration first_hold_retry = std::chrono::milliseconds{50};
@@ -124,10 +127,18 @@
   // A partition of so many workers is small: each of its passes is a survey.
   std::size_t small_partition = 100;
 
-  // On our own clock, the most that a lease given now can last.
-  duration longest_lease() const
+  // The platform cuts each lease to this.
+  duration longest_hold = std::chrono::seconds{10};
+
+  // On our own clock, the most that a lease given now can last, and one of an order that was given
+  // on another clock.
+  duration longest_lease() const { return drifted(task_lease); }
+  duration longest_lease_of_others() const { return drifted(longest_hold); }
+
+private:
+  duration drifted(duration lease) const
   {
-    return std::chrono::duration_cast<duration>(task_lease * (1.0 + clock_drift)) + lease_slack;
+    return std::chrono::duration_cast<duration>(lease * (1.0 + clock_drift)) + lease_slack;
   }
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -147,8 +147,8 @@
   run.phase = run_phase::stopping;
   run.last_sent = now;
   if (may_act(now))
-    commands.emplace_back(
-        stop_command{run.worker->info.id, run.worker->info.address, run.ref(), run.number});
+    commands.emplace_back(stop_command{run.worker->info.id, run.worker->info.address, run.ref(),
+                                       run.number, run.worker->token});
 }
 
 void scheduler_state::end_job(job_record& job, jobs::job_state how, time_point now)
@@ -176,11 +176,40 @@
   }
 }
 
-void scheduler_state::lose_runs(worker_record& worker, const char* why)
+void scheduler_state::forget_tickets(const worker_id& worker)
 {
-  while (!worker.runs.empty())
+  for (const std::string& id : open)
   {
-    run_record& run = *worker.runs.begin()->second;
+    for (cycle_record& cycle : jobs.at(id)->cycles())
+    {
+      for (step_record& step : cycle.steps)
+      {
+        step.permits.tickets.erase(worker);
+        step.permits.permitted.erase(worker);
+      }
+    }
+  }
+}
+
+// This owner has given the worker a newer token itself, if the call's was not the latest one: such
+// a call came too late, and nobody else is about.
+void scheduler_state::note_fenced(const worker_id& worker, fencing_token token)
+{
+  const worker_record* const known = find_worker(worker);
+  fenced |= token >= (known == nullptr ? newest_token : known->token);
+}
+
+void scheduler_state::lose_runs(worker_record& worker, lost_runs which, const char* why)
+{
+  std::vector<run_record*> lost;
+  for (const auto& [task, run] : worker.runs)
+  {
+    if (which == lost_runs::all || !run->may_be_on_its_way())
+      lost.push_back(run.get());
+  }
+  for (run_record* const each : lost)
+  {
+    run_record& run = *each;
     common::log_request("run_lost", run.job->id(),
                         {{"step", run.place.step},
                          {"task", run.place.index},
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -47,6 +47,8 @@
   time_point confirmed{};           // when the latest renewal was asked for
   time_point earlier_end{};         // of what earlier owners ordered on workers not heard since
   bool fenced = false;              // a worker obeys a later owner
+  fencing_token newest_token = 0;   // of this owner
+  std::uint64_t lives = 0;          // of workers, counted
   // Of orders at present: how long one is under way before it is told as unanswered, and how long
   // answers take.
   duration order_patience{};
@@ -97,7 +99,16 @@
   void order_stop(run_record& run, time_point now);
   // The job has ended as `how`: whatever of it runs is stopped.
   void end_job(job_record& job, jobs::job_state how, time_point now);
-  // Whatever ran there has ended; the record is dropped if its entry is gone as well.
-  void lose_runs(worker_record& worker, const char* why);
+  // No ticket or permission of before says anything of the worker's present life.
+  void forget_tickets(const worker_id& worker);
+  // A worker answered with `fence`: it has seen a higher token than the call's.
+  void note_fenced(const worker_id& worker, fencing_token token);
+  // Which of a worker's runs are lost with its life.
+  enum class lost_runs
+  {
+    all,
+    surely_begun // not those whose start the next life under the same id may still carry out
+  };
+  void lose_runs(worker_record& worker, lost_runs which, const char* why);
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -25,6 +25,8 @@
   auto& slot = m_state.workers[id];
   slot = std::make_unique<worker_record>();
   slot->info.id = id;
+  slot->number = ++m_state.lives;
+  slot->token = m_state.newest_token;
   // Unless it says otherwise, an earlier owner may still have runs there.
   slot->lease_end = m_state.earlier_end;
   return *slot;
@@ -36,6 +38,8 @@
   worker.info.address = claim.address;
   worker.listed = false;
   worker.claim = claim;
+  worker.known = claim.born.has_value();
+  worker.born = claim.born;
   worker.claim_doubted = claim.over && m_state.stated_ends_doubted;
   if (worker.claim_doubted)
     worker.claim->over.reset();
@@ -55,10 +59,20 @@
   worker_record& worker = news ? new_record(info.id) : *known;
   const bool was_draining = worker.info.draining;
   const bool was_listed = worker.listed;
-  worker.info = info;
   worker.listed = true;
   worker.entry_valid = true;
+  worker.over = false;
   m_state.place_again = true;
+  // Clocks jump, and an entry may be a late one or another writer's, so it does not tell which life
+  // is there: the worker is asked, and nothing new is meant for it until its entry is its own.
+  if (worker.known && info.born != worker.born)
+  {
+    worker.ask_at_once |= !worker.other_entry || worker.other_entry->born != info.born;
+    worker.other_entry = info;
+    return;
+  }
+  worker.info = info;
+  worker.other_entry.reset();
   if (news)
     ask_others_at(info);
   if (news || was_draining != info.draining || !was_listed)
@@ -91,6 +105,7 @@
   if (worker == nullptr)
     return;
   worker->listed = false;
+  worker->other_entry.reset();
   worker->heard_unlisted = false;
   worker->unlisted_since = now;
   if (worker->claimed && !worker->info.draining)
@@ -103,23 +118,104 @@
                                             {"lease_left_ms", worker->lease_end - now}});
 }
 
-void worker_holder::gone(worker_record& worker, const char* why, time_point now)
+void worker_holder::life_ended(worker_record& worker, scheduler_state::lost_runs which,
+                               const char* why, time_point now)
 {
   if (!worker.claimed && worker.claim && !worker.info.draining)
     m_lost_workers[worker.info.id] = crash_watch::earlier_worker::ended;
-  m_crashes.worker_ended(worker, why, now);
-  worker.listed = false;
-  worker.heard_unlisted = false;
-  worker.over = true;
-  worker.forget_at = time_point{};
-  worker.lease_end = time_point{};
-  accounted(worker.info.id, now);
+  m_crashes.worker_ended(worker, which, why, now);
+  begin_life(worker);
+}
+
+void worker_holder::begin_life(worker_record& worker)
+{
+  // Calls to the life before may reach this one, seconds late, with leases and acknowledgements of
+  // that one: it has to have seen a token that none of them bears.
+  const bool ordered = worker.claimed;
+  worker.begin_life(++m_state.lives);
+  m_state.forget_tickets(worker.info.id);
+  m_state.place_again = true;
+  if (!ordered)
+    return;
+  worker.token_wanted = m_state.newest_token <= worker.token;
+  if (!worker.token_wanted)
+    worker.token = m_state.newest_token;
+}
+
+void worker_holder::token_given()
+{
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (!worker->token_wanted || m_state.newest_token <= worker->token)
+      continue;
+    worker->token = m_state.newest_token;
+    worker->token_wanted = false;
+    worker->ask_at_once = true;
+  }
+}
+
+void worker_holder::on_other_worker(const worker_id& id, time_point sent, time_point now)
+{
+  worker_record* const worker = m_state.find_worker(id);
+  if (worker == nullptr)
+    return;
+  if (sent < worker->told_at)
+  {
+    worker->ask_at_once = true; // it may have begun since
+    return;
+  }
+  life_ended(*worker, scheduler_state::lost_runs::all,
+             "another worker answered at the worker's address", now);
+  worker->listed = false;
+  worker->other_entry.reset();
+  worker->over = true;
+  worker->told_at = now;
+  worker->forget_at = time_point{};
+  worker->lease_end = time_point{};
+  accounted(id, now);
+}
+
+// An answer tells which life was there between its call and now. If the life known so far had not
+// answered after that call was sent, it was there before, so the other one is the later.
+bool worker_holder::from_present_life(worker_record& worker, const hold_answer& answer,
+                                      time_point now)
+{
+  const bool same = worker.known && answer.born == worker.born;
+  if (!same && (worker.over || answer.sent < worker.told_at))
+  {
+    worker.ask_at_once = !worker.over;
+    return false;
+  }
+  if (worker.known && !same)
+    restarted(worker, answer, now);
+  worker.known = true;
+  worker.born = answer.born;
+  worker.told_at = now;
+  worker.life_doubted = false;
+  return true;
 }
 
-void worker_holder::on_other_life(const worker_id& id, time_point now)
+void worker_holder::restarted(worker_record& worker, const hold_answer& answer, time_point now)
 {
-  if (worker_record* const worker = m_state.find_worker(id))
-    gone(*worker, "another life answered at the worker's address", now);
+  common::log_process("worker_restarted", {{"worker", worker.info.id.value},
+                                           {"claimed", worker.claimed},
+                                           {"runs", worker.runs.size()},
+                                           {"listed_at_ms", worker.listed_at},
+                                           {"clock_ms", answer.clock.value_or(milliseconds{0})},
+                                           {"acknowledged", answer.acknowledged},
+                                           {"ends_read", worker.seen}});
+  m_state.metrics.add(common::counter::workers_restarted);
+  life_ended(worker, scheduler_state::lost_runs::surely_begun,
+             "the worker has started again under its id", now);
+  // What was sent to the life before may extend this one's leases as far as they go.
+  worker.follows_another = true;
+  worker.lease_end = now + m_state.options.longest_lease_of_others();
+  worker.ask_at_once = true;
+  if (worker.other_entry && worker.other_entry->born == answer.born)
+  {
+    worker.info = *worker.other_entry;
+    worker.other_entry.reset();
+  }
 }
 
 worker_clock_time worker_holder::extended_lease(worker_record& worker, time_point now)
@@ -135,8 +231,14 @@
     return;
   hold_command order;
   order.worker = worker.info.id;
-  order.address = worker.info.address;
-  order.acknowledged = worker.durable;
+  order.address =
+      worker.suspect && worker.other_entry ? worker.other_entry->address : worker.info.address;
+  order.token = worker.token;
+  // Ends of another life bear the same numbers, and one that is not known yet may have carried out
+  // what was sent since the latest lists: none of its ends is to be forgotten unread.
+  const bool surely_there =
+      !worker.life_doubted && now - worker.told_at <= m_state.options.fresh_lists;
+  order.acknowledged = surely_there ? worker.durable : 0;
   // A worker that does not answer gets no longer lease: its runs must end some day. Nor does one of
   // which the store says when they do, until that is taken back.
   if (m_state.orders_begun && worker.claimed && !worker.suspect && worker.clock_ahead &&
@@ -145,7 +247,8 @@
   // The worker forgets the ends acknowledged here before it looks for news, so the call that tells
   // it of them waits for the next one: one call an end instead of two.
   const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable;
-  if (settled && !worker.ask_at_once && !worker.end_stated())
+  const bool forgets = surely_there || worker.durable == worker.acknowledged;
+  if (settled && forgets && !worker.ask_at_once && !worker.end_stated())
     order.wait = hold_wait();
   worker.ask_at_once = false;
   ++worker.holds_under_way;
@@ -163,6 +266,8 @@
 
 bool worker_holder::hold_due(const worker_record& worker, time_point now) const
 {
+  if (worker.over || worker.token_wanted)
+    return false;
   const duration since = now - worker.last_hold;
   if (worker.ask_at_once)
     return worker.holds_under_way < k_most_holds;
@@ -184,8 +289,9 @@
 {
   if (answer.end == call_end::fenced)
   {
-    m_state.fenced = true;
-    return;
+    m_state.note_fenced(answer.worker, answer.token);
+    if (m_state.fenced)
+      return;
   }
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
@@ -194,10 +300,15 @@
     --worker->holds_under_way;
   if (answer.end == call_end::other_life)
   {
-    on_other_life(answer.worker, now);
+    on_other_worker(answer.worker, answer.sent, now);
     return;
   }
+  // What a call with an earlier token met says nothing of what the next ones will.
+  if (answer.end == call_end::fenced)
+    return;
   const bool lost = answer.end != call_end::done;
+  if (!lost && !from_present_life(*worker, answer, now))
+    return;
   if (lost != worker->suspect)
     common::log_process(lost ? "worker_silent" : "worker_heard",
                         {{"worker", worker->info.id.value},
@@ -208,21 +319,25 @@
   if (lost && !worker->suspect)
     tell_listed(*worker, now);
   worker->set_suspect(lost, now);
+  worker->life_doubted |= lost;
   note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
   if (lost)
     return;
-  tell_life(*worker, answer);
   m_state.note_heard(*worker);
   worker->heard_at = now;
   if (answer.clock)
     worker->clock_ahead =
         *answer.clock - std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  // The life has not seen the present token yet: older calls may still change what it lists.
+  if (answer.token < worker->token || worker->token_wanted)
+    return;
   if (!worker->claimed)
   {
     worker->claimed = true;
     // From now on no earlier owner extends anything there.
     if (!worker->end_stated())
-      worker->lease_end = now + m_state.options.longest_lease();
+      worker->lease_end = now + (worker->follows_another ? m_state.options.longest_lease_of_others()
+                                                         : m_state.options.longest_lease());
     m_state.place_again = true;
   }
   if (answer.clock && *answer.clock < worker->listed_at)
@@ -234,22 +349,11 @@
   accounted(worker->info.id, now);
 }
 
-void worker_holder::tell_life(worker_record& worker, const hold_answer& answer)
-{
-  if (worker.born && answer.born != worker.born)
-    common::log_process("worker_restarted", {{"worker", worker.info.id.value},
-                                             {"runs", worker.runs.size()},
-                                             {"listed_at_ms", worker.listed_at},
-                                             {"clock_ms", answer.clock.value_or(milliseconds{0})},
-                                             {"acknowledged", answer.acknowledged},
-                                             {"ends_read", worker.seen}});
-  worker.born = answer.born;
-}
-
 // A worker without an entry is there as long as it answers.
 void worker_holder::note_unlisted(worker_record& worker, bool heard)
 {
-  const bool usable = worker.info.capacity.cpu_millis > 0 && !worker.info.draining && !worker.over;
+  const bool usable = worker.info.capacity.cpu_millis > 0 && !worker.info.draining &&
+                      worker.described() && !worker.over;
   const bool there = heard && usable && !worker.listed;
   if (there == worker.heard_unlisted)
     return;
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -4,7 +4,7 @@
 #pragma once
 
 // Decides when each worker is held: to claim it, to extend its lease, to hear news, to acknowledge
-// ends. Knows which workers have left and when what ran there has surely ended.
+// ends. Knows which workers have left or started again, and when what ran there has surely ended.
 
 #include <map>
 #include <set>
@@ -26,8 +26,10 @@
   void on_entry(const worker_info& info, time_point now);
   void on_entry_gone(const worker_id& id, time_point now);
   void on_hold(const hold_answer& answer, time_point now);
-  // Another life has answered a call at the worker's address: the one meant has ended.
-  void on_other_life(const worker_id& id, time_point now);
+  // This owner has a newer token; workers that have started again wait for it.
+  void token_given();
+  // Another worker has answered a call at the worker's address: the one meant was gone.
+  void on_other_worker(const worker_id& id, time_point sent, time_point now);
   // Issues the holds that are due, and gives up workers whose leases are over.
   void tick(time_point now);
 
@@ -56,8 +58,13 @@
   // A new entry names an address that other lives have had.
   void ask_others_at(const worker_info& info);
   void note_unlisted(worker_record& worker, bool heard);
-  static void tell_life(worker_record& worker, const hold_answer& answer);
-  void gone(worker_record& worker, const char* why, time_point now);
+  // Whether the answer is the present life's, which may have begun with it.
+  bool from_present_life(worker_record& worker, const hold_answer& answer, time_point now);
+  // The worker has started again: what it is told and does from now on is another life's.
+  void restarted(worker_record& worker, const hold_answer& answer, time_point now);
+  void begin_life(worker_record& worker);
+  void life_ended(worker_record& worker, scheduler_state::lost_runs which, const char* why,
+                  time_point now);
 
   scheduler_state& m_state;
   crash_watch& m_crashes;
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -13,6 +13,14 @@
          clock_ahead.value_or(milliseconds{0});
 }
 
+void worker_record::begin_life(std::uint64_t its_number)
+{
+  static_cast<worker_life&>(*this) = {};
+  number = its_number;
+  for (const auto& [task, run] : runs)
+    run->orphaned = true;
+}
+
 void worker_record::set_suspect(bool silent, time_point now)
 {
   if (silent && !suspect)
@@ -23,6 +31,7 @@
 void worker_record::note_order(bool answered, unsigned most_unanswered, time_point now)
 {
   unanswered = answered ? 0 : unanswered + 1;
+  life_doubted |= !answered;
   if (answered || unanswered >= most_unanswered)
     set_suspect(!answered, now);
 }
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -37,6 +37,11 @@
   time_point begun;       // when it was first ordered, or found
   time_point last_sent;   // of the latest start or stop
   unsigned sends = 0;     // of the start
+  unsigned answers = 0;   // to these
+  bool listed = false;    // the worker has said that it runs
+  // It was sent to an earlier life of the worker, and the present one is not claimed yet: it may
+  // carry it out still.
+  bool orphaned = false;
   std::optional<time_point> start_answered;
   std::optional<time_point> stop_answered;
   // A copy of the start was rejected for a reason that stays: since then none can be carried out,
@@ -50,36 +55,34 @@
   std::int64_t load = 0;
   std::uint32_t pace = 100; // percent, as it was last set
 
+  // Whether a copy of its start may be carried out yet, by whatever life is there then.
+  bool may_be_on_its_way() const { return sends > answers || !listed; }
   const jobs::step_spec& spec() const { return *job->step(place).spec; }
   task_ref ref() const { return {job->id(), place}; }
 };
 
-struct worker_record
+// What is known of one life of a worker. A worker may start again under its id: it then holds and
+// knows nothing of before, and its clock and its numbers of ends begin anew.
+struct worker_life
 {
-  worker_info info;
-  bool listed = true; // its entry is in the store
-  // What that entry says can be believed, as far as it was read.
-  bool entry_valid = true;
+  std::uint64_t number = 0; // no other life of any worker has it
+  bool known = false;       // it has answered, or an earlier owner has heard it
+  std::optional<born_time> born;
+  // Until it is claimed, orders to an earlier life may reach it.
+  bool follows_another = false;
+  bool life_doubted = false; // a call has had no answer since its latest lists
+  time_point told_at{};      // it answered last then with its lists, which say whose they are
   // It has answered a hold sent since its entry went: entries lapse while the store cannot hear of
   // their workers, and come back seconds later.
   bool heard_unlisted = false;
-  time_point unlisted_since{};
-  bool over = false;      // another life has its address; late answers do not bring it back
-  time_point forget_at{}; // without an entry, it is asked until then whether it is still there
-  bool claimed = false;   // it has answered a hold with this owner's token
-  // What the store keeps of it for later owners, and what is on its way there. Runs are started
-  // only while that is an open claim: anything may run there. A closed one lists what may, and
-  // nothing is added to it.
-  std::optional<worker_claim> claim;
-  std::optional<worker_claim> claim_sent;
-  bool claim_doubted = false; // it states an end that is not believed, until another one is written
-  bool suspect = false;       // its last answer did not come
+  bool over = false;    // another worker has its address; late answers do not bring it back
+  bool claimed = false; // it has answered a hold with this owner's token
+  bool suspect = false; // its last answer did not come
   time_point silent_since{};
   // The worker's clock less ours, from its latest answer.
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
   time_point heard_at{};  // its latest answer
-  std::optional<born_time> born; // of the life that has answered last
   // A suspected task is on trial there until then, and until then nothing else begins there.
   time_point trial_until{};
   time_point isolated_until{};
@@ -91,24 +94,52 @@
   unsigned unanswered = 0; // orders in a row
   unsigned failures_in_a_row = 0;
 
-  unsigned holds_under_way = 0;
-  bool ask_at_once = false; // it has news that the hold under way may have lost
-  time_point last_hold{};
+  bool ask_at_once = false;      // it has news that the hold under way may have lost
   worker_clock_time listed_at{}; // of the latest lists taken in; answers may overtake each other
 
   end_number seen = 0;         // the highest end taken into memory
   end_number durable = 0;      // the highest end whose effect the store keeps
   end_number acknowledged = 0; // the highest end that the worker was told to forget
 
-  common::resources used;
-  std::map<task_ref, std::unique_ptr<run_record>> runs;
   // Runs of jobs that are not known here: their size is unknown, so nothing is placed beside them.
   std::set<std::pair<task_ref, run_number>> foreign;
+};
+
+// A worker by its id, with its present life.
+struct worker_record : worker_life
+{
+  worker_info info;
+  bool listed = true; // its entry is in the store
+  // What that entry says can be believed, as far as it was read.
+  bool entry_valid = true;
+  // The entry in the store, if another life or another writer has written it than the life that
+  // answers. Which life is the later one only an answer can tell.
+  std::optional<worker_info> other_entry;
+  time_point unlisted_since{};
+  time_point forget_at{}; // without an entry, it is asked until then whether it is still there
+  // What the store keeps of it for later owners, and what is on its way there. Runs are started
+  // only while that is an open claim of the present life: anything may run there. A closed one
+  // lists what may, and nothing is added to it.
+  std::optional<worker_claim> claim;
+  std::optional<worker_claim> claim_sent;
+  bool claim_doubted = false; // it states an end that is not believed, until another one is written
+  // What orders to it bear. A life that follows one which this owner has ordered about gets a
+  // higher one, so that it does nothing of what was sent before; none is given it until there is.
+  fencing_token token = 0;
+  bool token_wanted = false;
+  unsigned holds_under_way = 0;
+  time_point last_hold{};
+  common::resources used;
+  std::map<task_ref, std::unique_ptr<run_record>> runs;
 
+  // Another life begins, of which nothing is known yet. Its runs stay, as orphans.
+  void begin_life(std::uint64_t its_number);
   // Its entry is there, or went while the worker answers on.
   bool present() const { return listed || heard_unlisted; }
+  // Whether what is known of its kind and room is the present life's own word.
+  bool described() const { return !other_entry && (!known || info.born == born); }
   // Whether anything new may be meant for it, as far as its entry goes.
-  bool offered() const { return present() && entry_valid && !info.draining; }
+  bool offered() const { return present() && entry_valid && described() && !info.draining; }
   worker_clock_time clock_at(time_point now) const;
   void set_suspect(bool silent, time_point now);
   // Counts an order's outcome; several unanswered ones in a row make the worker suspect.
@@ -119,7 +150,8 @@
   bool silent_for(duration patience, time_point now) const;
   bool claim_open() const
   {
-    return claim && !claim->closed && !claim->over && !claim_sent && !claim_doubted;
+    return claim && claim->born == born && !claim->closed && !claim->over && !claim_sent &&
+           !claim_doubted;
   }
   // Whether later owners may read when all that runs there is over: no lease may be extended.
   bool end_stated() const
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -140,9 +140,11 @@
   answer.end = call_end::done;
   answer.clock = clock();
   answer.acknowledged = acknowledged;
+  answer.born = born;
   answer.running = std::move(running);
   answer.ended = std::move(ended);
   answer.sent = now;
+  answer.token = token;
   scheduler->hold_answered(answer, now);
 }
 
@@ -151,22 +153,26 @@
   hold_answer answer;
   answer.worker = worker_id(worker);
   answer.end = end;
+  answer.sent = now;
+  answer.token = token;
   scheduler->hold_answered(answer, now);
 }
 
 void scheduler_harness::answer_start(const start_command& order, call_end end)
 {
-  scheduler->start_answered({order.worker, order.task, order.run, end, clock(), now}, now);
+  scheduler->start_answered({order.worker, order.task, order.run, end, clock(), now, order.token},
+                            now);
 }
 
 void scheduler_harness::answer_stop(const stop_command& order, call_end end)
 {
-  scheduler->stop_answered({order.worker, order.task, order.run, end, now}, now);
+  scheduler->stop_answered({order.worker, order.task, order.run, end, now, order.token}, now);
 }
 
 void scheduler_harness::commit()
 {
   const commit_batch batch = scheduler->take_commit(1000, now);
+  scheduler->token_given(++token);
   scheduler->commit_done(batch, true);
   scheduler->set_authority(now + std::chrono::hours{1}, now);
 }
--- a/Source/UnitTests/Scheduling/SchedulerHarness.h
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.h
@@ -64,6 +64,11 @@
   // The same, and then a tick.
   void commit_and_step();
 
+  // The token of the owner's latest commit.
+  fencing_token token = 0;
+  // Of the lives that answer from now on; none: workers that do not say it.
+  std::optional<born_time> born;
+
   static listed_run running(const start_command& order);
   static listed_end ended(end_number number, const start_command& order, run_end how,
                           const std::string& checkpoint = {});
