--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -16,6 +16,10 @@
 // Nothing starts on a leaving worker, or one whose entry is not valid, any more by then: the usual
 // 2 s and the authority of an owner that is cut off.
 constexpr std::chrono::milliseconds k_leaving_time{6500};
+// A copy starts no later than this after its task's end was acknowledged, by an owner that is in
+// touch; one that is cut off goes on for its authority.
+constexpr std::chrono::seconds k_copy_late{1};
+constexpr std::chrono::milliseconds k_authority{4500};
 // The platform's bounds for a task that is to last: it runs again within 3 s that begin 6 s after
 // its last run, and after 4 calm seconds; a trouble counts for 3 s after its end.
 constexpr std::chrono::seconds k_after_last_run{6};
@@ -161,8 +165,7 @@
             "run " + std::to_string(start.run) + " on " + start.worker + " beside run " +
                 std::to_string(task.active.begin()->first) + " on " +
                 task.active.begin()->second.worker);
-  if (!spec.speculative && !spec.long_running && task.done_acknowledged)
-    violate("TWICE", start.task, "started after its end was acknowledged");
+  check_done(spec, start);
   if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running)
     violate("BUDGET", start.task, "more attempts than allowed");
   for (const std::uint32_t needed : spec.depends_on)
@@ -172,6 +175,19 @@
   }
 }
 
+// A copy may come a little late; nothing else begins once an end is acknowledged.
+void run_judge::check_done(const jobs::step_spec& spec, const observed_start& start)
+{
+  const auto& done = m_tasks[start.task].done_acknowledged;
+  if (spec.long_running || !done)
+    return;
+  const common::duration late = k_copy_late + (m_in_touch ? common::duration{0} : k_authority);
+  if (!spec.speculative)
+    violate("TWICE", start.task, "started after its end was acknowledged");
+  else if (start.at > *done + late)
+    violate("TWICE", start.task, "a copy started long after its end was acknowledged");
+}
+
 void run_judge::started(const observed_start& start)
 {
   ++m_starts;
@@ -257,11 +273,12 @@
   m_tasks[task].checkpoints.insert(checkpoint);
 }
 
-void run_judge::acknowledged(const task_ref& task, run_number run, run_end how)
+void run_judge::acknowledged(const task_ref& task, run_number run, run_end how,
+                             common::time_point at)
 {
   seen_task& seen = m_tasks[task];
   if (how == run_end::done)
-    seen.done_acknowledged = true;
+    seen.done_acknowledged = std::min(at, seen.done_acknowledged.value_or(at));
   if (how == run_end::failed)
     seen.failures_acknowledged.insert(run);
 }
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -67,7 +67,9 @@
   void ended(const task_ref& task, run_number run, const std::string& worker, run_end how);
   // A run's work is saved; its checkpoint is listed from now on, whatever becomes of the worker.
   void saved(const task_ref& task, const std::string& checkpoint);
-  void acknowledged(const task_ref& task, run_number run, run_end how);
+  void acknowledged(const task_ref& task, run_number run, run_end how, common::time_point at);
+  // All instances reach the store and the workers throughout.
+  void expect_contact() { m_in_touch = true; }
   void worker_gone(const std::string& worker);
   // The worker has been crashed by what it ran, or by chance.
   void worker_crashed(const std::string& worker);
@@ -130,7 +132,7 @@
   {
     std::map<run_number, active_run> active;
     std::set<run_number> done;
-    bool done_acknowledged = false;
+    std::optional<common::time_point> done_acknowledged;
     std::set<run_number> failures_acknowledged;
     std::set<run_number> failures;
     bool crashes_workers = false;
@@ -147,6 +149,7 @@
                  std::uint32_t step) const;
   bool has_room(const jobs::step_spec& step, const std::vector<usable_worker>& usable) const;
   void check_start(const seen_job& job, const observed_start& start);
+  void check_done(const jobs::step_spec& spec, const observed_start& start);
   void check_leaving(const observed_start& start);
   void check_entry(const observed_start& start);
   void check_refusal(const std::string& job, const seen_job& seen);
@@ -163,5 +166,6 @@
   std::map<std::string, common::time_point> m_broken_entries; // the same
   std::vector<std::string> m_violations;
   std::size_t m_starts = 0;
+  bool m_in_touch = false;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -297,7 +297,7 @@
   while (!m_ends.empty() && m_ends.begin()->first <= seen)
   {
     const scheduling::listed_end& end = m_ends.begin()->second;
-    m_judge.acknowledged(end.task, end.run, end.how);
+    m_judge.acknowledged(end.task, end.run, end.how, m_time.now());
     m_ends.erase(m_ends.begin());
   }
   if (body.contains(wire::k_lease_end_ms))
