Scheduling, deploy: The start of a task that may run in copies has a near end of its own

Callers' tasks were started again seconds after they had been done: a copy's start was carried out late, and a start was good for a whole lease (7.5 s). Cause: the lease that a start gives was also the time within which it could be carried out. A start of a step with copies now ends 0.9 s after it was sent (three times what answers are waited for, where they are slow), each repeated one anew, and holds give the lease.

Tried and left: the same for all starts. Other starts have one run at a time, which is followed until its end is known. CrashWatchTest's owner sends holds now while it waits for 3 s; without them the first lease is over.

--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -19,7 +19,7 @@
       m_zones(m_state),
       m_reservations(m_state),
       m_advice(m_state, m_zones, m_reservations),
-      m_placer(m_state, m_zones, m_advice, m_reservations, m_holder, m_crashes),
+      m_placer(m_state, m_zones, m_advice, m_reservations, m_crashes),
       m_evacuator(m_state, m_advice, m_placer)
 {
   m_state.first_run = first_run;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -32,13 +32,8 @@
 } // namespace
 
 placer::placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-               reservations& kept, worker_holder& holder, crash_watch& crashes)
-    : m_state(state),
-      m_zones(zones),
-      m_advice(advice),
-      m_reservations(kept),
-      m_holder(holder),
-      m_crashes(crashes)
+               reservations& kept, crash_watch& crashes)
+    : m_state(state), m_zones(zones), m_advice(advice), m_reservations(kept), m_crashes(crashes)
 {
 }
 
@@ -358,7 +353,7 @@
   worker.latest_start = now;
   run.last_sent = now;
   run.sends = 1;
-  run.start_expires = m_holder.extended_lease(worker, now);
+  run.start_expires = m_state.start_deadline(run, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
   run.ticket_over = m_advice.ticket_over(job, job.step(place), worker.info.id);
   m_state.metrics.add(common::counter::attempts_started);
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/CrashWatch.h"
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
-#include "Scheduling/WorkerHolder.h"
 
 namespace yardhill::scheduling
 {
@@ -20,7 +20,7 @@
 {
 public:
   placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-         reservations& kept, worker_holder& holder, crash_watch& crashes);
+         reservations& kept, crash_watch& crashes);
 
   // One pass over all waiting steps; with a survey of what runs, also over tasks that are late.
   void place(time_point now, bool survey);
@@ -90,7 +90,6 @@
   const zone_chooser& m_zones;
   advice_planner& m_advice;
   reservations& m_reservations;
-  worker_holder& m_holder;
   crash_watch& m_crashes;
   std::size_t m_passes = 0;
   std::size_t m_looked_at = 0;
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -5,6 +5,8 @@
 
 // Times and bounds of a partition's scheduler, each with where its figure comes from.
 
+#include <algorithm>
+
 #include "Common/Time.h"
 
 namespace yardhill::scheduling
@@ -30,8 +32,8 @@
   duration hold_wait_most = std::chrono::milliseconds{2000};
   // While ends wait to be written, leases are still extended this often.
   duration hold_refresh = std::chrono::milliseconds{700};
-  // Ends are acknowledged within this time of the worker's lists: no task that a life nobody knows
-  // of may have begun meanwhile ends sooner.
+  // No task that a life of which nobody knows may have begun ends sooner, or sooner than answers
+  // come: ends are acknowledged within this time of the worker's lists.
   duration fresh_lists = std::chrono::milliseconds{250};
   // A worker that has not answered its first hold is asked again after this time: after a takeover
   // tasks wait for it.
@@ -127,6 +129,12 @@
   // A partition of so many workers is small: each of its passes is a survey.
   std::size_t small_partition = 100;
 
+  // A start of a step with copies that arrives later than this after it was sent does nothing: it
+  // is within the second in which the platform bears a copy of a task that is done.
+  duration start_life = std::chrono::milliseconds{900};
+  // Where answers are slow, starts wait for their way as well; turned away, they would be sent once
+  // more over a link that is full already.
+  int patiences_of_start = 3;
   // The platform cuts each lease to this.
   duration longest_hold = std::chrono::seconds{10};
 
@@ -134,6 +142,13 @@
   // on another clock.
   duration longest_lease() const { return drifted(task_lease); }
   duration longest_lease_of_others() const { return drifted(longest_hold); }
+  // How long a start is good while answers are waited for so long, and the most that its lease
+  // lasts.
+  duration start_life_at(duration patience) const
+  {
+    return std::max(start_life, patiences_of_start * patience);
+  }
+  duration longest_start(duration patience) const { return drifted(start_life_at(patience)); }
 
 private:
   duration drifted(duration lease) const
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -218,13 +218,6 @@
   }
 }
 
-worker_clock_time worker_holder::extended_lease(worker_record& worker, time_point now)
-{
-  worker.lease_end = std::max(worker.lease_end, now + m_state.options.longest_lease());
-  return worker.clock_at(now) +
-         std::chrono::duration_cast<milliseconds>(m_state.options.task_lease);
-}
-
 void worker_holder::hold(worker_record& worker, time_point now)
 {
   if (!m_state.may_act(now))
@@ -236,14 +229,13 @@
   order.token = worker.token;
   // Ends of another life bear the same numbers, and one that is not known yet may have carried out
   // what was sent since the latest lists: none of its ends is to be forgotten unread.
-  const bool surely_there =
-      !worker.life_doubted && now - worker.told_at <= m_state.options.fresh_lists;
+  const bool surely_there = ends_are_read(worker, now);
   order.acknowledged = surely_there ? worker.durable : 0;
   // A worker that does not answer gets no longer lease: its runs must end some day. Nor does one of
   // which the store says when they do, until that is taken back.
   if (m_state.orders_begun && worker.claimed && !worker.suspect && worker.clock_ahead &&
       !worker.end_stated())
-    order.lease_end = extended_lease(worker, now);
+    order.lease_end = m_state.extended_lease(worker, now);
   // The worker forgets the ends acknowledged here before it looks for news, so the call that tells
   // it of them waits for the next one: one call an end instead of two.
   const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable;
@@ -256,6 +248,17 @@
   m_state.commands.emplace_back(std::move(order));
 }
 
+bool worker_holder::ends_are_read(const worker_record& worker, time_point now) const
+{
+  if (worker.life_doubted)
+    return false;
+  const time_point recent = now - std::max(m_state.options.fresh_lists, m_state.order_patience);
+  return worker.told_at >= recent ||
+         std::none_of(worker.runs.begin(), worker.runs.end(),
+                      [recent](const auto& each)
+                      { return !each.second->listed && each.second->begun < recent; });
+}
+
 milliseconds worker_holder::hold_wait() const
 {
   const scheduler_options& options = m_state.options;
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -37,13 +37,13 @@
   // whatever earlier owners ordered is over.
   void begin_accounting(time_point now);
   bool accounting() const { return m_accounting; }
-  // The lease of everything that is started or held now ends at this worker time.
-  worker_clock_time extended_lease(worker_record& worker, time_point now);
 
 private:
   worker_record& new_record(const worker_id& id);
   void hold(worker_record& worker, time_point now);
   milliseconds hold_wait() const;
+  // Whether the worker's next life, should there be one, can have no ends yet.
+  bool ends_are_read(const worker_record& worker, time_point now) const;
   bool hold_due(const worker_record& worker, time_point now) const;
   void accounted(const worker_id& id, time_point now);
   void give_up_unheard(time_point now);
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -58,7 +58,13 @@
       crash_under(starts.front());
       ++crashes;
       add_workers(1);
-      pass(seconds{3});
+      // The run's first lease is short; the holds that an owner sends meanwhile extend it.
+      for (int i = 0; i < 30; ++i)
+      {
+        pass(milliseconds{100});
+        step();
+      }
+      pass(options.order_retry);
       try_again();
     }
     return crashes;
