StandIns, soak, Model: Workers of the soak start again under their ids; late orders are told as such

The stand-in's workers begin another life under one id, with a clock behind or ahead of the old one; the soak draws it apart from its other troubles.

--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -183,7 +183,10 @@
     return;
   const common::duration late = k_copy_late + (m_in_touch ? common::duration{0} : k_authority);
   if (!spec.speculative)
-    violate("TWICE", start.task, "started after its end was acknowledged");
+    violate("TWICE", start.task,
+            "run " + std::to_string(start.run) + " on " + start.worker +
+                " started after its end was acknowledged" +
+                (start.late_at_new_life ? ", by a late order to a life that nobody had held" : ""));
   else if (start.at > *done + late)
     violate("TWICE", start.task, "a copy started long after its end was acknowledged");
 }
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -31,6 +31,8 @@
   std::string payload;
   std::string checkpoint;
   common::time_point at;
+  // The order was carried out late, by a life that had seen no fencing token before it.
+  bool late_at_new_life = false;
 };
 
 // A worker that tasks could be started on.
--- a/Source/Core/Model/VirtualNetwork.cpp
+++ b/Source/Core/Model/VirtualNetwork.cpp
@@ -126,8 +126,11 @@
   const duration way =
       late ? duration(std::chrono::milliseconds(2000 + m_random() % 10000))
            : delay() + transfer(from, call.target.size() + call.body.size() + k_head_bytes);
+  http::request carried = call;
+  if (late)
+    carried.headers.emplace_back(k_late_mark, "");
   m_time.schedule(way,
-                  [this, from, to, call, lost, under_way]
+                  [this, from, to, call = std::move(carried), lost, under_way]
                   {
                     // Whoever is there by then.
                     const served& there = m_servers[{to.address, to.port}];
--- a/Source/Core/Model/VirtualNetwork.h
+++ b/Source/Core/Model/VirtualNetwork.h
@@ -31,6 +31,9 @@
   double orders_late = 0.0;  // no answer, and carried out 2 to 12 s later: calls to workers
 };
 
+// Marks a call that is carried out late, for what judges tell; no client sends it.
+inline constexpr const char* k_late_mark = "X-Carried-Out-Late";
+
 class virtual_network
 {
 public:
--- a/Source/Core/Model/WorkerFleet.cpp
+++ b/Source/Core/Model/WorkerFleet.cpp
@@ -53,8 +53,8 @@
     born += born == settings.born_ms ? 1 : 0;
     settings.life = settings.id + "~" + std::to_string(which.life);
     settings.clock_ahead =
-        plan.clock - milliseconds(std::llround(static_cast<double>(now.count()) *
-                                               settings.clock_rate));
+        plan.clock -
+        milliseconds(std::llround(static_cast<double>(now.count()) * settings.clock_rate));
   }
   else
   {
--- a/Source/Core/Model/WorkerFleet.h
+++ b/Source/Core/Model/WorkerFleet.h
@@ -42,8 +42,8 @@
 {
 public:
   // `specs`: the jobs' steps, for the room that runs take.
-  worker_fleet(common::timekeeper& time, store_model& store, advice_model& advice,
-               run_judge& judge, worker_model::course_function course,
+  worker_fleet(common::timekeeper& time, store_model& store, advice_model& advice, run_judge& judge,
+               worker_model::course_function course,
                const std::map<std::string, jobs::job_spec>& specs);
 
   // Begins the machine's first life, without an entry. Workers stay where they are in memory.
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Model/VirtualNetwork.h"
 #include "Scheduling/WorkerRecord.h"
 #include "platform/TaskName.h"
 #include "platform/WireNames.h"
@@ -101,9 +102,12 @@
     done(refusal("fence"));
     return;
   }
+  const bool late = std::any_of(call.headers.begin(), call.headers.end(),
+                                [](const auto& each) { return each.first == k_late_mark; });
+  const bool late_at_new_life = late && m_fence == 0;
   m_fence = fence;
   if (call.target == wire::k_start_path)
-    done(start(body));
+    done(start(body, late_at_new_life));
   else if (call.target == wire::k_stop_path)
     done(stop(body));
   else if (call.target == wire::k_hold_path)
@@ -132,7 +136,7 @@
     finish(m_runs.begin()->first, run_end::lapsed);
 }
 
-http::reply worker_model::start(const json& body)
+http::reply worker_model::start(const json& body, bool late_at_new_life)
 {
   const task_ref task = task_in(body);
   const run_number number = body.at(wire::k_run);
@@ -157,7 +161,7 @@
     return refusal("ticket");
   extend_lease(until);
   m_judge.started({task, number, m_settings.life, body.value(wire::k_payload, std::string()),
-                   body.value(wire::k_checkpoint, std::string()), m_time.now()});
+                   body.value(wire::k_checkpoint, std::string()), m_time.now(), late_at_new_life});
   const run_course course = m_course(task, number, m_settings.life);
   active_run& run = m_runs[task];
   run.number = number;
--- a/Source/Core/Model/WorkerModel.h
+++ b/Source/Core/Model/WorkerModel.h
@@ -33,7 +33,7 @@
 struct worker_settings
 {
   std::string id;
-  std::string life; // another one for each life, also under the same id; what judges go by
+  std::string life;         // another one for each life, also under the same id; what judges go by
   std::int64_t born_ms = 0; // Unix time of the life's start, on its own clock
   common::endpoint address;
   std::string zone;
@@ -89,7 +89,7 @@
     common::timekeeper::entry timeout = 0;
   };
 
-  http::reply start(const nlohmann::json& body);
+  http::reply start(const nlohmann::json& body, bool late_at_new_life);
   http::reply stop(const nlohmann::json& body);
   void hold(const nlohmann::json& body, http::reply_handler done);
   http::reply refusal(const char* reason) const;
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -119,6 +119,7 @@
             { return course_of(task, run); },
             m_specs)
   {
+    m_fleet.set_life_planner([this] { return std::exchange(m_next_life, {}); });
     m_fleet.set_crash_handler([this](model::fleet_worker& worker) { worker_crashed(worker); });
     listen(io, 0,
            [this](const incoming_request& request, responder respond)
@@ -353,6 +354,8 @@
     }
     else if (what == "replace")
       begin_life(worker);
+    else if (what == "restart")
+      restart(worker, milliseconds(std::stol(words.at(3))));
     else if (what == "room")
       set_room(worker, std::stod(words.at(3)) / 100.0);
     else if (what == "drain")
@@ -368,6 +371,16 @@
     return {};
   }
 
+  // It has crashed and starts again under its id; its clock shows that at first.
+  void restart(model::fleet_worker& worker, milliseconds clock)
+  {
+    if (worker.model)
+      m_judge.worker_crashed(worker.settings.life);
+    model::worker_fleet::end_life(worker);
+    m_next_life = {true, clock, {}};
+    begin_life(worker);
+  }
+
   // It has that share of its room from now on, and its entry says so.
   void set_room(model::fleet_worker& worker, double share)
   {
@@ -410,6 +423,7 @@
   model::advice_model m_advice;
   std::map<std::string, jobs::job_spec> m_specs;
   model::worker_fleet m_fleet;
+  model::life_plan m_next_life;
   std::string m_store_fault = "works";
   std::uint64_t m_calls_per_second = 0; // to the store, before it turns calls away; 0: no limit
   std::uint64_t m_calls_of_second = 0;
--- a/Source/StandIns/CellStandIn.h
+++ b/Source/StandIns/CellStandIn.h
@@ -21,6 +21,7 @@
 //                               named: all parts answer
 //   PUT  /store/forget          feeds that are behind have to read everything again
 //   POST /workers/N/FAULT       crash | leave | drain | replace | silence | speak
+//   POST /workers/N/restart/MS  starts again under its id, with a clock that shows MS
 //   POST /workers/N/late/MS     carries starts and stops out so late; 0: at once
 //   GET  /report                what is under way, what was counted, what the judge noted
 //   GET  /runs                  tasks at work, and the jobs of which any task has begun
--- a/Tools/soak/troubles.py
+++ b/Tools/soak/troubles.py
@@ -44,13 +44,18 @@
                 drawn.append((at + self.draw.uniform(0, wave), kind))
             at += wave + self.draw.choice([3, 6, 14, 16])
         drawn.sort()
-        drawn += self.rooms(seconds)  # last: the others' numbers are what their luck follows from
+        # Last, since the others' numbers are what their luck follows from.
+        drawn += self.rooms(seconds) + self.restarts(seconds)
         return sorted((when, kind, number) for number, (when, kind) in enumerate(drawn))
 
     def rooms(self, seconds):
         draw = random.Random(f"{self.seed}/rooms")
         return [(draw.uniform(2, seconds - 4), "rooms_shrink") for _ in range(draw.randint(0, 3))]
 
+    def restarts(self, seconds):
+        draw = random.Random(f"{self.seed}/restarts")
+        return [(draw.uniform(2, seconds - 4), "workers_restart") for _ in range(draw.randint(0, 4))]
+
     def play(self, began, drawn):
         for at, kind, number in drawn:
             time.sleep(max(0.0, began + at - time.monotonic()))
@@ -290,6 +295,16 @@
             self.pause(draw.uniform(0.1, 2.0))
             self.befall_workers(numbers, "replace")
 
+    def workers_restart(self, draw, note):
+        """Under their ids, some of them twice in a row; a new clock is behind or ahead of the old."""
+        numbers, times = self.workers(draw, 0.4), draw.choice([1, 1, 2])
+        note(f"{len(numbers)} workers, {times} times")
+        for _ in range(times):
+            self.befall_workers(numbers, "crash")
+            self.pause(draw.uniform(0.1, 3.0))
+            self.befall_workers(numbers, f"restart/{draw.choice([0, 0, 10 ** 9])}")
+            self.pause(draw.uniform(0.2, 2.0))
+
     def workers_leave(self, draw, note):
         numbers = self.workers(draw)
         note(f"{len(numbers)} workers")
