Scheduling: That one copy of a start came too late voids no later copy

Cause, my own: since each copy of a start of a step with copies has an end of its own, the rejection of the first as too late no longer says anything of the second; the run was dropped as void, its room given away, and the second copy was carried out 4 ms later. Told by the log: run_missing of two runs without an answer, then unwanted_run_stopped of the same. The test of it was seen failing.

--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -68,7 +68,9 @@
   // worker's lists will tell. Its run has even ended if the number is out of date now.
   if (run.sends > 1 && end != call_end::unhealthy)
   {
-    const bool stays = end == call_end::bad_ticket || end == call_end::too_late;
+    // That one copy came too late says nothing of a later one with a later end.
+    const bool stays =
+        end == call_end::bad_ticket || (end == call_end::too_late && !run.spec().speculative);
     if (stays && !run.start_void)
       run.start_void = now;
     worker.ask_at_once |= stays || end == call_end::outdated;
--- a/Source/UnitTests/Scheduling/LostAnswersTest.cpp
+++ b/Source/UnitTests/Scheduling/LostAnswersTest.cpp
@@ -63,4 +63,28 @@
   BOOST_TEST(starts.front().run == 2U);
 }
 
+// Each copy of such a start has an end of its own: that the first came too late says nothing of the
+// second. The run was dropped and its room given away, and the second copy brought the worker over
+// its room.
+BOOST_FIXTURE_TEST_CASE(a_copy_that_came_too_late_voids_no_later_one, scheduler_harness)
+{
+  yardhill::jobs::step_spec copied = step_of(1, 10000);
+  copied.speculative = true;
+  send_first_start(copied);
+  const start_command first = starts.front();
+  answer_start(first, call_end::unanswered);
+  pass(milliseconds{500});
+  starts.clear();
+  step();
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts.front().lease_end > first.lease_end);
+  answer_start(first, call_end::too_late);
+  pass(milliseconds{5});
+  answer_hold("w1", {});
+  starts.clear();
+  step();
+  BOOST_TEST(starts.empty());
+  BOOST_TEST(scheduler->load().free_cpu == 6000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
