--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -15,7 +15,8 @@
     : m_state(options, counts),
       m_crashes(m_state),
       m_follower(m_state, m_crashes),
-      m_holder(m_state, m_crashes, m_follower),
+      m_accounting(m_state, m_crashes),
+      m_holder(m_state, m_crashes, m_follower, m_accounting),
       m_zones(m_state),
       m_reservations(m_state),
       m_advice(m_state, m_zones, m_reservations),
@@ -154,7 +155,7 @@
 
 void job_scheduler::begin_accounting(time_point now)
 {
-  m_holder.begin_accounting(now);
+  m_accounting.begin(now);
 }
 
 void job_scheduler::cancel_job(const std::string& id, time_point now)
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -145,6 +145,7 @@
   scheduler_state m_state;
   crash_watch m_crashes;
   run_follower m_follower;
+  takeover_accounting m_accounting;
   worker_holder m_holder;
   zone_chooser m_zones;
   reservations m_reservations;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -15,8 +15,9 @@
 constexpr unsigned k_most_holds = 2;
 } // namespace
 
-worker_holder::worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower)
-    : m_state(state), m_crashes(crashes), m_follower(follower)
+worker_holder::worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower,
+                             takeover_accounting& accounting)
+    : m_state(state), m_crashes(crashes), m_follower(follower), m_accounting(accounting)
 {
 }
 
@@ -45,10 +46,7 @@
     worker.claim->over.reset();
   else if (claim.over)
     worker.lease_end = std::min(worker.lease_end, *claim.over);
-  if (claim.closed)
-    m_listed[id] = claim.tasks;
-  else
-    m_unheard[id] = claim.zone;
+  m_accounting.expect(id, claim);
   hold(worker, now);
 }
 
@@ -122,7 +120,7 @@
                                const char* why, time_point now)
 {
   if (!worker.claimed && worker.claim && !worker.info.draining)
-    m_lost_workers[worker.info.id] = crash_watch::earlier_worker::ended;
+    m_accounting.life_ended(worker.info.id);
   m_crashes.worker_ended(worker, which, why, now);
   begin_life(worker);
 }
@@ -172,7 +170,7 @@
   worker->told_at = now;
   worker->forget_at = time_point{};
   worker->lease_end = time_point{};
-  accounted(id, now);
+  m_accounting.worker_told(id, now);
 }
 
 // An answer tells which life was there between its call and now. If the life known so far had not
@@ -317,10 +315,10 @@
                         {{"worker", worker->info.id.value},
                          {"end", to_text(answer.end)},
                          {"runs", worker->runs.size()},
-                         {"waited_for", waited_for(answer.worker)},
+                         {"waited_for", m_accounting.waits_for(answer.worker)},
                          {"lease_left_ms", worker->lease_end - now}});
   if (lost && !worker->suspect)
-    tell_listed(*worker, now);
+    m_accounting.tell_listed(*worker, now);
   worker->set_suspect(lost, now);
   worker->life_doubted |= lost;
   note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
@@ -349,7 +347,7 @@
   // The answer shows which acknowledgement has arrived: ends up to it are listed no more.
   worker->acknowledged = std::max(worker->acknowledged, answer.acknowledged);
   m_follower.on_lists(*worker, answer, now);
-  accounted(worker->info.id, now);
+  m_accounting.worker_told(worker->info.id, now);
 }
 
 // A worker without an entry is there as long as it answers.
@@ -367,8 +365,8 @@
 
 void worker_holder::tick(time_point now)
 {
-  if (m_accounting)
-    give_up_unheard(now);
+  if (m_accounting.under_way())
+    m_accounting.give_up_unheard(now);
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
   {
     worker_record& worker = *each->second;
@@ -388,135 +386,4 @@
   }
 }
 
-void worker_holder::begin_accounting(time_point now)
-{
-  m_accounting = true;
-  for (const auto& [id, worker] : m_state.workers)
-  {
-    if (!worker->claimed && !worker->claim)
-      m_unheard[id] = worker->info.zone;
-  }
-  for (const auto& [id, tasks] : m_listed)
-  {
-    for (const task_ref& task : tasks)
-    {
-      job_record* const job = m_state.find_job(task.job);
-      if (job != nullptr && job->contains(task.place))
-        job->mark_unaccounted(task.place);
-    }
-  }
-  release_accounted("at the takeover", now);
-}
-
-// What still may have run on workers that were never heard, and whose leases are over, counts as
-// lost unheard: a later owner may have heard of its end.
-void worker_holder::give_up_unheard(time_point now)
-{
-  const auto is_over = [this, now](const auto& each)
-  {
-    const worker_record* const worker = m_state.find_worker(each.first);
-    const bool over = worker == nullptr || now >= worker->lease_end;
-    if (over)
-      m_lost_workers.emplace(each.first, crash_watch::earlier_worker::unheard);
-    return over;
-  };
-  const std::size_t given_up = std::erase_if(m_unheard, is_over) + std::erase_if(m_listed, is_over);
-  if (given_up == 0)
-    return;
-  for (const std::string& id : m_state.open)
-    m_state.jobs.at(id)->mark_unaccounted_lost();
-  release_accounted("leases of earlier owners are over", now);
-}
-
-void worker_holder::accounted(const worker_id& id, time_point now)
-{
-  if (m_listed.erase(id) > 0 && m_accounting)
-    release_accounted("listed tasks are told", now);
-  const auto unheard = m_unheard.extract(id);
-  if (unheard.empty() || !m_accounting)
-    return;
-  const bool zone_open =
-      std::any_of(m_unheard.begin(), m_unheard.end(),
-                  [&unheard](const auto& each) { return each.second == unheard.mapped(); });
-  if (!zone_open)
-    release_accounted("workers were heard", now);
-}
-
-// Tasks that may run on no worker that is still to be heard.
-void worker_holder::release_accounted(const char* why, time_point now)
-{
-  std::set<task_ref> held;
-  for (const auto& [id, tasks] : m_listed)
-    held.insert(tasks.begin(), tasks.end());
-  std::size_t released = 0;
-  // A job may end by what is released.
-  const std::set<std::string> open = m_state.open;
-  for (const std::string& id : open)
-    released += release_tasks(*m_state.jobs.at(id), held, now);
-  m_accounting = !m_listed.empty() || !m_unheard.empty();
-  m_state.place_again = true;
-  common::log_process(
-      "tasks_accounted",
-      {{"why", why}, {"released", released}, {"unheard", m_unheard.size()}, {"held", held.size()}});
-}
-
-bool worker_holder::waited_for(const worker_id& id) const
-{
-  return m_accounting && (m_unheard.contains(id) || m_listed.contains(id));
-}
-
-// For each task of a worker that does not answer: why it waits, and how long at most.
-void worker_holder::tell_listed(const worker_record& worker, time_point now) const
-{
-  const auto listed = m_listed.find(worker.info.id);
-  if (!m_accounting || listed == m_listed.end())
-    return;
-  for (const task_ref& task : listed->second)
-    common::log_request("task_held", task.job,
-                        {{"step", task.place.step},
-                         {"task", task.place.index},
-                         {"worker", worker.info.id.value},
-                         {"end_stated", worker.end_stated()},
-                         {"lease_left_ms", worker.lease_end - now}});
-}
-
-crash_watch::earlier_worker worker_holder::fate_of(const std::string& worker) const
-{
-  const auto found = m_lost_workers.find(worker_id(worker));
-  return found == m_lost_workers.end() ? crash_watch::earlier_worker::heard : found->second;
-}
-
-bool worker_holder::blocked(const step_record& step) const
-{
-  return std::any_of(m_unheard.begin(), m_unheard.end(),
-                     [&step](const auto& each)
-                     { return each.second.empty() || step.begun.covers(each.second); });
-}
-
-std::size_t worker_holder::release_tasks(job_record& job, const std::set<task_ref>& held,
-                                         time_point now)
-{
-  std::size_t released = 0;
-  for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
-  {
-    for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
-    {
-      const step_record& step = job.cycles()[c].steps[s];
-      if (blocked(step))
-        continue;
-      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
-      {
-        const task_place place{c, s, i};
-        if (step.tasks[i].phase != task_phase::unaccounted || held.contains({job.id(), place}))
-          continue;
-        job.set_phase(place, task_phase::waiting);
-        if (!m_lost_workers.empty())
-          m_crashes.may_be_lost(job, place);
-        m_crashes.released(job, place, fate_of(job.task(place).crashes.announced_on), now);
-        ++released;
-      }
-    }
-  }
-  return released;
-}
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -6,20 +6,18 @@
 // Decides when each worker is held: to claim it, to extend its lease, to hear news, to acknowledge
 // ends. Knows which workers have left or started again, and when what ran there has surely ended.
 
-#include <map>
-#include <set>
-#include <vector>
-
 #include "Scheduling/CrashWatch.h"
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/TakeoverAccounting.h"
 
 namespace yardhill::scheduling
 {
 class worker_holder
 {
 public:
-  worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower);
+  worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower,
+                takeover_accounting& accounting);
 
   // A worker that an earlier owner had claimed; its entry may come later or never.
   void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
@@ -33,11 +31,6 @@
   // Issues the holds that are due, and gives up workers whose leases are over.
   void tick(time_point now);
 
-  // From now on, tasks of older jobs wait until each worker on which they may run has been heard or
-  // whatever earlier owners ordered is over.
-  void begin_accounting(time_point now);
-  bool accounting() const { return m_accounting; }
-
 private:
   worker_record& new_record(const worker_id& id);
   void hold(worker_record& worker, time_point now);
@@ -45,16 +38,6 @@
   // Whether the worker's next life, should there be one, can have no ends yet.
   bool ends_are_read(const worker_record& worker, time_point now) const;
   bool hold_due(const worker_record& worker, time_point now) const;
-  void accounted(const worker_id& id, time_point now);
-  void give_up_unheard(time_point now);
-  crash_watch::earlier_worker fate_of(const std::string& worker) const;
-  void release_accounted(const char* why, time_point now);
-  // Whether tasks of earlier owners wait for the worker's word.
-  bool waited_for(const worker_id& id) const;
-  void tell_listed(const worker_record& worker, time_point now) const;
-  std::size_t release_tasks(job_record& job, const std::set<task_ref>& held, time_point now);
-  // Whether something of the step may run on a worker that is still to be heard.
-  bool blocked(const step_record& step) const;
   // A new entry names an address that other lives have had.
   void ask_others_at(const worker_info& info);
   void note_unlisted(worker_record& worker, bool heard);
@@ -69,13 +52,6 @@
   scheduler_state& m_state;
   crash_watch& m_crashes;
   run_follower& m_follower;
-  bool m_accounting = false;
-  // Workers that earlier owners had claimed, and whose lives have ended, or that were not heard
-  // until their leases were over, with all that had been started there.
-  std::map<worker_id, crash_watch::earlier_worker> m_lost_workers;
-  // Anything of earlier owners that has begun in its zone may run there; zones by worker, empty if
-  // not known.
-  std::map<worker_id, std::string> m_unheard;
-  std::map<worker_id, std::vector<task_ref>> m_listed; // no more than these may
+  takeover_accounting& m_accounting;
 };
 } // namespace yardhill::scheduling
