--- a/Source/Core/Explain/Explanation.cpp
+++ b/Source/Core/Explain/Explanation.cpp
@@ -17,12 +17,12 @@
 // Events about a process that can hold a request up. Those about a worker count if the request's
 // own lines name that worker.
 constexpr auto k_holding_up = std::to_array<std::string_view>(
-    {"store_lost",       "store_heard",       "take_over",       "partition_owned",
-     "partition_lost",   "partition_release", "tasks_accounted", "zone_silent",
-     "peer_silent",      "peer_unlinked",     "stopping",        "started",
-     "worker_silent",    "worker_heard",      "worker_slow",     "worker_paused",
-     "worker_crashed",   "worker_entry_gone", "advice_overdue",  "commit_unanswered",
-     "feed_history_gone"});
+    {"store_lost",        "store_heard",       "take_over",         "partition_owned",
+     "partition_lost",    "partition_release", "tasks_accounted",   "zone_silent",
+     "peer_silent",       "peer_unlinked",     "stopping",          "started",
+     "worker_silent",     "worker_heard",      "worker_slow",       "worker_paused",
+     "worker_crashed",    "worker_restarted",  "worker_entry_gone", "advice_overdue",
+     "commit_unanswered", "feed_history_gone"});
 
 // Lines that only show what somebody asked.
 bool shows_progress(const log_line& line)
