Scheduling: A start is void no sooner than its lease would be over, whatever its copies carry

The log: ten runs without an answer were dropped as void once the worker's clock had passed their near ends (19.54 s), and one of them was carried out 0.5 s later. So such a worker takes a start whose own end is over; likely, since holds had given a longer lease, as its lease applies to all that runs there (not shown by itself).

--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -353,7 +353,7 @@
   worker.latest_start = now;
   run.last_sent = now;
   run.sends = 1;
-  run.start_expires = m_state.start_deadline(run, now);
+  run.start_expires = m_state.extended_lease(worker, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
   run.ticket_over = m_advice.ticket_over(job, job.step(place), worker.info.id);
   m_state.metrics.add(common::counter::attempts_started);
@@ -361,6 +361,6 @@
     m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
-      run.start_expires, job.task(place).checkpoint, run.ticket, worker.token});
+      m_state.start_lease(run, now), job.task(place).checkpoint, run.ticket, worker.token});
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -362,11 +362,8 @@
 void run_follower::repeat_start(run_record& run, time_point now)
 {
   worker_record& worker = *run.worker;
-  // Each start of a step with copies has a near deadline of its own; others go on with the first.
-  const bool renewed = run.spec().speculative;
-  const bool over = renewed ? now - run.begun >= m_state.options.task_lease
-                            : worker.clock_at(now) >= run.start_expires;
-  if (worker.suspect || run.orphaned || run.start_answered || run.start_void || over)
+  if (worker.suspect || run.orphaned || run.start_answered || run.start_void ||
+      worker.clock_at(now) >= run.start_expires)
     return;
   // A copy would be rejected, and so would an earlier one that comes now.
   if (run.ticket_over && *run.ticket_over <= now)
@@ -376,12 +373,11 @@
     return;
   }
   run.last_sent = now;
-  if (renewed)
-    run.start_expires = m_state.start_deadline(run, now);
   ++run.sends;
-  m_state.commands.emplace_back(start_command{
-      worker.info.id, worker.info.address, run.ref(), run.number, run.job->accepted().spec.payload,
-      run.start_expires, run.job->task(run.place).checkpoint, run.ticket, worker.token});
+  m_state.commands.emplace_back(
+      start_command{worker.info.id, worker.info.address, run.ref(), run.number,
+                    run.job->accepted().spec.payload, m_state.start_lease(run, now),
+                    run.job->task(run.place).checkpoint, run.ticket, worker.token});
 }
 
 void run_follower::cancel(job_record& job, time_point now)
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -142,13 +142,11 @@
   // on another clock.
   duration longest_lease() const { return drifted(task_lease); }
   duration longest_lease_of_others() const { return drifted(longest_hold); }
-  // How long a start is good while answers are waited for so long, and the most that its lease
-  // lasts.
+  // How long a start is good while answers are waited for so long.
   duration start_life_at(duration patience) const
   {
     return std::max(start_life, patiences_of_start * patience);
   }
-  duration longest_start(duration patience) const { return drifted(start_life_at(patience)); }
 
 private:
   duration drifted(duration lease) const
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -62,16 +62,15 @@
   return worker.clock_at(now) + std::chrono::duration_cast<milliseconds>(options.task_lease);
 }
 
-// Of a task that may run in copies, one may be done while the start of another is on its way: the
-// worker turns such a start away, and the next hold gives the others their lease.
-worker_clock_time scheduler_state::start_deadline(const run_record& run, time_point now) const
+// Of a task that may run in copies, one may be done while the start of another is on its way: a
+// worker without a longer lease turns such a start away, and the next hold extends the lease.
+worker_clock_time scheduler_state::start_lease(const run_record& run, time_point now) const
 {
-  worker_record& worker = *run.worker;
   if (!run.spec().speculative)
-    return extended_lease(worker, now);
-  worker.lease_end = std::max(worker.lease_end, now + options.longest_start(order_patience));
-  return worker.clock_at(now) +
-         std::chrono::duration_cast<milliseconds>(options.start_life_at(order_patience));
+    return run.start_expires;
+  return std::min(run.start_expires,
+                  run.worker->clock_at(now) + std::chrono::duration_cast<milliseconds>(
+                                                  options.start_life_at(order_patience)));
 }
 
 bool scheduler_state::usable(const worker_record& worker, time_point now) const
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -79,8 +79,8 @@
   // An order without an answer is sent again after this time. While answers are slow, a copy most
   // likely adds to what they wait for, so the time doubles with each (RFC 6298, section 5.5).
   duration order_retry(unsigned sends) const;
-  // A start that is sent now does nothing after this worker time, and gives a lease until then.
-  worker_clock_time start_deadline(const run_record& run, time_point now) const;
+  // The lease that a copy of the run's start gives if it is sent now.
+  worker_clock_time start_lease(const run_record& run, time_point now) const;
   // The lease of everything that is held now ends at this worker time.
   worker_clock_time extended_lease(worker_record& worker, time_point now) const;
   // Counts an order's outcome for its worker and for the worker's zone.
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -47,7 +47,7 @@
   // A copy of the start was rejected for a reason that stays: since then none can be carried out,
   // and only a list can still show that an earlier one was.
   std::optional<time_point> start_void;
-  worker_clock_time start_expires{}; // a start that arrives later does nothing
+  worker_clock_time start_expires{}; // no copy of its start is carried out later
   std::string checkpoint;            // the latest one listed
   std::string ticket;
   std::optional<time_point> ticket_over; // by then no worker takes the ticket any more
