--- a/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
@@ -40,7 +40,7 @@
   {
     start_job(k_job, step_of(1));
     BOOST_TEST_REQUIRE(starts.size() == 1U);
-    const start_command order = starts.front();
+    start_command order = starts.front();
     answer_start(order, call_end::done);
     pass(milliseconds{10});
     answer_hold("w1", {running(order)});
