Common, Model: The explorer's log tells virtual time, what the judge sees, and drops nothing

Change: open_play_log writes without a budget and with the play's time; the judge logs what workers begin and end, what is acknowledged, and each violation; troubles are logged. No product behaviour changes: the production log keeps its budget.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -14,6 +14,8 @@
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include "Common/PlayLog.h"
+
 namespace yardhill::common
 {
 namespace
@@ -70,6 +72,8 @@
 {
   std::shared_ptr<stdout_sink> sink;
   std::shared_ptr<spdlog::logger> logger;
+  std::function<std::chrono::milliseconds()> play_clock;
+  bool bounded = true;
   double budget = k_log_burst;
   steady::time_point refilled = steady::now();
   std::uint64_t over_budget = 0;
@@ -98,7 +102,10 @@
 void write_line(std::string_view event, std::string_view request,
                 std::initializer_list<log_field> fields)
 {
-  std::string line = "\"event\":\"";
+  std::string line;
+  if (state().play_clock)
+    line = "\"at_ms\":" + std::to_string(state().play_clock().count()) + ",";
+  line += "\"event\":\"";
   line += event;
   line += '"';
   if (!request.empty())
@@ -119,6 +126,8 @@
 bool take_from_budget()
 {
   open_log_state& log = state();
+  if (!log.bounded)
+    return true;
   const auto now = steady::now();
   const double passed = std::chrono::duration<double>(now - log.refilled).count();
   log.refilled = now;
@@ -149,6 +158,17 @@
   log.logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","process":")" + process + R"(",%v})");
 }
 
+void open_play_log(const std::string& process)
+{
+  open_event_log(process);
+  state().bounded = false;
+}
+
+void set_play_clock(std::function<std::chrono::milliseconds()> clock)
+{
+  state().play_clock = std::move(clock);
+}
+
 void log_process(std::string_view event, std::initializer_list<log_field> fields)
 {
   if (!state().logger)
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "Common/EventLog.h"
+#include "Common/PlayLog.h"
 #include "Model/CancelJudge.h"
 #include "Model/CellTroubles.h"
 #include "Model/CountJudge.h"
@@ -37,6 +39,28 @@
   return usable;
 }
 
+// While it lives the event log tells the cell's time.
+class logged_time
+{
+public:
+  explicit logged_time(explored_cell& cell)
+  {
+    common::set_play_clock(
+        [&cell]
+        {
+          return std::chrono::duration_cast<std::chrono::milliseconds>(cell.time().now() -
+                                                                       cell.begin());
+        });
+  }
+  ~logged_time()
+  {
+    common::flush_event_log();
+    common::set_play_clock(nullptr);
+  }
+  logged_time(const logged_time&) = delete;
+  logged_time& operator=(const logged_time&) = delete;
+};
+
 void watch_lasting(explored_cell& cell, const cell_troubles& troubles)
 {
   cell.judge().check_lasting(usable_workers(cell), cell.time().now(), troubles.disturbed_until());
@@ -47,6 +71,7 @@
 exploration explore_cell(std::uint64_t seed, omission without, restarts how)
 {
   explored_cell cell(seed);
+  const logged_time logged(cell);
   cell_troubles troubles(cell, without);
   cell.time().schedule(k_first_job,
                        [&cell]
--- a/Source/Core/Model/CellTroubles.cpp
+++ b/Source/Core/Model/CellTroubles.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 
+#include "Common/EventLog.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 
@@ -41,6 +42,7 @@
 {
   const auto at = std::chrono::duration_cast<milliseconds>(m_cell.time().now() - m_cell.begin());
   m_told.push_back(std::to_string(at.count()) + " ms: " + what);
+  common::log_process("trouble", {{"what", what}});
   lasts({});
 }
 
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/EventLog.h"
+
 namespace yardhill::model
 {
 namespace
@@ -37,6 +39,7 @@
   m_violations.push_back(rule + ": " + task.job + "." + std::to_string(task.place.cycle) + "." +
                          std::to_string(task.place.step) + "." + std::to_string(task.place.index) +
                          ": " + what);
+  common::log_request("judge_violation", task.job, {{"what", m_violations.back()}});
 }
 
 void run_judge::submitted(const std::string& job, const jobs::job_spec& spec,
@@ -194,6 +197,12 @@
 void run_judge::started(const observed_start& start)
 {
   ++m_starts;
+  common::log_request("judge_started", start.task.job,
+                      {{"step", start.task.place.step},
+                       {"task", start.task.place.index},
+                       {"run", start.run},
+                       {"worker", start.worker},
+                       {"late_at_new_life", start.late_at_new_life}});
   const auto found = m_jobs.find(start.task.job);
   if (found == m_jobs.end())
   {
@@ -235,6 +244,7 @@
 
 void run_judge::worker_crashed(const std::string& worker)
 {
+  common::log_process("judge_worker_crashed", {{"worker", worker}});
   for (auto& [task, seen] : m_tasks)
   {
     const bool there =
@@ -261,6 +271,12 @@
 
 void run_judge::ended(const task_ref& task, run_number run, const std::string& worker, run_end how)
 {
+  common::log_request("judge_ended", task.job,
+                      {{"step", task.place.step},
+                       {"task", task.place.index},
+                       {"run", run},
+                       {"worker", worker},
+                       {"how", scheduling::to_text(how)}});
   seen_task& seen = m_tasks[task];
   const auto found = seen.active.find(run);
   if (found != seen.active.end() && found->second.worker == worker)
@@ -279,6 +295,8 @@
 void run_judge::acknowledged(const task_ref& task, run_number run, run_end how,
                              common::time_point at)
 {
+  common::log_request("judge_acknowledged", task.job,
+                      {{"step", task.place.step}, {"task", task.place.index}, {"run", run}});
   seen_task& seen = m_tasks[task];
   if (how == run_end::done)
     seen.done_acknowledged = std::min(at, seen.done_acknowledged.value_or(at));
@@ -296,6 +314,7 @@
 void run_judge::overloaded(const std::string& worker, const std::string& what)
 {
   m_violations.push_back("LIMIT: " + worker + ": " + what);
+  common::log_process("judge_violation", {{"what", m_violations.back()}});
 }
 
 bool run_judge::has_room(const jobs::step_spec& step,
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "Common/EventLog.h"
+#include "Common/PlayLog.h"
 #include "Model/CellExplorer.h"
 
 using namespace yardhill::model;
@@ -49,7 +49,7 @@
 BOOST_AUTO_TEST_CASE(no_seed_breaks_a_promise)
 {
   if (std::getenv("YARDHILL_LOG") != nullptr)
-    yardhill::common::open_event_log("explorer");
+    yardhill::common::open_play_log("explorer");
   const seed_range range = seeds();
   std::size_t accepted = 0;
   std::size_t counted = 0;
@@ -83,7 +83,7 @@
 BOOST_AUTO_TEST_CASE(no_seed_breaks_a_promise_when_workers_keep_their_ids)
 {
   if (std::getenv("YARDHILL_LOG") != nullptr)
-    yardhill::common::open_event_log("explorer-restarts");
+    yardhill::common::open_play_log("explorer-restarts");
   const seed_range range = seeds();
   for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed)
   {
