Scheduling, Jobs: A worker's loss convicts no task where other workers are lost as well

Cause: crash_watch counted each loss the same, whether one worker fell or a third of the cell. Ruled out: a fixed share of the cell falling at once. Change: a loss is evidence only while fewer than two others, or one worker in eight, were lost within 4 s or are silent without a suspected task on them; else it counts as by_chance, which convicts nobody and isolates the next trials. Such a trial waits until the background is low, on a worker that has lived for 5 s. `task_lost_with_worker` tells each verdict. Figures: with explain_loss_of returning false four new cases of CrashWatchTest fail.

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -16,6 +16,8 @@
 
 // How many entries a task's history has that knows of no crashes.
 constexpr std::size_t k_history_without_crashes = 5;
+// And one that knows of no losses by chance.
+constexpr std::size_t k_history_without_chance = 12;
 
 constexpr std::array<std::string_view, 5> k_state_names{"queued", "active", "completed", "failed",
                                                         "cancelled"};
@@ -87,7 +89,7 @@
       row.insert(row.end(),
                  {history.crashes.blamed, history.crashes.unclear, history.crashes.announced,
                   history.crashes.announced_on, history.crashes.alone, history.crashes.unanswered,
-                  history.crashes.lost});
+                  history.crashes.lost, history.crashes.by_chance});
   }
   json begun = json::array();
   for (const auto& [step, zone] : progress.begun)
@@ -125,8 +127,11 @@
       task_history& history = progress.histories[{task.at(0), task.at(1), task.at(2)}];
       history = {task.at(3), task.at(4), {}};
       if (task.size() > k_history_without_crashes)
-        history.crashes = {task.at(5), task.at(6),  task.at(7), task.at(8),
-                           task.at(9), task.at(10), task.at(11)};
+        history.crashes = {task.at(5), task.at(6),  task.at(7),  task.at(8),
+                           task.at(9), task.at(10), task.at(11), 0};
+      // Rows of earlier versions have no more.
+      if (task.size() > k_history_without_chance)
+        history.crashes.by_chance = task.at(k_history_without_chance);
     }
   }
   return progress;
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -50,10 +50,13 @@
   std::uint32_t unanswered = 0;
   // A run may have been lost with a worker, so the next one is announced.
   bool lost = false;
+  // Runs lost while so many workers were that their losses are no evidence.
+  std::uint32_t by_chance = 0;
 
   bool any() const
   {
-    return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0 || lost;
+    return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0 || lost ||
+           by_chance != 0;
   }
   void take_back()
   {
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -4,6 +4,7 @@
 #include "Scheduling/CrashWatch.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "Common/EventLog.h"
@@ -21,13 +22,16 @@
 // Otherwise it takes more counts, since those whose end is unclear may have been lost with a cut.
 constexpr std::size_t k_counts_to_give_up = 4;
 constexpr std::size_t k_tries = 5;
+// From so many losses by chance on, a task is tried apart as well.
+constexpr std::uint32_t k_chances_to_isolate = 2;
 // Its trial lasts twice as long with each count, so that one that takes longer to crash its worker
 // is found out as well.
 constexpr std::size_t k_most_trial_doublings = 3;
 
 bool isolated(const task_record& task)
 {
-  return counts_of(task.crashes) >= k_counts_to_isolate || !task.crashes.unclear.empty();
+  const jobs::crash_history& crashes = task.crashes;
+  return counts_of(crashes) + crashes.by_chance >= k_counts_to_isolate;
 }
 
 void add_once(std::vector<run_number>& runs, run_number run)
@@ -43,12 +47,20 @@
 }
 } // namespace
 
+std::string_view crash_watch::to_text(verdict how)
+{
+  static constexpr std::array<std::string_view, 5> k_names{"blamed_alone", "blamed_with_others",
+                                                           "unclear", "unanswered", "by_chance"};
+  return k_names[static_cast<std::size_t>(how)];
+}
+
 bool crash_watch::convicted(const jobs::crash_history& crashes)
 {
   // Another run was younger once, or nobody knows what was: its neighbours may be at fault.
   const bool doubtful = !crashes.unclear.empty();
   return crashes.alone >= (doubtful ? k_alone_if_doubtful : 1) &&
-         counts_of(crashes) >= k_counts_to_isolate;
+         (counts_of(crashes) >= k_counts_to_isolate ||
+          counts_of(crashes) + crashes.by_chance >= k_counts_to_give_up);
 }
 
 bool crash_watch::out_of_tries(const jobs::crash_history& crashes)
@@ -63,9 +75,29 @@
   return crashes.blamed.size() + crashes.unclear.size();
 }
 
+bool suspected(const jobs::crash_history& crashes)
+{
+  return counts_of(crashes) > 0 || crashes.by_chance >= k_chances_to_isolate;
+}
+
+bool crash_watch::ran_suspect(const worker_record& worker) const
+{
+  if (!worker.runs.empty())
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [](const auto& each)
+                       { return suspected(each.second->job->task(each.second->place).crashes); });
+  // What an earlier owner had started there is known by its announcement.
+  if (worker.claimed)
+    return false;
+  return std::any_of(m_state.open.begin(), m_state.open.end(),
+                     [&](const std::string& id)
+                     { return m_state.jobs.at(id)->has_suspect_on(worker.info.id.value); });
+}
+
 duration crash_watch::trial_time(const task_record& task) const
 {
-  const std::size_t doublings = std::min(counts_of(task.crashes), k_most_trial_doublings);
+  const std::size_t losses = counts_of(task.crashes) + task.crashes.by_chance;
+  const std::size_t doublings = std::min(losses, k_most_trial_doublings);
   return m_state.options.crash_trial * (1U << doublings);
 }
 
@@ -122,23 +154,26 @@
   // One whose entry went while it still answered was about to leave.
   const bool planned =
       worker.info.draining || (!worker.listed && worker.unlisted_since < worker.heard_at);
+  if (!planned && (worker.claimed || worker.claim) && !ran_suspect(worker))
+    m_background.note(worker.info.id, now);
   if (!planned && worker.claimed)
   {
     m_state.metrics.add(common::counter::workers_crashed);
     blame(worker, runs, now);
   }
   m_state.lose_runs(worker, which, why);
-  take_in(runs, now);
+  take_in(worker.info.id, runs, now);
 }
 
 void crash_watch::leases_over(worker_record& worker, const char* why, time_point now)
 {
   const std::vector<lost_run> runs = runs_of(worker);
   m_state.lose_runs(worker, scheduler_state::lost_runs::all, why);
-  take_in(runs, now);
+  take_in(worker.info.id, runs, now);
 }
 
-void crash_watch::take_in(const std::vector<lost_run>& runs, time_point now)
+void crash_watch::take_in(const worker_id& worker, const std::vector<lost_run>& runs,
+                          time_point now)
 {
   for (const lost_run& each : runs)
   {
@@ -151,23 +186,98 @@
       crashes.take_back();
     may_be_lost(*job, each.place);
     if (each.how || announced)
-      count(*job, each.place, each.number, each.how.value_or(verdict::unclear), now);
+      count(*job, each.place, each.number, worker, each.how.value_or(verdict::unclear), now);
   }
 }
 
-void crash_watch::count(job_record& job, const task_place& place, run_number run, verdict how,
-                        time_point now)
+void crash_watch::count(job_record& job, const task_place& place, run_number run,
+                        const worker_id& worker, verdict how, time_point now)
 {
   task_record& task = job.task(place);
   jobs::crash_history& crashes = task.crashes;
+  // Any task would have lost its worker: nobody is given up for that.
+  if (m_background.explain_loss_of(worker, now))
+    how = verdict::by_chance;
   crashes.alone += how == verdict::blamed_alone && isolated(task) ? 1 : 0;
-  if (how == verdict::unanswered)
+  if (how == verdict::by_chance)
+    ++crashes.by_chance;
+  else if (how == verdict::unanswered)
     ++crashes.unanswered;
   else
     add_once(how == verdict::unclear ? crashes.unclear : crashes.blamed, run);
   m_state.mark_dirty(job);
-  if (convicted(crashes) || out_of_tries(crashes))
+  common::log_request("task_lost_with_worker", job.id(),
+                      {{"step", place.step},
+                       {"task", place.index},
+                       {"run", run},
+                       {"worker", worker.value},
+                       {"verdict", to_text(how)},
+                       {"blamed", crashes.blamed.size()},
+                       {"unclear", crashes.unclear.size()},
+                       {"unanswered", crashes.unanswered},
+                       {"by_chance", crashes.by_chance},
+                       {"alone", crashes.alone}});
+  if (how != verdict::by_chance && (convicted(crashes) || out_of_tries(crashes)))
+    convict(job, place, run, worker, now);
+}
+
+void crash_watch::convict(job_record& job, const task_place& place, run_number run,
+                          const worker_id& worker, time_point now)
+{
+  task_record& task = job.task(place);
+  task.conviction_due = now + m_state.options.conviction_wait;
+  task.convicting_run = run;
+  task.convicting_worker = worker;
+  m_accused.insert({job.id(), place});
+}
+
+void crash_watch::restored(job_record& job, time_point now)
+{
+  for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+    {
+      const std::vector<task_record>& tasks = job.cycles()[c].steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i)
+      {
+        const jobs::crash_history& crashes = tasks[i].crashes;
+        if (tasks[i].phase != task_phase::done && (convicted(crashes) || out_of_tries(crashes)))
+          convict(job, {c, s, i}, crashes.blamed.empty() ? 0 : crashes.blamed.back(), {}, now);
+      }
+    }
+  }
+}
+
+void crash_watch::tick(time_point now)
+{
+  const std::set<task_ref> accused = m_accused;
+  for (const task_ref& each : accused)
+  {
+    job_record* const job = m_state.find_job(each.job);
+    if (job == nullptr || job->ended())
+      m_accused.erase(each);
+    else if (now >= *job->task(each.place).conviction_due)
+      decide(*job, each.place, now);
+  }
+}
+
+void crash_watch::decide(job_record& job, const task_place& place, time_point now)
+{
+  task_record& task = job.task(place);
+  jobs::crash_history& crashes = task.crashes;
+  m_accused.erase({job.id(), place});
+  task.conviction_due.reset();
+  m_state.place_again = true;
+  if (!m_background.explain_loss_of(task.convicting_worker, now))
+  {
     give_up(job, place, now);
+    return;
+  }
+  ++crashes.by_chance;
+  crashes.alone -= std::min(crashes.alone, 1U);
+  std::erase(crashes.blamed, task.convicting_run);
+  std::erase(crashes.unclear, task.convicting_run);
+  m_state.mark_dirty(job);
 }
 
 void crash_watch::give_up(job_record& job, const task_place& place, time_point now)
@@ -223,10 +333,11 @@
   if (crashes.announced == 0)
     return;
   const run_number run = crashes.announced;
+  const worker_id worker(crashes.announced_on);
   crashes.take_back();
   m_state.mark_dirty(job);
   if (fate != earlier_worker::heard)
-    count(job, place, run,
+    count(job, place, run, worker,
           fate == earlier_worker::ended ? verdict::blamed_with_others : verdict::unclear, now);
 }
 
@@ -234,16 +345,21 @@
                             const worker_record& worker, bool beside_silent)
 {
   task_record& task = job.task(place);
-  const bool suspected = counts_of(task.crashes) > 0;
-  if (!suspected && !beside_silent && !task.lost && !task.crashes.any())
+  const bool on_trial = suspected(task.crashes);
+  if (!on_trial && !beside_silent && !task.lost && !task.crashes.any())
     return true;
   if (task.crashes.announced == run && task.crashes.announced_on == worker.info.id.value)
-    return !suspected || task.announced == begin_mark::written;
+    return !on_trial || task.announced == begin_mark::written;
   task.crashes.announced = run;
   task.crashes.announced_on = worker.info.id.value;
   task.announced = begin_mark::wanted;
   m_state.mark_dirty(job);
-  return !suspected;
+  return !on_trial;
+}
+
+bool crash_watch::postponed(const task_record& task, time_point now) const
+{
+  return task.conviction_due || (isolated(task) && m_background.high(now));
 }
 
 bool crash_watch::fit(const worker_record& worker, const task_record& task, time_point now) const
@@ -251,14 +367,20 @@
   // Nothing else begins beside an isolated trial.
   if (worker.isolated_until > now && worker.kept_for_trial != &task)
     return false;
-  if (counts_of(task.crashes) == 0)
+  if (postponed(task, now))
+    return false;
+  if (!suspected(task.crashes))
     return true;
   // Where there has been no better worker for long, any will do.
   if (task.trial_wanted && now - *task.trial_wanted >= m_state.options.crash_trial_patience)
     return true;
   if (worker.trial_until > now)
     return false;
-  return !isolated(task) || worker.latest_start + m_state.options.crash_trial <= now;
+  if (!isolated(task))
+    return true;
+  const bool steady =
+      task.crashes.by_chance == 0 || worker.first_seen + m_state.options.steady_life <= now;
+  return steady && worker.latest_start + m_state.options.crash_trial <= now;
 }
 
 void crash_watch::keep_for_trial(worker_record& worker, const task_record& task,
@@ -274,7 +396,7 @@
 {
   worker_record& worker = *run.worker;
   const task_record& task = run.job->task(run.place);
-  if (counts_of(task.crashes) == 0)
+  if (!suspected(task.crashes))
     return;
   worker.trial = &run;
   worker.trial_until = std::max(worker.trial_until, now + trial_time(task));
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -12,19 +12,20 @@
 // worker, if its task has lost a run before, so that no change of owner loses count.
 //
 // What tells the guilty from its neighbours: a suspected task is kept apart from others, and from
-// its second count on it is tried where nothing else has just begun and nothing else begins.
+// its second count on it is tried where nothing else has just begun and nothing else begins. A loss
+// among many others counts as chance, and the next trial waits until they are over.
 
+#include <string_view>
+
+#include "Scheduling/BackgroundLosses.h"
 #include "Scheduling/SchedulerState.h"
 
 namespace yardhill::scheduling
 {
-// How often workers have been lost with the task in a way that counts against it.
-std::size_t counts_of(const jobs::crash_history& crashes);
-
 class crash_watch
 {
 public:
-  explicit crash_watch(scheduler_state& state) : m_state(state) {}
+  explicit crash_watch(scheduler_state& state) : m_state(state), m_background(state) {}
 
   // The worker's life is known to have ended; what ran there is lost with it. A planned end is no
   // crash.
@@ -32,6 +33,10 @@
                     time_point now);
   // Nothing can run there any more, as its leases are over; whether it has crashed is not known.
   void leases_over(worker_record& worker, const char* why, time_point now);
+  // An earlier owner may have been replaced before it gave up what it had convicted.
+  void restored(job_record& job, time_point now);
+  // Gives up what is convicted by now.
+  void tick(time_point now);
   // How the run ended is known, or that it never began.
   void run_told(job_record& job, const task_place& place, run_number run);
   // The run goes on.
@@ -56,6 +61,8 @@
                  const worker_record& worker, bool beside_silent);
   // Whether the task may be tried there at this moment, as far as crashes go.
   bool fit(const worker_record& worker, const task_record& task, time_point now) const;
+  // Whether its trial waits until workers are no longer lost anyway.
+  bool postponed(const task_record& task, time_point now) const;
   // Nothing begins on the worker for a while, so that it becomes fit for the task's trial.
   void keep_for_trial(worker_record& worker, const task_record& task, time_point now) const;
   // What else may begin beside the run, if its task is suspected.
@@ -68,7 +75,8 @@
     blamed_alone,
     blamed_with_others,
     unclear,
-    unanswered
+    unanswered,
+    by_chance
   };
 
   // A run that was lost with its worker. Without a verdict it had shown that it does no harm.
@@ -80,18 +88,29 @@
     std::optional<verdict> how = std::nullopt;
   };
 
+  static std::string_view to_text(verdict how);
   // A trial alone has shown it.
   static bool convicted(const jobs::crash_history& crashes);
   // It is too often lost with its worker, whatever the cause.
   static bool out_of_tries(const jobs::crash_history& crashes);
+  // The task's latest loss convicts it, unless many others are lost as well.
+  void convict(job_record& job, const task_place& place, run_number run, const worker_id& worker,
+               time_point now);
+  void decide(job_record& job, const task_place& place, time_point now);
   std::vector<lost_run> runs_of(const worker_record& worker) const;
+  // Whether a task that was suspected already may have crashed it.
+  bool ran_suspect(const worker_record& worker) const;
   void blame(const worker_record& worker, std::vector<lost_run>& runs, time_point now) const;
-  void take_in(const std::vector<lost_run>& runs, time_point now);
-  void count(job_record& job, const task_place& place, run_number run, verdict how, time_point now);
+  void take_in(const worker_id& worker, const std::vector<lost_run>& runs, time_point now);
+  // A run was lost with the worker.
+  void count(job_record& job, const task_place& place, run_number run, const worker_id& worker,
+             verdict how, time_point now);
   void give_up(job_record& job, const task_place& place, time_point now);
   // How long after its start a suspected run may still crash its worker.
   duration trial_time(const task_record& task) const;
 
   scheduler_state& m_state;
+  background_losses m_background;
+  std::set<task_ref> m_accused; // their convictions are due
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -107,6 +107,21 @@
   return false;
 }
 
+bool job_record::has_suspect_on(const std::string& worker) const
+{
+  for (const cycle_record& cycle : m_cycles)
+  {
+    for (const step_record& step : cycle.steps)
+    {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                      [&worker](const task_record& task)
+                      { return task.crashes.announced_on == worker && suspected(task.crashes); }))
+        return true;
+    }
+  }
+  return false;
+}
+
 void job_record::set_phase(const task_place& place, task_phase phase)
 {
   step_record& in = step(place);
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -29,6 +29,11 @@
   written
 };
 
+// How often workers have been lost with the task in a way that counts against it.
+std::size_t counts_of(const jobs::crash_history& crashes);
+// Whether it is tried apart from others.
+bool suspected(const jobs::crash_history& crashes);
+
 enum class task_phase
 {
   waiting,
@@ -47,6 +52,10 @@
   bool lost = false;
   jobs::crash_history crashes;
   begin_mark announced = begin_mark::none; // of the run that `crashes` announces
+  // It is given up then, unless the loss of the run turns out to be one of many.
+  std::optional<time_point> conviction_due;
+  run_number convicting_run = 0;
+  worker_id convicting_worker;
   // Since when it waits for a worker that is fit for its trial.
   std::optional<time_point> trial_wanted;
   std::vector<run_record*> runs;
@@ -147,6 +156,8 @@
   bool ready(std::uint32_t cycle, std::uint32_t step, jobs::wall_time wall) const;
   bool all_done() const;
   bool has_runs() const;
+  // Whether a run of a suspected task is announced for that worker.
+  bool has_suspect_on(const std::string& worker) const;
 
   // Moves a task between phases and keeps the counts.
   void set_phase(const task_place& place, task_phase phase);
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -135,7 +135,10 @@
   if (record.ended())
     m_state.open.erase(job.id);
   else
+  {
     record.mark_unaccounted();
+    m_crashes.restored(record, now);
+  }
 }
 
 void job_scheduler::set_earlier_end(time_point end)
@@ -377,6 +380,7 @@
     return;
   const bool survey = survey_due();
   m_holder.tick(now);
+  m_crashes.tick(now);
   if (survey)
     m_follower.repeat_orders(now);
   m_state.place_again = false;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -144,7 +144,7 @@
 {
   const double share =
       common::dominant_share(worker.used + room_of(*step.spec), worker.info.capacity);
-  const double used = counts_of(task.crashes) > 0 ? -share : share;
+  const double used = suspected(task.crashes) ? -share : share;
   const bool near = !step.spec->data_rack.empty() && worker.info.rack == step.spec->data_rack;
   const bool announced = task.crashes.announced_on == worker.info.id.value;
   return used + (announced ? k_announced_weight : 0.0) + (near ? k_data_rack_weight : 0.0) -
@@ -190,6 +190,11 @@
 void placer::note_trial_wanted(job_record& job, const task_place& place, time_point now) const
 {
   task_record& task = job.task(place);
+  if (m_crashes.postponed(task, now))
+  {
+    task.trial_wanted.reset();
+    return;
+  }
   if (task.trial_wanted)
     return;
   worker_record* const worker = best_worker(job, place, now, trials::ignored);
@@ -245,7 +250,7 @@
       continue;
     const task_place place{each.cycle, each.step, index};
     worker_record* const worker = worker_for(job, place, now);
-    if (worker == nullptr && counts_of(task.crashes) > 0)
+    if (worker == nullptr && suspected(task.crashes))
     {
       // Others of the step may have a worker for all that.
       note_trial_wanted(job, place, now);
@@ -294,7 +299,7 @@
   const worker_record& worker = *run.worker;
   // A copy of what may have crashed its worker would take the next one before that is known.
   const jobs::crash_history& crashes = run.job->task(run.place).crashes;
-  if (counts_of(crashes) > 0 || (worker.suspect && crashes.any()))
+  if (suspected(crashes) || (worker.suspect && crashes.any()))
     return false;
   if (worker.suspect && now - worker.silent_since >= m_state.options.copy_silent)
     return true;
--- a/Source/Core/Scheduling/PlacerGangs.cpp
+++ b/Source/Core/Scheduling/PlacerGangs.cpp
@@ -74,7 +74,7 @@
 {
   job_record& job = *each.job;
   worker_record* const worker = worker_for(job, place, now);
-  if (worker == nullptr && counts_of(job.task(place).crashes) > 0)
+  if (worker == nullptr && suspected(job.task(place).crashes))
     note_trial_wanted(job, place, now);
   if (worker == nullptr || !may_begin(each, *worker, now))
     return nullptr;
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -67,6 +67,20 @@
   duration crash_trial_patience = std::chrono::milliseconds{1500};
   // After so long a run has not crashed its worker.
   duration crash_survived = std::chrono::seconds{10};
+  // A worker's loss is no evidence against a task while this many others, and one in so many of
+  // all, are lost within the window or have been silent for no longer than that. At a lower share a
+  // task that crashes nothing is lost with its worker by chance at two trials in a row less than
+  // once in 64 times.
+  duration background_window = std::chrono::seconds{4};
+  duration background_silence = std::chrono::seconds{10};
+  std::size_t background_least = 2;
+  // Where workers were lost by chance, a life that is younger may be about to end for the same
+  // reason as the one before, so a trial there tells less.
+  duration steady_life = std::chrono::seconds{5};
+  // Workers that fall together are noticed within this time of each other: until then no loss
+  // convicts a task. It covers an order's way, its repeat and the silence of two holds.
+  duration conviction_wait = std::chrono::milliseconds{1500};
+  std::size_t background_part = 8;
   // A speculative step's task gets a second run when its worker has been silent for this long ...
   duration copy_silent = std::chrono::milliseconds{400};
   // ... or when it takes longer than sound runs do (see runtime_model). A worker with this many
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -21,12 +21,13 @@
 {
 }
 
-worker_record& worker_holder::new_record(const worker_id& id)
+worker_record& worker_holder::new_record(const worker_id& id, time_point now)
 {
   auto& slot = m_state.workers[id];
   slot = std::make_unique<worker_record>();
   slot->info.id = id;
   slot->number = ++m_state.lives;
+  slot->first_seen = now;
   slot->token = m_state.newest_token;
   // Unless it says otherwise, an earlier owner may still have runs there.
   slot->lease_end = m_state.earlier_end;
@@ -35,7 +36,7 @@
 
 void worker_holder::restore_claim(const worker_id& id, const worker_claim& claim, time_point now)
 {
-  worker_record& worker = new_record(id);
+  worker_record& worker = new_record(id, now);
   worker.info.address = claim.address;
   worker.listed = false;
   worker.claim = claim;
@@ -54,7 +55,7 @@
 {
   worker_record* const known = m_state.find_worker(info.id);
   const bool news = known == nullptr;
-  worker_record& worker = news ? new_record(info.id) : *known;
+  worker_record& worker = news ? new_record(info.id, now) : *known;
   const bool was_draining = worker.info.draining;
   const bool was_listed = worker.listed;
   worker.listed = true;
@@ -122,15 +123,16 @@
   if (!worker.claimed && worker.claim && !worker.info.draining)
     m_accounting.life_ended(worker.info.id);
   m_crashes.worker_ended(worker, which, why, now);
-  begin_life(worker);
+  begin_life(worker, now);
 }
 
-void worker_holder::begin_life(worker_record& worker)
+void worker_holder::begin_life(worker_record& worker, time_point now)
 {
   // Calls to the life before may reach this one, seconds late, with leases and acknowledgements of
   // that one: it has to have seen a token that none of them bears.
   const bool ordered = worker.claimed;
   worker.begin_life(++m_state.lives);
+  worker.first_seen = now;
   m_state.forget_tickets(worker.info.id);
   m_state.place_again = true;
   if (!ordered)
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -32,7 +32,7 @@
   void tick(time_point now);
 
 private:
-  worker_record& new_record(const worker_id& id);
+  worker_record& new_record(const worker_id& id, time_point now);
   void hold(worker_record& worker, time_point now);
   milliseconds hold_wait() const;
   // Whether the worker's next life, should there be one, can have no ends yet.
@@ -45,7 +45,7 @@
   bool from_present_life(worker_record& worker, const hold_answer& answer, time_point now);
   // The worker has started again: what it is told and does from now on is another life's.
   void restarted(worker_record& worker, const hold_answer& answer, time_point now);
-  void begin_life(worker_record& worker);
+  void begin_life(worker_record& worker, time_point now);
   void life_ended(worker_record& worker, scheduler_state::lost_runs which, const char* why,
                   time_point now);
 
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -79,6 +79,7 @@
   bool claimed = false; // it has answered a hold with this owner's token
   bool suspect = false; // its last answer did not come
   time_point silent_since{};
+  time_point first_seen{};
   // The worker's clock less ours, from its latest answer.
   std::optional<std::chrono::milliseconds> clock_ahead;
   time_point lease_end{}; // on our clock: when all that runs there has surely ended
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -4,6 +4,8 @@
 // Which runs are blamed for a worker's crash, how their tasks are tried again, and when they are
 // given up: the parts of CrashingTaskTest (Model), where the incident is told.
 
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Scheduling/CrashWatch.h"
@@ -41,6 +43,19 @@
     fail_hold(id.value, call_end::other_life);
   }
 
+  // So many workers besides that one.
+  void lose_others(const worker_id& than, int count)
+  {
+    for (int id = m_lives; id > 0 && count > 0; --id)
+    {
+      const worker_id other("w" + std::to_string(id));
+      if (other == than || !m_lost.insert(other).second)
+        continue;
+      end_life(other);
+      --count;
+    }
+  }
+
   // What is announced is written, and starts are sent.
   void try_again()
   {
@@ -55,25 +70,32 @@
     unsigned crashes = 0;
     while (!starts.empty() && crashes < most)
     {
-      crash_under(starts.front());
+      const start_command latest = starts.front();
+      clear();
+      crash_under(latest);
       ++crashes;
       add_workers(1);
-      // The run's first lease is short; the holds that an owner sends meanwhile extend it.
-      for (int i = 0; i < 30; ++i)
-      {
-        pass(milliseconds{100});
-        step();
-      }
-      pass(options.order_retry);
-      try_again();
+      wait_and_try_again(seconds{3});
     }
     return crashes;
   }
 
+  // The run's first lease is short; the holds that an owner sends meanwhile extend it.
+  void wait_and_try_again(duration time)
+  {
+    for (const time_point end = now + time; now < end && starts.empty();)
+    {
+      pass(milliseconds{100});
+      step();
+      commit_and_step();
+    }
+  }
+
   std::optional<jobs::job_state> state() const { return scheduler->state_of(k_job); }
 
 private:
   int m_lives = 0;
+  std::set<worker_id> m_lost;
 };
 
 struct crashed_once : crashing_cell
@@ -217,6 +239,89 @@
   BOOST_TEST(!history_of(written(*this)).crashes.any());
 }
 
+// Jobs that crash nothing were given up where most of the cell's workers started again, some of
+// them several times: each loss counted as if the task's worker alone had been lost.
+BOOST_FIXTURE_TEST_CASE(a_loss_among_many_others_convicts_nobody, crashing_cell)
+{
+  add_workers(9);
+  start_job(k_job, step_of(1));
+  for (int i = 0; i < 6 && !starts.empty(); ++i)
+  {
+    const start_command latest = starts.front();
+    clear();
+    answer_start(latest, call_end::done);
+    pass(milliseconds{10});
+    lose_others(latest.worker, 2);
+    end_life(latest.worker);
+    add_workers(3);
+    wait_and_try_again(options.background_window + options.steady_life);
+  }
+  BOOST_TEST((state() == jobs::job_state::active));
+  BOOST_TEST(metrics.value(yardhill::common::counter::tasks_given_up) == 0U);
+}
+
+// Of workers that fall together one is noticed first, and its task was convicted by that.
+BOOST_FIXTURE_TEST_CASE(a_conviction_waits_for_others_that_fall_with_the_worker, crashing_cell)
+{
+  add_workers(9);
+  start_job(k_job, step_of(1));
+  for (int i = 0; i < 2; ++i)
+  {
+    const start_command latest = starts.front();
+    clear();
+    crash_under(latest);
+    wait_and_try_again(seconds{3});
+    BOOST_TEST_REQUIRE(starts.size() == 1U);
+  }
+  crash_under(starts.front());
+  BOOST_TEST((state() == jobs::job_state::active));
+  lose_others(starts.front().worker, 3);
+  pass(options.conviction_wait);
+  step();
+  BOOST_TEST((state() == jobs::job_state::active));
+}
+
+// Five starts without an answer were taken for crashes although workers fell everywhere: the job
+// was shown as failed without any evidence.
+BOOST_FIXTURE_TEST_CASE(unanswered_starts_among_many_losses_are_no_evidence, crashing_cell)
+{
+  add_workers(12);
+  start_job(k_job, step_of(1));
+  int losses = 0;
+  for (int i = 0; i < 6 && !starts.empty(); ++i)
+  {
+    const start_command latest = starts.front();
+    clear();
+    lose_others(latest.worker, 2);
+    end_life(latest.worker);
+    add_workers(3);
+    wait_and_try_again(options.background_window + options.steady_life);
+    losses += starts.empty() ? 0 : 1;
+  }
+  BOOST_TEST(losses == 6);
+  BOOST_TEST((state() == jobs::job_state::active));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_trial_waits_until_workers_are_no_longer_lost_anyway, crashing_cell)
+{
+  add_workers(9);
+  start_job(k_job, step_of(1));
+  const start_command first = starts.front();
+  clear();
+  crash_under(first);
+  wait_and_try_again(milliseconds{500});
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  const start_command second = starts.front();
+  clear();
+  crash_under(second);
+  lose_others(second.worker, 3);
+  wait_and_try_again(options.crash_trial_patience);
+  BOOST_TEST(starts.empty());
+  wait_and_try_again(options.background_window);
+  wait_and_try_again(options.crash_trial_patience);
+  BOOST_TEST(starts.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_announced_run_on_a_worker_that_has_ended_counts, takeover_harness)
 {
   restore_claim("w9", {{"10.0.0.9", 80}, "", false, {}});
