Scheduling: What a claim tells of an ended worker is written before the claim goes

Cause: an owner that finds the worker of an earlier owner's claim gone keeps that in memory until all other workers of the zone are heard, but writes the claim off at once. If it is lost in between, the next owner finds no claim, takes the announced run for one whose worker was heard, and counts nothing; a first start, which is not announced, was not even noted as lost. Change: takeover_accounting notes the loss in the rows of the tasks that the claim may have held, and counts an announced run there, when it learns of the end; rows are written before claims are. Figures: without it both new cases of CrashWatchTest fail.

--- a/Source/Core/Scheduling/TakeoverAccounting.cpp
+++ b/Source/Core/Scheduling/TakeoverAccounting.cpp
@@ -22,9 +22,57 @@
     m_unheard[id] = claim.zone;
 }
 
-void takeover_accounting::life_ended(const worker_id& id)
+void takeover_accounting::life_ended(const worker_id& id, time_point now)
 {
   m_lost_workers[id] = crash_watch::earlier_worker::ended;
+  note_lost_with(id, now);
+}
+
+// The worker's claim goes, or names its next life, as soon as that is written. So what it tells
+// goes into the jobs' rows first: a later owner reads nothing else of it.
+void takeover_accounting::note_lost_with(const worker_id& id, time_point now)
+{
+  const auto listed = m_listed.find(id);
+  if (listed != m_listed.end())
+  {
+    for (const task_ref& task : listed->second)
+    {
+      if (job_record* const job = m_state.find_job(task.job))
+        note_lost(*job, task.place, now);
+    }
+    return;
+  }
+  const auto unheard = m_unheard.find(id);
+  if (unheard == m_unheard.end())
+    return;
+  for (const std::string& job : m_state.open)
+    note_lost_in_zone(*m_state.jobs.at(job), unheard->second, now);
+}
+
+void takeover_accounting::note_lost_in_zone(job_record& job, const std::string& zone,
+                                            time_point now)
+{
+  for (std::uint32_t c = 0; c < job.cycles().size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
+    {
+      const step_record& step = job.cycles()[c].steps[s];
+      if (!zone.empty() && !step.begun.covers(zone))
+        continue;
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+        note_lost(job, {c, s, i}, now);
+    }
+  }
+}
+
+void takeover_accounting::note_lost(job_record& job, const task_place& place, time_point now)
+{
+  if (!job.contains(place) || job.task(place).phase != task_phase::unaccounted)
+    return;
+  m_crashes.may_be_lost(job, place);
+  if (const auto fate = m_lost_workers.find(worker_id(job.task(place).crashes.announced_on));
+      fate != m_lost_workers.end())
+    m_crashes.released(job, place, fate->second, now);
 }
 
 void takeover_accounting::begin(time_point now)
@@ -55,8 +103,8 @@
   {
     const worker_record* const worker = m_state.find_worker(each.first);
     const bool over = worker == nullptr || now >= worker->lease_end;
-    if (over)
-      m_lost_workers.emplace(each.first, crash_watch::earlier_worker::unheard);
+    if (over && m_lost_workers.emplace(each.first, crash_watch::earlier_worker::unheard).second)
+      note_lost_with(each.first, now);
     return over;
   };
   const std::size_t given_up = std::erase_if(m_unheard, is_over) + std::erase_if(m_listed, is_over);
--- a/Source/Core/Scheduling/TakeoverAccounting.h
+++ b/Source/Core/Scheduling/TakeoverAccounting.h
@@ -29,7 +29,7 @@
   // The worker has told what runs there, or its life has ended.
   void worker_told(const worker_id& id, time_point now);
   // A life that an earlier owner had claimed is known to have ended.
-  void life_ended(const worker_id& id);
+  void life_ended(const worker_id& id, time_point now);
   // What still may have run on workers whose leases are over counts as lost unheard.
   void give_up_unheard(time_point now);
   // Whether tasks of earlier owners wait for the worker's word.
@@ -38,6 +38,10 @@
   void tell_listed(const worker_record& worker, time_point now) const;
 
 private:
+  // Its tasks may have been lost with the worker.
+  void note_lost_with(const worker_id& id, time_point now);
+  void note_lost_in_zone(job_record& job, const std::string& zone, time_point now);
+  void note_lost(job_record& job, const task_place& place, time_point now);
   crash_watch::earlier_worker fate_of(const std::string& worker) const;
   void release_accounted(const char* why, time_point now);
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held, time_point now);
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -121,7 +121,7 @@
                                const char* why, time_point now)
 {
   if (!worker.claimed && worker.claim && !worker.info.draining)
-    m_accounting.life_ended(worker.info.id);
+    m_accounting.life_ended(worker.info.id, now);
   m_crashes.worker_ended(worker, which, why, now);
   begin_life(worker, now);
 }
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -354,4 +354,39 @@
   BOOST_TEST(history_of(written(*this)).crashes.unclear.size() == 1U);
 }
 
+// An owner that found the worker gone wrote its claim off and was lost before the other workers
+// were heard; the next one took the announced run for one that had been heard.
+BOOST_FIXTURE_TEST_CASE(what_a_claim_tells_is_written_before_the_claim_goes, takeover_harness)
+{
+  restore_claim("w8", {{"10.0.0.8", 80}, "", false, {}});
+  restore_claim("w9", {{"10.0.0.9", 80}, "", false, {}});
+  scheduler->restore_job(job(k_job, {step_of(1)}), announced_on_w9(), now);
+  begin();
+  fail_hold("w9", call_end::other_life);
+  step();
+  const commit_batch batch = scheduler->take_commit(1000, now);
+  BOOST_TEST_REQUIRE(batch.releases.contains(worker_id("w9")));
+  BOOST_TEST_REQUIRE(batch.rows.contains(k_job));
+  const jobs::crash_history crashes =
+      history_of(jobs::job_progress_from(batch.rows.at(k_job))).crashes;
+  BOOST_TEST(crashes.blamed.size() == 3U);
+  BOOST_TEST(crashes.announced == 0U);
+}
+
+// The first start of a task is not announced, and so was the second one where the owner that had
+// found the first one's worker gone was lost: six starts crashed six workers.
+BOOST_FIXTURE_TEST_CASE(a_task_that_a_lost_claim_may_have_held_is_announced_by_later_owners,
+                        takeover_harness)
+{
+  restore_claim("w8", {{"10.0.0.8", 80}, "", false, {}});
+  restore_claim("w9", {{"10.0.0.9", 80}, "", false, {}});
+  restore_begun(k_job);
+  begin();
+  fail_hold("w9", call_end::other_life);
+  step();
+  const commit_batch batch = scheduler->take_commit(1000, now);
+  BOOST_TEST_REQUIRE(batch.rows.contains(k_job));
+  BOOST_TEST(history_of(jobs::job_progress_from(batch.rows.at(k_job))).crashes.lost);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
