Scheduling, Model: No end is told while the start of a copy of its task may still be carried out

Cause: a copy is ordered beside a silent worker, whose end is heard and acknowledged 0.24 to 0.29 s later; the copy's start, unanswered, is carried out seconds after. The start's near end (0.9 s) does not help where holds have extended the worker's lease: the model takes such starts now, as PROTOCOL.md says that a lease applies to everything there and is never shortened. Change (copy_watch): the end of a run is written and counts for placing at once, but it is neither acknowledged nor is its job shown as completed while a start of another run may be carried out: until the worker has answered its stop, has listed or ended the run, or its life or lease is over. A new owner keeps ends back while an earlier owner's start may be on its way to a worker not heard yet, and completes jobs whose row says that all is done. A start without an answer is no longer void by its own end, for the same reason: it is stopped, and the stop's answer voids it. In calm an end is kept for a stop's round trip, which is shorter than its write.

--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -295,6 +295,6 @@
   if (answer.status != 200)
     return;
   m_states[id] = state_from(json::parse(answer.body).at(wire::k_state).get<std::string>());
-  m_judge.shown(id, m_states[id]);
+  m_judge.shown(id, m_states[id], m_time.now());
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -85,15 +85,18 @@
   m_jobs[job].cancelled_at = at;
 }
 
-void run_judge::shown(const std::string& job, jobs::job_state state)
+void run_judge::shown(const std::string& job, jobs::job_state state,
+                      std::optional<common::time_point> at)
 {
-  const seen_job& seen = m_jobs[job];
+  seen_job& seen = m_jobs[job];
   if (state == jobs::job_state::cancelled && !seen.cancel_asked)
     violate("LOST", {job, {}}, "shown as cancelled, which nobody asked for");
   if (state == jobs::job_state::failed)
     check_failed(job, seen);
   if (state != jobs::job_state::completed)
     return;
+  if (!seen.completed_at)
+    seen.completed_at = at;
   for (std::uint32_t cycle = 0; cycle < seen.spec.cycles(); ++cycle)
   {
     for (std::uint32_t step = 0; step < seen.spec.steps.size(); ++step)
@@ -169,6 +172,7 @@
                 std::to_string(task.active.begin()->first) + " on " +
                 task.active.begin()->second.worker);
   check_done(spec, start);
+  check_completed(job, start);
   if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running)
     violate("BUDGET", start.task, "more attempts than allowed");
   for (const std::uint32_t needed : spec.depends_on)
@@ -178,19 +182,29 @@
   }
 }
 
+common::duration run_judge::copy_late() const
+{
+  return k_copy_late + (m_in_touch ? common::duration{0} : k_authority);
+}
+
+void run_judge::check_completed(const seen_job& job, const observed_start& start)
+{
+  if (job.completed_at && start.at > *job.completed_at + copy_late())
+    violate("TWICE", start.task, "started after its job was shown as completed");
+}
+
 // A copy may come a little late; nothing else begins once an end is acknowledged.
 void run_judge::check_done(const jobs::step_spec& spec, const observed_start& start)
 {
   const auto& done = m_tasks[start.task].done_acknowledged;
   if (spec.long_running || !done)
     return;
-  const common::duration late = k_copy_late + (m_in_touch ? common::duration{0} : k_authority);
   if (!spec.speculative)
     violate("TWICE", start.task,
             "run " + std::to_string(start.run) + " on " + start.worker +
                 " started after its end was acknowledged" +
                 (start.late_at_new_life ? ", by a late order to a life that nobody had held" : ""));
-  else if (start.at > *done + late)
+  else if (start.at > *done + copy_late())
     violate("TWICE", start.task, "a copy started long after its end was acknowledged");
 }
 
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -62,7 +62,8 @@
   void expect_to_last(const std::string& job) { m_lasting.insert(job); }
   // The caller was told that it is cancelled.
   void cancelled(const std::string& job, common::time_point at);
-  void shown(const std::string& job, jobs::job_state state);
+  void shown(const std::string& job, jobs::job_state state,
+             std::optional<common::time_point> at = std::nullopt);
 
   // What workers do. `gone`: the worker has died with all its runs.
   void started(const observed_start& start);
@@ -121,6 +122,7 @@
     bool started = false;
     bool cancel_asked = false;
     std::optional<common::time_point> cancelled_at;
+    std::optional<common::time_point> completed_at; // it was first shown so
   };
 
   struct active_run
@@ -152,6 +154,9 @@
   bool has_room(const jobs::step_spec& step, const std::vector<usable_worker>& usable) const;
   void check_start(const seen_job& job, const observed_start& start);
   void check_done(const jobs::step_spec& spec, const observed_start& start);
+  void check_completed(const seen_job& job, const observed_start& start);
+  // How long after a task's end is known a copy of it may still come.
+  common::duration copy_late() const;
   void check_leaving(const observed_start& start);
   void check_entry(const observed_start& start);
   void check_refusal(const std::string& job, const seen_job& seen);
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -153,7 +153,8 @@
     extend_lease(until); // the platform's workers do so although they start nothing
     return refusal("old");
   }
-  if (until < clock_ms())
+  // The lease is the worker's: holds have extended it for what starts now as well.
+  if (std::max(until, m_lease_end) < clock_ms())
     return refusal("late");
   const std::string ticket = body.value(wire::k_ticket, std::string());
   const scheduling::step_ref step{task.job, task.place.cycle, task.place.step};
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -14,9 +14,10 @@
                              common::metrics& counts)
     : m_state(options, counts),
       m_crashes(m_state),
-      m_follower(m_state, m_crashes),
       m_accounting(m_state, m_crashes),
-      m_holder(m_state, m_crashes, m_follower, m_accounting),
+      m_copies(m_state, m_accounting),
+      m_follower(m_state, m_crashes, m_copies),
+      m_holder(m_state, m_crashes, m_follower, m_accounting, m_copies),
       m_zones(m_state),
       m_reservations(m_state),
       m_advice(m_state, m_zones, m_reservations),
@@ -159,6 +160,7 @@
 void job_scheduler::begin_accounting(time_point now)
 {
   m_accounting.begin(now);
+  m_copies.restored(now);
 }
 
 void job_scheduler::cancel_job(const std::string& id, time_point now)
@@ -391,6 +393,7 @@
   const bool survey = survey_due();
   m_holder.tick(now);
   m_crashes.tick(now);
+  m_copies.tick(now);
   if (survey)
     m_follower.repeat_orders(now);
   m_state.place_again = false;
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -146,8 +146,9 @@
 
   scheduler_state m_state;
   crash_watch m_crashes;
-  run_follower m_follower;
   takeover_accounting m_accounting;
+  copy_watch m_copies;
+  run_follower m_follower;
   worker_holder m_holder;
   zone_chooser m_zones;
   reservations m_reservations;
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -10,8 +10,8 @@
 
 namespace yardhill::scheduling
 {
-run_follower::run_follower(scheduler_state& state, crash_watch& crashes)
-    : m_state(state), m_crashes(crashes)
+run_follower::run_follower(scheduler_state& state, crash_watch& crashes, copy_watch& copies)
+    : m_state(state), m_crashes(crashes), m_copies(copies)
 {
 }
 
@@ -159,6 +159,7 @@
     if (end.how == run_end::failed)
       task_failed(*job, end, now);
   }
+  m_copies.note_end(worker, end, now);
   if (end.how == run_end::done)
     check_complete(*job, now);
 }
@@ -308,8 +309,7 @@
       continue;
     const bool started_before = run->start_answered && *run->start_answered < answer.sent;
     const bool stopped_before = run->stop_answered && *run->stop_answered < answer.sent;
-    const bool start_void = (answer.clock && *answer.clock > run->start_expires) ||
-                            (run->start_void && *run->start_void <= answer.sent);
+    const bool start_void = run->start_void && *run->start_void <= answer.sent;
     // Lists of a life that is claimed show all that it will ever carry out of what was sent before.
     if (run->orphaned || started_before || stopped_before || start_void)
       missing.push_back(run.get());
@@ -338,7 +338,7 @@
 void run_follower::check_complete(job_record& job, time_point now)
 {
   if (!job.ended() && job.all_done())
-    m_state.end_job(job, jobs::job_state::completed, now);
+    m_copies.complete(job, now);
 }
 
 void run_follower::repeat_orders(time_point now)
@@ -362,9 +362,15 @@
 void run_follower::repeat_start(run_record& run, time_point now)
 {
   worker_record& worker = *run.worker;
-  if (worker.suspect || run.orphaned || run.start_answered || run.start_void ||
-      worker.clock_at(now) >= run.start_expires)
+  if (worker.suspect || run.orphaned || run.start_answered || run.start_void)
     return;
+  // Holds may have extended the lease for which the worker would take an earlier copy, so its end
+  // alone does not void them.
+  if (worker.clock_at(now) >= run.start_expires)
+  {
+    m_state.order_stop(run, now);
+    return;
+  }
   // A copy would be rejected, and so would an earlier one that comes now.
   if (run.ticket_over && *run.ticket_over <= now)
   {
--- a/Source/Core/Scheduling/RunFollower.h
+++ b/Source/Core/Scheduling/RunFollower.h
@@ -6,6 +6,7 @@
 // Follows runs from what workers answer: which runs exist, how they ended, what that means for
 // their tasks and jobs.
 
+#include "Scheduling/CopyWatch.h"
 #include "Scheduling/CrashWatch.h"
 #include "Scheduling/SchedulerState.h"
 
@@ -14,7 +15,7 @@
 class run_follower
 {
 public:
-  run_follower(scheduler_state& state, crash_watch& crashes);
+  run_follower(scheduler_state& state, crash_watch& crashes, copy_watch& copies);
 
   void on_start(const start_answer& answer, time_point now);
   void on_stop(const stop_answer& answer, time_point now);
@@ -41,5 +42,6 @@
 
   scheduler_state& m_state;
   crash_watch& m_crashes;
+  copy_watch& m_copies;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/TakeoverAccounting.cpp
+++ b/Source/Core/Scheduling/TakeoverAccounting.cpp
@@ -147,6 +147,20 @@
       {{"why", why}, {"released", released}, {"unheard", m_unheard.size()}, {"held", held.size()}});
 }
 
+bool takeover_accounting::may_hold(const job_record& job, const task_place& place) const
+{
+  if (!m_under_way)
+    return false;
+  const task_ref task{job.id(), place};
+  return blocked(job.cycles()[place.cycle].steps[place.step]) ||
+         std::any_of(m_listed.begin(), m_listed.end(),
+                     [&task](const auto& each)
+                     {
+                       const std::vector<task_ref>& tasks = each.second;
+                       return std::find(tasks.begin(), tasks.end(), task) != tasks.end();
+                     });
+}
+
 bool takeover_accounting::waits_for(const worker_id& id) const
 {
   return m_under_way && (m_unheard.contains(id) || m_listed.contains(id));
--- a/Source/Core/Scheduling/TakeoverAccounting.h
+++ b/Source/Core/Scheduling/TakeoverAccounting.h
@@ -32,6 +32,8 @@
   void life_ended(const worker_id& id, time_point now);
   // What still may have run on workers whose leases are over counts as lost unheard.
   void give_up_unheard(time_point now);
+  // Whether an earlier owner's start of the task may be on its way to a worker not heard yet.
+  bool may_hold(const job_record& job, const task_place& place) const;
   // Whether tasks of earlier owners wait for the worker's word.
   bool waits_for(const worker_id& id) const;
   // Logs for each task that waits for the silent worker why it does, and how long at most.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -16,8 +16,12 @@
 } // namespace
 
 worker_holder::worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower,
-                             takeover_accounting& accounting)
-    : m_state(state), m_crashes(crashes), m_follower(follower), m_accounting(accounting)
+                             takeover_accounting& accounting, copy_watch& copies)
+    : m_state(state),
+      m_crashes(crashes),
+      m_follower(follower),
+      m_accounting(accounting),
+      m_copies(copies)
 {
 }
 
@@ -231,7 +235,8 @@
   // Ends of another life bear the same numbers, and one that is not known yet may have carried out
   // what was sent since the latest lists: none of its ends is to be forgotten unread.
   const bool surely_there = ends_are_read(worker, now);
-  order.acknowledged = surely_there ? worker.durable : 0;
+  const end_number forgettable = m_copies.acknowledgeable(worker, now);
+  order.acknowledged = surely_there ? forgettable : 0;
   // A worker that does not answer gets no longer lease: its runs must end some day. Nor does one of
   // which the store says when they do, until that is taken back.
   if (m_state.orders_begun && worker.claimed && !worker.suspect && worker.clock_ahead &&
@@ -239,8 +244,8 @@
     order.lease_end = m_state.extended_lease(worker, now);
   // The worker forgets the ends acknowledged here before it looks for news, so the call that tells
   // it of them waits for the next one: one call an end instead of two.
-  const bool settled = worker.claimed && !worker.suspect && worker.seen == worker.durable;
-  const bool forgets = surely_there || worker.durable == worker.acknowledged;
+  const bool settled = worker.claimed && !worker.suspect && worker.seen == forgettable;
+  const bool forgets = surely_there || forgettable == worker.acknowledged;
   if (settled && forgets && !worker.ask_at_once && !worker.end_stated())
     order.wait = hold_wait();
   worker.ask_at_once = false;
@@ -268,7 +273,7 @@
       std::clamp(by_workers, options.hold_wait, options.hold_wait_most));
 }
 
-bool worker_holder::hold_due(const worker_record& worker, time_point now) const
+bool worker_holder::hold_due(worker_record& worker, time_point now) const
 {
   if (worker.over || worker.token_wanted)
     return false;
@@ -281,11 +286,14 @@
     return since >= m_state.options.first_hold_retry;
   if (!worker.claimed || worker.suspect || worker.end_stated())
     return since >= m_state.options.hold_retry;
-  if (worker.durable > worker.acknowledged)
+  if (m_copies.acknowledgeable(worker, now) > worker.acknowledged)
     return true;
   // Ends that are not written yet would be listed again at once.
   if (worker.seen > worker.durable)
     return since >= m_state.options.hold_refresh;
+  // Nor does a hold wait for news beside ends that are kept, so the worker is asked often.
+  if (!worker.kept_ends.empty())
+    return since >= m_state.options.hold_retry;
   return !worker.runs.empty() || !worker.foreign.empty();
 }
 
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -17,7 +17,7 @@
 {
 public:
   worker_holder(scheduler_state& state, crash_watch& crashes, run_follower& follower,
-                takeover_accounting& accounting);
+                takeover_accounting& accounting, copy_watch& copies);
 
   // A worker that an earlier owner had claimed; its entry may come later or never.
   void restore_claim(const worker_id& id, const worker_claim& claim, time_point now);
@@ -39,7 +39,7 @@
   milliseconds hold_wait() const;
   // Whether the worker's next life, should there be one, can have no ends yet.
   bool ends_are_read(const worker_record& worker, time_point now) const;
-  bool hold_due(const worker_record& worker, time_point now) const;
+  bool hold_due(worker_record& worker, time_point now) const;
   // A new entry names an address that other lives have had.
   void ask_others_at(const worker_info& info);
   void note_unlisted(worker_record& worker, bool heard);
@@ -56,5 +56,6 @@
   crash_watch& m_crashes;
   run_follower& m_follower;
   takeover_accounting& m_accounting;
+  copy_watch& m_copies;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -57,10 +57,22 @@
 
   // Whether a copy of its start may be carried out yet, by whatever life is there then.
   bool may_be_on_its_way() const { return sends > answers || !listed; }
+  // Whether its start may still be carried out: nothing tells yet that it was, or cannot be.
+  bool may_begin() const
+  {
+    return orphaned || !(listed || start_answered || stop_answered || start_void);
+  }
   const jobs::step_spec& spec() const { return *job->step(place).spec; }
   task_ref ref() const { return {job->id(), place}; }
 };
 
+// An end that its worker must not forget yet.
+struct kept_end
+{
+  task_ref task;
+  time_point since;
+};
+
 // What is known of one life of a worker. A worker may start again under its id: it then holds and
 // knows nothing of before, and its clock and its numbers of ends begin anew.
 struct worker_life
@@ -103,6 +115,8 @@
   end_number durable = 0;      // the highest end whose effect the store keeps
   end_number acknowledged = 0; // the highest end that the worker was told to forget
 
+  std::map<end_number, kept_end> kept_ends; // none of them is acknowledged
+
   // Runs of jobs that are not known here: their size is unknown, so nothing is placed beside them.
   std::set<std::pair<task_ref, run_number>> foreign;
 };
--- a/Source/UnitTests/Model/LateCopyTest.cpp
+++ b/Source/UnitTests/Model/LateCopyTest.cpp
@@ -67,4 +67,35 @@
   }
 }
 
+// A worker whose lease holds had extended took a copy's start after that start's own end. The end
+// of the first run had been acknowledged, and the job shown as completed, while it was on its way.
+BOOST_AUTO_TEST_CASE(no_end_is_told_while_a_copys_start_is_on_its_way)
+{
+  for (std::uint64_t seed = 1; seed <= k_seeds; ++seed)
+  {
+    explored_cell cell(seed);
+    const auto pass = [&cell](duration span) { cell.time().run_until(cell.time().now() + span); };
+    cell.judge().expect_contact();
+    pass(seconds{3});
+    cell.network().troubles.orders_late = 0.4;
+    for (std::size_t i = 0; i < k_jobs; ++i)
+    {
+      cell.callers().hand_in(copied_job());
+      pass(milliseconds{300});
+      cell.callers().ask_all();
+    }
+    cell.network().troubles.orders_late = 0.0;
+    for (int i = 0; i < 80; ++i)
+    {
+      pass(milliseconds{500});
+      cell.callers().ask_all();
+    }
+    cell.judge().check_all_ended(cell.callers().states());
+    std::string told;
+    for (const std::string& each : cell.judge().violations())
+      told += "\n  " + each;
+    BOOST_TEST(cell.judge().violations().empty(), "seed " << seed << told);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
