Scheduling: Whether a task's trial is postponed is asked once a pass, not once a worker

The background of losses looks at every worker, and it was asked for each worker that an isolated task might go to: at 1,100 workers that is their square, for each such task and pass.

--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -381,8 +381,6 @@
   // Nothing else begins beside an isolated trial.
   if (worker.isolated_until > now && worker.kept_for_trial != &task)
     return false;
-  if (postponed(task, now))
-    return false;
   if (!suspected(task.crashes))
     return true;
   // Where there has been no better worker for long, any will do.
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -62,7 +62,8 @@
                  const worker_record& worker, bool beside_silent);
   // Whether the task may be tried there at this moment, as far as crashes go.
   bool fit(const worker_record& worker, const task_record& task, time_point now) const;
-  // Whether its trial waits until workers are no longer lost anyway.
+  // Whether it is started nowhere for now: its trial waits until workers are no longer lost anyway,
+  // or it is about to be given up.
   bool postponed(const task_record& task, time_point now) const;
   // Nothing begins on the worker for a while, so that it becomes fit for the task's trial.
   void keep_for_trial(worker_record& worker, const task_record& task, time_point now) const;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -157,6 +157,8 @@
 {
   const step_record& step = job.step(place);
   const task_record& task = job.task(place);
+  if (how == trials::kept_apart && m_crashes.postponed(task, now))
+    return nullptr;
   worker_record* best = nullptr;
   double best_preference = 0.0;
   const auto consider = [&](worker_record& worker)
