--- a/Source/Core/Node/OwnerWatch.cpp
+++ b/Source/Core/Node/OwnerWatch.cpp
@@ -24,7 +24,8 @@
       m_clock(clock),
       m_self(std::move(self)),
       m_partition(std::move(partition)),
-      m_options(options)
+      m_options(options),
+      m_began(time.now())
 {
 }
 
@@ -88,7 +89,7 @@
 {
   if (now < m_try_after)
     return false;
-  const common::time_point heard = std::max(m_seen.changed_at, feed_healthy_since);
+  const common::time_point heard = std::max({m_seen.changed_at, feed_healthy_since, m_began});
   const common::duration left_to_others =
       stronger_peer ? m_options.leave_to_stronger : common::duration{0};
   if (m_seen.version == 0 || m_seen.row.holder.empty() || earlier_process_of_ours())
--- a/Source/Core/Node/OwnerWatch.h
+++ b/Source/Core/Node/OwnerWatch.h
@@ -65,6 +65,7 @@
   instance_identity m_self;
   std::string m_partition;
   ownership_options m_options;
+  common::time_point m_began; // to watch
   seen_owner m_seen;
   std::string m_instance;
   common::time_point m_try_after{};
--- /dev/null
+++ b/Source/UnitTests/Node/CellLayoutTest.cpp
@@ -0,0 +1,46 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Node/CellLayout.h"
+#include "Node/OwnerRow.h"
+
+using namespace yardhill;
+using node::cell_layout;
+
+BOOST_AUTO_TEST_SUITE(CellLayoutTest)
+
+BOOST_AUTO_TEST_CASE(a_small_cell_is_one_partition)
+{
+  const cell_layout layout(1);
+  BOOST_TEST(layout.size() == 1U);
+  BOOST_TEST(layout.of_worker(common::worker_id("w-1")) == node::k_whole_cell);
+  BOOST_TEST(layout.of_job("00000000000000aa").front() == node::k_whole_cell);
+  BOOST_TEST(layout.of_job("00000000000000aa").back() == node::k_whole_cell);
+}
+
+// A partition with few of the cell's workers would be full while others have room.
+BOOST_AUTO_TEST_CASE(workers_and_jobs_are_spread_evenly)
+{
+  constexpr int k_count = 4000;
+  const cell_layout layout(4);
+  std::map<std::string, int> workers;
+  std::map<std::string, int> jobs;
+  for (int i = 0; i < k_count; ++i)
+  {
+    ++workers[layout.of_worker(common::worker_id("i-" + std::to_string(i)))];
+    const auto [first, second] = layout.of_job("job-" + std::to_string(i));
+    BOOST_TEST(first != second);
+    ++jobs[first];
+  }
+  for (const std::string& name : layout.names())
+  {
+    BOOST_TEST(std::abs(workers[name] - k_count / 4) < k_count / 40);
+    BOOST_TEST(std::abs(jobs[name] - k_count / 4) < k_count / 40);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
