--- a/Source/Core/Jobs/JobSpec.cpp
+++ b/Source/Core/Jobs/JobSpec.cpp
@@ -112,6 +112,12 @@
                      [](const step_spec& step) { return step.long_running; });
 }
 
+bool job_spec::may_be_shared(std::size_t partitions) const
+{
+  return partitions > 1 && repeats == 0 && steps.size() == 1 && steps.front().long_running &&
+         !steps.front().gang && steps.front().count >= partitions;
+}
+
 std::optional<std::string> first_mistake(const job_spec& spec)
 {
   if (spec.payload.size() > k_most_payload)
--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -53,6 +53,9 @@
   std::uint32_t cycles() const { return repeats == 0 ? 1 : repeats; }
   wall_time due(std::uint32_t cycle) const { return first_due + interval * cycle; }
   bool long_running() const;
+  // Whether its tasks need nothing of each other, so that so many owners can each run some of them.
+  // A wide step that lasts may want more workers than one partition has.
+  bool may_be_shared(std::size_t partitions) const;
 };
 
 // The policy of the queue (route) that a job came in by.
@@ -75,11 +78,23 @@
 };
 
 // A job that the platform's store keeps: written once, before the caller is told.
+// The home of a job whose tasks are shared among all partitions.
+inline constexpr const char* k_every_partition = "*";
+
+// A partition's part of the tasks of such a job: those whose index leaves this rest.
+struct task_share
+{
+  std::uint32_t rest = 0;
+  std::uint32_t of = 1;
+
+  bool has(std::uint32_t index) const { return index % of == rest; }
+};
+
 struct accepted_job
 {
   std::string id;
   std::string queue; // the route's name
-  std::string home;  // the partition that runs it
+  std::string home;  // the partition that runs it, or k_every_partition
   wall_time accepted_at{};
   job_spec spec;
 };
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -198,6 +198,8 @@
 {
   const auto load_of = [](const partition_owner& each)
   { return each.seen().row.waiting_cpu - each.seen().row.free_cpu; };
+  if (spec.may_be_shared(m_partitions.size()))
+    return jobs::k_every_partition;
   const partition_owner* best = nullptr;
   for (const std::string& name : m_layout.layout()->of_job(job))
   {
@@ -274,8 +276,11 @@
   if (!result.first)
     return;
   remember_home(job.id, job.home);
-  if (partition_owner* const home = partition(job.home))
-    home->job_kept_here(job, result.version);
+  for (const auto& each : m_partitions)
+  {
+    if (runs_in(job, each->partition()))
+      each->job_kept_here(job, result.version);
+  }
 }
 
 void caller_gateway::remember_home(const std::string& id, const std::string& home)
@@ -306,37 +311,45 @@
 void caller_gateway::show(const std::shared_ptr<call>& what)
 {
   const auto home = m_homes.find(what->id);
-  if (home != m_homes.end())
-  {
-    show_from_owners(what, {home->second});
-    return;
-  }
-  const auto [first, second] = m_layout.layout()->of_job(what->id);
-  show_from_owners(what, first == second ? std::vector{first} : std::vector{first, second});
+  const cell_layout& layout = *m_layout.layout();
+  const auto [first, second] = layout.of_job(what->id);
+  if (home == m_homes.end())
+    show_from_owners(what, first == second ? std::vector{first} : std::vector{first, second}, {});
+  else if (home->second == jobs::k_every_partition)
+    show_from_owners(what, layout.names(), {});
+  else
+    show_from_owners(what, {home->second}, {});
 }
 
 void caller_gateway::show_from_owners(const std::shared_ptr<call>& what,
-                                      std::vector<std::string> partitions)
+                                      std::vector<std::string> partitions,
+                                      std::optional<jobs::job_state> so_far)
 {
   const partition_owner* const owner = partitions.empty() ? nullptr : partition(partitions.front());
   if (owner == nullptr)
   {
-    show_from_store(what);
+    if (so_far)
+      show_state(*what, *so_far);
+    else
+      show_from_store(what);
     return;
   }
   partitions.erase(partitions.begin());
-  m_states.ask(*owner, what->id,
-               [this, what, partitions = std::move(partitions),
-                asked = owner->partition()](std::optional<jobs::job_state> state)
-               {
-                 if (!state)
-                 {
-                   show_from_owners(what, partitions);
-                   return;
-                 }
-                 remember_home(what->id, asked);
-                 show_state(*what, *state);
-               });
+  m_states.ask(
+      *owner, what->id,
+      [this, what, partitions = std::move(partitions), so_far](std::optional<jobs::job_state> state)
+      {
+        // A shared job that one owner has not begun may be at work under another.
+        if (!state || *state == jobs::job_state::queued)
+          show_from_owners(what, partitions, state ? state : so_far);
+        else
+          show_state(*what, *state);
+      });
+}
+
+std::string caller_gateway::progress_home(const std::string& job, const std::string& home) const
+{
+  return home == jobs::k_every_partition ? m_layout.layout()->of_job(job).front() : home;
 }
 
 void caller_gateway::show_state(const call& what, jobs::job_state state)
@@ -356,7 +369,7 @@
     return;
   }
   m_store.state(
-      home->second, what->id, k_read_timeout,
+      progress_home(what->id, home->second), what->id, k_read_timeout,
       [this, what](const written_state& written)
       {
         if (!written.answered)
@@ -374,7 +387,7 @@
   {
     remember_home(what->id, found.job->home);
     m_store.state(
-        found.job->home, what->id, k_read_timeout,
+        progress_home(what->id, found.job->home), what->id, k_read_timeout,
         [this, what](const written_state& written)
         {
           if (written.answered)
@@ -411,8 +424,11 @@
   }
   common::log_request("job_cancelled", what.id, {{"after_ms", m_time.now() - what.received}});
   what.respond({200, "{}", "application/json", {}});
-  if (partition_owner* const owner = partition(home))
-    owner->job_cancelled_here(what.id);
+  for (const auto& each : m_partitions)
+  {
+    if (each->partition() == home || home == jobs::k_every_partition)
+      each->job_cancelled_here(what.id);
+  }
 }
 
 // A wrong count cannot be told from a right one, so one that is too old is not given.
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -77,8 +77,11 @@
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
   void show(const std::shared_ptr<call>& what);
-  // Asks these owners, one after the other, until one knows the job.
-  void show_from_owners(const std::shared_ptr<call>& what, std::vector<std::string> partitions);
+  // Asks these owners, one after the other, until one says that the job has begun.
+  void show_from_owners(const std::shared_ptr<call>& what, std::vector<std::string> partitions,
+                        std::optional<jobs::job_state> so_far);
+  // The partition where the job's state is written.
+  std::string progress_home(const std::string& job, const std::string& home) const;
   void show_state(const call& what, jobs::job_state state);
   void show_from_store(const std::shared_ptr<call>& what);
   // Of a job that nobody here knows: its row, then what is written of it.
--- a/Source/Core/Node/CellLayout.cpp
+++ b/Source/Core/Node/CellLayout.cpp
@@ -3,6 +3,8 @@
 
 #include "Node/CellLayout.h"
 
+#include <algorithm>
+
 #include "Common/Hash.h"
 #include "Node/OwnerRow.h"
 
@@ -31,6 +33,13 @@
   return m_names[common::stable_hash(worker.value, k_worker_seed) % m_names.size()];
 }
 
+jobs::task_share cell_layout::share_of(const std::string& partition) const
+{
+  const auto found = std::find(m_names.begin(), m_names.end(), partition);
+  return {static_cast<std::uint32_t>(found - m_names.begin()),
+          static_cast<std::uint32_t>(m_names.size())};
+}
+
 std::array<std::string, 2> cell_layout::of_job(const std::string& job) const
 {
   const std::uint64_t drawn = common::stable_hash(job, k_job_seed);
--- a/Source/Core/Node/CellLayout.h
+++ b/Source/Core/Node/CellLayout.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "Common/Ids.h"
+#include "Jobs/JobSpec.h"
 
 namespace yardhill::node
 {
@@ -27,6 +28,8 @@
   // The partition of a worker. Its entry may change or be damaged; its id does not, so no two
   // owners order it about.
   const std::string& of_worker(const common::worker_id& worker) const;
+  // The partition's part of the tasks of jobs that all partitions run.
+  jobs::task_share share_of(const std::string& partition) const;
   // Where a job usually runs, and where else if that partition is busy or has no owner.
   std::array<std::string, 2> of_job(const std::string& job) const;
 
--- a/Source/Core/Node/JobIntake.cpp
+++ b/Source/Core/Node/JobIntake.cpp
@@ -139,7 +139,7 @@
 
 void job_intake::job_kept(const jobs::accepted_job& job, adapter::row_version version)
 {
-  if (m_scheduler == nullptr || version <= m_read_at || job.home != m_partition ||
+  if (m_scheduler == nullptr || version <= m_read_at || !runs_in(job, m_partition) ||
       m_scheduler->knew(job.id))
     return;
   m_scheduler->add_job(job, m_time.now());
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -209,6 +209,11 @@
   return "j" + std::to_string(common::stable_hash(id) % k_job_parts);
 }
 
+bool runs_in(const jobs::accepted_job& job, const std::string& partition)
+{
+  return job.home == partition || job.home == jobs::k_every_partition;
+}
+
 adapter::row_key job_key(const std::string& id)
 {
   return {k_jobs_table, job_part(id), id};
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -31,6 +31,8 @@
 // worth 0.82 instead of 0.69 with eight parts.
 std::vector<std::string> job_parts();
 std::string job_part(const std::string& id);
+// Whether the partition's owner runs the job, or some of its tasks.
+bool runs_in(const jobs::accepted_job& job, const std::string& partition);
 // A job's own row, and the mark that it is cancelled.
 adapter::row_key job_key(const std::string& id);
 adapter::row_key cancel_key(const std::string& id);
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -4,6 +4,7 @@
 #include "Node/PartitionLoader.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Common/Error.h"
@@ -145,13 +146,19 @@
   if (std::holds_alternative<cancel_mark>(kept->content))
     m_loaded.cancelled.push_back(kept->id);
   auto* const job = std::get_if<jobs::accepted_job>(&kept->content);
-  if (job == nullptr || job->home != m_partition)
+  if (job == nullptr || !runs_in(*job, m_partition))
     return;
   m_loaded.jobs.push_back({std::move(*job), row.version});
 }
 
 loaded_partition partition_loader::loaded()
 {
+  std::set<std::string> shared; // whose rows others still need, unless they are cancelled
+  for (const loaded_partition::kept_job& each : m_loaded.jobs)
+  {
+    if (each.job.home == jobs::k_every_partition)
+      shared.insert(each.job.id);
+  }
   std::erase_if(m_loaded.jobs,
                 [this](const loaded_partition::kept_job& each)
                 {
@@ -161,7 +168,8 @@
                 });
   for (const auto& [id, progress] : m_loaded.progress)
   {
-    if (jobs::is_final(progress.state))
+    if (jobs::is_final(progress.state) &&
+        (!shared.contains(id) || progress.state == jobs::job_state::cancelled))
       m_loaded.ended.push_back(id);
   }
   return std::move(m_loaded);
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -212,7 +212,8 @@
   m_sweeper =
       std::make_unique<row_sweeper>(m_parts.time, m_parts.store, m_partition, m_options.keep_ended);
   m_sweeper->ended(loaded.ended);
-  const scheduling::scheduler_options options;
+  scheduling::scheduler_options options;
+  options.share = m_parts.layout.share_of(m_partition);
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler = std::make_unique<scheduling::job_scheduler>(options, first_run, m_parts.metrics);
   m_scheduler->token_given(m_token);
--- a/Source/Core/Scheduling/Evacuator.cpp
+++ b/Source/Core/Scheduling/Evacuator.cpp
@@ -44,7 +44,13 @@
     return false;
   std::uint32_t away = 0;
   for (const task_record& task : step.tasks)
-    away += task.runs.empty() || task.runs.front()->phase == run_phase::stopping ? 1 : 0;
+  {
+    if (task.phase != task_phase::done)
+      away += task.runs.empty() || task.runs.front()->phase == run_phase::stopping ? 1 : 0;
+  }
+  // Owners that share a job do not know how many of each other's tasks are away.
+  if (run.job->shared())
+    return away >= step.spec->most_unavailable / m_state.options.share.of;
   return away >= std::max(1U, step.spec->most_unavailable);
 }
 
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -178,7 +178,8 @@
       {
         step.tasks[i].last_run = first_run;
         if (c < progress.done.size() && s < progress.done[c].size() &&
-            i < progress.done[c][s].size() && progress.done[c][s][i])
+            i < progress.done[c][s].size() && progress.done[c][s][i] &&
+            step.tasks[i].phase != task_phase::done)
         {
           set_phase({c, s, i}, task_phase::done);
           note_begun();
@@ -210,6 +211,21 @@
   }
 }
 
+void job_record::leave_to_others(const jobs::task_share& share)
+{
+  for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
+  {
+    for (std::uint32_t s = 0; s < m_cycles[c].steps.size(); ++s)
+    {
+      for (std::uint32_t i = 0; i < m_cycles[c].steps[s].tasks.size(); ++i)
+      {
+        if (!share.has(i))
+          set_phase({c, s, i}, task_phase::done);
+      }
+    }
+  }
+}
+
 void job_record::mark_unaccounted()
 {
   for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -163,6 +163,9 @@
   // What has to outlast this owner, and taking it over from an earlier one.
   jobs::job_progress progress() const;
   void restore(const jobs::job_progress& progress, run_number first_run);
+  // Other partitions run what the share leaves out: it counts as done here.
+  void leave_to_others(const jobs::task_share& share);
+  bool shared() const { return m_job.home == jobs::k_every_partition; }
   // Every task that is not done of a step that has begun may have been started by an earlier owner.
   void mark_unaccounted();
   void mark_unaccounted(const task_place& place);
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -119,7 +119,10 @@
     return;
   const time_point accepted = std::min(
       now, now - std::chrono::duration_cast<duration>(m_state.wall(now) - job.accepted_at));
-  m_state.jobs[job.id] = std::make_unique<job_record>(job, policy_of(job.queue), accepted);
+  auto record = std::make_unique<job_record>(job, policy_of(job.queue), accepted);
+  if (record->shared())
+    record->leave_to_others(m_state.options.share);
+  m_state.jobs[job.id] = std::move(record);
   m_state.open.insert(job.id);
   m_state.place_again = true;
   m_state.metrics.add(common::counter::tasks_accepted);
@@ -352,10 +355,13 @@
       ++each;
       continue;
     }
+    const bool shared = found->second->shared();
     m_forgotten[*each] = found->second->state();
     m_state.jobs.erase(found);
     m_forgotten_since.emplace_back(m_now, *each);
-    m_just_ended.push_back(*each);
+    // The others of a shared job still need its row.
+    if (!shared || m_forgotten[*each] == jobs::job_state::cancelled)
+      m_just_ended.push_back(*each);
     each = m_ending.erase(each);
   }
 }
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "Common/Time.h"
+#include "Jobs/JobSpec.h"
 
 namespace yardhill::scheduling
 {
@@ -15,6 +16,8 @@
 
 struct scheduler_options
 {
+  // Of the tasks of jobs that all partitions run.
+  jobs::task_share share;
   // What runs on a worker ends by itself this long after its owner was last heard. It has to cover
   // a takeover (3 s of silence and half a second of work) and is what a task lost with its worker
   // waits for. The platform's bound is 10 s.
