Node: How late the event loop is, measured at each tick

Cause: nothing told whether an instance's loop is late, so a slow owner and a silent network looked the same. Ruled out: measuring from the end of a tick's work, which hides the tick's own time; the latest tick alone, which is forgotten 25 ms after a stall. A tick is due one period after the one before began. The period stands in node_core alone; the service and the explorer use it. Conclusion: node_core::loop() has the figure for whoever bounds work by it.

--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -24,7 +24,6 @@
 // In thousandths of a core: partitions move to the strong ones.
 constexpr std::array<std::uint32_t, k_instances> k_processor_millis{120, 500, 120, 500};
 constexpr std::size_t k_workers = 9;
-constexpr milliseconds k_tick{25};
 // An instance is young for this long.
 constexpr milliseconds k_young{300};
 constexpr milliseconds k_break_way{1};
@@ -275,7 +274,7 @@
 void explored_cell::tick(explored_instance& which)
 {
   which.core->tick();
-  which.time->schedule(k_tick, [this, &which] { tick(which); });
+  which.time->schedule(node::node_core::k_tick_period, [this, &which] { tick(which); });
 }
 
 explored_instance* explored_cell::any_up()
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -107,6 +107,8 @@
 void node_core::tick()
 {
   const common::time_point now = m_world.time.now();
+  m_loop.ticked(m_next_tick.value_or(now), now);
+  m_next_tick = now + k_tick_period;
   if (m_store_path.back_since() > m_feeds_asked)
     ask_feeds_again();
   const auto healthy = m_owner_feed.loaded() ? m_owner_feed.healthy_since() : std::nullopt;
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -17,6 +17,7 @@
 #include "Http/RequestSender.h"
 #include "Node/CallerGateway.h"
 #include "Node/ConfigurationWatch.h"
+#include "Node/LoopMonitor.h"
 #include "Node/NodeSettings.h"
 #include "Node/PartitionOwner.h"
 #include "platform/AdviceClient.h"
@@ -44,7 +45,8 @@
   node_core& operator=(const node_core&) = delete;
 
   void start();
-  // Called every few hundredths of a second.
+  // The steps that no event causes: leases to extend, orders to repeat, silences to notice.
+  static constexpr std::chrono::milliseconds k_tick_period{25};
   void tick();
   void handle(http::incoming_request request, http::responder respond);
   // Whether callers should be sent here.
@@ -60,6 +62,7 @@
   bool stopping() const { return m_stopping; }
   bool handed_over() const;
   bool owns_any() const;
+  loop_monitor& loop() { return m_loop; }
 
   // The direct way to the store, for feeds.
   adapter::store_client& feed_store() { return m_feed_store; }
@@ -89,6 +92,8 @@
   void ask_feeds_again();
 
   node_world m_world;
+  loop_monitor m_loop;
+  std::optional<common::time_point> m_next_tick;
   std::uint32_t m_processor_millis;
   peer_monitor m_peers;
   store_path m_store_path;
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -13,8 +13,6 @@
 {
 namespace
 {
-// The steps that no event causes: leases to extend, orders to repeat, silences to notice.
-constexpr std::chrono::milliseconds k_tick{25};
 // One held call and a few orders at a time; each new connection to a worker is priced.
 constexpr std::size_t k_worker_connections = 3;
 // Three feeds that wait, commits, and reads and writes for callers.
@@ -162,6 +160,6 @@
   m_core.tick();
   log_counters();
   common::flush_event_log();
-  m_timer.start(k_tick, [this] { tick(); });
+  m_timer.start(node_core::k_tick_period, [this] { tick(); });
 }
 } // namespace yardhill::node
