Scheduling, Node: How far an owner is behind, and which wait a lasting task is in

Ruled out: reasons computed beside the placer's own conditions, which drift from them; a line for each waiting task, which is most when the owner is busiest. Change: process_report writes `counters` with loop lateness, processor time, passes, orders sent and the backlog, every 10 s and once a second while the loop is over 250 ms late; the same as gauges. wait_report tells once a second for up to ten tasks which wait they are in (lasting_task_waits) and counts all by wait (lasting_tasks_wait). The placer's conditions are one function (obstacle_at) that both ask; so are the takeover's, the trial's and the renewal's. `yardhill explain` tells these waits and late loops.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -184,6 +184,13 @@
     write_line(event, request, fields);
 }
 
+void log_request_always(std::string_view event, std::string_view request,
+                        std::initializer_list<log_field> fields)
+{
+  if (state().logger)
+    write_line(event, request, fields);
+}
+
 void flush_event_log()
 {
   open_log_state& log = state();
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -54,6 +54,9 @@
 // A line about one request; counted against the budget.
 void log_request(std::string_view event, std::string_view request,
                  std::initializer_list<log_field> fields);
+// The same, written whatever the budget: for a few lines a second, which the caller bounds.
+void log_request_always(std::string_view event, std::string_view request,
+                        std::initializer_list<log_field> fields);
 // How much of the buffered lines to write in one go: whole lines, unless one alone is longer.
 std::size_t bytes_to_write(std::string_view lines, std::size_t most);
 // Writes out what is buffered.
--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -30,6 +30,8 @@
     "circuits_opened",   "config_changes",
     "entries_invalid",   "workers_crashed",
     "workers_restarted", "tasks_given_up",
+    "holds_sent",        "starts_sent",
+    "stops_sent",        "process_cpu_ms",
 });
 static_assert(k_counter_names.size() == static_cast<std::size_t>(counter::count));
 
@@ -51,6 +53,16 @@
     "workers_usable",
     "config_version",
     "pending_requests",
+    "loop_late_ms",
+    "loop_late_worst_ms",
+    "holds_overdue",
+    "hold_overdue_ms",
+    "workers_silent",
+    "ends_kept",
+    "tasks_waiting",
+    "oldest_wait_ms",
+    "lasting_waiting",
+    "lasting_wait_ms",
 });
 static_assert(k_gauge_names.size() == static_cast<std::size_t>(gauge::count));
 
@@ -169,6 +181,15 @@
   return duration{static_cast<duration::rep>(k_highest_us)};
 }
 
+metrics::recorded metrics::total(timing which) const
+{
+  const std::lock_guard hold(m_histograms->lock);
+  const auto index = static_cast<std::size_t>(which);
+  const double count = boost::histogram::algorithm::sum(m_histograms->by_timing.at(index));
+  return {static_cast<std::uint64_t>(count),
+          duration{static_cast<duration::rep>(m_histograms->sums_us.at(index))}};
+}
+
 std::string metrics::exposition() const
 {
   std::ostringstream out;
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -47,6 +47,10 @@
   workers_crashed,
   workers_restarted,
   tasks_given_up,
+  holds_sent,
+  starts_sent,
+  stops_sent,
+  process_cpu_ms,
   count
 };
 
@@ -70,6 +74,16 @@
   workers_usable,
   config_version,
   pending_requests,
+  loop_late_ms,
+  loop_late_worst_ms,
+  holds_overdue,
+  hold_overdue_ms,
+  workers_silent,
+  ends_kept,
+  tasks_waiting,
+  oldest_wait_ms,
+  lasting_waiting,
+  lasting_wait_ms,
   count
 };
 
@@ -93,6 +107,13 @@
   std::uint64_t value(retry_reason why) const;
   // The smallest bucket bound that `quantile` (0 to 1) of the recorded values do not exceed.
   duration quantile(timing which, double quantile) const;
+  // How many values were recorded, and their sum.
+  struct recorded
+  {
+    std::uint64_t count = 0;
+    duration sum{0};
+  };
+  recorded total(timing which) const;
 
   // The usual text exposition, one family per kind, times in seconds.
   std::string exposition() const;
--- a/Source/Core/Explain/Explanation.cpp
+++ b/Source/Core/Explain/Explanation.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <map>
 #include <set>
 
 namespace yardhill::explain
@@ -24,10 +25,13 @@
      "worker_crashed",    "worker_restarted",  "worker_entry_gone", "advice_overdue",
      "commit_unanswered", "feed_history_gone"});
 
-// Lines that only show what somebody asked.
+// An instance whose loop is later than this answers and orders late.
+constexpr double k_late_loop_ms = 250.0;
+
+// Not so for lines that only show what somebody asked, or that a task still waits.
 bool shows_progress(const log_line& line)
 {
-  return line.event != "state_shown";
+  return line.event != "state_shown" && line.event != "lasting_task_waits";
 }
 
 std::vector<log_line> lines_of(const std::string& request, const std::vector<log_line>& log)
@@ -40,6 +44,14 @@
   return lines;
 }
 
+std::set<std::string> processes_in(const std::vector<log_line>& lines)
+{
+  std::set<std::string> processes;
+  for (const log_line& line : lines)
+    processes.insert(line.process);
+  return processes;
+}
+
 std::set<std::string> workers_in(const std::vector<log_line>& lines)
 {
   std::set<std::string> workers;
@@ -51,11 +63,25 @@
   return workers;
 }
 
-bool may_hold_up(const log_line& line, const std::set<std::string>& workers)
+// Whom the request's own lines name.
+struct named_parts
 {
+  std::set<std::string> processes;
+  std::set<std::string> workers;
+};
+
+bool shows_late_loop(const log_line& line)
+{
+  return line.event == "counters" && line.number("loop_late_worst_ms") > k_late_loop_ms;
+}
+
+bool may_hold_up(const log_line& line, const named_parts& named)
+{
+  if (shows_late_loop(line))
+    return named.processes.contains(line.process);
   if (std::find(k_holding_up.begin(), k_holding_up.end(), line.event) == k_holding_up.end())
     return false;
-  return !line.fields.contains("worker") || workers.contains(line.text("worker"));
+  return !line.fields.contains("worker") || named.workers.contains(line.text("worker"));
 }
 
 outcome outcome_of(const std::vector<log_line>& lines)
@@ -152,6 +178,22 @@
          " workers; with several workers the job itself is at fault, with one the worker may be";
 }
 
+// The owner, or whoever else told of the request, was busy.
+std::string late_loop_cause(const std::vector<log_line>& meanwhile)
+{
+  const log_line* worst = nullptr;
+  for (const log_line& line : meanwhile)
+  {
+    if (shows_late_loop(line) && (worst == nullptr || line.number("loop_late_worst_ms") >
+                                                          worst->number("loop_late_worst_ms")))
+      worst = &line;
+  }
+  if (worst == nullptr)
+    return {};
+  const auto late = milliseconds(static_cast<std::int64_t>(worst->number("loop_late_worst_ms")));
+  return "; the loop of " + worst->process + " was up to " + in_seconds(late) + " late";
+}
+
 std::string late_cause(const wait& longest, const std::vector<log_line>& meanwhile)
 {
   if (longest.from == nullptr)
@@ -166,6 +208,41 @@
     if (events.insert(line.event).second)
       cause += " " + line.event;
   }
+  return cause + late_loop_cause(meanwhile);
+}
+
+// Which waits its tasks that last were in, the one that was told most often first.
+std::string lasting_cause(const std::vector<log_line>& lines)
+{
+  struct told_wait
+  {
+    std::size_t lines = 0;
+    const log_line* longest = nullptr;
+  };
+  std::map<std::string, told_wait> by_wait;
+  for (const log_line& line : lines)
+  {
+    if (line.event != "lasting_task_waits")
+      continue;
+    told_wait& told = by_wait[line.text("wait")];
+    ++told.lines;
+    if (told.longest == nullptr || line.number("waited_ms") > told.longest->number("waited_ms"))
+      told.longest = &line;
+  }
+  std::vector<std::pair<std::string, told_wait>> order(by_wait.begin(), by_wait.end());
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& left, const auto& right)
+                   { return left.second.lines > right.second.lines; });
+  std::string cause;
+  for (const auto& [wait, told] : order)
+  {
+    const log_line& line = *told.longest;
+    const auto waited = milliseconds(static_cast<std::int64_t>(line.number("waited_ms")));
+    cause += cause.empty() ? "; a task that lasts did not run: " : ", ";
+    cause += wait + " (" + std::to_string(told.lines) + " lines, up to " + in_seconds(waited);
+    const std::string worker = line.text("worker");
+    cause += worker.empty() ? ")" : ", worker " + worker + " in zone " + line.text("zone") + ")";
+  }
   return cause;
 }
 
@@ -194,12 +271,12 @@
   told.longest_wait = longest.length();
   if (longest.from != nullptr)
   {
-    const std::set<std::string> workers = workers_in(told.lines);
+    const named_parts named{processes_in(told.lines), workers_in(told.lines)};
     std::copy_if(log.begin(), log.end(), std::back_inserter(told.meanwhile),
-                 [&longest, &workers](const log_line& line)
+                 [&longest, &named](const log_line& line)
                  {
                    return line.request.empty() && line.at >= longest.from->at &&
-                          line.at <= longest.to->at && may_hold_up(line, workers);
+                          line.at <= longest.to->at && may_hold_up(line, named);
                  });
     std::stable_sort(told.meanwhile.begin(), told.meanwhile.end(),
                      [](const log_line& left, const log_line& right)
@@ -215,6 +292,7 @@
     told.cause = "it was cancelled";
   else
     told.cause = late_cause(longest, told.meanwhile);
+  told.cause += lasting_cause(told.lines);
   return told;
 }
 
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Common/ProcessClock.h"
 #include "platform/WireNames.h"
 
 namespace yardhill::node
@@ -22,7 +23,6 @@
 constexpr std::size_t k_most_answer = 16U << 20U;
 // The platform hands new callers on for two more checks of a second each after a stop begins.
 constexpr std::chrono::milliseconds k_least_stop{2300};
-constexpr std::chrono::seconds k_counters_period{10};
 // Before the platform kills the process.
 constexpr std::chrono::milliseconds k_stop_reserve{700};
 } // namespace
@@ -41,6 +41,8 @@
               { m_peers->send(peer, message); },
               [this](const http::listener_limits& limits) { m_callers->set_limits(limits); },
               m_metrics}),
+      m_report(m_time, m_metrics, m_core.loop(), common::process_cpu_time,
+               settings.processor_millis),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_time)
 {
@@ -132,24 +134,6 @@
   return m_core.handed_over() && since >= k_least_stop && m_callers->requests_in_flight() == 0;
 }
 
-// So that a log alone tells how busy an instance was.
-void node_service::log_counters()
-{
-  if (m_time.now() - m_counters_logged < k_counters_period)
-    return;
-  m_counters_logged = m_time.now();
-  using common::counter;
-  common::log_process("counters", {{"requests", m_metrics.value(counter::requests)},
-                                   {"jobs_accepted", m_metrics.value(counter::tasks_accepted)},
-                                   {"starts", m_metrics.value(counter::attempts_started)},
-                                   {"store_reads", m_metrics.value(counter::store_reads)},
-                                   {"store_feeds", m_metrics.value(counter::store_feeds)},
-                                   {"store_writes", m_metrics.value(counter::store_writes)},
-                                   {"worker_calls", m_metrics.value(counter::worker_calls)},
-                                   {"peer_messages", m_metrics.value(counter::peer_messages)},
-                                   {"log_lines_dropped", common::dropped_log_lines()}});
-}
-
 void node_service::tick()
 {
   if (stopped(m_time.now()))
@@ -158,7 +142,7 @@
     return;
   }
   m_core.tick();
-  log_counters();
+  m_report.tick();
   common::flush_event_log();
   m_timer.start(node_core::k_tick_period, [this] { tick(); });
 }
--- a/Source/Core/Node/NodeService.h
+++ b/Source/Core/Node/NodeService.h
@@ -18,6 +18,7 @@
 #include "Node/AsioTimekeeper.h"
 #include "Node/NodeCore.h"
 #include "Node/PeerLinks.h"
+#include "Node/ProcessReport.h"
 
 namespace yardhill::node
 {
@@ -39,7 +40,6 @@
   void reload();
   void stop();
   bool stopped(common::time_point now) const;
-  void log_counters();
   void tick();
 
   node_settings m_settings;
@@ -54,9 +54,9 @@
   std::optional<http::http_listener> m_metrics_page;
   std::optional<peer_links> m_peers;
   node_core m_core;
+  process_report m_report;
   boost::asio::signal_set m_signals;
   common::one_shot_timer m_timer;
-  common::time_point m_counters_logged{};
   std::optional<common::time_point> m_stopping_since;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -4,9 +4,11 @@
 #include "Node/PartitionOwner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Scheduling/Backlog.h"
 
 namespace yardhill::node
 {
@@ -293,6 +295,7 @@
                                          {"token", m_token},
                                          {"holder", seen().row.holder}});
   m_parts.metrics.add(common::counter::owner_lost);
+  scheduling::publish({}, m_parts.metrics);
   if (m_loader)
     m_loader->abandon();
   m_loader.reset();
@@ -409,6 +412,7 @@
     return;
   }
   pump_commits(now);
+  m_parts.metrics.record(common::timing::decision, m_parts.time.now() - now);
 }
 
 template<class answer_type>
@@ -427,6 +431,12 @@
 void partition_owner::carry_out(const scheduling::command& what)
 {
   using scheduling::job_scheduler;
+  static constexpr std::array<std::optional<common::counter>,
+                              std::variant_size_v<scheduling::command>>
+      k_counters{common::counter::starts_sent, common::counter::stops_sent,
+                 common::counter::holds_sent};
+  if (const auto counted = k_counters.at(what.index()))
+    m_parts.metrics.add(*counted);
   const common::time_point now = m_parts.time.now();
   if (const auto* start = std::get_if<scheduling::start_command>(&what))
     m_parts.workers.start(*start, now,
--- /dev/null
+++ b/Source/Core/Node/ProcessReport.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// How busy this process is, as gauges and in the log's `counters` line: how late its loop is, what
+// processor time it uses, what it sends, how far an owner is behind.
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+#include "Common/Metrics.h"
+#include "Common/Timekeeper.h"
+#include "Node/LoopMonitor.h"
+
+namespace yardhill::node
+{
+class process_report
+{
+public:
+  // A line is written this often, and more often while the loop is later than that.
+  static constexpr std::chrono::seconds k_period{10};
+  static constexpr std::chrono::seconds k_late_period{1};
+  static constexpr std::chrono::milliseconds k_late{250};
+
+  // `processor_millis`: what the process may use, in thousandths of a core.
+  process_report(const common::timekeeper& time, common::metrics& metrics, loop_monitor& loop,
+                 std::function<common::duration()> cpu_time, std::uint32_t processor_millis);
+
+  // Called at each tick of the loop. Returns whether a line was written.
+  bool tick();
+
+  // What the latest line covers: the time since the one before.
+  struct interval
+  {
+    common::duration length{0};
+    common::duration cpu{0};
+    common::duration worst_lateness{0};
+    std::uint64_t passes = 0;
+    common::duration pass_time{0};
+  };
+  const interval& latest() const { return m_latest; }
+
+private:
+  bool due(common::time_point now) const;
+  void sample_cpu(common::time_point now);
+  void close_interval(common::time_point now);
+  void log() const;
+
+  const common::timekeeper& m_time;
+  common::metrics& m_metrics;
+  loop_monitor& m_loop;
+  std::function<common::duration()> m_cpu_time;
+  std::uint32_t m_processor_millis;
+  interval m_latest;
+  std::optional<common::time_point> m_logged;
+  std::optional<common::time_point> m_sampled;
+  common::duration m_cpu{0};        // at the latest sample
+  common::duration m_cpu_logged{0}; // at the latest line
+  common::metrics::recorded m_passes_logged;
+};
+} // namespace yardhill::node
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -39,6 +39,12 @@
          room_of(*step.spec).fits_in(worker.info.capacity);
 }
 
+bool ruled_out(const step_record& step, const worker_id& worker)
+{
+  const auto known = step.permits.permitted.find(worker);
+  return known != step.permits.permitted.end() && !known->second;
+}
+
 const std::string* advice_planner::ticket(const job_record& job, const step_record& step,
                                           const worker_id& worker, time_point now) const
 {
@@ -75,8 +81,7 @@
     if (why == occasion::waiting &&
         (!m_state.usable(*worker, now) || !room_in_time(*worker, job, which, now)))
       continue;
-    const auto known = step.permits.permitted.find(id);
-    if (known != step.permits.permitted.end() && !known->second)
+    if (ruled_out(step, id))
       continue;
     candidates.push_back(worker.get());
   }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -72,4 +72,6 @@
 
 // Whether a task of the step may run on the worker at all, its present load left aside.
 bool suits(const worker_record& worker, const job_record& job, const step_record& step);
+// Whether the queue's policy is known not to permit the step on the worker.
+bool ruled_out(const step_record& step, const worker_id& worker);
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -363,7 +363,7 @@
   if (!on_trial && !beside_silent && !task.lost && !task.crashes.any())
     return true;
   if (task.crashes.announced == run && task.crashes.announced_on == worker.info.id.value)
-    return !on_trial || task.announced == begin_mark::written;
+    return !awaits_announcement(task);
   task.crashes.announced = run;
   task.crashes.announced_on = worker.info.id.value;
   task.announced = begin_mark::wanted;
@@ -371,6 +371,11 @@
   return !on_trial;
 }
 
+bool crash_watch::awaits_announcement(const task_record& task)
+{
+  return suspected(task.crashes) && task.announced != begin_mark::written;
+}
+
 bool crash_watch::postponed(const task_record& task, time_point now) const
 {
   return task.accused_by || (isolated(task) && m_background.high(now));
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -60,6 +60,8 @@
   // silent worker, is announced as it starts.
   bool may_start(job_record& job, const task_place& place, run_number run,
                  const worker_record& worker, bool beside_silent);
+  // Whether its next run waits for its announcement to be written.
+  static bool awaits_announcement(const task_record& task);
   // Whether the task may be tried there at this moment, as far as crashes go.
   bool fit(const worker_record& worker, const task_record& task, time_point now) const;
   // Whether it is started nowhere for now: its trial waits until workers are no longer lost anyway,
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -56,6 +56,8 @@
   std::optional<run_number> accused_by;
   // Since when it waits for a worker that is fit for its trial.
   std::optional<time_point> trial_wanted;
+  // Since when a task that lasts is seen not to run for certain (see wait_report).
+  std::optional<time_point> idle_since;
   std::vector<run_record*> runs;
 };
 
@@ -101,7 +103,11 @@
   step_permits permits;
   begun_record begun;
 
+  // Since when tasks of it are seen to wait though it is ready (see backlog).
+  std::optional<time_point> waiting_since;
+
   bool complete() const { return done == tasks.size(); }
+  bool all_wait() const { return waiting == tasks.size(); }
 };
 
 struct cycle_record
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -7,9 +7,15 @@
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Scheduling/Backlog.h"
 
 namespace yardhill::scheduling
 {
+namespace
+{
+constexpr std::chrono::seconds k_report_period{1};
+} // namespace
+
 job_scheduler::job_scheduler(const scheduler_options& options, run_number first_run,
                              common::metrics& counts)
     : m_state(options, counts),
@@ -22,7 +28,8 @@
       m_reservations(m_state),
       m_advice(m_state, m_zones, m_reservations),
       m_placer(m_state, m_zones, m_advice, m_reservations, m_crashes),
-      m_evacuator(m_state, m_advice, m_placer)
+      m_evacuator(m_state, m_advice, m_placer),
+      m_waits(m_state, m_placer, m_crashes, m_accounting, m_holder)
 {
   m_state.first_run = first_run;
 }
@@ -402,6 +409,16 @@
     m_evacuator.tick(now);
   // After what waits already, since the calls that can be under way are few.
   look_ahead(now);
+  report_if_due(now);
+}
+
+void job_scheduler::report_if_due(time_point now)
+{
+  if (m_reported && now - *m_reported < k_report_period)
+    return;
+  m_reported = now;
+  m_waits.update(now);
+  publish(update_backlog(m_state, m_holder, m_waits, now), m_state.metrics);
 }
 
 std::vector<command> job_scheduler::take_commands()
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -22,6 +22,7 @@
 #include "Scheduling/Reservations.h"
 #include "Scheduling/RunFollower.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/WaitReport.h"
 #include "Scheduling/WorkerHolder.h"
 
 namespace yardhill::scheduling
@@ -129,6 +130,7 @@
   // Also of jobs that have ended under this owner; the state of those is written.
   std::optional<jobs::job_state> state_of(const std::string& job) const;
   partition_load load() const { return load_of(m_state); }
+  const wait_report& waits() const { return m_waits; }
 
 private:
   bool ends_unwritten() const;
@@ -140,6 +142,8 @@
   // Drops ended jobs that are written and of which nothing runs any more.
   void forget_ended();
   void look_ahead(time_point now);
+  // Figures and lines about what waits, once a second.
+  void report_if_due(time_point now);
   // Whether this pass looks for runs that time alone has made late or silent.
   bool survey_due();
   const jobs::queue_policy& policy_of(const std::string& queue) const;
@@ -155,6 +159,8 @@
   advice_planner m_advice;
   placer m_placer;
   evacuator m_evacuator;
+  wait_report m_waits;
+  std::optional<time_point> m_reported;
   std::set<std::string> m_ending; // ended jobs that are still held
   // Ended under this owner not long ago, with when it was dropped; in order of time beside it.
   std::map<std::string, jobs::job_state> m_forgotten;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -39,7 +39,7 @@
 
 void placer::place(time_point now, bool survey)
 {
-  if (!m_state.may_act(now) || !m_state.orders_begun || m_state.placing_ended)
+  if (!m_state.may_place(now))
     return;
   std::int64_t free = 0;
   for (const auto& [id, worker] : m_state.workers)
@@ -151,6 +151,27 @@
          (worker.slow_until > now ? k_slow_weight : 0.0);
 }
 
+placer::obstacle placer::obstacle_at(const worker_record& worker, const job_record& job,
+                                     const task_place& place, time_point now, trials how) const
+{
+  const step_record& step = job.cycles()[place.cycle].steps[place.step];
+  if (!m_state.usable(worker, now))
+    return obstacle::unusable;
+  if (!step.begun.covers(worker.info.zone))
+    return obstacle::other_zone;
+  if (!suits(worker, job, step))
+    return obstacle::unsuitable;
+  if (!has_room(worker, job, place))
+    return obstacle::no_room;
+  if (how == trials::kept_apart && !m_crashes.fit(worker, step.tasks[place.index], now))
+    return obstacle::unfit_for_trial;
+  if (!m_reservations.allows(worker, job, step, now))
+    return obstacle::reserved;
+  if (m_advice.ticket(job, step, worker.info.id, now) == nullptr)
+    return obstacle::no_ticket;
+  return obstacle::none;
+}
+
 // Where a queue's policy names the workers, only those with a ticket are looked at: a few of many.
 worker_record* placer::best_worker(job_record& job, const task_place& place, time_point now,
                                    trials how) const
@@ -163,11 +184,7 @@
   double best_preference = 0.0;
   const auto consider = [&](worker_record& worker)
   {
-    if (!m_state.usable(worker, now) || !step.begun.covers(worker.info.zone) ||
-        !suits(worker, job, step) || !has_room(worker, job, place) ||
-        (how == trials::kept_apart && !m_crashes.fit(worker, task, now)) ||
-        !m_reservations.allows(worker, job, step, now) ||
-        m_advice.ticket(job, step, worker.info.id, now) == nullptr)
+    if (obstacle_at(worker, job, place, now, how) != obstacle::none)
       return;
     const double value = preference(worker, step, task, now);
     if (best != nullptr && value <= best_preference)
@@ -248,7 +265,7 @@
   for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index)
   {
     const task_record& task = step.tasks[index];
-    if (task.phase != task_phase::waiting || (task.lost && !m_state.surely_owner(now)))
+    if (task.phase != task_phase::waiting || m_state.awaits_renewal(task, now))
       continue;
     const task_place place{each.cycle, each.step, index};
     worker_record* const worker = worker_for(job, place, now);
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -32,6 +32,27 @@
     return best_worker(job, place, now, trials::kept_apart);
   }
 
+  // Whether suspected tasks and their neighbours are kept apart.
+  enum class trials
+  {
+    kept_apart,
+    ignored
+  };
+  // What keeps a task from being started on a worker: the first of these that applies.
+  enum class obstacle
+  {
+    unusable,   // silent, paused, or its zone is
+    other_zone, // than the one that the step is kept in
+    unsuitable,
+    no_room,
+    unfit_for_trial,
+    reserved,
+    no_ticket,
+    none
+  };
+  obstacle obstacle_at(const worker_record& worker, const job_record& job, const task_place& place,
+                       time_point now, trials how) const;
+
 private:
   struct waiting_step
   {
@@ -66,12 +87,6 @@
   void advise_in_turn(const std::vector<waiting_step>& steps, time_point now);
   void place_step(const waiting_step& each, time_point now);
   void place_gang(const waiting_step& each, time_point now);
-  // Whether suspected tasks and their neighbours are kept apart.
-  enum class trials
-  {
-    kept_apart,
-    ignored
-  };
   worker_record* best_worker(job_record& job, const task_place& place, time_point now,
                              trials how) const;
   // A suspected task found no worker: whether it waits for one that is fit for its trial.
--- a/Source/Core/Scheduling/PlacerGangs.cpp
+++ b/Source/Core/Scheduling/PlacerGangs.cpp
@@ -34,12 +34,12 @@
   job_record& job = *each.job;
   step_record& step = job.cycles()[each.cycle].steps[each.step];
   // Members of an earlier run that have not ended yet would be a second run of the same task.
-  if (step.waiting != step.tasks.size())
+  if (!step.all_wait())
     return;
   run_number number = m_state.first_run;
   for (const task_record& task : step.tasks)
   {
-    if (task.lost && !m_state.surely_owner(now))
+    if (m_state.awaits_renewal(task, now))
       return;
     number = std::max(number, task.last_run);
   }
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -75,6 +75,13 @@
   bool may_act(time_point now) const { return now < authority_end && !fenced; }
   // Whether no other owner can have come since a moment ago.
   bool surely_owner(time_point now) const { return now - confirmed < options.fresh_word; }
+  // Whether the task may not be started again before the store has confirmed the ownership anew.
+  bool awaits_renewal(const task_record& task, time_point now) const
+  {
+    return task.lost && !surely_owner(now);
+  }
+  // Whether tasks may be started at all.
+  bool may_place(time_point now) const { return may_act(now) && orders_begun && !placing_ended; }
 
   // An order without an answer is sent again after this time. While answers are slow, a copy most
   // likely adds to what they wait for, so the time doubles with each (RFC 6298, section 5.5).
--- a/Source/Core/Scheduling/TakeoverAccounting.cpp
+++ b/Source/Core/Scheduling/TakeoverAccounting.cpp
@@ -161,6 +161,25 @@
                      });
 }
 
+std::vector<worker_id> takeover_accounting::holders_of(const job_record& job,
+                                                       const task_place& place) const
+{
+  std::vector<worker_id> holders;
+  const step_record& step = job.cycles()[place.cycle].steps[place.step];
+  for (const auto& [id, zone] : m_unheard)
+  {
+    if (may_run_in(step, zone))
+      holders.push_back(id);
+  }
+  const task_ref task{job.id(), place};
+  for (const auto& [id, tasks] : m_listed)
+  {
+    if (std::find(tasks.begin(), tasks.end(), task) != tasks.end())
+      holders.push_back(id);
+  }
+  return holders;
+}
+
 bool takeover_accounting::waits_for(const worker_id& id) const
 {
   return m_under_way && (m_unheard.contains(id) || m_listed.contains(id));
@@ -187,11 +206,15 @@
   return found == m_lost_workers.end() ? crash_watch::earlier_worker::heard : found->second;
 }
 
+bool takeover_accounting::may_run_in(const step_record& step, const std::string& zone)
+{
+  return zone.empty() || step.begun.covers(zone);
+}
+
 bool takeover_accounting::blocked(const step_record& step) const
 {
   return std::any_of(m_unheard.begin(), m_unheard.end(),
-                     [&step](const auto& each)
-                     { return each.second.empty() || step.begun.covers(each.second); });
+                     [&step](const auto& each) { return may_run_in(step, each.second); });
 }
 
 std::size_t takeover_accounting::release_tasks(job_record& job, const std::set<task_ref>& held,
--- a/Source/Core/Scheduling/TakeoverAccounting.h
+++ b/Source/Core/Scheduling/TakeoverAccounting.h
@@ -34,6 +34,8 @@
   void give_up_unheard(time_point now);
   // Whether an earlier owner's start of the task may be on its way to a worker not heard yet.
   bool may_hold(const job_record& job, const task_place& place) const;
+  // The workers on which it may be.
+  std::vector<worker_id> holders_of(const job_record& job, const task_place& place) const;
   // Whether tasks of earlier owners wait for the worker's word.
   bool waits_for(const worker_id& id) const;
   // Logs for each task that waits for the silent worker why it does, and how long at most.
@@ -47,6 +49,8 @@
   crash_watch::earlier_worker fate_of(const std::string& worker) const;
   void release_accounted(const char* why, time_point now);
   std::size_t release_tasks(job_record& job, const std::set<task_ref>& held, time_point now);
+  // Whether something of the step may run on an unheard worker of that zone.
+  static bool may_run_in(const step_record& step, const std::string& zone);
   // Whether something of the step may run on a worker that is still to be heard.
   bool blocked(const step_record& step) const;
 
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -297,6 +297,16 @@
   return !worker.runs.empty() || !worker.foreign.empty();
 }
 
+duration worker_holder::overdue(const worker_record& worker, time_point now) const
+{
+  const bool extended = worker.claimed && !(worker.runs.empty() && worker.foreign.empty());
+  const bool asked = !worker.claimed && worker.taken_over;
+  if (worker.over || worker.token_wanted || !(extended || asked))
+    return duration{0};
+  const duration takes = hold_wait() + std::max(m_state.order_patience, m_state.options.hold_retry);
+  return std::max(duration{0}, now - worker.last_hold - takes);
+}
+
 void worker_holder::on_hold(const hold_answer& answer, time_point now)
 {
   if (answer.end == call_end::fenced)
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -32,6 +32,9 @@
   void tick(time_point now);
   // How many workers of earlier owners have not been heard, as of the latest tick.
   std::size_t unheard() const { return m_unheard; }
+  // How long ago the next hold should have gone to a worker that needs holds: more than a hold and
+  // its answer take; zero if it is not overdue. A silent worker's holds are repeated in time.
+  duration overdue(const worker_record& worker, time_point now) const;
 
 private:
   worker_record& new_record(const worker_id& id, time_point now);
