Scheduling, Node: Tests of the wait report, the backlog's gauges and the counters line

Change: a case for each wait that a lasting task can be told in, turns and counts of many; gauges by worker and step; lines by lateness; explain on these lines. explain writes "1 line".

--- a/Source/Core/Explain/Explanation.cpp
+++ b/Source/Core/Explain/Explanation.cpp
@@ -239,7 +239,8 @@
     const log_line& line = *told.longest;
     const auto waited = milliseconds(static_cast<std::int64_t>(line.number("waited_ms")));
     cause += cause.empty() ? "; a task that lasts did not run: " : ", ";
-    cause += wait + " (" + std::to_string(told.lines) + " lines, up to " + in_seconds(waited);
+    cause += wait + " (" + std::to_string(told.lines) + (told.lines == 1 ? " line" : " lines") +
+             ", up to " + in_seconds(waited);
     const std::string worker = line.text("worker");
     cause += worker.empty() ? ")" : ", worker " + worker + " in zone " + line.text("zone") + ")";
   }
--- a/Source/UnitTests/Common/MetricsTest.cpp
+++ b/Source/UnitTests/Common/MetricsTest.cpp
@@ -49,4 +49,29 @@
   BOOST_TEST(counts.quantile(timing::decision, 1.0) >= std::chrono::milliseconds{10});
 }
 
+BOOST_AUTO_TEST_CASE(a_timing_tells_how_many_values_it_has_and_their_sum)
+{
+  metrics counts;
+  BOOST_TEST(counts.total(timing::decision).count == 0U);
+  counts.record(timing::decision, std::chrono::microseconds{100});
+  counts.record(timing::decision, std::chrono::microseconds{0}); // below the lowest bucket
+  counts.record(timing::decision, std::chrono::milliseconds{10});
+  BOOST_TEST(counts.total(timing::decision).count == 3U);
+  BOOST_TEST((counts.total(timing::decision).sum == std::chrono::microseconds{10100}));
+  BOOST_TEST(counts.total(timing::store_latency).count == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(gauges_of_an_owners_backlog_are_shown)
+{
+  metrics counts;
+  counts.set(gauge::loop_late_ms, 320);
+  counts.set(gauge::hold_overdue_ms, 1500);
+  counts.set(gauge::lasting_waiting, 7);
+  counts.add(counter::process_cpu_ms, 90);
+  const std::string shown = counts.exposition();
+  for (const char* line : {"yardhill_loop_late_ms 320\n", "yardhill_hold_overdue_ms 1500\n",
+                           "yardhill_lasting_waiting 7\n", "yardhill_process_cpu_ms_total 90\n"})
+    BOOST_TEST(shown.find(line) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Explain/ExplanationTest.cpp
+++ b/Source/UnitTests/Explain/ExplanationTest.cpp
@@ -87,6 +87,49 @@
   BOOST_TEST(to_text(told).find("|    4.900  c  tasks_accounted") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_task_that_does_not_run_is_told_with_its_waits)
+{
+  const auto waits = [](int at, const std::string& wait, const std::string& rest)
+  {
+    return line(at, "b",
+                of_request("lasting_task_waits",
+                           ",\"step\":0,\"task\":0,\"wait\":\"" + wait + "\"" + rest));
+  };
+  const std::vector<log_line> log{
+      line(100, "a", of_request("job_accepted")),
+      line(200, "b", of_request("tasks_started")),
+      waits(8000, "run_silent", ",\"waited_ms\":3100.0,\"worker\":\"w1\",\"zone\":\"z2\""),
+      waits(9000, "run_silent", ",\"waited_ms\":4100.0,\"worker\":\"w1\",\"zone\":\"z2\""),
+      waits(10000, "renewal", ",\"waited_ms\":5100.0,\"worker\":\"\""),
+      line(12000, "c", of_request("tasks_started")),
+  };
+  const auto told = explain(k_id, log);
+  BOOST_TEST(told.longest_wait.count() == 11800); // no line of a wait ends it
+  BOOST_TEST(told.cause.find("; a task that lasts did not run: run_silent (2 lines, up to 4.10 s, "
+                             "worker w1 in zone z2), renewal (1 line, up to 5.10 s)") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_loop_counts_if_its_process_told_of_the_request)
+{
+  const auto late = [](int at, const std::string& process, const std::string& by)
+  { return line(at, process, "\"event\":\"counters\",\"loop_late_worst_ms\":" + by); };
+  const std::vector<log_line> log{
+      line(100, "a", of_request("job_accepted")),
+      late(1000, "a", "200.0"),
+      late(2000, "b", "640.0"),
+      late(3000, "b", "310.0"),
+      late(4000, "other", "2000.0"),
+      line(5000, "b",
+           of_request("job_ended", ",\"state\":\"completed\","
+                                   "\"before_objective_ms\":-3000.0")),
+  };
+  const auto told = explain(k_id, log);
+  BOOST_TEST((told.how == outcome::late));
+  BOOST_TEST(told.meanwhile.size() == 2U);
+  BOOST_TEST(told.cause.find("; the loop of b was up to 0.64 s late") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_that_crashed_its_workers_is_told_as_such)
 {
   const auto told = explain(
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -20,6 +20,26 @@
   BOOST_TEST(owner.owns());
 }
 
+BOOST_FIXTURE_TEST_CASE(an_owners_passes_are_counted, owner_under_test)
+{
+  BOOST_TEST(metrics.total(common::timing::decision).count == 0U);
+  pass(milliseconds{1000});
+  BOOST_TEST_REQUIRE(owner.owns());
+  BOOST_TEST(metrics.total(common::timing::decision).count >= 10U);
+}
+
+// What it shows of the partition is not its own any more.
+BOOST_FIXTURE_TEST_CASE(an_owner_that_has_lost_its_partition_shows_no_backlog, owner_under_test)
+{
+  pass(milliseconds{1000});
+  BOOST_TEST_REQUIRE(owner.owns());
+  metrics.set(common::gauge::hold_overdue_ms, 900);
+  strongest_peer = 2 * processor_millis;
+  pass(milliseconds{3000});
+  BOOST_TEST_REQUIRE(!owner.owns());
+  BOOST_TEST(metrics.value(common::gauge::hold_overdue_ms) == 0U);
+}
+
 // A weak instance that was first serves until a stronger one has been there for a while.
 BOOST_FIXTURE_TEST_CASE(a_partition_is_given_to_a_stronger_instance_that_stays, owner_under_test)
 {
--- /dev/null
+++ b/Source/UnitTests/Node/ProcessReportTest.cpp
@@ -0,0 +1,98 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include <boost/test/unit_test.hpp>
+
+#include "Model/VirtualTime.h"
+#include "Node/ProcessReport.h"
+
+using namespace yardhill;
+using common::counter;
+using common::gauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+// A process that ticks every 25 ms and uses a tenth of a core.
+struct reporting_process
+{
+  model::virtual_time time;
+  common::metrics metrics;
+  node::loop_monitor loop;
+  common::duration cpu{0};
+  node::process_report report{time, metrics, loop, [this] { return cpu; }, 500};
+  unsigned lines = 0;
+
+  void tick(milliseconds late = milliseconds{0})
+  {
+    const common::time_point due = time.now() + milliseconds{25};
+    time.run_until(due + late);
+    cpu += common::duration{milliseconds{25} + late} / 10;
+    loop.ticked(due, time.now());
+    lines += report.tick() ? 1 : 0;
+  }
+
+  void pass(milliseconds span)
+  {
+    const common::time_point end = time.now() + span;
+    while (time.now() < end)
+      tick();
+  }
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ProcessReportTest)
+
+BOOST_FIXTURE_TEST_CASE(a_process_that_is_not_late_writes_a_line_in_ten_seconds, reporting_process)
+{
+  tick();
+  BOOST_TEST(lines == 1U);
+  pass(milliseconds{9950});
+  BOOST_TEST(lines == 1U);
+  pass(milliseconds{50});
+  BOOST_TEST(lines == 2U);
+  BOOST_TEST((report.latest().length == seconds{10}));
+  BOOST_TEST((report.latest().cpu == seconds{1}));
+  BOOST_TEST((report.latest().worst_lateness == common::duration{0}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_loop_is_told_at_once_and_no_more_than_once_a_second,
+                        reporting_process)
+{
+  tick();
+  pass(seconds{2});
+  tick(milliseconds{400});
+  BOOST_TEST(lines == 2U);
+  BOOST_TEST((report.latest().worst_lateness == milliseconds{400}));
+  BOOST_TEST(metrics.value(gauge::loop_late_ms) == 400U);
+  BOOST_TEST(metrics.value(gauge::loop_late_worst_ms) == 400U);
+  tick(milliseconds{300});
+  tick(milliseconds{300});
+  BOOST_TEST(lines == 2U);
+  tick(milliseconds{400});
+  BOOST_TEST(lines == 3U);
+  BOOST_TEST((report.latest().worst_lateness == milliseconds{400}));
+}
+
+BOOST_FIXTURE_TEST_CASE(the_processor_time_is_counted_once_a_second, reporting_process)
+{
+  tick();
+  pass(seconds{3});
+  BOOST_TEST(metrics.value(counter::process_cpu_ms) >= 200U);
+  BOOST_TEST(metrics.value(counter::process_cpu_ms) <= 310U);
+}
+
+BOOST_FIXTURE_TEST_CASE(passes_are_told_since_the_line_before, reporting_process)
+{
+  metrics.record(common::timing::decision, milliseconds{2});
+  tick();
+  BOOST_TEST(report.latest().passes == 1U);
+  metrics.record(common::timing::decision, milliseconds{3});
+  metrics.record(common::timing::decision, milliseconds{4});
+  pass(seconds{10});
+  BOOST_TEST(report.latest().passes == 2U);
+  BOOST_TEST((report.latest().pass_time == milliseconds{7}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
