--- a/Source/Core/Common/ProcessClock.h
+++ b/Source/Core/Common/ProcessClock.h
@@ -5,7 +5,7 @@
 
 // The processor time that all threads of this process have used.
 
-#include <ctime>
+#include <sys/resource.h>
 
 #include "Common/Time.h"
 
@@ -13,9 +13,10 @@
 {
 inline duration process_cpu_time()
 {
-  timespec used{};
-  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-  return std::chrono::duration_cast<duration>(std::chrono::seconds(used.tv_sec) +
-                                              std::chrono::nanoseconds(used.tv_nsec));
+  rusage used{};
+  ::getrusage(RUSAGE_SELF, &used);
+  const auto of = [](const timeval& time)
+  { return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec); };
+  return of(used.ru_utime) + of(used.ru_stime);
 }
 } // namespace yardhill::common
--- a/Source/Core/Scheduling/WaitReport.cpp
+++ b/Source/Core/Scheduling/WaitReport.cpp
@@ -64,6 +64,14 @@
   return wait;
 }
 
+std::string mark_state(const begun_record& begun)
+{
+  static constexpr auto k_marks = std::to_array<std::string_view>(
+      {"not asked for", "waits for a commit", "is being written", "is written for another zone"});
+  const begin_mark mark = begun.widened == begin_mark::none ? begun.mark : begun.widened;
+  return "the mark " + std::string(common::name_of(k_marks, mark));
+}
+
 std::string advice_state(const step_permits& permits, time_point now)
 {
   if (permits.asking)
@@ -265,7 +273,10 @@
   task_wait wait = wait_for(reason_of(least), *nearest, now);
   wait.workers = counts.at(static_cast<std::size_t>(least));
   if (least == obstacle::none && !step.begun.written_for(nearest->info.zone))
+  {
     wait.reason = wait_reason::begin_mark;
+    wait.detail = mark_state(step.begun);
+  }
   else if (least == obstacle::none && crash_watch::awaits_announcement(task))
     wait.reason = wait_reason::announcement;
   if (least == obstacle::no_ticket)
--- a/Source/UnitTests/Scheduling/WaitReportTest.cpp
+++ b/Source/UnitTests/Scheduling/WaitReportTest.cpp
@@ -77,9 +77,7 @@
 yardhill::jobs::queue_policy with_advice()
 {
   yardhill::jobs::queue_policy policy;
-  policy.advice.emplace();
-  policy.advice->per_call = milliseconds{20};
-  policy.advice->valid = seconds{60};
+  policy.advice = {milliseconds{20}, milliseconds{0}, seconds{60}};
   return policy;
 }
 } // namespace
@@ -182,6 +180,7 @@
   scheduler->add_job(job(k_job, {lasting_step()}), now);
   wait();
   BOOST_TEST(only_reason() == "begin_mark");
+  BOOST_TEST(only_wait().detail.find("the mark waits for a commit") == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(no_room_is_told_with_the_number_of_workers, owner)
