Http: A call is sent in one piece and bounded by one timer for all

Cause: of a call's processor time most went into Beast's serializer and fields, two timers of its stream for each call and one of the timekeeper. Ruled out: fewer system calls; there are three already (write, read, probe of the idle connection), and without the probe a call may go to a worker that has closed. Change: the request is one string, written at once where the socket takes it; of an answer only status and body are kept (the parser is still Beast's); deadlines of all calls, and the timekeeper's calls, wait in a queue over one timer, which is not touched when a call is taken back. A call that fails at once is told from the loop, as the header says, and a connection with stray bytes is not kept.

--- a/Source/Core/Http/HttpClient.cpp
+++ b/Source/Core/Http/HttpClient.cpp
@@ -11,11 +11,18 @@
 
 #include <netinet/tcp.h>
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include "Common/BootClock.h"
+#include "Http/AnswerParser.h"
+#include "Http/RequestText.h"
+#include "Http/TimerQueue.h"
 
 namespace yardhill::http
 {
@@ -26,28 +33,14 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
-using clock = std::chrono::steady_clock;
+using clock = timer_queue::clock;
 
 // Unacknowledged bytes end a connection after this time, so that a peer without power is noticed
 // even where the call itself would wait longer. Twice the longest round trip of a slow link.
 constexpr int k_user_timeout_ms = 3000;
 // An idle connection older than this is closed instead of used: peers close theirs after 15 s.
 constexpr std::chrono::seconds k_longest_idle{10};
-
-bhttp::verb verb_of(method verb)
-{
-  switch (verb)
-  {
-  case method::post:
-    return bhttp::verb::post;
-  case method::put:
-    return bhttp::verb::put;
-  case method::remove:
-    return bhttp::verb::delete_;
-  default:
-    return bhttp::verb::get;
-  }
-}
+constexpr std::size_t k_most_read = 65536;
 
 using peer_key = std::pair<std::string, std::uint16_t>;
 
@@ -58,38 +51,54 @@
   reply_handler done;
 };
 
+struct connection;
+
+struct peer_pool
+{
+  explicit peer_pool(const peer_key& key)
+      : address(key.first), port(key.second), host(key.first + ":" + std::to_string(key.second))
+  {
+  }
+
+  std::string address;
+  std::uint16_t port;
+  std::string host;
+  std::vector<std::shared_ptr<connection>> idle;
+  std::deque<waiting_call> waiting;
+  std::size_t busy = 0;
+};
+
 struct connection
 {
-  explicit connection(asio::io_context& io) : stream(io) {}
+  explicit connection(asio::io_context& io) : socket(io) {}
 
-  beast::tcp_stream stream;
+  tcp::socket socket;
   beast::flat_buffer buffer;
   common::time_point idle_since;
-  // Of the call under way.
-  bhttp::request<bhttp::string_body> outgoing;
-  std::unique_ptr<bhttp::response_parser<bhttp::string_body>> incoming;
+  // Of the call under way. Its pool stays for as long as it is busy.
+  peer_pool* pool = nullptr;
+  std::string outgoing;
+  std::optional<answer_parser> incoming;
   std::optional<long_answer> expects;
+  std::optional<timer_queue::entry> deadline;
+  bool expired = false;
   reply_handler done;
 };
 
-struct peer_pool
-{
-  std::vector<std::shared_ptr<connection>> idle;
-  std::deque<waiting_call> waiting;
-  std::size_t busy = 0;
-};
+using link_pointer = std::shared_ptr<connection>;
 } // namespace
 
 class http_client::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-  implementation(asio::io_context& io, const client_options& options) : m_io(io), m_options(options)
+  implementation(asio::io_context& io, const client_options& options)
+      : m_io(io), m_options(options), m_deadlines(io)
   {
   }
 
   void send(const peer_key& key, waiting_call call)
   {
-    peer_pool& pool = m_pools[key];
+    peer_pool& pool = m_pools.try_emplace(key, key).first->second;
     if (pool.busy >= m_options.most_connections)
     {
       if (pool.waiting.size() >= m_options.most_waiting)
@@ -101,7 +110,7 @@
         pool.waiting.push_back(std::move(call));
       return;
     }
-    begin(key, pool, std::move(call));
+    begin(pool, std::move(call));
   }
 
   void forget(const peer_key& key)
@@ -115,36 +124,51 @@
   }
 
 private:
-  void begin(const peer_key& key, peer_pool& pool, waiting_call call)
+  void begin(peer_pool& pool, waiting_call call)
   {
     ++pool.busy;
-    std::shared_ptr<connection> link = take_idle(pool);
+    link_pointer link = take_idle(pool);
     const bool connected = link != nullptr;
     if (!connected)
       link = std::make_shared<connection>(m_io);
+    link->pool = &pool;
     link->done = std::move(call.done);
     link->expects = std::move(call.call.expects);
-    link->outgoing = {};
-    link->outgoing.method(verb_of(call.call.verb));
-    link->outgoing.target(call.call.target);
-    link->outgoing.version(11);
-    link->outgoing.set(bhttp::field::host, key.first + ":" + std::to_string(key.second));
-    for (const auto& [name, value] : call.call.headers)
-      link->outgoing.set(name, value);
-    link->outgoing.body() = std::move(call.call.body);
-    link->outgoing.prepare_payload();
-    link->stream.expires_at(call.expires);
+    write_request(link->outgoing, pool.host, call.call);
+    expire_at(*link, call.expires);
     if (connected)
-      write(key, link);
+      write(link);
     else
-      connect(key, link);
+      connect(link);
+  }
+
+  void expire_at(connection& link, clock::time_point when)
+  {
+    expire_never(link);
+    link.deadline = m_deadlines.add(when, [&link] { expire(link); });
+  }
+
+  void expire_never(connection& link)
+  {
+    if (link.deadline)
+      m_deadlines.remove(*link.deadline);
+    link.deadline.reset();
   }
 
-  std::shared_ptr<connection> take_idle(peer_pool& pool)
+  // What is under way on it ends with an error.
+  static void expire(connection& link)
+  {
+    link.deadline.reset();
+    link.expired = true;
+    error_code ignored;
+    link.socket.close(ignored);
+  }
+
+  link_pointer take_idle(peer_pool& pool)
   {
     while (!pool.idle.empty())
     {
-      std::shared_ptr<connection> link = std::move(pool.idle.back());
+      link_pointer link = std::move(pool.idle.back());
       pool.idle.pop_back();
       if (common::boot_time() - link->idle_since < k_longest_idle && !closed_by_peer(*link))
         return link;
@@ -156,108 +180,136 @@
   static bool closed_by_peer(connection& link)
   {
     char probe = 0;
-    const auto got =
-        ::recv(link.stream.socket().native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto got = ::recv(link.socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
-  void connect(const peer_key& key, const std::shared_ptr<connection>& link)
+  void connect(const link_pointer& link)
   {
     error_code error;
-    const auto address = asio::ip::make_address(key.first, error);
+    const auto address = asio::ip::make_address(link->pool->address, error);
     if (error)
     {
-      finish(key, link, {0, {}, "bad address", true}, false);
+      finish_soon(link, {0, {}, "bad address", true});
       return;
     }
-    link->stream.async_connect(
-        tcp::endpoint(address, key.second),
-        [self = shared_from_this(), key, link](const error_code& failed)
-        {
-          if (failed)
-          {
-            self->finish(key, link, {0, {}, "connect: " + failed.message(), true}, false);
-            return;
-          }
-          error_code ignored;
-          link->stream.socket().set_option(tcp::no_delay(true), ignored);
-          link->stream.socket().set_option(
-              asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
-                  k_user_timeout_ms),
-              ignored);
-          self->write(key, link);
-        });
+    link->socket.async_connect(tcp::endpoint(address, link->pool->port),
+                               [self = shared_from_this(), link](const error_code& failed)
+                               { self->on_connected(link, failed); });
+  }
+
+  void on_connected(const link_pointer& link, const error_code& failed)
+  {
+    if (failed || link->expired)
+    {
+      finish(link, {0, {}, "connect: " + message_of(*link, failed), true}, false);
+      return;
+    }
+    error_code ignored;
+    link->socket.non_blocking(true, ignored);
+    link->socket.set_option(tcp::no_delay(true), ignored);
+    link->socket.set_option(
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(k_user_timeout_ms),
+        ignored);
+    write(link);
   }
 
-  void write(const peer_key& key, const std::shared_ptr<connection>& link)
+  // A call fits into the socket's buffer as a rule, so that it is sent without a turn of the loop.
+  void write(const link_pointer& link)
   {
-    bhttp::async_write(
-        link->stream, link->outgoing,
-        [self = shared_from_this(), key, link](const error_code& failed, std::size_t)
+    error_code failed;
+    const std::size_t sent = link->socket.write_some(asio::buffer(link->outgoing), failed);
+    if (failed && failed != asio::error::would_block)
+    {
+      finish_soon(link, {0, {}, "send: " + message_of(*link, failed), false});
+      return;
+    }
+    if (sent == link->outgoing.size())
+    {
+      read(link);
+      return;
+    }
+    asio::async_write(
+        link->socket, asio::buffer(link->outgoing) + sent,
+        [self = shared_from_this(), link](const error_code& broken, std::size_t)
         {
-          if (failed)
-            self->finish(key, link, {0, {}, "send: " + failed.message(), false}, false);
+          if (broken)
+            self->finish(link, {0, {}, "send: " + message_of(*link, broken), false}, false);
           else
-            self->read(key, link);
+            self->read(link);
         });
   }
 
-  void read(const peer_key& key, const std::shared_ptr<connection>& link)
+  void read(const link_pointer& link)
   {
-    link->incoming = std::make_unique<bhttp::response_parser<bhttp::string_body>>();
-    link->incoming->eager(true);
-    link->incoming->body_limit(link->expects && link->expects->most_bytes > 0
-                                   ? link->expects->most_bytes
-                                   : m_options.most_body);
-    read_some(key, link);
+    link->incoming.emplace(link->expects && link->expects->most_bytes > 0
+                               ? link->expects->most_bytes
+                               : m_options.most_body);
+    read_some(link);
   }
 
-  void read_some(const peer_key& key, const std::shared_ptr<connection>& link)
+  void read_some(const link_pointer& link)
   {
-    bhttp::async_read_some(
-        link->stream, link->buffer, *link->incoming,
-        [self = shared_from_this(), key, link](const error_code& failed, std::size_t)
-        { self->on_read(key, link, failed); });
+    link->socket.async_read_some(
+        link->buffer.prepare(beast::read_size(link->buffer, k_most_read)),
+        [self = shared_from_this(), link](const error_code& failed, std::size_t bytes)
+        {
+          link->buffer.commit(bytes);
+          self->on_read(link, failed);
+        });
   }
 
-  void on_read(const peer_key& key, const std::shared_ptr<connection>& link,
-               const error_code& failed)
+  void on_read(const link_pointer& link, error_code failed)
   {
+    answer_parser& answer = *link->incoming;
+    std::size_t taken = 0;
+    if (failed == asio::error::eof && answer.got_some())
+      answer.put_eof(failed);
+    else if (failed == asio::error::eof)
+      failed = bhttp::error::end_of_stream;
+    else if (!failed)
+    {
+      taken = answer.put(link->buffer.data(), failed);
+      link->buffer.consume(taken);
+      if (failed == bhttp::error::need_more)
+        failed = {};
+    }
     if (failed == bhttp::error::body_limit && link->expects)
     {
-      reply answer;
-      answer.status = link->incoming->get().result_int();
-      answer.too_long = true;
-      finish(key, link, std::move(answer), false);
+      reply too_long;
+      too_long.status = answer.status();
+      too_long.too_long = true;
+      finish(link, std::move(too_long), false);
       return;
     }
     if (failed)
     {
-      finish(key, link, {0, {}, "receive: " + failed.message() + came_of(*link), false}, false);
+      finish(link, {0, {}, "receive: " + message_of(*link, failed) + came_of(*link), false}, false);
       return;
     }
-    if (link->expects && link->expects->coming)
+    if (taken > 0 && link->expects && link->expects->coming)
       link->expects->coming();
-    if (!link->incoming->is_done())
+    if (!answer.is_done())
     {
-      if (link->expects)
-        link->stream.expires_after(link->expects->longest_pause);
-      read_some(key, link);
+      if (taken > 0 && link->expects)
+        expire_at(*link, clock::now() + link->expects->longest_pause);
+      read_some(link);
       return;
     }
-    auto& message = link->incoming->get();
-    const bool keep = message.keep_alive();
-    reply answer;
-    answer.status = message.result_int();
-    answer.body = std::move(message.body());
-    finish(key, link, std::move(answer), keep);
+    const bool keep = answer.keep_alive() && !link->expired && link->buffer.size() == 0;
+    finish(link, {answer.status(), std::move(answer.body()), {}, false}, keep);
+  }
+
+  static std::string message_of(const connection& link, const error_code& failed)
+  {
+    return link.expired ? make_error_code(beast::error::timeout).message() : failed.message();
   }
 
   // How much of an answer came before its call ended; nothing if none of its body did. Tells a peer
   // that is silent from a link that is too narrow for the time given.
-  static std::string came_of(const connection& link)
+  static std::string came_of(connection& link)
   {
-    const std::size_t came = link.incoming->get().body().size();
+    const std::size_t came = link.incoming->body().size();
     if (came == 0)
       return {};
     const auto whole = link.incoming->content_length();
@@ -265,12 +317,20 @@
            (whole ? std::to_string(*whole) : std::string("an unknown number of")) + " bytes";
   }
 
-  void finish(const peer_key& key, const std::shared_ptr<connection>& link, reply answer, bool keep)
+  // Of a call that fails at once, whose caller is told from the loop.
+  void finish_soon(const link_pointer& link, reply answer)
+  {
+    asio::post(m_io, [self = shared_from_this(), link, answer = std::move(answer)]() mutable
+               { self->finish(link, std::move(answer), false); });
+  }
+
+  void finish(const link_pointer& link, reply answer, bool keep)
   {
     reply_handler done = std::move(link->done);
     link->done = nullptr;
-    link->stream.expires_never();
-    peer_pool& pool = m_pools[key];
+    expire_never(*link);
+    link->incoming.reset();
+    peer_pool& pool = *std::exchange(link->pool, nullptr);
     --pool.busy;
     if (keep)
     {
@@ -280,13 +340,13 @@
     else
     {
       error_code ignored;
-      link->stream.socket().close(ignored);
+      link->socket.close(ignored);
     }
-    next(key, pool);
+    next(pool);
     done(std::move(answer));
   }
 
-  void next(const peer_key& key, peer_pool& pool)
+  void next(peer_pool& pool)
   {
     while (!pool.waiting.empty() && pool.busy < m_options.most_connections)
     {
@@ -294,7 +354,7 @@
       pool.waiting.pop_front();
       if (call.expires > clock::now())
       {
-        begin(key, pool, std::move(call));
+        begin(pool, std::move(call));
         continue;
       }
       asio::post(m_io,
@@ -306,6 +366,7 @@
 
   asio::io_context& m_io;
   client_options m_options;
+  timer_queue m_deadlines;
   std::map<peer_key, peer_pool> m_pools;
 };
 
--- a/Source/Core/Node/AsioTimekeeper.cpp
+++ b/Source/Core/Node/AsioTimekeeper.cpp
@@ -23,22 +23,21 @@
                                                     std::function<void()> what)
 {
   const entry number = ++m_last;
-  auto& timer = m_timers[number];
-  timer = std::make_unique<boost::asio::steady_timer>(m_io, delay);
-  timer->async_wait(
-      [this, number, what = std::move(what)](const boost::system::error_code& cancelled)
-      {
-        if (cancelled)
-          return;
-        // It may have been cancelled after it ran out.
-        if (m_timers.erase(number) > 0)
-          what();
-      });
+  m_entries[number] = m_queue.add(http::timer_queue::clock::now() + delay,
+                                  [this, number, what = std::move(what)]
+                                  {
+                                    m_entries.erase(number);
+                                    what();
+                                  });
   return number;
 }
 
 void asio_timekeeper::cancel(entry which)
 {
-  m_timers.erase(which);
+  const auto found = m_entries.find(which);
+  if (found == m_entries.end())
+    return;
+  m_queue.remove(found->second);
+  m_entries.erase(found);
 }
 } // namespace yardhill::node
--- a/Source/Core/Node/AsioTimekeeper.h
+++ b/Source/Core/Node/AsioTimekeeper.h
@@ -5,20 +5,23 @@
 
 // The time of an event loop.
 
-#include <map>
-#include <memory>
+#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Common/Timekeeper.h"
+#include "Http/TimerQueue.h"
 
 namespace yardhill::node
 {
 class asio_timekeeper : public common::timekeeper
 {
 public:
-  explicit asio_timekeeper(boost::asio::io_context& io) : m_io(io) {}
+  explicit asio_timekeeper(boost::asio::io_context& io) : m_queue(io) {}
+  // What the calls hold may cancel others while they are destroyed.
+  ~asio_timekeeper() override { m_entries.clear(); }
+  asio_timekeeper(const asio_timekeeper&) = delete;
+  asio_timekeeper& operator=(const asio_timekeeper&) = delete;
 
   common::time_point now() const override;
   common::wall_clock_time wall() const override;
@@ -26,8 +29,8 @@
   void cancel(entry which) override;
 
 private:
-  boost::asio::io_context& m_io;
-  std::map<entry, std::unique_ptr<boost::asio::steady_timer>> m_timers;
+  std::unordered_map<entry, http::timer_queue::entry> m_entries; // of calls to come
+  http::timer_queue m_queue;
   entry m_last = 0;
 };
 } // namespace yardhill::node
--- a/Source/UnitTests/Http/HttpClientTest.cpp
+++ b/Source/UnitTests/Http/HttpClientTest.cpp
@@ -160,4 +160,35 @@
   BOOST_TEST(reply.body.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(an_answer_in_chunks_is_put_together, client_under_test)
+{
+  const http::reply reply = answer({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+                                    "c\r\n2\r\nde\r\n", "0\r\n\r\n"},
+                                   milliseconds{20}, seconds{20}, std::nullopt);
+  BOOST_TEST(reply.status == 200U);
+  BOOST_TEST(reply.body == "abcde");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_head_that_comes_in_pieces_is_read, client_under_test)
+{
+  const http::reply reply = answer({"HTTP/1.1 40", "9 Conflict\r\nContent-", "Length: 2\r\n\r\n{}"},
+                                   milliseconds{20}, seconds{20}, std::nullopt);
+  BOOST_TEST(reply.status == 409U);
+  BOOST_TEST(reply.body == "{}");
+}
+
+// A caller's own state is not ready for an answer before `send` has returned.
+BOOST_FIXTURE_TEST_CASE(a_call_that_fails_at_once_is_told_from_the_loop, client_under_test)
+{
+  std::optional<http::reply> got;
+  client.send({"no-address", 1}, {http::method::get, "/", {}, {}}, seconds{20},
+              [&got](http::reply reply) { got = std::move(reply); });
+  BOOST_TEST(!got.has_value());
+  while (!got && io.run_one() > 0)
+  {
+  }
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->refused);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
