Scheduling: Room is reckoned in place, and tickets that are over are left out first

Ruled out: keeping pointers to workers in the tickets; they may outlive a worker. Change: sums of resources are inline; the tasks that fit are found by division; a ticket that is over is passed by before its worker is looked for.

--- a/Source/Core/Common/Resources.cpp
+++ b/Source/Core/Common/Resources.cpp
@@ -32,20 +32,6 @@
   return k_dimensions.at(static_cast<std::size_t>(dimension)).name;
 }
 
-resources& resources::operator+=(const resources& other)
-{
-  for (const dimension_entry& entry : k_dimensions)
-    this->*entry.member += other.*entry.member;
-  return *this;
-}
-
-resources& resources::operator-=(const resources& other)
-{
-  for (const dimension_entry& entry : k_dimensions)
-    this->*entry.member -= other.*entry.member;
-  return *this;
-}
-
 std::optional<resource_dimension> resources::first_excess(const resources& room) const
 {
   for (const dimension_entry& entry : k_dimensions)
--- a/Source/Core/Common/Resources.h
+++ b/Source/Core/Common/Resources.h
@@ -33,8 +33,24 @@
 
   bool operator==(const resources&) const = default;
 
-  resources& operator+=(const resources& other);
-  resources& operator-=(const resources& other);
+  resources& operator+=(const resources& other)
+  {
+    cpu_millis += other.cpu_millis;
+    memory_mib += other.memory_mib;
+    accelerators += other.accelerators;
+    slots += other.slots;
+    connections += other.connections;
+    return *this;
+  }
+  resources& operator-=(const resources& other)
+  {
+    cpu_millis -= other.cpu_millis;
+    memory_mib -= other.memory_mib;
+    accelerators -= other.accelerators;
+    slots -= other.slots;
+    connections -= other.connections;
+    return *this;
+  }
   friend resources operator+(resources left, const resources& right) { return left += right; }
   friend resources operator-(resources left, const resources& right) { return left -= right; }
 
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -39,13 +39,18 @@
          room_of(*step.spec).fits_in(worker.info.capacity);
 }
 
+bool advice_planner::in_time(const step_permits::ticket& ticket, time_point now) const
+{
+  return ticket.until - m_state.order_round_trip > now;
+}
+
 const std::string* advice_planner::ticket(const job_record& job, const step_record& step,
                                           const worker_id& worker, time_point now) const
 {
   if (!job.policy().advice)
     return &k_no_ticket;
   const auto found = step.permits.tickets.find(worker);
-  if (found == step.permits.tickets.end() || found->second.until - m_state.order_round_trip <= now)
+  if (found == step.permits.tickets.end() || !in_time(found->second, now))
     return nullptr;
   return &found->second.text;
 }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -31,6 +31,8 @@
   // where the queue needs none.
   const std::string* ticket(const job_record& job, const step_record& step, const worker_id& worker,
                             time_point now) const;
+  // Whether a start that is sent now arrives while the ticket holds.
+  bool in_time(const step_permits::ticket& ticket, time_point now) const;
   // When that ticket is surely over at the worker; none if the queue needs none.
   std::optional<time_point> ticket_over(const job_record& job, const step_record& step,
                                         const worker_id& worker) const;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -180,6 +180,8 @@
   {
     for (const auto& [id, ticket] : step.permits.tickets)
     {
+      if (!m_advice.in_time(ticket, now))
+        continue;
       if (worker_record* const worker = m_state.find_worker(id))
         consider(*worker);
     }
--- a/Source/Core/Scheduling/ZoneChooser.cpp
+++ b/Source/Core/Scheduling/ZoneChooser.cpp
@@ -16,16 +16,20 @@
 // room for more tasks than there are.
 constexpr std::uint32_t k_room_factor = 2;
 
-std::uint32_t tasks_that_fit(const common::resources& task, common::resources room,
+std::uint32_t tasks_that_fit(const common::resources& task, const common::resources& room,
                              std::uint32_t most)
 {
-  std::uint32_t count = 0;
-  while (count < most && task.fits_in(room))
+  using common::resources;
+  if (!task.fits_in(room))
+    return 0;
+  std::int64_t count = most;
+  for (const auto member : {&resources::cpu_millis, &resources::memory_mib,
+                            &resources::accelerators, &resources::slots, &resources::connections})
   {
-    room -= task;
-    ++count;
+    if (task.*member > 0)
+      count = std::min(count, room.*member / task.*member);
   }
-  return count;
+  return static_cast<std::uint32_t>(count);
 }
 
 // The zone that the job's tasks are kept in, if it is one.
