--- a/Source/Benchmarks/CallBenchmark.cpp
+++ b/Source/Benchmarks/CallBenchmark.cpp
@@ -85,7 +85,12 @@
   const http::http_listener listener(
       io, {"0.0.0.0", port}, adapter::wire::k_expected_instance,
       [&](const http::incoming_request& call, const http::responder& respond)
-      { respond({200, call.target == adapter::wire::k_hold_path ? lists : clock, "application/json", {}}); });
+      {
+        respond({200,
+                 call.target == adapter::wire::k_hold_path ? lists : clock,
+                 "application/json",
+                 {}});
+      });
   const bool told = ::write(ready, "r", 1) == 1;
   if (told)
     io.run();
@@ -129,8 +134,7 @@
     const usage before = used();
     const auto begun = std::chrono::steady_clock::now();
     run(call, calls, at_once);
-    const std::chrono::duration<double, std::micro> took =
-        std::chrono::steady_clock::now() - begun;
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begun;
     const usage after = used();
     const double user = (after.user_us - before.user_us) / calls;
     const double system = (after.system_us - before.system_us) / calls;
@@ -174,9 +178,8 @@
   {
     m_next = (m_next + 1) % m_workers;
     order.worker = common::worker_id("worker-" + std::to_string(m_next));
-    order.address = {"127.0." + std::to_string(m_next / 250) + "." +
-                         std::to_string(1 + m_next % 250),
-                     m_port};
+    order.address = {
+        "127.0." + std::to_string(m_next / 250) + "." + std::to_string(1 + m_next % 250), m_port};
     order.token = 12345;
   }
 
