--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -184,7 +184,9 @@
   double best_preference = 0.0;
   const auto consider = [&](worker_record& worker)
   {
-    if (obstacle_at(worker, job, place, now, how) != obstacle::none)
+    // Most have no room while steps wait.
+    if (!has_room(worker, job, place) ||
+        obstacle_at(worker, job, place, now, how) != obstacle::none)
       return;
     const double value = preference(worker, step, task, now);
     if (best != nullptr && value <= best_preference)
@@ -196,6 +198,8 @@
   {
     for (const auto& [id, ticket] : step.permits.tickets)
     {
+      if (!m_advice.in_time(ticket, now))
+        continue;
       if (worker_record* const worker = m_state.find_worker(id))
         consider(*worker);
     }
