Scheduling: Starts are paced while the event loop is late

Cause: an owner at the bound of its processor sent starts as fast as workers had room. Each brings an order, an answer and an end through the same loop as holds and renewals, so these came late, leases lapsed and owners were replaced. Ruled out: a bound of starts a pass (passes of a late loop are few, so the rate would fall with the lateness a second time); a fixed rate (it differs fivefold between the machines and sites). While it bounds, steps of begun jobs and lasting ones go before first starts. Repeated starts use it up but are not held back; holds, stops, cancels and acknowledgements neither. Checked: holds are the first commands of a pass (worker_holder::tick), so none waits behind its starts. Conclusion: what the loop cannot bear waits in the scheduler, not in sockets.

--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -87,6 +87,7 @@
                          m_worker_entries,
                          [this] { return m_worker_feed.loaded(); },
                          m_capacities,
+                         m_loop,
                          m_queues,
                          settings.processor_millis,
                          [this] { return m_peers.strongest(); }};
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -400,6 +400,7 @@
   tell_time(now);
   m_scheduler->set_advice_slots(m_parts.advice.slots(now));
   m_scheduler->set_order_times(m_parts.workers.order_patience(), m_parts.workers.round_trip());
+  m_scheduler->set_loop_lateness(m_parts.loop.latest());
   m_scheduler->tick(now);
   for (const scheduling::command& each : m_scheduler->take_commands())
     carry_out(each);
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -22,6 +22,7 @@
 #include "Node/EarlierOrders.h"
 #include "Node/JobIntake.h"
 #include "Node/JobStore.h"
+#include "Node/LoopMonitor.h"
 #include "Node/OwnerWatch.h"
 #include "Node/PartitionLoader.h"
 #include "Node/RowSweeper.h"
@@ -50,6 +51,7 @@
   // Whether all entries have been read since this instance began to take a partition over.
   std::function<bool()> workers_known;
   seen_capacities& capacities;
+  const loop_monitor& loop;
   const jobs::queue_table& queues;
   // How much processor this instance may use, and the strongest peer that could own partitions.
   std::uint32_t processor_millis;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -391,6 +391,8 @@
   if (m_state.fenced)
     return;
   const bool survey = survey_due();
+  m_state.starts.begin_pass(m_loop_lateness, now);
+  // Leases come before anything that may be put off.
   m_holder.tick(now);
   m_crashes.tick(now);
   m_copies.tick(now);
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -61,6 +61,8 @@
   void set_advice_slots(const advice_slots& slots) { m_advice.set_slots(slots); }
   // How long an order may be without an answer at present, and how long answers take.
   void set_order_times(duration patience, duration round_trip);
+  // How late the event loop was at the latest.
+  void set_loop_lateness(duration lateness) { m_loop_lateness = lateness; }
   // Orders may be given until this time; the latest renewal of the ownership that the store has
   // answered was asked for at `confirmed`.
   void set_authority(time_point until, time_point confirmed);
@@ -161,6 +163,7 @@
   std::deque<std::pair<time_point, std::string>> m_forgotten_since;
   std::vector<std::string> m_just_ended;
   time_point m_now{}; // of the latest tick
+  duration m_loop_lateness{0};
   unsigned m_passes = 0;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -51,10 +51,14 @@
   blocked_steps blocked;
   m_looked_at = 0;
   ++m_passes;
-  const std::vector<waiting_step> steps = in_order(now);
+  std::vector<waiting_step> steps = in_order(now);
   advise_in_turn(steps, now);
+  if (m_state.starts.bounded())
+    std::stable_partition(steps.begin(), steps.end(), goes_first);
   for (const waiting_step& each : steps)
   {
+    if (m_state.starts.spent())
+      break;
     if (!its_turn(each, blocked))
     {
       ++blocked[each.job->accepted().queue];
@@ -68,6 +72,12 @@
     place_copies(now);
 }
 
+bool placer::goes_first(const waiting_step& each)
+{
+  const job_record& job = *each.job;
+  return job.known_begun() || job.cycles()[each.cycle].steps[each.step].spec->long_running;
+}
+
 // The most urgent ones of a queue always have their turn. Of a long backlog the others have it
 // once in a while: most of them wait for the same room, and a look at all of them in each pass took
 // whole cores, so that nothing was placed in time any more.
@@ -247,6 +257,8 @@
   std::uint32_t started = 0;
   for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index)
   {
+    if (m_state.starts.spent())
+      break;
     const task_record& task = step.tasks[index];
     if (task.phase != task_phase::waiting || (task.lost && !m_state.surely_owner(now)))
       continue;
@@ -324,6 +336,8 @@
   }
   for (const run_record* run : late)
   {
+    if (m_state.starts.spent())
+      return;
     job_record& job = *run->job;
     const task_place place = run->place;
     worker_record* const worker = worker_for(job, place, now);
@@ -363,6 +377,7 @@
   run.start_expires = m_state.extended_lease(worker, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
   run.ticket_over = m_advice.ticket_over(job, job.step(place), worker.info.id);
+  m_state.starts.take();
   m_state.metrics.add(common::counter::attempts_started);
   if (job.first_start())
     m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
--- a/Source/Core/Scheduling/RunFollower.cpp
+++ b/Source/Core/Scheduling/RunFollower.cpp
@@ -380,6 +380,7 @@
   }
   run.last_sent = now;
   ++run.sends;
+  m_state.starts.take();
   m_state.commands.emplace_back(
       start_command{worker.info.id, worker.info.address, run.ref(), run.number,
                     run.job->accepted().spec.payload, m_state.start_lease(run, now),
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "Common/Time.h"
+#include "Scheduling/StartBudget.h"
 
 namespace yardhill::scheduling
 {
@@ -148,6 +149,9 @@
   // A partition of so many workers is small: each of its passes is a survey.
   std::size_t small_partition = 100;
 
+  // How starts are paced while the event loop is late.
+  start_budget_options starts;
+
   // A start of a step with copies that arrives later than this after it was sent does nothing: it
   // is within the second in which the platform bears a copy of a task that is done.
   duration start_life = std::chrono::milliseconds{900};
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -16,6 +16,7 @@
 #include "Scheduling/JobRecord.h"
 #include "Scheduling/RuntimeModel.h"
 #include "Scheduling/SchedulerOptions.h"
+#include "Scheduling/StartBudget.h"
 #include "Scheduling/WorkerRecord.h"
 
 namespace yardhill::scheduling
@@ -23,12 +24,13 @@
 struct scheduler_state
 {
   scheduler_state(const scheduler_options& given, common::metrics& counts)
-      : options(given), metrics(counts)
+      : options(given), metrics(counts), starts(given.starts)
   {
   }
 
   scheduler_options options;
   common::metrics& metrics;
+  start_budget starts;
   runtime_model runtimes;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
   std::map<worker_id, std::unique_ptr<worker_record>> workers;
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -87,6 +87,7 @@
   std::map<std::string, scheduling::worker_info> entries;
   bool entries_known = true;
   seen_capacities capacities;
+  loop_monitor loop;
   jobs::queue_table queues;
   std::uint32_t processor_millis = 1000;
   std::uint32_t strongest_peer = 0;
@@ -109,6 +110,7 @@
             entries,
             [this] { return entries_known; },
             capacities,
+            loop,
             queues,
             processor_millis,
             [this] { return strongest_peer; }};
