Node, Scheduling: An overloaded owner's gateways refuse jobs that would begin too late to be worth anything

Ruled out: refusing by the number of jobs that wait, or while workers are full (there the queue moves on as tasks end); a refusal without a write (an earlier submission may be kept, or still wait in the store). Change: start_outlook counts first starts by priority, and calls the owner overloaded once passes have run out of their budget of starts for a second (so the loop was late, and room and tasks were there), until none has for two seconds. Meanwhile the owner's row tells by priority how long a new job would wait. A gateway refuses a job that could not begin within three times its objective: 503, queue_full, after the mark of a refusal is written in place of the job's row. A job that is kept already stays accepted; without the store's word the answer is 504. Retry-After: when the excess is worked off, spread over as long again, urgent queues first, 24 s at most. Lasting and timed jobs are not refused.

--- a/Source/Core/Jobs/JobSpec.cpp
+++ b/Source/Core/Jobs/JobSpec.cpp
@@ -163,6 +163,12 @@
   return chains.empty() ? milliseconds{0} : *std::max_element(chains.begin(), chains.end());
 }
 
+milliseconds latency_objective(const queue_policy& policy, const std::vector<step_spec>& steps)
+{
+  return policy.latency_target +
+         std::chrono::duration_cast<milliseconds>(longest_chain(steps) * policy.stretch);
+}
+
 std::string to_row_text(const accepted_job& job)
 {
   json out;
--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -98,6 +98,10 @@
 std::vector<milliseconds> chains_from(const std::vector<step_spec>& steps);
 // The longest chain of estimated work through the steps.
 milliseconds longest_chain(const std::vector<step_spec>& steps);
+// From its acceptance, when a job of these steps should be complete to be worth its full credit.
+milliseconds latency_objective(const queue_policy& policy, const std::vector<step_spec>& steps);
+// A job that ends within this many times its objective is still worth a part of its credit.
+inline constexpr int k_late_factor = 3;
 
 // Our own form of a kept job. Reading throws nlohmann::json::exception on a damaged text.
 std::string to_row_text(const accepted_job& job);
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -23,8 +23,6 @@
 // An answer has to reach the caller before its patience ends.
 constexpr std::chrono::milliseconds k_answer_margin{150};
 constexpr std::chrono::milliseconds k_read_timeout{900};
-// A partition whose owner has not renewed its row for this long gets no new jobs if another does.
-constexpr std::chrono::milliseconds k_owner_fresh{2500};
 // Callers may be told counts that are up to 2 s old (the platform's bound); the rest is for the
 // way.
 constexpr std::chrono::milliseconds k_oldest_count{1800};
@@ -151,8 +149,8 @@
   if (how.status == 503 || how.status == 504)
   {
     const std::uint32_t priority = what.route ? what.route->policy.priority : 0;
-    answer.headers.emplace_back("Retry-After",
-                                std::to_string(come_back_after(priority, what.id).count()));
+    const auto after = how.come_back.value_or(come_back_after(priority, what.id));
+    answer.headers.emplace_back("Retry-After", std::to_string(after.count()));
   }
   // The caller's next try then opens a connection, which the platform takes elsewhere.
   answer.close = m_path.isolated() || m_configuration.late();
@@ -214,6 +212,8 @@
   job.accepted_at = m_time.wall();
   job.spec = *std::move(spec);
   const common::time_point deadline = what->received + what->patience - k_answer_margin;
+  if (shed(what, job, deadline))
+    return;
   m_store.accept(job, what->known, deadline,
                  [this, what, job](const accept_result& result)
                  { on_accepted(what, job, result); });
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -40,6 +40,10 @@
   void end_by(common::time_point end) { m_end = end; }
 
 private:
+  // A partition whose owner has not renewed its row for this long gets no new jobs if another does,
+  // and what the row says of its load is not believed.
+  static constexpr std::chrono::milliseconds k_owner_fresh{2500};
+
   // A request whose queue is known.
   struct call
   {
@@ -59,6 +63,7 @@
     common::refusal_reason why = common::refusal_reason::none;
     std::string detail;
     row_evidence evidence = row_evidence::none;
+    std::optional<std::chrono::seconds> come_back = std::nullopt; // none: the usual time
   };
 
   // How long a call that has just come may be under way.
@@ -68,6 +73,9 @@
   // Without a configuration that is certain to be in force nothing true can be said.
   void refuse_unconfigured(const call& what, http::method verb, const std::string& why);
   void submit(const std::shared_ptr<call>& what);
+  // Whether the call is refused since the job's owner is overloaded; an answer comes by `deadline`.
+  bool shed(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
+            common::time_point deadline);
   void on_accepted(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
                    const accept_result& result);
   void show(const std::shared_ptr<call>& what);
--- /dev/null
+++ b/Source/Core/Node/CallerGatewayOverload.cpp
@@ -0,0 +1,37 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Refusing jobs that their overloaded owner could not begin in time.
+
+#include "Node/CallerGateway.h"
+
+#include "Common/EventLog.h"
+#include "Node/Admission.h"
+#include "Node/ComeBack.h"
+
+namespace yardhill::node
+{
+bool caller_gateway::shed(const std::shared_ptr<call>& what, const jobs::accepted_job& job,
+                          common::time_point deadline)
+{
+  const partition_owner* const home = partition(job.home);
+  if (home == nullptr || m_time.now() - home->seen().changed_at > k_owner_fresh)
+    return false;
+  const auto excess = excess_wait(what->route->policy, job.spec, home->seen().row);
+  if (!excess)
+    return false;
+  m_store.refuse(job.id, "its partition is overloaded", deadline,
+                 [this, what, job, excess](const accept_result& result)
+                 {
+                   if (result.end != accept_end::refused)
+                   {
+                     on_accepted(what, job, result);
+                     return;
+                   }
+                   refuse(*what,
+                          {503, common::refusal_reason::queue_full, result.detail, result.evidence,
+                           come_back_after_backlog(what->route->policy.priority, job.id, *excess)});
+                 });
+  return true;
+}
+} // namespace yardhill::node
--- a/Source/Core/Node/ComeBack.h
+++ b/Source/Core/Node/ComeBack.h
@@ -15,4 +15,8 @@
 // after that, spread by the job's id: when the store is back, what somebody waits for is taken in
 // first and is not held up by everything that was refused meanwhile.
 std::chrono::seconds come_back_after(std::uint32_t priority, const std::string& id);
+// Callers that an overloaded owner could not serve in time, `excess` too late: once so much of the
+// backlog is worked off, spread over as long again; the most urgent ones first here as well.
+std::chrono::seconds come_back_after_backlog(std::uint32_t priority, const std::string& id,
+                                             std::chrono::milliseconds excess);
 } // namespace yardhill::node
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -52,6 +52,14 @@
         { self->on_written(result); });
   }
 
+  // Nothing is written but the mark of a refusal.
+  void refuse(const std::string& why)
+  {
+    m_detail = why;
+    m_first = false;
+    settle();
+  }
+
 private:
   void put(const std::string& text, std::function<void(adapter::transaction_result)> done)
   {
@@ -77,7 +85,7 @@
       write_later(result.detail);
       return;
     default:
-      m_detail = result.detail;
+      m_detail = "the store did not answer: " + result.detail;
       settle();
     }
   }
@@ -138,7 +146,7 @@
   {
     if (m_time.now() + k_retry_pause >= m_deadline)
     {
-      m_done({accept_end::unknown, "the store did not answer: " + m_detail, false, 0});
+      m_done({accept_end::unknown, m_detail, false, 0});
       return;
     }
     put(k_refused_text, [self = shared_from_this()](const adapter::transaction_result& result)
@@ -149,8 +157,7 @@
   {
     if (result.end == adapter::store_end::done)
     {
-      m_done({accept_end::refused, "the store did not answer: " + m_detail, false, 0,
-              row_evidence::marked});
+      m_done({accept_end::refused, m_detail, false, 0, row_evidence::marked});
       return;
     }
     if (result.end != adapter::store_end::conflict)
@@ -164,7 +171,7 @@
     // It may be an earlier submission's row, even of a job that has ended since.
     if (kept != result.conflicting.end())
     {
-      m_done({accept_end::accepted, "settled by reading it back", true, kept->version});
+      m_done({accept_end::accepted, "settled by reading it back", m_first, kept->version});
       return;
     }
     m_expected = result.conflicting.empty() ? 0 : result.conflicting.front().version;
@@ -186,7 +193,9 @@
   adapter::row_version m_expected = 0;
   unsigned m_tries = 0;
   std::chrono::milliseconds m_pause = k_retry_pause;
-  std::string m_detail;
+  std::string m_detail; // why the job is refused, if it is
+  // Whether a job that is found there may be this call's.
+  bool m_first = true;
 };
 } // namespace
 
@@ -253,6 +262,15 @@
   std::make_shared<acceptance>(m_time, m_store, known, job, deadline, std::move(done))->write();
 }
 
+void job_store::refuse(const std::string& id, const std::string& why, common::time_point deadline,
+                       std::function<void(accept_result)> done)
+{
+  jobs::accepted_job job;
+  job.id = id;
+  std::make_shared<acceptance>(m_time, m_store, version_so_far(), job, deadline, std::move(done))
+      ->refuse(why);
+}
+
 void job_store::find(const std::string& id, common::duration timeout,
                      std::function<void(found_job)> done)
 {
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -101,6 +101,9 @@
   // Keeps the job; an answer comes by `deadline`. `known`: a version from when the submission came.
   void accept(const jobs::accepted_job& job, adapter::row_version known,
               common::time_point deadline, std::function<void(accept_result)> done);
+  // Has it written that the job is refused, for the reason given, unless it is kept already.
+  void refuse(const std::string& id, const std::string& why, common::time_point deadline,
+              std::function<void(accept_result)> done);
   void find(const std::string& id, common::duration timeout, std::function<void(found_job)> done);
   // `done` is told whether the mark is kept.
   void cancel(const std::string& id, common::duration timeout, std::function<void(bool)> done);
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -16,6 +16,7 @@
 constexpr const char* k_born_ms = "born_ms";
 constexpr const char* k_earlier_orders_end_ms = "earlier_orders_end_ms";
 constexpr const char* k_largest = "largest";
+constexpr const char* k_start_waits_ms = "start_waits_ms";
 
 using capacities_by_service = std::map<std::string, std::vector<common::resources>>;
 
@@ -57,6 +58,8 @@
     out[k_largest] = json_of(row.largest);
   if (row.counted_at)
     out[k_counted_at_ms] = row.counted_at->time_since_epoch().count();
+  for (const auto& [priority, wait] : row.start_waits)
+    out[k_start_waits_ms].push_back({priority, wait.count()});
   if (row.earlier_orders_end)
     out[k_earlier_orders_end_ms] = row.earlier_orders_end->time_since_epoch().count();
   return out.dump();
@@ -81,6 +84,9 @@
                           row.free_cpu = in.value("free_cpu", std::int64_t{0});
                           if (in.contains(k_largest))
                             row.largest = capacities_from(in[k_largest]);
+                          for (const json& each : in.value(k_start_waits_ms, json::array()))
+                            row.start_waits[each.at(0).get<std::uint32_t>()] =
+                                std::chrono::milliseconds(each.at(1).get<std::int64_t>());
                           if (in.contains(k_earlier_orders_end_ms))
                             row.earlier_orders_end = adapter::store_time(std::chrono::milliseconds(
                                 in.at(k_earlier_orders_end_ms).get<std::int64_t>()));
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -45,6 +45,9 @@
   std::int64_t free_cpu = 0;
   // The largest workers that the owner has seen, by service: other instances follow no workers.
   std::map<std::string, std::vector<common::resources>> largest;
+  // How long a new job would wait for its first start, by priority; empty unless the owner is
+  // overloaded.
+  std::map<std::uint32_t, std::chrono::milliseconds> start_waits = {};
   // When the orders of the owners before are over; none: not known.
   std::optional<adapter::store_time> earlier_orders_end = std::nullopt;
 };
--- a/Source/Core/Node/PartitionOwnerCommits.cpp
+++ b/Source/Core/Node/PartitionOwnerCommits.cpp
@@ -25,6 +25,7 @@
   m_has_told_counts = m_has_told_counts || m_intake->caught_up();
   row.waiting_cpu = load.waiting_cpu;
   row.free_cpu = load.free_cpu;
+  row.start_waits = m_scheduler->start_waits(m_parts.time.now());
   row.largest = m_parts.capacities.largest();
   row.earlier_orders_end = m_parts.clock.latest_at(m_earlier.end());
   m_parts.metrics.set(common::gauge::queued, load.queued_jobs());
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -8,12 +8,6 @@
 
 namespace yardhill::scheduling
 {
-namespace
-{
-// A job that ends within this many times its objective is still worth a part of its credit.
-constexpr int k_late_factor = 3;
-} // namespace
-
 job_record::job_record(jobs::accepted_job job, const jobs::queue_policy& policy,
                        time_point accepted)
     : m_job(std::move(job)), m_policy(policy), m_accepted_at(accepted)
@@ -41,11 +35,9 @@
 void job_record::set_times()
 {
   m_chains = jobs::chains_from(m_job.spec.steps);
-  const auto chain = jobs::longest_chain(m_job.spec.steps);
-  const duration allowed =
-      m_policy.latency_target + std::chrono::duration_cast<duration>(chain * m_policy.stretch);
+  const duration allowed = jobs::latency_objective(m_policy, m_job.spec.steps);
   m_objective = m_accepted_at + allowed;
-  m_worthless = m_accepted_at + allowed * k_late_factor;
+  m_worthless = m_accepted_at + allowed * jobs::k_late_factor;
 }
 
 job_prospect job_record::prospect(std::uint32_t step, time_point now) const
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -131,6 +131,10 @@
   // Also of jobs that have ended under this owner; the state of those is written.
   std::optional<jobs::job_state> state_of(const std::string& job) const;
   partition_load load() const { return load_of(m_state); }
+  std::map<std::uint32_t, milliseconds> start_waits(time_point now) const
+  {
+    return scheduling::start_waits(m_state, now);
+  }
 
 private:
   bool ends_unwritten() const;
--- a/Source/Core/Scheduling/PartitionLoad.cpp
+++ b/Source/Core/Scheduling/PartitionLoad.cpp
@@ -47,4 +47,22 @@
   }
   return load;
 }
+
+std::map<std::uint32_t, std::chrono::milliseconds> start_waits(const scheduler_state& state,
+                                                               time_point now)
+{
+  if (!state.outlook.overloaded())
+    return {};
+  std::map<std::uint32_t, std::uint64_t> waiting;
+  for (const std::string& id : state.open)
+  {
+    const job_record& job = *state.jobs.at(id);
+    // What lasts goes first, and what is worth nothing any more last.
+    const bool ahead = !job.known_begun() && job.accepted().spec.repeats == 0 &&
+                       !job.accepted().spec.long_running() &&
+                       job.prospect(0, now) != job_prospect::none;
+    waiting[job.policy().priority] += ahead ? 1 : 0;
+  }
+  return state.outlook.waits(waiting, now);
+}
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/PartitionLoad.h
+++ b/Source/Core/Scheduling/PartitionLoad.h
@@ -27,4 +27,8 @@
 };
 
 partition_load load_of(const scheduler_state& state);
+// By priority, how long a new job would wait for its first start; empty unless the owner cannot
+// send starts as fast as workers have room for them.
+std::map<std::uint32_t, std::chrono::milliseconds> start_waits(const scheduler_state& state,
+                                                               time_point now);
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -53,12 +53,16 @@
   ++m_passes;
   std::vector<waiting_step> steps = in_order(now);
   advise_in_turn(steps, now);
+  bool short_of_starts = false;
   if (m_state.starts.bounded())
     std::stable_partition(steps.begin(), steps.end(), goes_first);
   for (const waiting_step& each : steps)
   {
     if (m_state.starts.spent())
+    {
+      short_of_starts = true;
       break;
+    }
     if (!its_turn(each, blocked))
     {
       ++blocked[each.job->accepted().queue];
@@ -68,6 +72,7 @@
     if (!serve(each, now))
       ++blocked[each.job->accepted().queue];
   }
+  m_state.outlook.pass_ended(short_of_starts, now);
   if (survey)
     place_copies(now);
 }
@@ -380,7 +385,10 @@
   m_state.starts.take();
   m_state.metrics.add(common::counter::attempts_started);
   if (job.first_start())
+  {
+    m_state.outlook.first_start(job.policy().priority, now);
     m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
+  }
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
       m_state.start_lease(run, now), job.task(place).checkpoint, run.ticket, worker.token});
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -17,6 +17,7 @@
 #include "Scheduling/RuntimeModel.h"
 #include "Scheduling/SchedulerOptions.h"
 #include "Scheduling/StartBudget.h"
+#include "Scheduling/StartOutlook.h"
 #include "Scheduling/WorkerRecord.h"
 
 namespace yardhill::scheduling
@@ -31,6 +32,7 @@
   scheduler_options options;
   common::metrics& metrics;
   start_budget starts;
+  start_outlook outlook;
   runtime_model runtimes;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
   std::map<worker_id, std::unique_ptr<worker_record>> workers;
--- /dev/null
+++ b/Source/Core/Scheduling/StartOutlook.cpp
@@ -0,0 +1,67 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Scheduling/StartOutlook.h"
+
+#include <algorithm>
+
+#include "Common/EventLog.h"
+
+namespace yardhill::scheduling
+{
+void start_outlook::first_start(std::uint32_t priority, time_point now)
+{
+  std::deque<time_point>& starts = m_first_starts[priority];
+  starts.push_back(now);
+  while (now - starts.front() > k_window)
+    starts.pop_front();
+}
+
+void start_outlook::pass_ended(bool short_of_starts, time_point now)
+{
+  if (!m_since)
+    m_since = now;
+  if (short_of_starts)
+  {
+    m_latest_short = now;
+    if (!m_short_since)
+      m_short_since = now;
+    if (now - *m_short_since >= k_begin)
+      set_overloaded(true);
+    return;
+  }
+  // Until it counts as overloaded a pass that has all it needs begins the count anew.
+  if (m_overloaded && now - m_latest_short < k_end)
+    return;
+  m_short_since.reset();
+  set_overloaded(false);
+}
+
+void start_outlook::set_overloaded(bool overloaded)
+{
+  if (overloaded == m_overloaded)
+    return;
+  m_overloaded = overloaded;
+  common::log_process("overloaded", {{"overloaded", overloaded}});
+}
+
+std::map<std::uint32_t, std::chrono::milliseconds>
+start_outlook::waits(const std::map<std::uint32_t, std::uint64_t>& waiting, time_point now) const
+{
+  std::map<std::uint32_t, std::chrono::milliseconds> waits;
+  if (!m_overloaded)
+    return waits;
+  const duration span = std::min<duration>(k_window, now - *m_since);
+  for (const auto& [priority, jobs] : waiting)
+  {
+    const auto found = m_first_starts.find(priority);
+    std::int64_t begun = 0;
+    if (found != m_first_starts.end())
+      begun = std::count_if(found->second.begin(), found->second.end(),
+                            [now](time_point each) { return now - each <= k_window; });
+    const duration wait = span * static_cast<std::int64_t>(jobs) / std::max<std::int64_t>(begun, 1);
+    waits[priority] = common::to_milliseconds(wait);
+  }
+  return waits;
+}
+} // namespace yardhill::scheduling
--- /dev/null
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -0,0 +1,259 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+// Jobs were accepted that could not begin before they were worth nothing. A refusal in their place
+// has to be true, to come at once, and never to meet a job that is kept.
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Node/Admission.h"
+#include "Node/CallerGateway.h"
+#include "Node/ComeBack.h"
+#include "Node/JobStoreHarness.h"
+#include "Node/OwnerHarness.h"
+#include "platform/Ingress.h"
+
+using namespace yardhill;
+using node::accept_end;
+using node::fate;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+const std::string k_id = "0123456789abcdef";
+
+jobs::job_spec spec_of(milliseconds estimate)
+{
+  jobs::job_spec spec;
+  spec.steps.emplace_back();
+  spec.steps.back().demand.cpu_millis = 100;
+  spec.steps.back().demand.memory_mib = 100;
+  spec.steps.back().estimate = estimate;
+  return spec;
+}
+
+jobs::queue_policy policy_of(std::uint32_t priority)
+{
+  jobs::queue_policy policy;
+  policy.priority = priority;
+  policy.stretch = 1.5;
+  policy.latency_target = milliseconds{500};
+  policy.service = "service";
+  return policy;
+}
+
+// 3 x (500 ms + 1.5 x 1 s) less 1 s.
+constexpr milliseconds k_latest_start{5000};
+
+node::owner_row row_of(milliseconds wait)
+{
+  node::owner_row row;
+  row.holder = "instance-2";
+  row.life = "life-2";
+  row.epoch = 1;
+  row.start_waits = {{0, milliseconds{10}}, {2, wait}};
+  return row;
+}
+
+// A caller's gateway on an instance that watches another one's partition.
+struct gateway_under_test : node::owner_under_test
+{
+  static void ignore(const std::vector<adapter::row>&) {}
+
+  node::table_feed feed{time, store, "operator", {""}, {ignore, ignore, {}, {}, false}};
+  node::configuration_watch configuration{time, feed, path, queues, seconds{5}};
+  node::job_store jobs{time, store, store};
+  std::vector<std::unique_ptr<node::partition_owner>> partitions;
+  node::state_desk states{time, [](const std::string&, const common::peer_message&) {}, partitions};
+  std::optional<node::caller_gateway> gateway;
+  std::optional<http::outgoing_answer> got;
+
+  gateway_under_test()
+  {
+    queues.routes.push_back({"urgent", "host", "/urgent/", policy_of(0)});
+    queues.routes.push_back({"usual", "host", "/usual/", policy_of(2)});
+    partitions.push_back(another({"instance-1", "life-1"}));
+    gateway.emplace(time, jobs, states, path, queues, configuration, capacities, partitions,
+                    metrics);
+    feed.start();
+    time.run_until(time.now() + milliseconds{50});
+  }
+
+  void owner_tells(const node::owner_row& row)
+  {
+    const adapter::row_key key{node::k_owners_table, k_partition, node::k_owner_key};
+    partitions.front()->owner_row_changed({key, node::to_row_text(row), ++m_version});
+  }
+
+  unsigned submit(const std::string& queue)
+  {
+    got.reset();
+    gateway->handle({http::method::post, "host", "/" + queue + "/" + k_id,
+                     adapter::submission_body(spec_of(seconds{1})), "3000"},
+                    [this](const http::outgoing_answer& answer) { got = answer; });
+    time.run_until(time.now() + milliseconds{100});
+    BOOST_TEST_REQUIRE(got.has_value());
+    return got->status;
+  }
+
+  bool kept()
+  {
+    bool found = false;
+    jobs.find(k_id, seconds{1},
+              [&found](const node::found_job& job) { found = job.job.has_value(); });
+    time.run_until(time.now() + milliseconds{100});
+    return found;
+  }
+
+private:
+  static constexpr const char* k_partition = node::k_partition;
+  adapter::row_version m_version = 100;
+};
+
+// A refusal of an overloaded partition, on the store's model.
+struct refusing : node::accepting
+{
+  accept_end refuse(std::deque<fate> fates)
+  {
+    got.reset();
+    wire.fates = std::move(fates);
+    jobs.refuse(k_id, "overloaded", time.now() + seconds{3},
+                [this](const node::accept_result& result) { got = result; });
+    time.run_until(time.now() + seconds{4});
+    BOOST_TEST_REQUIRE(got.has_value());
+    return got->end;
+  }
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdmissionTest)
+
+BOOST_AUTO_TEST_CASE(a_job_is_accepted_as_long_as_it_can_still_be_worth_something)
+{
+  const jobs::job_spec spec = spec_of(seconds{1});
+  BOOST_TEST(!node::excess_wait(policy_of(2), spec, row_of(k_latest_start)).has_value());
+  const auto excess =
+      node::excess_wait(policy_of(2), spec, row_of(k_latest_start + milliseconds{700}));
+  BOOST_TEST_REQUIRE(excess.has_value());
+  BOOST_TEST((*excess == milliseconds{700}));
+}
+
+BOOST_AUTO_TEST_CASE(another_priority_and_an_owner_that_is_not_overloaded_accept)
+{
+  const jobs::job_spec spec = spec_of(seconds{1});
+  BOOST_TEST(!node::excess_wait(policy_of(0), spec, row_of(seconds{60})).has_value());
+  BOOST_TEST(!node::excess_wait(policy_of(1), spec, row_of(seconds{60})).has_value());
+  BOOST_TEST(!node::excess_wait(policy_of(2), spec, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(jobs_that_last_or_are_due_later_are_accepted)
+{
+  jobs::job_spec lasting = spec_of(seconds{1});
+  lasting.steps.front().long_running = true;
+  BOOST_TEST(!node::excess_wait(policy_of(2), lasting, row_of(seconds{60})).has_value());
+  jobs::job_spec timed = spec_of(seconds{1});
+  timed.repeats = 1;
+  BOOST_TEST(!node::excess_wait(policy_of(2), timed, row_of(seconds{60})).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_owners_row_tells_the_waits)
+{
+  const node::owner_row row = row_of(milliseconds{4321});
+  const auto read = node::owner_row_from(node::to_row_text(row));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((read->start_waits == row.start_waits));
+  BOOST_TEST(node::to_row_text(node::owner_row{}).find("start_waits") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(callers_return_once_the_backlog_is_worked_off_urgent_ones_first)
+{
+  std::set<seconds> usual;
+  for (int i = 10; i < 100; ++i)
+  {
+    const std::string id = "00000000000000" + std::to_string(i);
+    const seconds after = node::come_back_after_backlog(2, id, milliseconds{3500});
+    BOOST_TEST((after >= seconds{4}));
+    BOOST_TEST((node::come_back_after_backlog(0, id, milliseconds{3500}) < after));
+    usual.insert(after);
+  }
+  BOOST_TEST(usual.size() > 3U); // not all at once
+  BOOST_TEST((node::come_back_after_backlog(0, k_id, milliseconds{0}) >= seconds{1}));
+  BOOST_TEST((node::come_back_after_backlog(2, k_id, std::chrono::hours{1}) < seconds{30}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_that_would_begin_too_late_is_refused_at_once, gateway_under_test)
+{
+  owner_tells(row_of(k_latest_start + seconds{3}));
+  BOOST_TEST(submit("usual") == 503U);
+  BOOST_TEST(!kept());
+  const auto header = std::find_if(got->headers.begin(), got->headers.end(),
+                                   [](const auto& each) { return each.first == "Retry-After"; });
+  BOOST_TEST_REQUIRE((header != got->headers.end()));
+  BOOST_TEST(std::stoi(header->second) >= 3);
+  BOOST_TEST(metrics.value(common::refusal_reason::queue_full) == 1U);
+  BOOST_TEST(submit("urgent") == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(once_the_backlog_is_gone_the_same_job_is_accepted, gateway_under_test)
+{
+  owner_tells(row_of(k_latest_start + seconds{3}));
+  BOOST_TEST_REQUIRE(submit("usual") == 503U);
+  owner_tells(row_of(k_latest_start));
+  BOOST_TEST(submit("usual") == 200U);
+  BOOST_TEST(kept());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_that_is_kept_already_is_not_refused, gateway_under_test)
+{
+  BOOST_TEST_REQUIRE(submit("usual") == 200U);
+  owner_tells(row_of(k_latest_start + seconds{3}));
+  BOOST_TEST(submit("usual") == 200U);
+  BOOST_TEST(kept());
+}
+
+BOOST_FIXTURE_TEST_CASE(what_an_owner_told_long_ago_is_not_believed, gateway_under_test)
+{
+  owner_tells(row_of(k_latest_start + seconds{3}));
+  time.run_until(time.now() + seconds{3});
+  BOOST_TEST(submit("usual") == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_is_written_before_it_is_told, refusing)
+{
+  BOOST_TEST((refuse({}) == accept_end::refused));
+  BOOST_TEST((got->evidence == node::row_evidence::marked));
+  BOOST_TEST(!kept());
+}
+
+BOOST_FIXTURE_TEST_CASE(without_the_store_nothing_is_known, refusing)
+{
+  BOOST_TEST((refuse(std::deque<fate>(1000, fate::lost)) == accept_end::unknown));
+}
+
+// The answer to the first submission is lost, and with it the caller's knowledge that it is kept.
+BOOST_FIXTURE_TEST_CASE(a_job_whose_acceptance_was_not_heard_stays_accepted, refusing)
+{
+  wire.fates = {fate::answer_lost};
+  submit([](const node::accept_result&) {});
+  BOOST_TEST((refuse({}) == accept_end::accepted));
+  BOOST_TEST(!got->first);
+  BOOST_TEST(kept());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_submission_that_still_waits_in_the_store_comes_to_nothing, refusing)
+{
+  wire.fates = {fate::held, fate::lost};
+  submit([](const node::accept_result&) {});
+  BOOST_TEST((refuse({}) == accept_end::refused));
+  wire.carry_out_held();
+  BOOST_TEST(!kept());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
