--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -151,6 +151,7 @@
                          m_worker_entries,
                          [this] { return m_worker_feed.loaded(); },
                          m_capacities,
+                         m_loop,
                          m_queues,
                          layout,
                          [this](const std::string& partition) { return spare_millis(partition); },
--- a/Source/Core/Node/OwnerRow.cpp
+++ b/Source/Core/Node/OwnerRow.cpp
@@ -17,6 +17,7 @@
 constexpr const char* k_earlier_orders_end_ms = "earlier_orders_end_ms";
 constexpr const char* k_largest = "largest";
 constexpr const char* k_labels = "labels";
+constexpr const char* k_start_waits_ms = "start_waits_ms";
 
 using capacities_by_service = std::map<std::string, std::vector<common::resources>>;
 
@@ -60,6 +61,8 @@
     out[k_labels] = row.labels;
   if (row.counted_at)
     out[k_counted_at_ms] = row.counted_at->time_since_epoch().count();
+  for (const auto& [priority, wait] : row.start_waits)
+    out[k_start_waits_ms].push_back({priority, wait.count()});
   if (row.earlier_orders_end)
     out[k_earlier_orders_end_ms] = row.earlier_orders_end->time_since_epoch().count();
   return out.dump();
@@ -85,6 +88,9 @@
                           if (in.contains(k_largest))
                             row.largest = capacities_from(in[k_largest]);
                           row.labels = in.value(k_labels, row.labels);
+                          for (const json& each : in.value(k_start_waits_ms, json::array()))
+                            row.start_waits[each.at(0).get<std::uint32_t>()] =
+                                std::chrono::milliseconds(each.at(1).get<std::int64_t>());
                           if (in.contains(k_earlier_orders_end_ms))
                             row.earlier_orders_end = adapter::store_time(std::chrono::milliseconds(
                                 in.at(k_earlier_orders_end_ms).get<std::int64_t>()));
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -53,6 +53,9 @@
   std::map<std::string, std::vector<common::resources>> largest;
   // What the partition's own workers have, so that no job is given to one where it cannot run.
   std::set<std::string> labels;
+  // How long a new job would wait for its first start, by priority; empty unless the owner is
+  // overloaded.
+  std::map<std::uint32_t, std::chrono::milliseconds> start_waits = {};
   // When the orders of the owners before are over; none: not known.
   std::optional<adapter::store_time> earlier_orders_end = std::nullopt;
 };
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -23,6 +23,7 @@
 #include "Node/EarlierOrders.h"
 #include "Node/JobIntake.h"
 #include "Node/JobStore.h"
+#include "Node/LoopMonitor.h"
 #include "Node/OwnerWatch.h"
 #include "Node/PartitionLoader.h"
 #include "Node/RowSweeper.h"
@@ -51,6 +52,7 @@
   // Whether all entries have been read since this instance began to take a partition over.
   std::function<bool()> workers_known;
   seen_capacities& capacities;
+  const loop_monitor& loop;
   const jobs::queue_table& queues;
   // How the cell is divided. It outlives the owners.
   const cell_layout& layout;
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -62,6 +62,8 @@
   void set_advice_slots(const advice_slots& slots) { m_advice.set_slots(slots); }
   // How long an order may be without an answer at present, and how long answers take.
   void set_order_times(duration patience, duration round_trip);
+  // How late the event loop was at the latest.
+  void set_loop_lateness(duration lateness) { m_loop_lateness = lateness; }
   // Orders may be given until this time; the latest renewal of the ownership that the store has
   // answered was asked for at `confirmed`.
   void set_authority(time_point until, time_point confirmed);
@@ -131,6 +133,10 @@
   std::optional<jobs::job_state> state_of(const std::string& job) const;
   partition_load load() const { return load_of(m_state); }
   const wait_report& waits() const { return m_waits; }
+  std::map<std::uint32_t, milliseconds> start_waits(time_point now) const
+  {
+    return scheduling::start_waits(m_state, now);
+  }
 
 private:
   bool ends_unwritten() const;
@@ -167,6 +173,7 @@
   std::deque<std::pair<time_point, std::string>> m_forgotten_since;
   std::vector<std::string> m_just_ended;
   time_point m_now{}; // of the latest tick
+  duration m_loop_lateness{0};
   unsigned m_passes = 0;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -51,10 +51,18 @@
   blocked_steps blocked;
   m_looked_at = 0;
   ++m_passes;
-  const std::vector<waiting_step> steps = in_order(now);
+  std::vector<waiting_step> steps = in_order(now);
   advise_in_turn(steps, now);
+  bool short_of_starts = false;
+  if (m_state.starts.bounded())
+    std::stable_partition(steps.begin(), steps.end(), goes_first);
   for (const waiting_step& each : steps)
   {
+    if (m_state.starts.spent())
+    {
+      short_of_starts = true;
+      break;
+    }
     if (!its_turn(each, blocked))
     {
       ++blocked[each.job->accepted().queue];
@@ -64,10 +72,17 @@
     if (!serve(each, now))
       ++blocked[each.job->accepted().queue];
   }
+  m_state.outlook.pass_ended(short_of_starts, now);
   if (survey)
     place_copies(now);
 }
 
+bool placer::goes_first(const waiting_step& each)
+{
+  const job_record& job = *each.job;
+  return job.known_begun() || job.cycles()[each.cycle].steps[each.step].spec->long_running;
+}
+
 // The most urgent ones of a queue always have their turn. Of a long backlog the others have it
 // once in a while: most of them wait for the same room, and a look at all of them in each pass took
 // whole cores, so that nothing was placed in time any more.
@@ -268,6 +283,8 @@
   std::uint32_t started = 0;
   for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index)
   {
+    if (m_state.starts.spent())
+      break;
     const task_record& task = step.tasks[index];
     if (task.phase != task_phase::waiting || m_state.awaits_renewal(task, now))
       continue;
@@ -345,6 +362,8 @@
   }
   for (const run_record* run : late)
   {
+    if (m_state.starts.spent())
+      return;
     job_record& job = *run->job;
     const task_place place = run->place;
     worker_record* const worker = worker_for(job, place, now);
@@ -384,9 +403,13 @@
   run.start_expires = m_state.extended_lease(worker, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
   run.ticket_over = m_advice.ticket_over(job, job.step(place), worker.info.id);
+  m_state.starts.take();
   m_state.metrics.add(common::counter::attempts_started);
   if (job.first_start())
+  {
+    m_state.outlook.first_start(job.policy().priority, now);
     m_state.metrics.record(waiting_kind(job, *job.step(place).spec), now - job.accepted_at());
+  }
   m_state.commands.emplace_back(start_command{
       worker.info.id, worker.info.address, run.ref(), number, job.accepted().spec.payload,
       m_state.start_lease(run, now), job.task(place).checkpoint, run.ticket, worker.token});
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -18,6 +18,8 @@
 #include "Scheduling/JobRecord.h"
 #include "Scheduling/RuntimeModel.h"
 #include "Scheduling/SchedulerOptions.h"
+#include "Scheduling/StartBudget.h"
+#include "Scheduling/StartOutlook.h"
 #include "Scheduling/WorkerRecord.h"
 
 namespace yardhill::scheduling
@@ -25,12 +27,14 @@
 struct scheduler_state
 {
   scheduler_state(const scheduler_options& given, common::metrics& counts)
-      : options(given), metrics(counts)
+      : options(given), metrics(counts), starts(given.starts)
   {
   }
 
   scheduler_options options;
   common::metrics& metrics;
+  start_budget starts;
+  start_outlook outlook;
   runtime_model runtimes;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
   // Every pass walks them, and few come or go.
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -87,6 +87,7 @@
   std::map<std::string, scheduling::worker_info> entries;
   bool entries_known = true;
   seen_capacities capacities;
+  loop_monitor loop;
   jobs::queue_table queues;
   cell_layout layout{1};
   std::uint32_t processor_millis = 1000;
@@ -110,6 +111,7 @@
             entries,
             [this] { return entries_known; },
             capacities,
+            loop,
             queues,
             layout,
             [this](const std::string&) { return processor_millis; },
