Model: A processor for an instance's process; a slow owner is taken for one that is gone (red)

Cause: not mended here. Loops of owners at the bound of their processor are late; their renewals and their questions to peers wait with everything else, and peers replace them.

Ruled out: that it takes a fault or a machine: the play has no trouble and no real time. A lapse of leases is not shown by this play, only the replacement.

Change: processor_model works a process's events off one after the other, each for some time (timers, what comes, what is sent). Without one, nothing changes.

Conclusion: "silent" and "late" need to be told apart.

--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -60,7 +60,7 @@
 }
 } // namespace
 
-explored_cell::explored_cell(std::uint64_t seed)
+explored_cell::explored_cell(std::uint64_t seed, std::optional<processor_costs> costs)
     : m_random(seed),
       m_network(m_time, seed + 1),
       m_advice(m_time, seed, {}),
@@ -75,6 +75,7 @@
           [this](const task_ref& task, run_number run, const std::string& worker)
           { return course_of(task, run, worker); },
           m_callers.specs()),
+      m_costs(costs),
       m_begin(m_time.now())
 {
   m_network.serve(
@@ -214,7 +215,9 @@
 void explored_cell::start_instance(explored_instance& which)
 {
   which.started = m_time.now();
-  which.time = std::make_unique<process_time>(m_time);
+  if (m_costs)
+    which.processor = std::make_shared<processor_model>(m_time, *m_costs);
+  which.time = std::make_unique<process_time>(m_time, which.processor);
   if (m_suspended_clocks)
     which.time->read_suspended_clock();
   which.sender = std::make_unique<network_sender>(m_network, *which.time, which.name);
@@ -228,6 +231,7 @@
       k_processor_millis[static_cast<std::size_t>(&which - m_instances.data())];
   const auto send = [this, &which](const std::string& peer, const common::peer_message& message)
   {
+    which.time->sends();
     for (explored_instance& other : m_instances)
     {
       if (other.name != peer)
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -16,6 +17,7 @@
 
 #include "Model/AdviceModel.h"
 #include "Model/CallerModel.h"
+#include "Model/ProcessorModel.h"
 #include "Model/RunJudge.h"
 #include "Model/StoreModel.h"
 #include "Model/VirtualNetwork.h"
@@ -30,6 +32,7 @@
 {
   std::string name;
   std::string zone;
+  std::shared_ptr<processor_model> processor; // none: work takes no time
   std::unique_ptr<process_time> time;
   std::unique_ptr<network_sender> sender;
   std::unique_ptr<common::metrics> metrics;
@@ -46,7 +49,8 @@
 public:
   static constexpr std::size_t k_zones = 3;
 
-  explicit explored_cell(std::uint64_t seed);
+  // With `costs`, what instances do takes processor time.
+  explicit explored_cell(std::uint64_t seed, std::optional<processor_costs> costs = std::nullopt);
   explored_cell(const explored_cell&) = delete;
   explored_cell& operator=(const explored_cell&) = delete;
 
@@ -106,6 +110,7 @@
   std::vector<explored_instance> m_instances;
   std::map<time_point, std::uint64_t> m_configured; // the operator's versions, by when
   std::uint64_t m_lives = 0;
+  std::optional<processor_costs> m_costs;
   bool m_suspended_clocks = false;
   time_point m_begin;
 };
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -285,6 +285,7 @@
 
 void run_judge::ended(const task_ref& task, run_number run, const std::string& worker, run_end how)
 {
+  m_lapsed += how == run_end::lapsed ? 1 : 0;
   common::log_request("judge_ended", task.job,
                       {{"step", task.place.step},
                        {"task", task.place.index},
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -99,6 +99,8 @@
 
   const std::vector<std::string>& violations() const { return m_violations; }
   std::size_t starts() const { return m_starts; }
+  // Runs whose leases ended.
+  std::size_t lapsed() const { return m_lapsed; }
   std::size_t accepted_jobs() const;
   // Whether a job is accepted and none of its tasks has begun; not if its cancellation was asked
   // for.
@@ -175,6 +177,7 @@
   std::map<std::string, common::time_point> m_broken_entries; // the same
   std::vector<std::string> m_violations;
   std::size_t m_starts = 0;
+  std::size_t m_lapsed = 0;
   bool m_in_touch = false;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/VirtualNetwork.cpp
+++ b/Source/Core/Model/VirtualNetwork.cpp
@@ -169,6 +169,7 @@
 void network_sender::send(const common::endpoint& peer, http::request call, duration timeout,
                           http::reply_handler done)
 {
+  m_process.sends();
   if (call.expects && call.expects->coming)
     call.expects->coming = [gate = m_process.gate(), coming = std::move(call.expects->coming)]
     { gate(coming); };
--- a/Source/Core/Model/VirtualTime.cpp
+++ b/Source/Core/Model/VirtualTime.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Model/ProcessorModel.h"
+
 namespace yardhill::model
 {
 common::wall_clock_time virtual_time::wall() const
@@ -58,9 +60,10 @@
 common::timekeeper::entry process_time::schedule(duration delay, std::function<void()> what)
 {
   const entry number = ++m_state->last;
+  const event_kind kind = delay > duration{0} ? event_kind::timer : event_kind::from_outside;
   m_state->scheduled[number] =
-      m_time.schedule(delay, [&time = m_time, process = m_state, number, what = std::move(what)]
-                      { fire(time, process, number, what); });
+      m_time.schedule(delay, [&time = m_time, process = m_state, number, kind,
+                              what = std::move(what)] { fire(time, process, number, kind, what); });
   return number;
 }
 
@@ -69,6 +72,19 @@
   return m_state->reads_suspended_clock ? m_time.now() - m_state->suspended : m_time.now();
 }
 
+void process_time::freeze_until(time_point end)
+{
+  m_state->frozen_until = std::max(m_state->frozen_until, end);
+  if (m_state->processor)
+    m_state->processor->freeze_until(end);
+}
+
+void process_time::sends()
+{
+  if (m_state->processor)
+    m_state->processor->sends();
+}
+
 void process_time::suspend_until(time_point end)
 {
   const time_point from = std::max(m_time.now(), m_state->frozen_until);
@@ -88,19 +104,24 @@
 }
 
 void process_time::fire(virtual_time& time, const std::shared_ptr<state>& process, entry which,
-                        const std::function<void()>& what)
+                        event_kind kind, const std::function<void()>& what)
 {
   if (!process->alive)
     return;
   if (time.now() >= process->frozen_until)
   {
-    process->scheduled.erase(which);
-    what();
+    work(process, kind,
+         [process, which, what]
+         {
+           // It may have been cancelled while it waited.
+           if (process->scheduled.erase(which) > 0)
+             what();
+         });
     return;
   }
   process->scheduled[which] =
-      time.schedule(process->frozen_until - time.now(),
-                    [&time, process, which, what] { fire(time, process, which, what); });
+      time.schedule(process->frozen_until - time.now(), [&time, process, which, kind, what]
+                    { fire(time, process, which, kind, what); });
 }
 
 std::function<void(std::function<void()>)> process_time::gate() const
@@ -109,6 +130,23 @@
   { arrive(time, process, what); };
 }
 
+void process_time::work(const std::shared_ptr<state>& process, event_kind kind,
+                        const std::function<void()>& what)
+{
+  if (!process->processor)
+  {
+    what();
+    return;
+  }
+  process->processor->work(kind,
+                           [process = std::weak_ptr(process), what]
+                           {
+                             const auto there = process.lock();
+                             if (there && there->alive)
+                               what();
+                           });
+}
+
 void process_time::arrive(virtual_time& time, const std::shared_ptr<state>& process,
                           const std::function<void()>& what)
 {
@@ -116,7 +154,7 @@
     return;
   if (time.now() >= process->frozen_until)
   {
-    what();
+    work(process, event_kind::from_outside, what);
     return;
   }
   time.schedule(process->frozen_until - time.now(),
--- a/Source/Core/Model/VirtualTime.h
+++ b/Source/Core/Model/VirtualTime.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 
 #include "Common/Timekeeper.h"
 
@@ -16,6 +17,8 @@
 {
 using common::duration;
 using common::time_point;
+class processor_model;
+enum class event_kind;
 
 class virtual_time : public common::timekeeper
 {
@@ -42,7 +45,12 @@
 class process_time : public common::timekeeper
 {
 public:
-  explicit process_time(virtual_time& time) : m_time(time), m_state(std::make_shared<state>()) {}
+  // Without a processor each event is worked off as it comes, in no time.
+  explicit process_time(virtual_time& time, std::shared_ptr<processor_model> processor = nullptr)
+      : m_time(time), m_state(std::make_shared<state>())
+  {
+    m_state->processor = std::move(processor);
+  }
   ~process_time() override { m_state->alive = false; }
 
   time_point now() const override;
@@ -53,14 +61,13 @@
   // Its time of day is ahead of the others' from now on, or behind.
   void step_wall(std::chrono::milliseconds ahead) { m_wall_ahead = ahead; }
 
-  void freeze_until(time_point end)
-  {
-    m_state->frozen_until = std::max(m_state->frozen_until, end);
-  }
+  void freeze_until(time_point end);
   // The machine is suspended: as a freeze, but timers do not count that time. Nor does the clock,
   // if the process reads one that stands still meanwhile.
   void suspend_until(time_point end);
   void read_suspended_clock() { m_state->reads_suspended_clock = true; }
+  // The process sends a call or a message, which costs processor time.
+  void sends();
   bool frozen() const { return m_time.now() < m_state->frozen_until; }
   // Lets calls from outside reach the process only as long as it lives; outlives it.
   std::function<void(std::function<void()>)> gate() const;
@@ -76,9 +83,12 @@
     // What is scheduled, by its number here and there: it gets another one there for each freeze
     // that it falls into, and can be cancelled all the same.
     std::map<entry, entry> scheduled;
+    std::shared_ptr<processor_model> processor;
   };
 
   static void fire(virtual_time& time, const std::shared_ptr<state>& process, entry which,
+                   event_kind kind, const std::function<void()>& what);
+  static void work(const std::shared_ptr<state>& process, event_kind kind,
                    const std::function<void()>& what);
   static void arrive(virtual_time& time, const std::shared_ptr<state>& process,
                      const std::function<void()>& what);
--- a/Source/UnitTests/Model/LastingCell.h
+++ b/Source/UnitTests/Model/LastingCell.h
@@ -18,7 +18,8 @@
 
 struct lasting_cell
 {
-  explicit lasting_cell(std::uint64_t seed) : cell(seed)
+  explicit lasting_cell(std::uint64_t seed, std::optional<processor_costs> costs = std::nullopt)
+      : cell(seed, costs)
   {
     pass(seconds{3});
     jobs::step_spec step;
