Node: An owner that is late is told from one that is gone

Cause: peers count an owner as silent after 650 ms without a message and take over 0.8 s after its latest renewal, whether it stands still or its event loop is late. A takeover makes more work for the next owner.

Change: a peer remembers for 10 to 20 s the longest gap between an owner's messages, and the owner's questions say how late its own event loop was. Twice the longer of the two is waited for, at least 650 ms (400 ms for an answer) as before and at most 2 s. Gaps over 2 s are outages and count for nothing. Broken links, the 3 s of `silence`, `silence_unlinked`, `authority` and `fresh_word` are as they were: a takeover can only come later than before, never sooner. Older instances ignore the new field, and theirs reads as 0.

--- a/Source/Core/Common/PeerMessages.h
+++ b/Source/Core/Common/PeerMessages.h
@@ -131,7 +131,8 @@
 // there.
 struct way_question
 {
-  bool often = false; // the sender owns a partition and asks all the time
+  bool often = false;        // the sender owns a partition and asks all the time
+  std::uint32_t late_ms = 0; // the longest that its event loop was late by lately
 };
 
 struct way_report
--- a/Source/Core/Node/PeerMonitor.cpp
+++ b/Source/Core/Node/PeerMonitor.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds k_answer_patience{400};
 // An owner's questions come every 250 ms: two missed, and a slow way.
 constexpr std::chrono::milliseconds k_question_patience{650};
+// A busy peer may be so many times as late as it was lately: a backlog that grows by a second each
+// second doubles from one message to the next.
+constexpr int k_lateness_factor = 2;
 // After so long without a tick this process stood still itself, and knows nothing of others.
 constexpr std::chrono::milliseconds k_own_pause{200};
 // A peer that could not relay a call is not asked to for this time.
@@ -66,7 +69,10 @@
   const auto found = m_peers.find(name);
   if (found == m_peers.end())
     return;
-  found->second.heard_at = m_time.now();
+  const common::time_point now = m_time.now();
+  if (found->second.asks_often)
+    found->second.gaps.note(now - found->second.heard_at, now);
+  found->second.heard_at = now;
   if (!std::exchange(found->second.silent, false))
     return;
   found->second.asked_at.reset();
@@ -79,7 +85,10 @@
 {
   const auto found = m_peers.find(name);
   if (found != m_peers.end())
+  {
     found->second.asks_often = question.often;
+    found->second.told_late = std::chrono::milliseconds(question.late_ms);
+  }
   m_send(name, own);
 }
 
@@ -106,11 +115,18 @@
     found->second.avoid_until = m_time.now() + k_avoid;
 }
 
+common::duration peer_monitor::patience(const peer& each, common::duration usual,
+                                        common::time_point now) const
+{
+  const common::duration late = std::max<common::duration>(each.gaps.longest(now), each.told_late);
+  return std::clamp<common::duration>(k_lateness_factor * late, usual, k_most_patience);
+}
+
 bool peer_monitor::overdue(const peer& each, common::time_point now) const
 {
-  if (each.asked_at && now - *each.asked_at > k_answer_patience)
+  if (each.asked_at && now - *each.asked_at > patience(each, k_answer_patience, now))
     return true;
-  return each.asks_often && now - each.heard_at > k_question_patience;
+  return each.asks_often && now - each.heard_at > patience(each, k_question_patience, now);
 }
 
 void peer_monitor::forgive(common::time_point now)
@@ -123,11 +139,17 @@
   }
 }
 
+common::way_question peer_monitor::question(bool often, common::time_point now) const
+{
+  const auto late = std::chrono::floor<std::chrono::milliseconds>(m_ticks.longest(now));
+  return {often, static_cast<std::uint32_t>(late.count())};
+}
+
 void peer_monitor::ask_one(const std::string& name, peer& each, bool often, common::time_point now)
 {
   if (!each.asked_at)
     each.asked_at = now;
-  m_send(name, common::way_question{often});
+  m_send(name, question(often, now));
 }
 
 void peer_monitor::ask_as_owner(common::time_point now)
@@ -189,6 +211,7 @@
 
 void peer_monitor::tick(common::time_point now, bool owner, bool in_doubt)
 {
+  m_ticks.note(now - m_last_tick, now);
   if (now - m_last_tick > k_own_pause)
     forgive(now);
   m_last_tick = now;
--- a/Source/Core/Node/PeerMonitor.h
+++ b/Source/Core/Node/PeerMonitor.h
@@ -8,7 +8,9 @@
 // A broken link tells of a dead process at once, but of a machine behind a cut only after its
 // time-out. So an owner asks its peers all the time, and an instance that doubts its own way to the
 // store, or knows of silent peers, asks some as long as it does. A peer that leaves a question
-// unanswered, or an owner that stops asking, counts as silent until its next message.
+// unanswered, or an owner that stops asking, counts as silent until its next message. An owner
+// whose messages have come late lately, or that says that its event loop was late, is busy: it
+// counts as silent only after longer than that, up to a bound.
 //
 // What this costs must not grow with the square of the instances: a store that turns a third of 147
 // away would have 50 of them ask all others, 30,000 questions a second. So an instance in doubt
@@ -22,6 +24,7 @@
 
 #include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
+#include "Node/MessageGaps.h"
 
 namespace yardhill::node
 {
@@ -71,6 +74,10 @@
   bool cut_off() const;
 
 private:
+  // An owner without a message for this long is silent, however late its messages were before: well
+  // before its renewals alone tell that it is gone (ownership_options::silence).
+  static constexpr std::chrono::milliseconds k_most_patience{2000};
+
   struct peer
   {
     std::string zone;
@@ -82,14 +89,19 @@
     common::time_point heard_at;
     common::time_point avoid_until{};
     std::optional<common::time_point> asked_at; // the oldest question without an answer
+    message_gaps gaps{k_most_patience};         // while it owns a partition
+    std::chrono::milliseconds told_late{0};     // by itself
   };
 
+  common::way_question question(bool often, common::time_point now) const;
   void ask(common::time_point now, bool owner, bool in_doubt);
   void ask_one(const std::string& name, peer& each, bool often, common::time_point now);
   void ask_as_owner(common::time_point now);
   void ask_some(common::time_point now);
   void tell_stopped(common::time_point now);
   void forgive(common::time_point now);
+  // How long a peer's message may take that takes `usual` at most if the peer is not busy.
+  common::duration patience(const peer& each, common::duration usual, common::time_point now) const;
   bool overdue(const peer& each, common::time_point now) const;
 
   common::timekeeper& m_time;
@@ -99,6 +111,7 @@
   std::map<std::string, peer> m_peers;
   bool m_other_zones = false; // a peer of another zone has been linked once
   common::time_point m_last_tick{};
+  message_gaps m_ticks{k_most_patience};
   common::time_point m_last_asked{};
   std::uint64_t m_rounds = 0; // of an owner's questions
   bool m_was_owner = false;
--- a/Source/Core/Peer/FrameCodec.cpp
+++ b/Source/Core/Peer/FrameCodec.cpp
@@ -200,6 +200,7 @@
 {
   wire::WayQuestionT to;
   to.often = from.often;
+  to.late_ms = from.late_ms;
   return to;
 }
 
@@ -445,7 +446,8 @@
     return peer_message{job_notice{notice.id, notice.row, notice.version}};
   }
   case wire::Message::WayQuestion:
-    return peer_message{way_question{parsed.message.AsWayQuestion()->often}};
+    return peer_message{way_question{parsed.message.AsWayQuestion()->often,
+                                     parsed.message.AsWayQuestion()->late_ms}};
   case wire::Message::WayReport:
     return peer_message{way_report{parsed.message.AsWayReport()->has_way,
                                    parsed.message.AsWayReport()->newest_config}};
--- a/Source/Core/Peer/Generated/PeerMessages_generated.h
+++ b/Source/Core/Peer/Generated/PeerMessages_generated.h
@@ -2563,6 +2563,7 @@
 struct WayQuestionT : public flatbuffers::NativeTable {
   typedef WayQuestion TableType;
   bool often = false;
+  uint32_t late_ms = 0;
 };
 
 struct WayQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2570,14 +2571,19 @@
   typedef WayQuestionBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OFTEN = 4
+    VT_OFTEN = 4,
+    VT_LATE_MS = 6
   };
   bool often() const {
     return GetField<uint8_t>(VT_OFTEN, 0) != 0;
   }
+  uint32_t late_ms() const {
+    return GetField<uint32_t>(VT_LATE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OFTEN, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LATE_MS, 4) &&
            verifier.EndTable();
   }
   WayQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2592,6 +2598,9 @@
   void add_often(bool often) {
     fbb_.AddElement<uint8_t>(WayQuestion::VT_OFTEN, static_cast<uint8_t>(often), 0);
   }
+  void add_late_ms(uint32_t late_ms) {
+    fbb_.AddElement<uint32_t>(WayQuestion::VT_LATE_MS, late_ms, 0);
+  }
   explicit WayQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2605,8 +2614,10 @@
 
 inline flatbuffers::Offset<WayQuestion> CreateWayQuestion(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool often = false) {
+    bool often = false,
+    uint32_t late_ms = 0) {
   WayQuestionBuilder builder_(_fbb);
+  builder_.add_late_ms(late_ms);
   builder_.add_often(often);
   return builder_.Finish();
 }
@@ -4030,6 +4041,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = often(); _o->often = _e; }
+  { auto _e = late_ms(); _o->late_ms = _e; }
 }
 
 inline flatbuffers::Offset<WayQuestion> WayQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WayQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4041,9 +4053,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WayQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _often = _o->often;
+  auto _late_ms = _o->late_ms;
   return yardhill::wire::CreateWayQuestion(
       _fbb,
-      _often);
+      _often,
+      _late_ms);
 }
 
 inline WayReportT *WayReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/UnitTests/Model/SlowOwnerTest.cpp
+++ b/Source/UnitTests/Model/SlowOwnerTest.cpp
@@ -82,6 +82,26 @@
   }
 }
 
+// However late it was before: it is waited for up to a bound.
+BOOST_AUTO_TEST_CASE(an_owner_that_is_late_and_then_frozen_is_replaced)
+{
+  for (const std::uint64_t seed : k_seeds)
+  {
+    busy_cell play(seed);
+    play.load(2);
+    const std::uint64_t before = play.takeovers();
+    play.owner().time->freeze_until(play.cell.time().now() + seconds{8});
+    play.pass(milliseconds{3000});
+    BOOST_TEST(play.takeovers() == before + 1, "seed " << seed);
+    play.pass(seconds{10});
+    BOOST_TEST(play.cell.judge().violations().empty(), "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SlowSuccessorTest)
+
 // The new owner has more to do than the one before: everybody has to be asked.
 BOOST_AUTO_TEST_CASE(an_owner_that_is_killed_under_load_is_replaced_once)
 {
--- a/Source/UnitTests/Node/PeerMonitorTest.cpp
+++ b/Source/UnitTests/Node/PeerMonitorTest.cpp
@@ -92,6 +92,86 @@
   BOOST_TEST(events == (names{"+owner", "-owner"}), boost::test_tools::per_element());
 }
 
+// Incident LOST, SHORT: an owner that was late by 0.7 s was replaced, again and again.
+struct late_owner : monitor_under_test
+{
+  late_owner() { peers.linked("owner", "other"); }
+
+  void ask(milliseconds told_late = milliseconds{0})
+  {
+    peers.heard("owner");
+    peers.on_question("owner", {true, static_cast<std::uint32_t>(told_late.count())}, {true});
+  }
+
+  // Questions that come so far apart.
+  void ask_for(milliseconds span, milliseconds gap)
+  {
+    for (milliseconds passed{0}; passed < span; passed += gap)
+    {
+      ask();
+      pass(gap);
+    }
+    ask();
+  }
+
+  bool silent() const { return events.back() == "-owner"; }
+};
+
+BOOST_FIXTURE_TEST_CASE(an_owner_that_asked_late_before_may_be_late_again, late_owner)
+{
+  ask_for(milliseconds{1800}, milliseconds{600});
+  pass(milliseconds{1175});
+  BOOST_TEST(!silent());
+  pass(milliseconds{100});
+  BOOST_TEST(silent());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_owner_that_says_that_it_is_late_is_waited_for, late_owner)
+{
+  ask(milliseconds{500});
+  pass(milliseconds{975});
+  BOOST_TEST(!silent());
+  pass(milliseconds{100});
+  BOOST_TEST(silent());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_owner_is_not_waited_for_beyond_a_bound, late_owner)
+{
+  ask_for(milliseconds{1500}, milliseconds{1500}); // silent in between
+  ask(milliseconds{60000});
+  pass(milliseconds{1975});
+  BOOST_TEST(!silent());
+  pass(milliseconds{100});
+  BOOST_TEST(silent());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_owner_that_is_in_time_again_is_noticed_as_fast_as_before, late_owner)
+{
+  ask_for(milliseconds{1200}, milliseconds{600});
+  ask_for(milliseconds{20000}, milliseconds{250});
+  pass(milliseconds{700});
+  BOOST_TEST(silent());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_outage_is_not_taken_for_lateness, late_owner)
+{
+  ask_for(milliseconds{3000}, milliseconds{3000});
+  BOOST_TEST(!silent());
+  pass(milliseconds{700});
+  BOOST_TEST(silent());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_instance_says_how_late_it_is, monitor_under_test)
+{
+  peers.linked("peer", "other");
+  pass(milliseconds{300}, true);
+  time.run_until(time.now() + milliseconds{400});
+  sent.clear();
+  peers.tick(time.now(), true, false);
+  BOOST_TEST_REQUIRE(!sent.empty());
+  BOOST_TEST(std::get<common::way_question>(sent.back()).late_ms == 400U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_owner_that_has_given_back_says_so_and_may_be_quiet, monitor_under_test)
 {
   peers.linked("owner", "other");
--- a/Source/UnitTests/Peer/FrameCodecTest.cpp
+++ b/Source/UnitTests/Peer/FrameCodecTest.cpp
@@ -119,9 +119,10 @@
   BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).row == "row");
   BOOST_TEST(std::get<job_notice>(std::get<peer_message>(*frame)).version == 9U);
 
-  frame = decode(bytes_of(encode(peer_message{way_question{true}})));
+  frame = decode(bytes_of(encode(peer_message{way_question{true, 340}})));
   BOOST_TEST_REQUIRE(frame.has_value());
   BOOST_TEST(std::get<way_question>(std::get<peer_message>(*frame)).often);
+  BOOST_TEST(std::get<way_question>(std::get<peer_message>(*frame)).late_ms == 340U);
 
   frame = decode(bytes_of(encode(peer_message{state_question{11, "id"}})));
   BOOST_TEST_REQUIRE(frame.has_value());
