--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -71,6 +71,7 @@
   node::configuration_watch configuration{time, feed, path, queues, seconds{5}};
   node::job_store jobs{time, store, store};
   std::vector<std::unique_ptr<node::partition_owner>> partitions;
+  node::layout_keeper keeper{time, store, 0};
   node::state_desk states{time, [](const std::string&, const common::peer_message&) {}, partitions};
   std::optional<node::caller_gateway> gateway;
   std::optional<http::outgoing_answer> got;
@@ -80,7 +81,8 @@
     queues.routes.push_back({"urgent", "host", "/urgent/", policy_of(0)});
     queues.routes.push_back({"usual", "host", "/usual/", policy_of(2)});
     partitions.push_back(another({"instance-1", "life-1"}));
-    gateway.emplace(time, jobs, states, path, queues, configuration, capacities, partitions,
+    keeper.take_in({node::layout_key(), node::to_row_text(node::layout_row{1}), 1});
+    gateway.emplace(time, jobs, states, path, queues, configuration, capacities, keeper, partitions,
                     metrics);
     feed.start();
     time.run_until(time.now() + milliseconds{50});
