--- a/Source/UnitTests/Node/CellLayoutTest.cpp
+++ b/Source/UnitTests/Node/CellLayoutTest.cpp
@@ -43,4 +43,17 @@
   }
 }
 
+// A task that no partition has would never run, one that two have would run twice.
+BOOST_AUTO_TEST_CASE(each_task_of_a_shared_job_has_one_partition)
+{
+  const cell_layout layout(3);
+  for (std::uint32_t index = 0; index < 10; ++index)
+  {
+    int partitions = 0;
+    for (const std::string& name : layout.names())
+      partitions += layout.share_of(name).has(index) ? 1 : 0;
+    BOOST_TEST(partitions == 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
