Node, Scheduling: Mends after the review of the parts together

Now by address, which stays with the machine. - A slow start could fix the layout at one partition uncounted; the clocks begin with the first look now. - Starts before the bound were a debt of seconds, and what lasts queued behind what had begun (StartBudgetTest). - Parts of may-be-away, labels of shared jobs, the layout through a peer, questions among strong instances. Ruled out: more workers a partition (the drift has no end).

--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -88,6 +88,11 @@
   std::uint32_t of = 1;
 
   bool has(std::uint32_t index) const { return index % of == rest; }
+  // Its part of an amount; all partitions' parts make the whole.
+  std::uint32_t of_amount(std::uint32_t amount) const
+  {
+    return amount / of + (rest < amount % of ? 1 : 0);
+  }
 };
 
 struct accepted_job
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -181,12 +181,7 @@
   const seen_owner& seen = partition.seen();
   if (seen.version == 0 || m_time.now() - seen.changed_at > k_owner_fresh)
     return false;
-  for (const jobs::step_spec& step : spec.steps)
-  {
-    if (!step.required_label.empty() && !seen.row.labels.contains(step.required_label))
-      return false;
-  }
-  return true;
+  return partition.has_labels(spec);
 }
 
 // The job's first partition while that has room for more than what waits there, else the one of its
@@ -196,7 +191,9 @@
 {
   const auto load_of = [](const partition_owner& each)
   { return each.seen().row.waiting_cpu - each.seen().row.free_cpu; };
-  if (spec.may_be_shared(m_partitions.size()))
+  const auto has_labels = [&spec](const auto& each) { return each->has_labels(spec); };
+  if (spec.may_be_shared(m_partitions.size()) &&
+      std::all_of(m_partitions.begin(), m_partitions.end(), has_labels))
     return jobs::k_every_partition;
   const partition_owner* best = nullptr;
   for (const std::string& name : m_layout.layout()->of_job(job))
--- a/Source/Core/Node/CellLayout.cpp
+++ b/Source/Core/Node/CellLayout.cpp
@@ -28,9 +28,9 @@
                       std::to_string(partitions));
 }
 
-const std::string& cell_layout::of_worker(const common::worker_id& worker) const
+const std::string& cell_layout::of_worker(const common::endpoint& address) const
 {
-  return m_names[common::stable_hash(worker.value, k_worker_seed) % m_names.size()];
+  return m_names[common::stable_hash(address.address, k_worker_seed) % m_names.size()];
 }
 
 jobs::task_share cell_layout::share_of(const std::string& partition) const
--- a/Source/Core/Node/CellLayout.h
+++ b/Source/Core/Node/CellLayout.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "Common/Ids.h"
+#include "Common/InstanceSettings.h"
 #include "Jobs/JobSpec.h"
 
 namespace yardhill::node
@@ -25,9 +25,9 @@
 
   std::size_t size() const { return m_names.size(); }
   const std::vector<std::string>& names() const { return m_names; }
-  // The partition of a worker. Its entry may change or be damaged; its id does not, so no two
-  // owners order it about.
-  const std::string& of_worker(const common::worker_id& worker) const;
+  // The partition of the worker at that address. It stays with the machine over its workers' lives,
+  // and a worker obeys calls at no other address, so no two owners order one about.
+  const std::string& of_worker(const common::endpoint& address) const;
   // The partition's part of the tasks of jobs that all partitions run.
   jobs::task_share share_of(const std::string& partition) const;
   // Where a job usually runs, and where else if that partition is busy or has no owner.
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -171,7 +171,8 @@
     // It may be an earlier submission's row, even of a job that has ended since.
     if (kept != result.conflicting.end())
     {
-      m_done({accept_end::accepted, "settled by reading it back", m_first, kept->version});
+      m_done({accept_end::accepted, "settled by reading it back", m_first && kept->value == m_text,
+              kept->version});
       return;
     }
     m_expected = result.conflicting.empty() ? 0 : result.conflicting.front().version;
--- a/Source/Core/Node/LayoutKeeper.cpp
+++ b/Source/Core/Node/LayoutKeeper.cpp
@@ -29,12 +29,7 @@
 
 layout_keeper::layout_keeper(common::timekeeper& time, adapter::store_client& store,
                              std::size_t fixed)
-    : m_time(time),
-      m_store(store),
-      m_fixed(fixed),
-      m_began(time.now()),
-      m_grew_at(time.now()),
-      m_alive(std::make_shared<int>(0))
+    : m_time(time), m_store(store), m_fixed(fixed), m_alive(std::make_shared<int>(0))
 {
 }
 
@@ -69,17 +64,22 @@
 {
   if (m_fixed > 0)
     return m_fixed;
-  if (now - m_began < k_settle)
+  // Instances are found one after the other by one that starts slowly.
+  if (!m_began || size.instances > m_instances)
+    m_began = now;
+  m_instances = size.instances;
+  if (now - *m_began < k_settle)
     return std::nullopt;
   const std::size_t by_instances = size.instances / k_instances_a_partition;
   if (by_instances <= 1)
     return 1;
-  m_wants_workers = true;
+  if (!m_counting_since)
+    m_counting_since = m_grew_at = now;
   if (size.workers > m_workers)
     m_grew_at = now;
   m_workers = std::max(m_workers, size.workers);
-  const bool counted = m_workers > 0 && now - m_grew_at >= k_steady;
-  if (!counted && now - m_began < k_longest_count)
+  const bool settled = m_workers > 0 && now - m_grew_at >= k_steady;
+  if (!settled && now - *m_counting_since < k_longest_count)
     return std::nullopt;
   return std::clamp<std::size_t>(std::min(m_workers / k_workers_a_partition, by_instances), 1,
                                  k_most_partitions);
@@ -92,10 +92,9 @@
     return;
   if (const auto partitions = decision(size, now))
   {
-    common::log_process("layout_decided", {{"partitions", *partitions},
-                                           {"instances", size.instances},
-                                           {"workers", m_workers},
-                                           {"after_ms", now - m_began}});
+    common::log_process(
+        "layout_decided",
+        {{"partitions", *partitions}, {"instances", size.instances}, {"workers", m_workers}});
     write(*partitions);
   }
 }
--- a/Source/Core/Node/LayoutKeeper.h
+++ b/Source/Core/Node/LayoutKeeper.h
@@ -43,7 +43,7 @@
   const std::optional<cell_layout>& layout() const { return m_layout; }
 
   // Whether the workers have to be counted before the layout can be decided.
-  bool wants_workers() const { return m_wants_workers && !m_layout; }
+  bool wants_workers() const { return m_counting_since && !m_layout; }
   // Called often by an instance that may own partitions.
   void tick(const cell_size& size);
 
@@ -58,11 +58,12 @@
   std::size_t m_fixed;
   std::optional<cell_layout> m_layout;
   bool m_rows_read = false;
-  bool m_wants_workers = false;
   bool m_writing = false;
-  common::time_point m_began;
+  std::optional<common::time_point> m_began; // since when no further instance has been found
+  std::size_t m_instances = 0;
+  std::optional<common::time_point> m_counting_since; // workers
   std::size_t m_workers = 0;
-  common::time_point m_grew_at;
+  common::time_point m_grew_at{};
   common::time_point m_try_after{};
   std::shared_ptr<int> m_alive;
 };
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -119,6 +119,7 @@
 {
   if (!m_partitions.empty())
     return;
+  fetch_layout();
   const ownership_options options;
   const bool others_first =
       m_peers.strongest() > options.much_stronger * static_cast<double>(m_processor_millis);
@@ -128,6 +129,18 @@
     divide();
 }
 
+// The direct way to the store does not bring the owners' rows: they are read through a peer.
+void node_core::fetch_layout()
+{
+  const common::time_point now = m_world.time.now();
+  if (m_owner_feed.loaded() || now - m_layout_fetched < k_fetch_period)
+    return;
+  if (std::exchange(m_layout_fetched, now) == common::time_point{})
+    return;
+  m_store.read({k_owners_table, k_whole_cell, {}, {}, 2}, k_fetch_period,
+               [this](const adapter::rows_result& result) { on_owner_rows(result.rows); });
+}
+
 void node_core::read_owners_anew()
 {
   if (!std::exchange(m_reads_owners_anew, false))
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -82,6 +82,7 @@
   void decide_layout();
   // How many partitions this instance owns or is about to.
   std::size_t owned() const;
+  void fetch_layout();
   void read_owners_anew();
   // Begins to take part in the partitions once the cell's layout is known.
   void divide();
@@ -134,6 +135,7 @@
   table_feed m_owner_feed;
   common::time_point m_feeds_asked{};           // again, after a silence of the store
   common::time_point m_configuration_fetched{}; // when it was last asked for through a peer
+  common::time_point m_layout_fetched{};        // when it was last asked for through a peer
   bool m_reads_owners_anew = false;             // the rows of several partitions' owners
   std::set<std::string> m_linked;
   std::uint32_t m_told_strength = 0;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -242,6 +242,15 @@
   step_soon();
 }
 
+bool partition_owner::has_labels(const jobs::job_spec& spec) const
+{
+  const std::set<std::string>& known = seen().row.labels;
+  return std::all_of(spec.steps.begin(), spec.steps.end(),
+                     [&known](const jobs::step_spec& step) {
+                       return step.required_label.empty() || known.contains(step.required_label);
+                     });
+}
+
 void partition_owner::job_kept_here(const jobs::accepted_job& job, adapter::row_version version)
 {
   if (owns())
@@ -322,7 +331,7 @@
 
 void partition_owner::worker_entry(const scheduling::worker_info& info)
 {
-  if (!owns() || m_parts.layout.of_worker(info.id) != m_partition)
+  if (!owns() || m_parts.layout.of_worker(info.address) != m_partition)
     return;
   m_scheduler->worker_entry(info, m_parts.time.now());
   step_soon();
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -82,6 +82,9 @@
   bool owns() const { return m_state == state::owning; }
   const seen_owner& seen() const { return m_watch.seen(); }
 
+  // Whether some of its workers have what the job's steps require, as its owner told.
+  bool has_labels(const jobs::job_spec& spec) const;
+
   void owner_row_changed(const adapter::row& row);
   // Whether it owns its partition or is about to.
   bool needs_workers() const { return m_state != state::watching; }
--- a/Source/Core/Node/PeerMonitor.cpp
+++ b/Source/Core/Node/PeerMonitor.cpp
@@ -158,7 +158,7 @@
   for (auto& [name, each] : m_peers)
   {
     const bool often =
-        m_peers.size() <= k_few_peers || each.processor_millis >= m_self.processor_millis;
+        m_peers.size() <= k_few_peers || 2 * each.processor_millis >= m_self.processor_millis;
     if (often || each.silent || each.rank % k_turns == turn)
       ask_one(name, each, often, now);
   }
--- a/Source/Core/Scheduling/Evacuator.cpp
+++ b/Source/Core/Scheduling/Evacuator.cpp
@@ -50,7 +50,7 @@
   }
   // Owners that share a job do not know how many of each other's tasks are away.
   if (run.job->shared())
-    return away >= step.spec->most_unavailable / m_state.options.share.of;
+    return away >= m_state.options.share.of_amount(step.spec->most_unavailable);
   return away >= std::max(1U, step.spec->most_unavailable);
 }
 
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -55,10 +55,12 @@
   advise_in_turn(steps, now);
   bool short_of_starts = false;
   if (m_state.starts.bounded())
-    std::stable_partition(steps.begin(), steps.end(), goes_first);
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const waiting_step& left, const waiting_step& right)
+                     { return turn_while_paced(left) < turn_while_paced(right); });
   for (const waiting_step& each : steps)
   {
-    if (m_state.starts.spent())
+    if (m_state.starts.spent() && !lasts(each))
     {
       short_of_starts = true;
       break;
@@ -77,10 +79,16 @@
     place_copies(now);
 }
 
-bool placer::goes_first(const waiting_step& each)
+bool placer::lasts(const waiting_step& each)
 {
-  const job_record& job = *each.job;
-  return job.known_begun() || job.cycles()[each.cycle].steps[each.step].spec->long_running;
+  return each.job->cycles()[each.cycle].steps[each.step].spec->long_running;
+}
+
+int placer::turn_while_paced(const waiting_step& each)
+{
+  if (lasts(each))
+    return 0;
+  return each.job->known_begun() ? 1 : 2;
 }
 
 // The most urgent ones of a queue always have their turn. Of a long backlog the others have it
@@ -283,7 +291,7 @@
   std::uint32_t started = 0;
   for (std::uint32_t index = 0; index < step.tasks.size() && step.waiting > 0; ++index)
   {
-    if (m_state.starts.spent())
+    if (m_state.starts.spent() && !step.spec->long_running)
       break;
     const task_record& task = step.tasks[index];
     if (task.phase != task_phase::waiting || m_state.awaits_renewal(task, now))
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -69,8 +69,9 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> in_order(time_point now) const;
-  // While starts are paced: what has begun and what lasts goes before first starts of new jobs.
-  static bool goes_first(const waiting_step& each);
+  static bool lasts(const waiting_step& each);
+  // While starts are paced: what lasts goes first, however few are left, then what has begun.
+  static int turn_while_paced(const waiting_step& each);
   // Whether the step is looked at in this pass, after so many of its queue that found no room.
   bool its_turn(const waiting_step& each, const blocked_steps& blocked) const;
   // Places what can be placed of it; whether nothing of it waits any more.
--- a/Source/Core/Scheduling/StartBudget.cpp
+++ b/Source/Core/Scheduling/StartBudget.cpp
@@ -31,7 +31,8 @@
   if (!bounded())
     return;
   const double most = std::max(1.0, *m_rate * seconds_of(m_options.burst));
-  m_allowed = std::min(most, left + *m_rate * seconds_of(passed));
+  const double least = -*m_rate * seconds_of(m_options.longest_debt);
+  m_allowed = std::min(most, std::max(left, least) + *m_rate * seconds_of(passed));
 }
 
 void start_budget::measure(time_point now)
@@ -57,6 +58,7 @@
   }
   m_rate = std::max(m_options.first, m_options.decrease * m_achieved);
   m_allowed = 0.0;
+  m_sent = 0.0; // without a bound
   common::log_process("starts_paced", {{"paced", true}, {"rate", static_cast<long>(*m_rate)}});
 }
 
--- a/Source/Core/Scheduling/StartBudget.h
+++ b/Source/Core/Scheduling/StartBudget.h
@@ -33,6 +33,9 @@
   double increase = 200.0; // a second
   // The starts of so long may be sent at once.
   duration burst = std::chrono::milliseconds{100};
+  // What is sent beyond the budget (gangs, repeats, what lasts) holds up others for so long at
+  // most.
+  duration longest_debt = std::chrono::milliseconds{300};
 };
 
 class start_budget
--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -81,6 +81,7 @@
   adapter::store_client client{wire, metrics};
   job_store jobs{time, client, client};
   std::optional<accept_result> got;
+  std::string home = "cell";
 
   void accept(std::deque<fate> fates)
   {
@@ -96,7 +97,7 @@
     jobs::accepted_job job;
     job.id = "0123456789abcdef";
     job.queue = "queue";
-    job.home = "cell";
+    job.home = home;
     job.spec.steps.emplace_back();
     jobs.accept(job, jobs.version_so_far(), time.now() + std::chrono::seconds{3}, std::move(done));
   }
--- a/Source/UnitTests/Node/JobStoreTest.cpp
+++ b/Source/UnitTests/Node/JobStoreTest.cpp
@@ -45,6 +45,18 @@
   BOOST_TEST(!kept());
 }
 
+// Two partitions would run it: the one that its row names, and the one that this call chose.
+BOOST_FIXTURE_TEST_CASE(a_row_that_another_call_has_kept_is_not_taken_for_its_own, accepting)
+{
+  home = "cell-2-of-2";
+  accept({});
+  BOOST_TEST(got->first);
+  home = "cell-1-of-2";
+  accept({fate::lost});
+  BOOST_TEST((got->end == node::accept_end::accepted));
+  BOOST_TEST(!got->first);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_submission_is_kept_as_soon_as_the_store_takes_it, accepting)
 {
   accept({fate::turned_away, fate::turned_away, fate::turned_away, fate::turned_away});
--- a/Source/UnitTests/Scheduling/StartBudgetTest.cpp
+++ b/Source/UnitTests/Scheduling/StartBudgetTest.cpp
@@ -121,6 +121,25 @@
   BOOST_TEST(sent <= 1 + options.least * 0.1);
 }
 
+// A new owner's first pass starts hundreds of tasks; the bound that follows counted them, and
+// nothing was started for seconds.
+BOOST_FIXTURE_TEST_CASE(what_was_sent_without_a_bound_is_no_debt, budget)
+{
+  now += k_pass;
+  starts.begin_pass(milliseconds{0}, now);
+  for (int i = 0; i < 1000; ++i)
+    starts.take();
+  BOOST_TEST(run(milliseconds{500}, k_late) > 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_large_gang_holds_up_others_for_a_bounded_time, budget)
+{
+  run(seconds{1}, k_late);
+  for (int i = 0; i < 10000; ++i)
+    starts.take();
+  BOOST_TEST(run(seconds{1}, k_late) > 50);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_pass_of_a_late_loop_sends_a_part_of_what_has_room, paced)
 {
   start_job(k_job, wide());
