--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -83,8 +83,7 @@
 }
 } // namespace
 
-exploration explore_cell(std::uint64_t seed, omission without, restarts how,
-                         std::size_t partitions)
+exploration explore_cell(std::uint64_t seed, omission without, restarts how, std::size_t partitions)
 {
   explored_cell cell(seed, partitions);
   const logged_time logged(cell);
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -141,8 +141,7 @@
   for (std::uint64_t seed = range.first; seed < range.first + (range.count + k_share - 1) / k_share;
        ++seed)
   {
-    const exploration played =
-        explore_cell(seed, omission::none, restarts::none, 2 + seed % 2);
+    const exploration played = explore_cell(seed, omission::none, restarts::none, 2 + seed % 2);
     BOOST_TEST(played.violations.empty(), told(seed, played));
   }
 }
