Scheduling: Tasks that crash their workers no longer excuse each other

Cause: a regression of background_losses.

The worker's silence follows within some 10 ms of the start that crashed it.

Change: a worker that falls silent within 100 ms of a start is no background. lost_starts counts starts that may be lost, whatever their verdicts; after three the trials are decisive (steady worker that has just answered, nothing else begun, an unanswered start counts); a task blamed once is given up after the fifth. The bound no longer rests on who is guilty, and the background no longer on what crashing tasks do to each other.

Tests: two cases of CrashWatchTest fail without the change (by_chance 1 for 0; a sixth start).

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t k_history_without_crashes = 5;
 // And one that knows of no losses by chance.
 constexpr std::size_t k_history_without_chance = 12;
+constexpr std::size_t k_history_without_unjudged = 13;
 
 constexpr std::array<std::string_view, 5> k_state_names{"queued", "active", "completed", "failed",
                                                         "cancelled"};
@@ -89,7 +90,7 @@
       row.insert(row.end(),
                  {history.crashes.blamed, history.crashes.unclear, history.crashes.announced,
                   history.crashes.announced_on, history.crashes.alone, history.crashes.unanswered,
-                  history.crashes.lost, history.crashes.by_chance});
+                  history.crashes.lost, history.crashes.by_chance, history.crashes.unjudged});
   }
   json begun = json::array();
   for (const auto& [step, zone] : progress.begun)
@@ -132,6 +133,8 @@
       // Rows of earlier versions have no more.
       if (task.size() > k_history_without_chance)
         history.crashes.by_chance = task.at(k_history_without_chance);
+      if (task.size() > k_history_without_unjudged)
+        history.crashes.unjudged = task.at(k_history_without_unjudged);
     }
   }
   return progress;
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -52,11 +52,14 @@
   bool lost = false;
   // Runs lost while so many workers were that their losses are no evidence.
   std::uint32_t by_chance = 0;
+  // Runs that were not announced and may have been lost with their workers, without any word on
+  // what crashed these.
+  std::uint32_t unjudged = 0;
 
   bool any() const
   {
     return !blamed.empty() || !unclear.empty() || announced != 0 || unanswered != 0 || lost ||
-           by_chance != 0;
+           by_chance != 0 || unjudged != 0;
   }
   void take_back()
   {
--- a/Source/Core/Scheduling/BackgroundLosses.cpp
+++ b/Source/Core/Scheduling/BackgroundLosses.cpp
@@ -8,9 +8,11 @@
 
 namespace yardhill::scheduling
 {
-void background_losses::note(const worker_id& worker, time_point now)
+void background_losses::note(const worker_record& worker, time_point now)
 {
-  m_lost[worker] = now;
+  if (worker.silent_after_start(m_state.options.crash_at_start, now))
+    return;
+  m_lost[worker.info.id] = now;
   std::erase_if(m_lost, [this, now](const auto& each)
                 { return now - each.second > m_state.options.background_window; });
 }
@@ -18,7 +20,8 @@
 // A loss shows as silence first; a worker that stays silent says nothing of the present.
 bool background_losses::lately_silent(const worker_record& worker, time_point now) const
 {
-  if (!worker.suspect || now - worker.silent_since > m_state.options.background_silence)
+  if (!worker.suspect || now - worker.silent_since > m_state.options.background_silence ||
+      worker.silent_after_start(m_state.options.crash_at_start, now))
     return false;
   return std::none_of(worker.runs.begin(), worker.runs.end(),
                       [](const auto& each)
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -15,13 +15,15 @@
 {
 // From its second count on, or the first one if that is unclear, a task is tried where nothing else
 // has just begun. If it alone is blamed then, it is given up; if losses before point both ways it
-// has one try more. The platform's bound is five starts of a task that crashes its workers, and the
-// first one is not announced.
+// takes more of them. The platform's bound is five starts of a task that crashes its workers.
 constexpr std::size_t k_counts_to_isolate = 2;
-constexpr std::uint32_t k_alone_if_doubtful = 2;
+constexpr std::size_t k_losses_to_convict = 2;
+constexpr std::size_t k_losses_if_doubtful = 4;
 // Otherwise it takes more counts, since those whose end is unclear may have been lost with a cut.
 constexpr std::size_t k_counts_to_give_up = 4;
 constexpr std::size_t k_tries = 5;
+// After so many lost starts two are left.
+constexpr std::size_t k_losses_to_be_decisive = 3;
 // From so many losses by chance on, a task is tried apart as well.
 constexpr std::uint32_t k_chances_to_isolate = 2;
 // Its trial lasts twice as long with each count, so that one that takes longer to crash its worker
@@ -31,7 +33,8 @@
 bool isolated(const task_record& task)
 {
   const jobs::crash_history& crashes = task.crashes;
-  return counts_of(crashes) + crashes.by_chance >= k_counts_to_isolate;
+  return counts_of(crashes) + crashes.by_chance >= k_counts_to_isolate ||
+         crash_watch::decisive(task);
 }
 
 void add_once(std::vector<run_number>& runs, run_number run)
@@ -49,19 +52,20 @@
 
 std::string_view crash_watch::to_text(verdict how)
 {
-  static constexpr std::array<std::string_view, 5> k_names{"blamed_alone", "blamed_with_others",
-                                                           "unclear", "unanswered", "by_chance"};
+  static constexpr std::array<std::string_view, 6> k_names{"blamed_alone",     "blamed_with_others",
+                                                           "unclear",          "unanswered",
+                                                           "unanswered_alone", "by_chance"};
   return k_names[static_cast<std::size_t>(how)];
 }
 
 bool crash_watch::convicted(const jobs::crash_history& crashes)
 {
-  // Another run was younger once, or nobody knows what was: its neighbours may be at fault.
-  const bool doubtful = !crashes.unclear.empty();
-  // Losses by chance are no evidence, but it takes more trials to tell the task from its luck.
-  const std::size_t losses = counts_of(crashes) + crashes.by_chance;
-  return crashes.alone >= (doubtful ? k_alone_if_doubtful : 1) &&
-         losses >= (crashes.by_chance > 0 ? k_counts_to_give_up : k_counts_to_isolate);
+  // Another run was younger once, nobody knows what was, or others fell as well: it takes more
+  // losses to tell the task from its neighbours and its luck.
+  const bool doubtful = !crashes.unclear.empty() || crashes.by_chance > 0;
+  // Starts without an answer may never have begun.
+  const std::size_t losses = lost_starts(crashes) - crashes.unanswered;
+  return crashes.alone > 0 && losses >= (doubtful ? k_losses_if_doubtful : k_losses_to_convict);
 }
 
 bool crash_watch::to_be_given_up(const jobs::crash_history& crashes)
@@ -72,8 +76,14 @@
 bool crash_watch::out_of_tries(const jobs::crash_history& crashes)
 {
   const std::size_t counts = counts_of(crashes);
-  return counts + crashes.unanswered >= k_tries ||
-         (counts >= k_counts_to_give_up && !crashes.blamed.empty());
+  if (crashes.blamed.empty())
+    return counts + crashes.unanswered >= k_tries;
+  return counts >= k_counts_to_give_up || lost_starts(crashes) >= k_tries;
+}
+
+bool crash_watch::decisive(const task_record& task)
+{
+  return lost_starts(task.crashes) >= k_losses_to_be_decisive;
 }
 
 std::size_t counts_of(const jobs::crash_history& crashes)
@@ -81,9 +91,15 @@
   return crashes.blamed.size() + crashes.unclear.size();
 }
 
+std::size_t lost_starts(const jobs::crash_history& crashes)
+{
+  return counts_of(crashes) + crashes.unanswered + crashes.by_chance + crashes.unjudged;
+}
+
 bool suspected(const jobs::crash_history& crashes)
 {
-  return counts_of(crashes) > 0 || crashes.by_chance >= k_chances_to_isolate;
+  return counts_of(crashes) > 0 || crashes.by_chance >= k_chances_to_isolate ||
+         lost_starts(crashes) >= k_losses_to_be_decisive;
 }
 
 bool crash_watch::ran_suspect(const worker_record& worker) const
@@ -144,6 +160,8 @@
   {
     if (each.how == verdict::blamed_with_others && blamed == 1 && unanswered == 0)
       each.how = verdict::blamed_alone;
+    if (each.how == verdict::unanswered && blamed == 0 && unanswered == 1)
+      each.how = verdict::unanswered_alone;
   }
   common::log_process("worker_crashed",
                       {{"worker", worker.info.id.value},
@@ -161,24 +179,24 @@
   const bool planned =
       worker.info.draining || (!worker.listed && worker.unlisted_since < worker.heard_at);
   if (!planned && (worker.claimed || worker.claim) && !ran_suspect(worker))
-    m_background.note(worker.info.id, now);
+    m_background.note(worker, now);
   if (!planned && worker.claimed)
   {
     m_state.metrics.add(common::counter::workers_crashed);
     blame(worker, runs, now);
   }
   m_state.lose_runs(worker, which, why);
-  take_in(worker.info.id, runs, now);
+  take_in(worker.info.id, runs, !planned, now);
 }
 
 void crash_watch::leases_over(worker_record& worker, const char* why, time_point now)
 {
   const std::vector<lost_run> runs = runs_of(worker);
   m_state.lose_runs(worker, scheduler_state::lost_runs::all, why);
-  take_in(worker.info.id, runs, now);
+  take_in(worker.info.id, runs, true, now);
 }
 
-void crash_watch::take_in(const worker_id& worker, const std::vector<lost_run>& runs,
+void crash_watch::take_in(const worker_id& worker, const std::vector<lost_run>& runs, bool crashed,
                           time_point now)
 {
   for (const lost_run& each : runs)
@@ -191,6 +209,11 @@
     if (announced)
       crashes.take_back();
     may_be_lost(*job, each.place);
+    if (crashed && !each.how && !announced)
+    {
+      ++crashes.unjudged;
+      m_state.mark_dirty(*job);
+    }
     if (each.how || announced)
       count(*job, each.place, each.number, worker, each.how.value_or(verdict::unclear), now);
   }
@@ -201,6 +224,9 @@
 {
   task_record& task = job.task(place);
   jobs::crash_history& crashes = task.crashes;
+  // In a decisive trial the worker had just answered, and nothing else had begun there.
+  if (how == verdict::unanswered_alone)
+    how = decisive(task) ? verdict::blamed_alone : verdict::unanswered;
   // Any task would have lost its worker: nobody is given up for that.
   if (m_background.explain_loss_of(worker, now))
     how = verdict::by_chance;
@@ -223,6 +249,7 @@
                        {"unclear", crashes.unclear.size()},
                        {"unanswered", crashes.unanswered},
                        {"by_chance", crashes.by_chance},
+                       {"unjudged", crashes.unjudged},
                        {"alone", crashes.alone}});
   if (how != verdict::by_chance)
     note_loss({{job.id(), place}, run, worker, how, alone, now});
@@ -340,6 +367,16 @@
   m_state.mark_dirty(job);
 }
 
+void crash_watch::may_be_lost_unjudged(job_record& job, const task_place& place)
+{
+  may_be_lost(job, place);
+  jobs::crash_history& crashes = job.task(place).crashes;
+  if (crashes.announced != 0 || lost_starts(crashes) > 0)
+    return;
+  crashes.unjudged = 1;
+  m_state.mark_dirty(job);
+}
+
 void crash_watch::released(job_record& job, const task_place& place, earlier_worker fate,
                            time_point now)
 {
@@ -381,6 +418,22 @@
   return task.accused_by || (isolated(task) && m_background.high(now));
 }
 
+bool crash_watch::steady(const worker_record& worker, time_point now) const
+{
+  return worker.first_seen + m_state.options.steady_life <= now;
+}
+
+bool crash_watch::heard_lately(const worker_record& worker, time_point now) const
+{
+  return now - worker.heard_at <= std::max(m_state.options.fresh_lists, m_state.order_patience);
+}
+
+duration crash_watch::patience(const task_record& task) const
+{
+  const scheduler_options& options = m_state.options;
+  return options.crash_trial_patience + (decisive(task) ? options.crash_trial : duration{0});
+}
+
 bool crash_watch::fit(const worker_record& worker, const task_record& task, time_point now) const
 {
   // Nothing else begins beside an isolated trial.
@@ -389,15 +442,23 @@
   if (!suspected(task.crashes))
     return true;
   // Where there has been no better worker for long, any will do.
-  if (task.trial_wanted && now - *task.trial_wanted >= m_state.options.crash_trial_patience)
+  if (task.trial_wanted && now - *task.trial_wanted >= patience(task))
     return true;
   if (worker.trial_until > now)
     return false;
   if (!isolated(task))
     return true;
-  const bool steady =
-      task.crashes.by_chance == 0 || worker.first_seen + m_state.options.steady_life <= now;
-  return steady && worker.latest_start + m_state.options.crash_trial <= now;
+  const bool quiet = worker.latest_start + m_state.options.crash_trial <= now;
+  if (decisive(task))
+    return quiet && steady(worker, now) && heard_lately(worker, now);
+  return quiet && (task.crashes.by_chance == 0 || steady(worker, now));
+}
+
+bool crash_watch::can_become_fit(const worker_record& worker, const task_record& task,
+                                 time_point now) const
+{
+  return !decisive(task) ||
+         (steady(worker, now) && (worker.isolated_until <= now || worker.kept_for_trial == &task));
 }
 
 void crash_watch::keep_for_trial(worker_record& worker, const task_record& task,
@@ -406,7 +467,20 @@
   if (!isolated(task) || worker.isolated_until > now)
     return;
   worker.kept_for_trial = &task;
-  worker.isolated_until = now + m_state.options.crash_trial_patience;
+  worker.isolated_until = now + patience(task);
+}
+
+bool crash_watch::keeps_worker_for(const task_record& task, time_point now) const
+{
+  bool kept = false;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->kept_for_trial != &task || worker->isolated_until <= now)
+      continue;
+    kept = true;
+    worker->ask_at_once |= decisive(task) && !heard_lately(*worker, now);
+  }
+  return kept;
 }
 
 void crash_watch::mark_trial(run_record& run, time_point now) const
--- a/Source/Core/Scheduling/CrashWatch.h
+++ b/Source/Core/Scheduling/CrashWatch.h
@@ -14,6 +14,10 @@
 // What tells the guilty from its neighbours: a suspected task is kept apart from others, and from
 // its second count on it is tried where nothing else has just begun and nothing else begins. A loss
 // among many others counts as chance, and the next trial waits until they are over.
+//
+// The verdicts tell who is guilty; how often a task is started is bounded by its lost starts,
+// whatever their verdicts. So its last tries are decisive: each waits for a worker where only the
+// task can be the cause of a loss.
 
 #include <deque>
 #include <string_view>
@@ -52,6 +56,8 @@
   // A run of the task may have been lost with its worker. This is written before the worker's claim
   // goes, which is all that tells a later owner of it.
   void may_be_lost(job_record& job, const task_place& place);
+  // The same of a run of an earlier owner that need not have been announced.
+  void may_be_lost_unjudged(job_record& job, const task_place& place);
   // An earlier owner's task waits again, and an announced run of it has not been heard of.
   void released(job_record& job, const task_place& place, earlier_worker fate, time_point now);
 
@@ -64,11 +70,18 @@
   static bool awaits_announcement(const task_record& task);
   // Whether the task may be tried there at this moment, as far as crashes go.
   bool fit(const worker_record& worker, const task_record& task, time_point now) const;
+  // Whether it will be fit if nothing else begins there for a while.
+  bool can_become_fit(const worker_record& worker, const task_record& task, time_point now) const;
   // Whether it is started nowhere for now: its trial waits until workers are no longer lost anyway,
   // or it is about to be given up.
   bool postponed(const task_record& task, time_point now) const;
   // Nothing begins on the worker for a while, so that it becomes fit for the task's trial.
   void keep_for_trial(worker_record& worker, const task_record& task, time_point now) const;
+  // Whether a worker is kept for its trial. A decisive trial needs one that has answered just now,
+  // so it is asked.
+  bool keeps_worker_for(const task_record& task, time_point now) const;
+  // Whether the task's next trial has to be a decisive one.
+  static bool decisive(const task_record& task);
   // What else may begin beside the run, if its task is suspected.
   void mark_trial(run_record& run, time_point now) const;
 
@@ -80,6 +93,7 @@
     blamed_with_others,
     unclear,
     unanswered,
+    unanswered_alone, // nothing else had begun there lately
     by_chance
   };
 
@@ -117,11 +131,18 @@
   // Whether a task that was suspected already may have crashed it.
   bool ran_suspect(const worker_record& worker) const;
   void blame(const worker_record& worker, std::vector<lost_run>& runs, time_point now) const;
-  void take_in(const worker_id& worker, const std::vector<lost_run>& runs, time_point now);
+  // `crashed`: the worker's end was not planned, as far as is known.
+  void take_in(const worker_id& worker, const std::vector<lost_run>& runs, bool crashed,
+               time_point now);
   // A run was lost with the worker.
   void count(job_record& job, const task_place& place, run_number run, const worker_id& worker,
              verdict how, time_point now);
   void give_up(job_record& job, const task_place& place, time_point now);
+  // Where workers were lost by chance, a young life tells less.
+  bool steady(const worker_record& worker, time_point now) const;
+  // How long the task waits for a worker that is fit for its trial, before any will do.
+  duration patience(const task_record& task) const;
+  bool heard_lately(const worker_record& worker, time_point now) const;
   // How long after its start a suspected run may still crash its worker.
   duration trial_time(const task_record& task) const;
 
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -32,6 +32,8 @@
 
 // How often workers have been lost with the task in a way that counts against it.
 std::size_t counts_of(const jobs::crash_history& crashes);
+// How many of its starts may have been lost with their workers, whatever is known of the cause.
+std::size_t lost_starts(const jobs::crash_history& crashes);
 // Whether it is tried apart from others.
 bool suspected(const jobs::crash_history& crashes);
 
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -186,7 +186,9 @@
     return obstacle::unsuitable;
   if (!has_room(worker, job, place))
     return obstacle::no_room;
-  if (how == trials::kept_apart && !m_crashes.fit(worker, step.tasks[place.index], now))
+  const task_record& task = step.tasks[place.index];
+  if (how == trials::kept_apart ? !m_crashes.fit(worker, task, now)
+                                : !m_crashes.can_become_fit(worker, task, now))
     return obstacle::unfit_for_trial;
   if (!m_reservations.allows(worker, job, step, now))
     return obstacle::reserved;
@@ -241,12 +243,14 @@
     task.trial_wanted.reset();
     return;
   }
-  if (task.trial_wanted)
+  const bool kept = m_crashes.keeps_worker_for(task, now);
+  // While a decisive trial waits, there is always a worker that is becoming fit for it.
+  if (task.trial_wanted && (kept || !crash_watch::decisive(task)))
     return;
   worker_record* const worker = best_worker(job, place, now, trials::ignored);
   if (worker == nullptr)
     return;
-  task.trial_wanted = now;
+  task.trial_wanted = task.trial_wanted.value_or(now);
   m_crashes.keep_for_trial(*worker, task, now);
 }
 
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -68,6 +68,9 @@
   // A worker is heard once more after the start that crashes it, or not at all: runs that lived so
   // much longer than the youngest one are not blamed for a crash.
   duration crash_cluster = std::chrono::milliseconds{50};
+  // A worker that falls silent within this time of a start may have been crashed by it: the order's
+  // way, the crash, and the reset of the connections.
+  duration crash_at_start = std::chrono::milliseconds{100};
   // So long after its start a run is suspected to crash its worker still. Tasks that do so do it at
   // their start; at the sites a worker gets two other starts a second meanwhile.
   duration crash_trial = std::chrono::milliseconds{1000};
--- a/Source/Core/Scheduling/TakeoverAccounting.cpp
+++ b/Source/Core/Scheduling/TakeoverAccounting.cpp
@@ -69,7 +69,7 @@
 {
   if (!job.contains(place) || job.task(place).phase != task_phase::unaccounted)
     return;
-  m_crashes.may_be_lost(job, place);
+  m_crashes.may_be_lost_unjudged(job, place);
   if (const auto fate = m_lost_workers.find(worker_id(job.task(place).crashes.announced_on));
       fate != m_lost_workers.end())
     m_crashes.released(job, place, fate->second, now);
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -46,6 +46,14 @@
   return suspect && now - silent_since >= patience;
 }
 
+bool worker_record::silent_after_start(duration within, time_point now) const
+{
+  const time_point silent = suspect ? silent_since : now;
+  return std::any_of(runs.begin(), runs.end(),
+                     [within, silent](const auto& each)
+                     { return silent - each.second->begun <= within; });
+}
+
 std::uint32_t worker_record::tasks_of(const job_record& job, std::uint32_t cycle,
                                       std::uint32_t step) const
 {
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -164,6 +164,8 @@
   // runs there can be told. And whether runs may be started there.
   bool wants_closed_claim(duration patience, time_point now) const;
   bool silent_for(duration patience, time_point now) const;
+  // Whether one of its runs had begun no longer than that before it fell silent.
+  bool silent_after_start(duration within, time_point now) const;
   bool claim_open() const
   {
     return claim && claim->born == born && !claim->closed && !claim->over && !claim_sent &&
--- a/Source/UnitTests/Scheduling/CrashWatchTest.cpp
+++ b/Source/UnitTests/Scheduling/CrashWatchTest.cpp
@@ -322,6 +322,49 @@
   BOOST_TEST(starts.size() == 1U);
 }
 
+// Each new task that crashed its worker counted as background for all others, so that they excused
+// each other and were started without a bound.
+BOOST_FIXTURE_TEST_CASE(tasks_that_crash_their_workers_do_not_excuse_each_other, crashing_cell)
+{
+  add_workers(12);
+  std::vector<start_command> first_starts;
+  for (const char* const job : {"0123456789abcde1", "0123456789abcde2", "0123456789abcde3", k_job})
+  {
+    start_job(job, step_of(1, 16000));
+    first_starts.push_back(starts.front());
+    clear();
+  }
+  for (const start_command& order : first_starts)
+  {
+    answer_start(order, call_end::done);
+    pass(milliseconds{10});
+    fail_hold(order.worker.value, call_end::unanswered);
+  }
+  pass(seconds{3});
+  for (const start_command& order : first_starts)
+    end_life(order.worker);
+  const jobs::crash_history crashes = history_of(written(*this)).crashes;
+  BOOST_TEST(crashes.by_chance == 0U);
+  BOOST_TEST(crashes.blamed.size() == 1U);
+}
+
+// Losses by chance did not count against the tries, so a task that had crashed a worker for certain
+// was started a sixth time.
+BOOST_FIXTURE_TEST_CASE(a_blamed_task_is_given_up_after_five_lost_starts_whatever_their_verdicts,
+                        takeover_harness)
+{
+  jobs::job_progress progress = begun();
+  progress.histories[{0, 0, 0}].crashes.blamed = {5};
+  progress.histories[{0, 0, 0}].crashes.by_chance = 4;
+  scheduler->restore_job(job(k_job, {step_of(1)}), progress, now);
+  begin();
+  add_worker(worker("w1"));
+  pass(options.conviction_wait);
+  step();
+  BOOST_TEST((scheduler->state_of(k_job) == jobs::job_state::failed));
+  BOOST_TEST(starts.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(an_announced_run_on_a_worker_that_has_ended_counts, takeover_harness)
 {
   restore_claim("w9", {{"10.0.0.9", 80}, "", false, {}});
