Scheduling: An unanswered hold is fenced off from the worker's next life

Cause: a hold without an answer may be carried out seconds later by the worker's next life, whose ends bear the same numbers. The order that this life had obeyed bore the same fencing token, so the hold was not turned away.

Change: after an unanswered hold, orders to the worker bear a higher token as soon as a commit gives one. A life that has obeyed such an order rejects the hold.

--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -208,6 +208,16 @@
   }
 }
 
+void scheduler_state::outdate_token(worker_record& worker) const
+{
+  worker.token_outdated = newest_token <= worker.token;
+  if (worker.token_outdated)
+    return;
+  worker.token = newest_token;
+  // A hold that waits there bears the earlier token, so its lists will not be believed.
+  worker.ask_at_once |= !worker.suspect;
+}
+
 // This owner has given the worker a newer token itself, if the call's was not the latest one: such
 // a call came too late, and nobody else is about.
 void scheduler_state::note_fenced(const worker_id& worker, fencing_token token)
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -119,6 +119,10 @@
   void end_job(job_record& job, jobs::job_state how, time_point now);
   // No ticket or permission of before says anything of the worker's present life.
   void forget_tickets(const worker_id& worker);
+  // A hold had no answer and may be carried out later, even by the worker's next life, which would
+  // forget ends of its own by the numbers in it. What is sent from now on bears a higher token as
+  // soon as there is one: a life that has seen that does nothing of the hold any more.
+  void outdate_token(worker_record& worker) const;
   // A worker answered with `fence`: it has seen a higher token than the call's.
   void note_fenced(const worker_id& worker, fencing_token token);
   // Which of a worker's runs are lost with its life.
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -151,11 +151,11 @@
 {
   for (const auto& [id, worker] : m_state.workers)
   {
-    if (!worker->token_wanted || m_state.newest_token <= worker->token)
+    if (!(worker->token_wanted || worker->token_outdated) || m_state.newest_token <= worker->token)
       continue;
     worker->token = m_state.newest_token;
-    worker->token_wanted = false;
-    worker->ask_at_once = true;
+    worker->ask_at_once |= worker->token_wanted || !worker->suspect;
+    worker->token_wanted = worker->token_outdated = false;
   }
 }
 
@@ -342,6 +342,8 @@
     m_accounting.tell_listed(*worker, now);
   worker->set_suspect(lost, now);
   worker->life_doubted |= lost;
+  if (lost)
+    m_state.outdate_token(*worker);
   note_unlisted(*worker, !lost && answer.sent >= worker->unlisted_since);
   if (lost)
     return;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -143,6 +143,9 @@
   // higher one, so that it does nothing of what was sent before; none is given it until there is.
   fencing_token token = 0;
   bool token_wanted = false;
+  // A hold that bears it had no answer and may be carried out later, even by the worker's next
+  // life.
+  bool token_outdated = false;
   unsigned holds_under_way = 0;
   time_point last_hold{};
   common::resources used;
--- a/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
@@ -142,6 +142,20 @@
   BOOST_TEST(holds.back().token > before);
 }
 
+// A hold that had no answer was carried out by the next life, which forgot an end that nobody had
+// read; nobody knew of that life yet.
+BOOST_FIXTURE_TEST_CASE(a_start_after_an_unanswered_hold_voids_that_hold, lives_harness)
+{
+  const start_command earlier = run_listed();
+  fail_hold("w1", call_end::unanswered);
+  commit_and_step();
+  answer_hold("w1", {running(earlier)});
+  clear();
+  start_job(k_other_job, step_of(1));
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts.front().token > earlier.token);
+}
+
 // The start may reach the next life yet, so the task waits until that one has been claimed.
 BOOST_FIXTURE_TEST_CASE(a_start_on_its_way_to_the_life_before_is_waited_for, lives_harness)
 {
