Model: The judge knows ends taken note of after a start, or by being listed

TWICE also forbids a start after a run has ended done if that end is taken note of afterwards, and an end that a worker has listed counts as taken note of 100 ms later when no disruption is near. The judge only compared starts with ends acknowledged before them.

Now it keeps each end that was done until it is acknowledged, with the starts that came after it (not of speculative steps or long-running tasks) and the answers that listed it. The workers' model reports a listing where it answers a hold; the answer to a hold that was carried out late reaches nobody and does not count. cell_faults reports each disruption, beginning with the start of the cell's processes. Where nobody reports any, listings do not count, so other tests judge as before. An end before its worker's lease lapsed is no longer pending, as the rule says; ends acknowledged before a start are still judged without that exception. acknowledged() names the worker, since a run's number may come again in its next life.

--- a/Source/Core/Model/CellFaults.cpp
+++ b/Source/Core/Model/CellFaults.cpp
@@ -35,6 +35,8 @@
 
 cell_faults::cell_faults(explored_cell& cell, omission without) : m_cell(cell), m_without(without)
 {
+  // The cell's processes have just started.
+  m_cell.judge().disrupted(m_cell.begin(), m_cell.begin());
 }
 
 void cell_faults::record_fault(const std::string& description)
@@ -47,7 +49,9 @@
 
 void cell_faults::extend_disturbance(duration time)
 {
-  m_disturbed_until = std::max(m_disturbed_until, m_cell.time().now() + time);
+  const time_point now = m_cell.time().now();
+  m_cell.judge().disrupted(now, now + time);
+  m_disturbed_until = std::max(m_disturbed_until, now + time);
 }
 
 void cell_faults::draw()
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -23,6 +23,10 @@
 // owner; an isolated owner continues for its authority.
 constexpr std::chrono::seconds k_copy_grace{1};
 constexpr std::chrono::milliseconds k_authority{4500};
+// A listed end counts as taken note of after k_note_limit if the cell has been undisturbed for
+// k_contact by then.
+constexpr std::chrono::milliseconds k_note_limit{100};
+constexpr std::chrono::seconds k_contact{3};
 // The platform's limits for a task that must keep running: it has to run again within 3 s. That
 // time begins 6 s after its last run and once the cell has been undisturbed for 4 s, where a fault
 // counts for 3 s after its end.
@@ -35,6 +39,11 @@
 constexpr std::size_t k_crashes_to_give_up = 2;
 constexpr std::size_t k_crash_limit = 3;
 constexpr std::size_t k_starts_over_limit = 3;
+
+std::string run_text(const observed_start& start)
+{
+  return "run " + std::to_string(start.run) + " on " + start.worker;
+}
 } // namespace
 
 void run_judge::violate(const std::string& rule, const task_ref& task, const std::string& message)
@@ -198,21 +207,84 @@
     violate("TWICE", start.task, "started after its job was shown as completed");
 }
 
-// A speculative copy may start within copy_grace(); nothing else may start once an end is
-// acknowledged.
+bool run_judge::undisturbed(common::time_point at) const
+{
+  return !m_disruptions.empty() &&
+         std::none_of(m_disruptions.begin(), m_disruptions.end(),
+                      [at](const auto& each)
+                      { return each.first <= at && each.second >= at - k_contact; });
+}
+
+std::optional<common::time_point> run_judge::noted_by_list(const pending_end& end,
+                                                           common::time_point by) const
+{
+  for (const common::time_point listed : end.listed)
+  {
+    const common::time_point noted = listed + k_note_limit;
+    if (noted < by && undisturbed(noted))
+      return noted;
+  }
+  return std::nullopt;
+}
+
+// A speculative copy may start within copy_grace(); nothing else may start once an end is taken
+// note of.
 void run_judge::check_done(const jobs::step_spec& spec, const observed_start& start)
 {
-  const auto& done = m_tasks[start.task].done_acknowledged;
-  if (spec.long_running || !done)
+  if (spec.long_running)
     return;
+  const observed_task& task = m_tasks[start.task];
+  std::optional<common::time_point> done = task.done_acknowledged;
+  std::string noted = "was acknowledged";
+  for (const pending_end& each : task.pending_ends)
+  {
+    const auto by_list = noted_by_list(each, start.at);
+    if (!by_list || (done && *done <= *by_list))
+      continue;
+    done = by_list;
+    noted = "had been listed long enough";
+  }
+  if (!done)
+  {
+    if (!spec.speculative)
+      record_later_start(start);
+    return;
+  }
   if (!spec.speculative)
     violate("TWICE", start.task,
-            "run " + std::to_string(start.run) + " on " + start.worker +
-                " started after its end was acknowledged" +
+            run_text(start) + " started after its end " + noted +
                 (start.late_at_new_incarnation ? ", by a late order to a life that nobody had held"
                                                : ""));
   else if (start.at > *done + copy_grace())
-    violate("TWICE", start.task, "a copy started long after its end was acknowledged");
+    violate("TWICE", start.task, "a copy started long after its end " + noted);
+}
+
+void run_judge::record_later_start(const observed_start& start)
+{
+  for (pending_end& each : m_tasks[start.task].pending_ends)
+    each.later_starts.push_back(run_text(start));
+}
+
+void run_judge::listed(const task_ref& task, run_number run, const std::string& worker,
+                       common::time_point at)
+{
+  for (pending_end& each : m_tasks[task].pending_ends)
+  {
+    if (each.run == run && each.worker == worker)
+      each.listed.push_back(at);
+  }
+}
+
+void run_judge::lease_lapsed(const std::string& worker, common::time_point at)
+{
+  for (auto& [task, observed] : m_tasks)
+    std::erase_if(observed.pending_ends, [&](const pending_end& each)
+                  { return each.worker == worker && !noted_by_list(each, at); });
+}
+
+void run_judge::disrupted(common::time_point from, common::time_point until)
+{
+  m_disruptions.emplace_back(from, until);
 }
 
 void run_judge::started(const observed_start& start)
@@ -305,7 +377,10 @@
   if (found != observed.active.end() && found->second.worker == worker)
     observed.active.erase(found);
   if (how == run_outcome::done)
+  {
     observed.done.insert(run);
+    observed.pending_ends.push_back({run, worker, {}, {}});
+  }
   if (how == run_outcome::failed)
     observed.failures.insert(run);
 }
@@ -315,14 +390,27 @@
   m_tasks[task].checkpoints.insert(checkpoint);
 }
 
-void run_judge::acknowledged(const task_ref& task, run_number run, run_outcome how,
-                             common::time_point at)
+void run_judge::acknowledged(const task_ref& task, run_number run, const std::string& worker,
+                             run_outcome how, common::time_point at)
 {
   common::log_request("judge_acknowledged", task.job,
                       {{"step", task.place.step}, {"task", task.place.index}, {"run", run}});
   observed_task& observed = m_tasks[task];
+  common::time_point noted = at;
+  const auto pending = std::find_if(observed.pending_ends.begin(), observed.pending_ends.end(),
+                                    [&](const pending_end& each)
+                                    { return each.run == run && each.worker == worker; });
+  if (pending != observed.pending_ends.end())
+  {
+    for (const std::string& each : pending->later_starts)
+      violate("TWICE", task,
+              each + " started after the end of run " + std::to_string(run) + " on " + worker +
+                  ", which was acknowledged later");
+    noted = noted_by_list(*pending, at).value_or(at);
+    observed.pending_ends.erase(pending);
+  }
   if (how == run_outcome::done)
-    observed.done_acknowledged = std::min(at, observed.done_acknowledged.value_or(at));
+    observed.done_acknowledged = std::min(noted, observed.done_acknowledged.value_or(noted));
   if (how == run_outcome::failed)
     observed.failures_acknowledged.insert(run);
 }
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Jobs/JobProgress.h"
@@ -72,7 +73,16 @@
   void ended(const task_ref& task, run_number run, const std::string& worker, run_outcome how);
   // A run's checkpoint was saved; it stays valid from now on, even if the worker ends.
   void saved(const task_ref& task, const std::string& checkpoint);
-  void acknowledged(const task_ref& task, run_number run, run_outcome how, common::time_point at);
+  void acknowledged(const task_ref& task, run_number run, const std::string& worker,
+                    run_outcome how, common::time_point at);
+  // The worker has given a caller an answer that lists the run's end.
+  void listed(const task_ref& task, run_number run, const std::string& worker,
+              common::time_point at);
+  // The worker's lease has expired: ends that were not taken note of by then no longer can be.
+  void lease_lapsed(const std::string& worker, common::time_point at);
+  // A disruption lasts from `from` to `until`. As long as none was ever reported, listed ends do
+  // not count as taken note of: nobody tells when the cell is undisturbed.
+  void disrupted(common::time_point from, common::time_point until);
   // Declares that all instances can reach the store and the workers for the whole simulation.
   void expect_connectivity() { m_instances_connected = true; }
   void worker_gone(const std::string& worker);
@@ -142,10 +152,20 @@
     bool reported = false; // as running although its job is cancelled
   };
 
+  // The end of a run that was done, until it is acknowledged.
+  struct pending_end
+  {
+    run_number run = 0;
+    std::string worker;
+    std::vector<common::time_point> listed;
+    std::vector<std::string> later_starts; // of the task, in breach if the end is noted
+  };
+
   struct observed_task
   {
     std::map<run_number, active_run> active;
     std::set<run_number> done;
+    std::vector<pending_end> pending_ends;
     std::optional<common::time_point> done_acknowledged;
     std::set<run_number> failures_acknowledged;
     std::set<run_number> failures;
@@ -165,6 +185,12 @@
                          const std::vector<usable_worker>& usable) const;
   void check_start(const observed_job& job, const observed_start& start);
   void check_done(const jobs::step_spec& spec, const observed_start& start);
+  // Remembers a start after ends that are not taken note of yet, but may be later.
+  void record_later_start(const observed_start& start);
+  bool undisturbed(common::time_point at) const;
+  // When the end was taken note of, if it was by that time, because it had been listed.
+  std::optional<common::time_point> noted_by_list(const pending_end& end,
+                                                  common::time_point by) const;
   void check_completed(const observed_job& job, const observed_start& start);
   // How long after a task's end is known a speculative copy of it may still start.
   common::duration copy_grace() const;
@@ -182,6 +208,7 @@
   std::map<task_ref, observed_task> m_tasks;
   std::map<std::string, common::time_point> m_leaving;         // since when, by worker
   std::map<std::string, common::time_point> m_corrupt_entries; // since when, by worker
+  std::vector<std::pair<common::time_point, common::time_point>> m_disruptions;
   std::vector<std::string> m_violations;
   std::size_t m_starts = 0;
   std::size_t m_lapsed = 0;
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -112,7 +112,7 @@
   else if (call.target == wire::k_stop_path)
     done(stop(body));
   else if (call.target == wire::k_hold_path)
-    hold(body, std::move(done));
+    hold(body, late, std::move(done));
   else
     done({200, json{{wire::k_clock_ms, clock_ms()}}.dump(), {}, false});
 }
@@ -133,6 +133,7 @@
 
 void worker_model::expire_lease()
 {
+  m_judge.lease_lapsed(m_settings.life, m_time.now());
   while (!m_runs.empty())
     finish(m_runs.begin()->first, run_outcome::lapsed);
 }
@@ -275,10 +276,20 @@
   for (const waiting_hold& each : std::exchange(m_holds, {}))
   {
     m_time.cancel(each.timeout);
-    each.done(lists());
+    answer_hold(each);
   }
 }
 
+// The answer to a hold that was carried out late reaches nobody, so it tells no ends.
+void worker_model::answer_hold(const waiting_hold& which)
+{
+  std::size_t told = 0;
+  for (auto each = m_ends.begin(); !which.late && each != m_ends.end() && told < k_most_ends_listed;
+       ++each, ++told)
+    m_judge.listed(each->second.task, each->second.run, m_settings.life, m_time.now());
+  which.done(lists());
+}
+
 http::reply worker_model::lists() const
 {
   json running = json::array();
@@ -298,14 +309,14 @@
   return {200, out.dump(), {}, false};
 }
 
-void worker_model::hold(const json& body, http::reply_handler done)
+void worker_model::hold(const json& body, bool late, http::reply_handler done)
 {
   const scheduling::end_number acknowledged_end =
       body.value(wire::k_acknowledged_end, std::uint64_t{0});
   while (!m_ends.empty() && m_ends.begin()->first <= acknowledged_end)
   {
     const scheduling::listed_end& end = m_ends.begin()->second;
-    m_judge.acknowledged(end.task, end.run, end.how, m_time.now());
+    m_judge.acknowledged(end.task, end.run, m_settings.life, end.how, m_time.now());
     m_ends.erase(m_ends.begin());
   }
   if (body.contains(wire::k_lease_end_ms))
@@ -313,17 +324,17 @@
   const auto wait = std::chrono::milliseconds(body.value(wire::k_wait_ms, 0));
   if (!m_ends.empty() || wait.count() == 0)
   {
-    done(lists());
+    answer_hold({std::move(done), 0, late});
     return;
   }
-  m_holds.push_back({std::move(done), 0});
+  m_holds.push_back({std::move(done), 0, late});
   const auto entry = std::prev(m_holds.end());
   entry->timeout = m_time.schedule(wait,
                                    [this, entry]
                                    {
-                                     const http::reply_handler answer = std::move(entry->done);
+                                     const waiting_hold ended = std::move(*entry);
                                      m_holds.erase(entry);
-                                     answer(lists());
+                                     answer_hold(ended);
                                    });
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/WorkerModel.h
+++ b/Source/Core/Model/WorkerModel.h
@@ -91,11 +91,13 @@
   {
     http::reply_handler done;
     common::timekeeper::entry timeout = 0;
+    bool late = false; // carried out late
   };
 
   http::reply start(const nlohmann::json& body, bool late_at_new_incarnation);
   http::reply stop(const nlohmann::json& body);
-  void hold(const nlohmann::json& body, http::reply_handler done);
+  void hold(const nlohmann::json& body, bool late, http::reply_handler done);
+  void answer_hold(const waiting_hold& which);
   http::reply refusal(const char* reason) const;
   http::reply lists() const;
   void extend_lease(std::int64_t until);
--- a/Source/UnitTests/Model/RunJudgeTest.cpp
+++ b/Source/UnitTests/Model/RunJudgeTest.cpp
@@ -6,12 +6,15 @@
 #include "Model/RunJudge.h"
 
 using namespace yardhill;
+using model::run_outcome;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace
 {
 const std::string k_job = "00000000000000aa";
 const std::string k_worker = "worker";
+const std::string k_other_worker = "other-worker";
 
 // One job of one task, submitted and cancelled.
 struct judged_job
@@ -26,7 +29,7 @@
     judge.cancel_requested(k_job);
   }
 
-  static common::time_point at(seconds when) { return common::time_point{} + when; }
+  static common::time_point at(common::duration when) { return common::time_point{} + when; }
   void start(seconds when) { judge.started({task, 1, k_worker, {}, {}, at(when)}); }
 
   model::run_judge judge;
@@ -112,4 +115,184 @@
   BOOST_TEST(judge.violations().size() == 1U);
 }
 
+// One job of one task, whose first run has ended done on k_worker.
+struct done_task
+{
+  explicit done_task(jobs::step_spec step = {})
+  {
+    jobs::job_spec spec;
+    step.count = 1;
+    spec.steps.push_back(step);
+    judge.submitted(k_job, spec, 1);
+    judge.answered(k_job, 200);
+    judge.started({task, 1, k_worker, {}, {}, judged_job::at(k_begin)});
+    judge.ended(task, 1, k_worker, run_outcome::done);
+  }
+
+  void disrupt(common::duration from, common::duration until)
+  {
+    judge.disrupted(judged_job::at(from), judged_job::at(until));
+  }
+  void list(common::duration when) { judge.listed(task, 1, k_worker, judged_job::at(when)); }
+  void acknowledge(common::duration when)
+  {
+    judge.acknowledged(task, 1, k_worker, run_outcome::done, judged_job::at(when));
+  }
+  void start_again(common::duration when)
+  {
+    judge.started({task, 2, k_other_worker, {}, {}, judged_job::at(when)});
+  }
+  bool twice() const
+  {
+    return judge.violations().size() == 1 && judge.violations().front().starts_with("TWICE");
+  }
+
+  static constexpr seconds k_begin{9};
+
+  model::run_judge judge;
+  model::task_ref task{k_job, {0, 0, 0}};
+};
+
+jobs::step_spec speculative_step()
+{
+  jobs::step_spec step;
+  step.speculative = true;
+  return step;
+}
+
+BOOST_FIXTURE_TEST_CASE(a_start_before_an_end_is_acknowledged_is_reported_with_that, done_task)
+{
+  start_again(seconds{10});
+  BOOST_TEST(judge.violations().empty());
+  acknowledge(seconds{11});
+  BOOST_TEST(twice());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_that_is_never_acknowledged_allows_another_start, done_task)
+{
+  judge.worker_gone(k_worker);
+  start_again(seconds{10});
+  // The end of the other run is acknowledged, and so is that of a run of the next incarnation with
+  // the first run's number.
+  judge.ended(task, 2, k_other_worker, run_outcome::done);
+  judge.acknowledged(task, 2, k_other_worker, run_outcome::done, judged_job::at(seconds{12}));
+  judge.acknowledged(task, 1, k_worker + "~2", run_outcome::done, judged_job::at(seconds{12}));
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_before_a_lease_lapsed_is_not_taken_note_of_later, done_task)
+{
+  judge.lease_lapsed(k_worker, judged_job::at(seconds{10}));
+  start_again(seconds{11});
+  acknowledge(seconds{12});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(another_workers_lease_does_not_matter_to_an_end, done_task)
+{
+  judge.lease_lapsed(k_other_worker, judged_job::at(seconds{10}));
+  start_again(seconds{11});
+  acknowledge(seconds{12});
+  BOOST_TEST(twice());
+}
+
+BOOST_AUTO_TEST_CASE(copies_and_long_running_tasks_may_start_before_an_end_is_acknowledged)
+{
+  jobs::step_spec long_running;
+  long_running.long_running = true;
+  for (const jobs::step_spec& step : {speculative_step(), long_running})
+  {
+    done_task done(step);
+    done.start_again(seconds{10});
+    done.acknowledge(seconds{11});
+    BOOST_TEST(done.judge.violations().empty());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_start_100_ms_after_an_end_was_listed_is_reported, done_task)
+{
+  disrupt(seconds{0}, seconds{5});
+  list(seconds{10});
+  start_again(milliseconds{10101});
+  BOOST_TEST(twice());
+  acknowledge(seconds{11});
+  BOOST_TEST(twice()); // and not once more
+}
+
+BOOST_FIXTURE_TEST_CASE(a_start_within_100_ms_of_a_listing_waits_for_the_acknowledgement, done_task)
+{
+  disrupt(seconds{0}, seconds{5});
+  list(seconds{10});
+  start_again(milliseconds{10100});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(listed_ends_do_not_count_where_nobody_reports_disruptions, done_task)
+{
+  list(seconds{10});
+  start_again(seconds{20});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_listed_near_a_disruption_does_not_count, done_task)
+{
+  disrupt(seconds{6}, milliseconds{7100});
+  list(seconds{10});
+  start_again(seconds{20});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_listed_just_before_a_disruption_does_not_count, done_task)
+{
+  disrupt(seconds{0}, seconds{5});
+  list(seconds{10});
+  disrupt(milliseconds{10100}, milliseconds{10100});
+  start_again(seconds{20});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_listing_counts_for_good, done_task)
+{
+  disrupt(seconds{0}, milliseconds{7099});
+  list(seconds{10});
+  disrupt(milliseconds{10101}, seconds{15});
+  judge.lease_lapsed(k_worker, judged_job::at(seconds{14}));
+  judge.worker_gone(k_worker);
+  start_again(seconds{20});
+  BOOST_TEST(twice());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_listed_again_after_a_disruption_counts, done_task)
+{
+  disrupt(seconds{6}, seconds{9});
+  list(seconds{10});
+  list(seconds{12});
+  start_again(milliseconds{12101});
+  BOOST_TEST(twice());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_listed_after_its_lease_lapsed_does_not_count, done_task)
+{
+  disrupt(seconds{0}, seconds{5});
+  judge.lease_lapsed(k_worker, judged_job::at(seconds{10}));
+  list(seconds{11});
+  start_again(seconds{20});
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_may_start_soon_after_an_end_was_listed_but_not_later)
+{
+  for (const auto& [when, allowed] :
+       {std::pair(milliseconds{15600}, true), std::pair(milliseconds{15601}, false)})
+  {
+    done_task done(speculative_step());
+    done.disrupt(seconds{0}, seconds{5});
+    done.list(seconds{10});
+    done.acknowledge(seconds{12});
+    done.start_again(when);
+    BOOST_TEST(done.judge.violations().empty() == allowed);
+    BOOST_TEST(done.twice() == !allowed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
