Model: Limits in time do not bind starts that were carried out late

"Those bound by time do not apply to orders that a worker carried out late." The judge applied them to such starts too. observed_start now tells a late start, as worker_model sees it in the call. TWICE beside another run or after an end, BUDGET of other steps, LIMIT and ORDER hold for late starts as before. DRAIN is bound by time as well and is left as strict as it was.

A late start of a cancelled job is still judged: check_cancelled_gone counts from the later of cancellation and start, and cancel_judge calls it once the cell has been undisturbed for 3.2 s, which is contact_ms + stop_ms. A run that ends by itself before that is not reported.

RunJudgeTest: 6 cases; with the conditions taken out, 4 fail; the two others show what late starts still may not do.

--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -14,7 +14,7 @@
 {
 // After this time no worker may start a run of a job whose cancellation was acknowledged: 3 s as a
 // rule, plus the authority (4.5 s) of an isolated owner, which does not learn of the cancellation
-// and may continue for that long.
+// and may continue for that long. A run that was started late is only checked for being gone.
 constexpr std::chrono::milliseconds k_cancel_limit{7500};
 // After this time nothing may start on a worker that leaves or whose entry is invalid: 2 s as a
 // rule, plus the authority of an isolated owner.
@@ -178,7 +178,7 @@
     violate("UNASKED", start.task, "another payload");
   if (!start.checkpoint.empty() && !task.checkpoints.contains(start.checkpoint) && !spec.gang)
     violate("UNASKED", start.task, "a checkpoint that is not its own");
-  if (job.cancelled_at && start.at > *job.cancelled_at + k_cancel_limit)
+  if (!start.late && job.cancelled_at && start.at > *job.cancelled_at + k_cancel_limit)
     violate("UNASKED", start.task, "started after its job was cancelled");
   if (!spec.speculative && !task.active.empty())
     violate("TWICE", start.task,
@@ -187,7 +187,9 @@
                 task.active.begin()->second.worker);
   check_done(spec, start);
   check_completed(job, start);
-  if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running)
+  // Only for copies is the limit one in time.
+  if (task.failures_acknowledged.size() >= job.max_attempts && !spec.long_running &&
+      !(spec.speculative && start.late))
     violate("BUDGET", start.task, "more attempts than allowed");
   for (const std::uint32_t needed : spec.depends_on)
   {
@@ -203,7 +205,7 @@
 
 void run_judge::check_completed(const observed_job& job, const observed_start& start)
 {
-  if (job.completed_at && start.at > *job.completed_at + copy_grace())
+  if (!start.late && job.completed_at && start.at > *job.completed_at + copy_grace())
     violate("TWICE", start.task, "started after its job was shown as completed");
 }
 
@@ -227,8 +229,8 @@
   return std::nullopt;
 }
 
-// A speculative copy may start within copy_grace(); nothing else may start once an end is taken
-// note of.
+// A speculative copy may start within copy_grace(), or later if its request was carried out late;
+// nothing else may start once an end is taken note of.
 void run_judge::check_done(const jobs::step_spec& spec, const observed_start& start)
 {
   if (spec.long_running)
@@ -255,7 +257,7 @@
             run_text(start) + " started after its end " + noted +
                 (start.late_at_new_incarnation ? ", by a late order to a life that nobody had held"
                                                : ""));
-  else if (start.at > *done + copy_grace())
+  else if (!start.late && start.at > *done + copy_grace())
     violate("TWICE", start.task, "a copy started long after its end " + noted);
 }
 
@@ -295,6 +297,7 @@
                        {"task", start.task.place.index},
                        {"run", start.run},
                        {"worker", start.worker},
+                       {"late", start.late},
                        {"late_at_new_life", start.late_at_new_incarnation}});
   const auto found = m_jobs.find(start.task.job);
   if (found == m_jobs.end())
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -33,7 +33,9 @@
   std::string payload;
   std::string checkpoint;
   common::time_point at;
-  // The start request was executed late, by an incarnation that had seen no fencing token before.
+  // The start request was carried out late; the platform's limits in time do not apply to it.
+  bool late = false;
+  // It was, and by an incarnation that had seen no fencing token before.
   bool late_at_new_incarnation = false;
 };
 
--- a/Source/Core/Model/WorkerModel.cpp
+++ b/Source/Core/Model/WorkerModel.cpp
@@ -108,7 +108,7 @@
   const bool late_at_new_incarnation = late && m_fence == 0;
   m_fence = fence;
   if (call.target == wire::k_start_path)
-    done(start(body, late_at_new_incarnation));
+    done(start(body, late, late_at_new_incarnation));
   else if (call.target == wire::k_stop_path)
     done(stop(body));
   else if (call.target == wire::k_hold_path)
@@ -138,7 +138,7 @@
     finish(m_runs.begin()->first, run_outcome::lapsed);
 }
 
-http::reply worker_model::start(const json& body, bool late_at_new_incarnation)
+http::reply worker_model::start(const json& body, bool late, bool late_at_new_incarnation)
 {
   const task_ref task = task_in(body);
   const run_number number = body.at(wire::k_run);
@@ -164,7 +164,7 @@
     return refusal("ticket");
   extend_lease(until);
   m_judge.started({task, number, m_settings.life, body.value(wire::k_payload, std::string()),
-                   body.value(wire::k_checkpoint, std::string()), m_time.now(),
+                   body.value(wire::k_checkpoint, std::string()), m_time.now(), late,
                    late_at_new_incarnation});
   const run_course course = m_course(task, number, m_settings.life);
   active_run& run = m_runs[task];
--- a/Source/Core/Model/WorkerModel.h
+++ b/Source/Core/Model/WorkerModel.h
@@ -94,7 +94,7 @@
     bool late = false; // carried out late
   };
 
-  http::reply start(const nlohmann::json& body, bool late_at_new_incarnation);
+  http::reply start(const nlohmann::json& body, bool late, bool late_at_new_incarnation);
   http::reply stop(const nlohmann::json& body);
   void hold(const nlohmann::json& body, bool late, http::reply_handler done);
   void answer_hold(const waiting_hold& which);
--- a/Source/UnitTests/Model/RunJudgeTest.cpp
+++ b/Source/UnitTests/Model/RunJudgeTest.cpp
@@ -295,4 +295,91 @@
   }
 }
 
+// A second run of a job's task, started in time or by a request that was carried out late.
+model::observed_start second_start(common::duration when, bool late)
+{
+  return {{k_job, {0, 0, 0}}, 2, k_other_worker, {}, {}, judged_job::at(when), late};
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_of_a_cancelled_job_is_only_checked_for_being_gone)
+{
+  for (const bool late : {false, true})
+  {
+    judged_job cancelled;
+    cancelled.judge.cancelled(k_job, judged_job::at(seconds{2}));
+    cancelled.judge.started(second_start(seconds{10}, late));
+    BOOST_TEST(cancelled.judge.violations().empty() == late);
+    cancelled.judge.check_cancelled_gone(judged_job::at(milliseconds{9999}));
+    BOOST_TEST(cancelled.judge.violations().empty() == late);
+    cancelled.judge.check_cancelled_gone(judged_job::at(seconds{10}));
+    BOOST_TEST_REQUIRE(!cancelled.judge.violations().empty());
+    BOOST_TEST(cancelled.judge.violations().back().find("goes on") != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_may_come_long_after_its_job_was_shown_as_completed)
+{
+  for (const bool late : {false, true})
+  {
+    done_task done(speculative_step());
+    done.judge.shown(k_job, jobs::job_state::completed, judged_job::at(seconds{10}));
+    done.judge.started(second_start(seconds{20}, late));
+    BOOST_TEST(done.judge.violations().empty() == late);
+    BOOST_TEST(done.twice() == !late);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_may_start_long_after_an_end_but_no_other_late_start)
+{
+  for (const bool speculative : {false, true})
+  {
+    for (const bool late : {false, true})
+    {
+      done_task done(speculative ? speculative_step() : jobs::step_spec{});
+      done.acknowledge(seconds{10});
+      done.judge.started(second_start(seconds{20}, late));
+      BOOST_TEST(done.judge.violations().empty() == (speculative && late));
+      BOOST_TEST(done.twice() == !(speculative && late));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_before_an_end_is_acknowledged_is_reported_with_that)
+{
+  done_task done;
+  done.judge.started(second_start(seconds{10}, true));
+  done.acknowledge(seconds{11});
+  BOOST_TEST(done.twice());
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_beside_another_run_is_reported)
+{
+  judged_job running;
+  running.start(seconds{1});
+  running.judge.started(second_start(seconds{2}, true));
+  BOOST_TEST(running.judge.violations().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_may_start_after_the_last_failure_but_no_other_late_start)
+{
+  for (const bool speculative : {false, true})
+  {
+    for (const bool late : {false, true})
+    {
+      jobs::job_spec spec;
+      spec.steps.push_back(speculative ? speculative_step() : jobs::step_spec{});
+      spec.steps.back().count = 1;
+      model::run_judge judge;
+      judge.submitted(k_job, spec, 1);
+      judge.answered(k_job, 200);
+      judge.started({{k_job, {0, 0, 0}}, 1, k_worker, {}, {}, judged_job::at(seconds{1})});
+      judge.ended({k_job, {0, 0, 0}}, 1, k_worker, run_outcome::failed);
+      judge.acknowledged({k_job, {0, 0, 0}}, 1, k_worker, run_outcome::failed,
+                         judged_job::at(seconds{2}));
+      judge.started(second_start(seconds{20}, late));
+      BOOST_TEST(judge.violations().empty() == (speculative && late));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
