Scheduling: A start without an answer cannot run a task again whose end was acknowledged

Cause: the end was acknowledged while that copy was in flight (29 of 30 traced violations; copy_watch kept ends of speculative steps only); calls after an unanswered start kept its token, so the first hold at the next incarnation fenced nothing; an idle worker was asked nothing until its new entry came.

Change: the end of a run is kept from acknowledgement for 12 s while copies of its own start have no answer; after an unanswered start the worker's calls bear a newer token, and a start that is rejected for that is sent again at once; for 12 s after such a start or a takeover idle workers get holds, and silent ones are asked every 100 ms.

--- a/Source/Core/Scheduling/CopyWatch.cpp
+++ b/Source/Core/Scheduling/CopyWatch.cpp
@@ -37,14 +37,15 @@
   return false;
 }
 
-void copy_watch::record_end(worker_record& worker, const listed_end& end, time_point now)
+void copy_watch::record_end(worker_record& worker, const listed_end& end, time_point copies_until,
+                            time_point now)
 {
   const job_record* const job = m_state.find_job(end.task.job);
   const bool final_end =
       end.how == run_outcome::done || (end.how == run_outcome::failed && job->ended());
-  if (!final_end || !copy_may_begin(*job, end.task.place))
+  if (!final_end || (copies_until <= now && !copy_may_begin(*job, end.task.place)))
     return;
-  worker.kept_ends.emplace(end.number, kept_end{end.task, now});
+  worker.kept_ends.emplace(end.number, kept_end{end.task, now, copies_until});
   common::log_request("end_kept", job->id(),
                       {{"step", end.task.place.step},
                        {"task", end.task.place.index},
@@ -59,6 +60,8 @@
                 {
                   const kept_end& kept = each.second;
                   const job_record* const job = m_state.find_job(kept.task.job);
+                  if (now < kept.until)
+                    return false;
                   if (job != nullptr && copy_may_begin(*job, kept.task.place))
                     return false;
                   common::log_request("end_free", kept.task.job,
--- a/Source/Core/Scheduling/CopyWatch.h
+++ b/Source/Core/Scheduling/CopyWatch.h
@@ -28,8 +28,11 @@
   {
   }
 
-  // Keeps the listed end from being acknowledged while another run of the task may still begin.
-  void record_end(worker_record& worker, const listed_end& end, time_point now);
+  // Keeps the listed end from being acknowledged while another run of the task may still begin, and
+  // until `copies_until`, the time by which all copies of the run's own start request have been
+  // carried out.
+  void record_end(worker_record& worker, const listed_end& end, time_point copies_until,
+                  time_point now);
   // The highest end that may be acknowledged; the worker then forgets all ends up to it.
   end_number acknowledgeable(worker_record& worker, time_point now) const;
   // Completes a job of which all tasks are done: at once, or as soon as no copy may begin any more.
--- a/Source/Core/Scheduling/RunTracker.cpp
+++ b/Source/Core/Scheduling/RunTracker.cpp
@@ -20,12 +20,19 @@
   if (answer.end == call_end::fenced)
   {
     m_state.record_fenced_reply(answer.worker, answer.token);
-    return;
+    if (m_state.fenced)
+      return;
   }
   worker_record* const worker = m_state.find_worker(answer.worker);
   if (worker == nullptr)
     return;
   m_state.note_order(*worker, answer.end != call_end::unanswered, now);
+  if (answer.end == call_end::unanswered)
+  {
+    worker->late_start_until =
+        std::max(worker->late_start_until, answer.sent + m_state.options.late_start_window);
+    m_state.supersede_token(*worker);
+  }
   run_record* const run = m_state.find_run(answer.worker, answer.task, answer.run);
   // The answer to a start request does not show which incarnation sent it.
   if (run == nullptr || run->orphaned)
@@ -42,6 +49,9 @@
   case call_end::unanswered:
     m_state.metrics.add(common::retry_reason::start_unclear);
     return;
+  case call_end::fenced:
+    handle_superseded_start(*run, now);
+    return;
   default:
     handle_refused_start(*run, answer.end, now);
   }
@@ -89,6 +99,15 @@
     stop_gang(job, place, number, now);
 }
 
+// The worker had already seen a newer token of this owner. Another copy, with that token, is sent
+// at once.
+void run_tracker::handle_superseded_start(run_record& run, time_point now)
+{
+  if (run.phase != run_phase::starting || run.sends != run.answers)
+    return;
+  run.last_sent = now - m_state.request_retry(run.sends);
+}
+
 void run_tracker::on_stop(const stop_answer& answer, time_point now)
 {
   if (answer.end == call_end::fenced)
@@ -144,11 +163,14 @@
                          {"how", to_text(end.how)},
                          {"failures", task.failed_runs.size()},
                          {"checkpoint", !end.checkpoint.empty()}});
+  time_point copies_until{};
   // This run is removed first, so that only runs that still go on are stopped below.
   if (run_record* const run = m_state.find_run(worker.info.id, end.task, end.run))
   {
     if (end.how == run_outcome::done && !run->spec().gang && worker.slow_until <= now)
       m_state.runtimes.learn(job->accepted().queue, run->spec().estimate, now - run->begun);
+    if (run->sends > run->answers)
+      copies_until = run->last_sent + m_state.options.late_start_window;
     m_state.remove_run(*run);
   }
   // The state of an ended job does not change; its last runs only release their resources.
@@ -160,7 +182,7 @@
     if (end.how == run_outcome::failed)
       task_failed(*job, end, now);
   }
-  m_copies.record_end(worker, end, now);
+  m_copies.record_end(worker, end, copies_until, now);
   if (end.how == run_outcome::done)
     check_complete(*job, now);
 }
--- a/Source/Core/Scheduling/RunTracker.h
+++ b/Source/Core/Scheduling/RunTracker.h
@@ -29,6 +29,7 @@
 private:
   void resend_start(run_record& run, time_point now);
   void handle_refused_start(run_record& run, call_end end, time_point now);
+  void handle_superseded_start(run_record& run, time_point now);
   void apply_end(worker_record& worker, const listed_end& end, time_point now);
   void task_done(job_record& job, const task_place& place, time_point now);
   void task_failed(job_record& job, const listed_end& end, time_point now);
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -67,6 +67,11 @@
   // While answers are slow, requests are sent again after the request timeout instead, which
   // doubles with each copy, at most this many times.
   unsigned max_retry_doublings = 3;
+  // A start request without an answer may be carried out this long after it was sent, even by the
+  // worker's next incarnation. The platform says "seconds later" and gives no bound.
+  duration late_start_window = std::chrono::seconds{12};
+  // A silent worker whose next incarnation may carry out a late start is asked at this interval.
+  duration late_start_probe = std::chrono::milliseconds{100};
   // A worker that refused a start as unhealthy gets no starts for this time.
   duration unhealthy_pause = std::chrono::milliseconds{1000};
   // A worker that rejected a start for lack of free capacity gets no starts for this time: this
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -14,6 +14,8 @@
 // One hold that waits at the worker for an update, and one that is answered at once. Each occupies
 // one of the worker's connections.
 constexpr unsigned k_max_holds_in_flight = 2;
+// To a silent worker, where each hold takes the request timeout.
+constexpr unsigned k_max_probes_in_flight = 3;
 } // namespace
 
 worker_holder::worker_holder(scheduler_state& state, crash_watch& crashes, run_tracker& tracker,
@@ -46,6 +48,7 @@
   worker.listed = false;
   worker.claim = claim;
   worker.taken_over = now;
+  worker.late_start_until = now + m_state.options.late_start_window;
   worker.known = claim.born.has_value();
   worker.born = claim.born;
   worker.claim_end_untrusted = claim.over && m_state.stated_ends_ignored;
@@ -289,8 +292,11 @@
   if (worker.over || worker.awaits_token)
     return false;
   const duration since_last = now - worker.last_hold;
+  const bool probe = probed(worker, now);
   if (worker.hold_requested)
-    return worker.holds_in_flight < k_max_holds_in_flight;
+    return worker.holds_in_flight < (probe ? k_max_probes_in_flight + 1 : k_max_holds_in_flight);
+  if (probe)
+    return worker.holds_in_flight < k_max_probes_in_flight && since_last >= probe_interval();
   if (worker.holds_in_flight > 0)
     return false;
   if (!worker.claimed && worker.listed)
@@ -307,7 +313,18 @@
   // worker is asked often.
   if (!worker.kept_ends.empty())
     return since_last >= m_state.options.hold_retry;
-  return !worker.runs.empty() || !worker.foreign.empty();
+  return !worker.runs.empty() || !worker.foreign.empty() || worker.late_start_possible(now);
+}
+
+bool worker_holder::probed(const worker_record& worker, time_point now)
+{
+  return worker.unresponsive && worker.late_start_possible(now);
+}
+
+duration worker_holder::probe_interval() const
+{
+  const duration by_workers = m_state.options.hold_wait_per_worker * m_probed;
+  return std::max(m_state.options.late_start_probe, by_workers);
 }
 
 duration worker_holder::overdue(const worker_record& worker, time_point now) const
@@ -405,6 +422,9 @@
   if (m_accounting.under_way())
     m_accounting.expire_unheard_workers(now);
   m_unheard = 0;
+  m_probed = static_cast<std::size_t>(std::count_if(m_state.workers.begin(), m_state.workers.end(),
+                                                    [now](const auto& each)
+                                                    { return probed(*each.second, now); }));
   for (auto each = m_state.workers.begin(); each != m_state.workers.end();)
   {
     worker_record& worker = *each->second;
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -46,6 +46,10 @@
   // Whether no incarnation that has replaced the known one unnoticed can have an end to list yet.
   bool ends_are_read(const worker_record& worker, time_point now) const;
   bool hold_due(worker_record& worker, time_point now) const;
+  // Whether the worker is silent and its next incarnation may carry out a start request that was
+  // sent to an earlier one. It is asked often, so that it sees a newer token first.
+  static bool probed(const worker_record& worker, time_point now);
+  duration probe_interval() const;
   // Requests holds to the other workers at the address that a new entry names.
   void probe_others_at(const worker_info& info);
   // Updates whether the worker counts as present although it has no entry.
@@ -60,6 +64,7 @@
                        time_point now);
 
   std::size_t m_unheard = 0;
+  std::size_t m_probed = 0; // the number of workers to be probed at the latest tick
   scheduler_state& m_state;
   crash_watch& m_crashes;
   run_tracker& m_run_tracker;
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -77,6 +77,8 @@
 {
   task_ref task;
   time_point since;
+  // Until then another copy of the run's own start request may be carried out.
+  time_point until{};
 };
 
 // What is known of one incarnation of a worker. A worker may restart under its id: the new
@@ -169,6 +171,9 @@
   // A hold with `token` had no answer and may be carried out later, even by the worker's next
   // incarnation.
   bool token_outdated = false;
+  // Until then a start request without an answer may be carried out, by the present incarnation or
+  // by a later one.
+  time_point late_start_until{};
   unsigned holds_in_flight = 0;
   time_point last_hold{};
   common::resources used;
@@ -188,6 +193,7 @@
   // Counts whether a start or stop request was answered. `most_unanswered` of them in a row without
   // an answer make the worker unresponsive.
   void note_order(bool answered, unsigned most_unanswered, time_point now);
+  bool late_start_possible(time_point now) const { return now < late_start_until; }
   // Whether its claim has to be closed. Nothing is started on a draining worker, or on one that has
   // been silent for the timeout, so the claim can list the runs that may be there.
   bool should_close_claim(duration timeout, time_point now) const;
