Scheduling: Nothing starts on a worker whose incarnation is not confirmed

The latest answer that named the incarnation was at least 685 ms old; idle workers were asked nothing.

Change: a start, or a copy of one, goes out only if an answer has named the incarnation within max_list_age and nothing was left unanswered since; else the worker is asked at once, beside the writing of the begin mark. One that does not answer is passed over.

Tests: three cases of WorkerLivesTest. The harness's workers answer confirmations, as live workers do; two of ZoneTest are named silent.

--- a/Source/Core/Scheduling/CopyWatch.cpp
+++ b/Source/Core/Scheduling/CopyWatch.cpp
@@ -41,9 +41,9 @@
                             time_point now)
 {
   const job_record* const job = m_state.find_job(end.task.job);
-  const bool final_end =
-      end.how == run_outcome::done || (end.how == run_outcome::failed && job->ended());
-  if (!final_end || (copies_until <= now && !copy_may_begin(*job, end.task.place)))
+  const bool finished = end.how == run_outcome::done || end.how == run_outcome::failed;
+  const bool final_end = end.how == run_outcome::done || job->ended();
+  if (!finished || (copies_until <= now && !(final_end && copy_may_begin(*job, end.task.place))))
     return;
   worker.kept_ends.emplace(end.number, kept_end{end.task, now, copies_until});
   common::log_request("end_kept", job->id(),
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -420,6 +420,8 @@
   m_placer.place(now, survey);
   if (survey)
     m_evacuator.tick(now);
+  // Starts wait for the answers to these.
+  m_holder.send_requested_holds(now);
   // Comes after the steps that are waiting already, since few advice calls can be in flight at
   // once.
   look_ahead(now);
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -52,6 +52,7 @@
   m_reservations.clear();
   blocked_steps blocked_by_queue;
   m_steps_examined = 0;
+  m_confirmation_awaited = false;
   ++m_passes;
   std::vector<waiting_step> steps = sorted_waiting_steps(now);
   request_overdue_advice(steps, now);
@@ -76,7 +77,9 @@
     if (!place_or_reserve(each, now))
       ++blocked_by_queue[each.job->accepted().queue];
   }
-  m_state.outlook.record_pass(short_of_starts, now);
+  // A pass in which starts waited for confirmations does not show whether the budget suffices.
+  if (short_of_starts || !m_confirmation_awaited || !m_state.starts.bounded())
+    m_state.outlook.record_pass(short_of_starts, now);
   if (survey)
     place_copies(now);
 }
@@ -263,6 +266,31 @@
   m_crashes.keep_for_trial(*worker, task, now);
 }
 
+// If the worker has to be asked first, so are as many others as the step may need, since its other
+// tasks are likely to be placed there next.
+bool placer::confirm_incarnation(job_record& job, const task_place& place, worker_record& worker,
+                                 time_point now)
+{
+  if (m_state.incarnation_confirmed(worker, now))
+    return true;
+  m_confirmation_awaited = true;
+  if (worker.confirmation_wanted_at)
+    return false;
+  m_state.request_confirmation(worker, now);
+  std::uint32_t asked = 1;
+  for (const auto& [id, other] : m_state.workers)
+  {
+    if (asked >= job.step(place).waiting)
+      break;
+    if (m_state.incarnation_confirmed(*other, now) ||
+        obstacle_at(*other, job, place, now, isolation::enforced) != obstacle::none)
+      continue;
+    m_state.request_confirmation(*other, now);
+    ++asked;
+  }
+  return false;
+}
+
 bool placer::begin_mark_written(const waiting_step& each, const worker_record& worker,
                                 time_point now)
 {
@@ -320,7 +348,11 @@
     }
     if (worker == nullptr)
       widen_small_zone(job, step);
-    if (worker == nullptr || !begin_mark_written(each, *worker, now))
+    if (worker == nullptr)
+      break;
+    // Asked for before the mark is written, so that both arrive at about the same time.
+    const bool confirmed = confirm_incarnation(job, place, *worker, now);
+    if (!begin_mark_written(each, *worker, now) || !confirmed)
       break;
     const run_number number = std::max(task.last_run, m_state.first_run) + 1;
     if (!m_crashes.may_start(job, place, number, *worker, false))
@@ -398,6 +430,8 @@
       m_advice.want(job, place.cycle, place.step, now);
       continue;
     }
+    if (!confirm_incarnation(job, place, *worker, now))
+      continue;
     const run_number number = job.task(place).last_run + 1;
     if (!m_crashes.may_start(job, place, number, *worker, run->worker->unresponsive))
       continue;
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -87,6 +87,10 @@
   // Whether the store has the mark that tasks of the step may run in the worker's zone, from which
   // a later owner knows about them. Requests the mark if there is none yet.
   bool begin_mark_written(const waiting_step& each, const worker_record& worker, time_point now);
+  // Whether the task can be started on the worker without exceeding the capacity of an incarnation
+  // that has replaced the known one. If that is not known, the worker is asked.
+  bool confirm_incarnation(job_record& job, const task_place& place, worker_record& worker,
+                           time_point now);
   // Adds a run of a gang member, which takes capacity on its worker from now on. Returns null if no
   // worker can take the member now.
   run_record* add_member(const waiting_step& each, const task_place& place, run_number number,
@@ -95,6 +99,7 @@
   // Whether the crash watch allows all members to start. Calls crash_watch::may_start() for every
   // member, which also requests the announcement of a member that needs one.
   bool gang_may_start(const std::vector<run_record*>& members);
+  bool incarnations_confirmed(const std::vector<run_record*>& members, time_point now);
   // Requests that the step may use all zones, because its own zone has no free capacity for it.
   // With advice, only once there was a reply and no request is in flight.
   void widen_small_zone(job_record& job, step_record& step);
@@ -124,6 +129,7 @@
   advice_planner& m_advice;
   reservations& m_reservations;
   crash_watch& m_crashes;
+  bool m_confirmation_awaited = false; // in the latest pass, by a start
   std::size_t m_passes = 0;
   std::size_t m_steps_examined = 0;
 };
--- a/Source/Core/Scheduling/PlacerGangs.cpp
+++ b/Source/Core/Scheduling/PlacerGangs.cpp
@@ -54,7 +54,8 @@
       break;
     members.push_back(member);
   }
-  if (members.size() < step.tasks.size() || !gang_may_start(members))
+  if (members.size() < step.tasks.size() || !incarnations_confirmed(members, now) ||
+      !gang_may_start(members))
   {
     remove_members(members);
     return;
@@ -98,6 +99,21 @@
   }
 }
 
+// All workers are asked in the same pass.
+bool placer::incarnations_confirmed(const std::vector<run_record*>& members, time_point now)
+{
+  bool confirmed = true;
+  for (const run_record* const member : members)
+  {
+    if (m_state.incarnation_confirmed(*member->worker, now))
+      continue;
+    m_state.request_confirmation(*member->worker, now);
+    confirmed = false;
+    m_confirmation_awaited = true;
+  }
+  return confirmed;
+}
+
 bool placer::gang_may_start(const std::vector<run_record*>& members)
 {
   bool startable = true;
--- a/Source/Core/Scheduling/RunTracker.cpp
+++ b/Source/Core/Scheduling/RunTracker.cpp
@@ -407,6 +407,11 @@
     worker.hold_requested = true;
     return;
   }
+  if (!m_state.incarnation_confirmed(worker, now))
+  {
+    m_state.request_confirmation(worker, now);
+    return;
+  }
   run.last_sent = now;
   ++run.sends;
   m_state.starts.take();
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -121,6 +121,8 @@
   // None: no lease is extended, for instance because the worker's clock is not known yet.
   std::optional<worker_clock_time> lease_end;
   milliseconds wait{0}; // how long the worker may wait for updates before it answers
+  // Starts wait until the answer shows which incarnation is there.
+  bool confirms_incarnation = false;
   fencing_token token = 0;
 };
 
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -41,8 +41,12 @@
   // Ends are acknowledged only within this time (or the request timeout, if that is longer) of the
   // worker's latest lists. The worker may have restarted under its id since, and the ends of the
   // new incarnation bear the same numbers; but no task that it may have started ends sooner than
-  // this, nor sooner than replies arrive.
+  // this, nor sooner than replies arrive. For the same reason nothing is started on a worker whose
+  // incarnation was last confirmed longer ago: the next one may be smaller.
   duration max_list_age = std::chrono::milliseconds{250};
+  // A worker that is asked before a start which incarnation is there is passed over once it has not
+  // answered for this long, or for two round trips if those take longer.
+  duration confirmation_patience = std::chrono::milliseconds{50};
   // A worker that has not answered its first hold is asked again after this time, since tasks wait
   // for its answer after a takeover.
   duration first_hold_retry = std::chrono::milliseconds{50};
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -74,10 +74,28 @@
                                              options.start_validity_at(worker_request_timeout)));
 }
 
+bool scheduler_state::incarnation_confirmed(const worker_record& worker, time_point now) const
+{
+  return !worker.incarnation_uncertain &&
+         worker.identified_at >= now - std::max(options.max_list_age, worker_request_timeout);
+}
+
+void scheduler_state::request_confirmation(worker_record& worker, time_point now)
+{
+  if (worker.confirmation_wanted_at)
+    return;
+  worker.confirmation_wanted_at = now;
+  worker.hold_requested = true;
+}
+
 bool scheduler_state::usable(const worker_record& worker, time_point now) const
 {
   if (worker.unresponsive || worker.avoid_until > now)
     return false;
+  if (worker.confirmation_wanted_at &&
+      now - *worker.confirmation_wanted_at >=
+          std::max(options.confirmation_patience, 2 * request_round_trip))
+    return false;
   const auto silence = zone_silences.find(worker.info.zone);
   return silence == zone_silences.end() ||
          silence->second.unanswered < options.unanswered_to_leave_zone ||
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -109,6 +109,11 @@
   void note_order(worker_record& worker, bool answered, time_point now);
   // The worker was heard, so its zone is reachable from here.
   void clear_zone_silence(const worker_record& worker) { zone_silences.erase(worker.info.zone); }
+  // Whether an answer has shown so recently which incarnation of the worker is there that none can
+  // have replaced it unnoticed.
+  bool incarnation_confirmed(const worker_record& worker, time_point now) const;
+  // Has the worker asked at once which incarnation is there.
+  void request_confirmation(worker_record& worker, time_point now);
   // Whether the state of the worker and its zone allows starts on the worker now.
   bool usable(const worker_record& worker, time_point now) const;
   void mark_dirty(const job_record& job) { dirty.insert(job.id()); }
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -206,6 +206,7 @@
   worker.known = true;
   worker.born = answer.born;
   worker.identified_at = now;
+  worker.confirmation_wanted_at.reset();
   worker.incarnation_uncertain = false;
   return true;
 }
@@ -259,8 +260,11 @@
   // can also wait for the next end. That takes one call per end instead of two.
   const bool settled = worker.claimed && !worker.unresponsive && worker.seen == forgettable;
   const bool forgets = acknowledges || forgettable == worker.acknowledged;
-  if (settled && forgets && !worker.hold_requested && !worker.end_stated())
+  if (settled && forgets && !worker.hold_requested && !worker.confirmation_wanted_at &&
+      !worker.end_stated())
     request.wait = hold_wait();
+  request.confirms_incarnation =
+      !worker.unresponsive && (worker.confirmation_wanted_at || worker.incarnation_uncertain);
   worker.hold_requested = false;
   ++worker.holds_in_flight;
   worker.last_hold = now;
@@ -273,7 +277,7 @@
     return false;
   const time_point recent =
       now - std::max(m_state.options.max_list_age, m_state.worker_request_timeout);
-  return worker.identified_at >= recent ||
+  return m_state.incarnation_confirmed(worker, now) ||
          std::none_of(worker.runs.begin(), worker.runs.end(),
                       [recent](const auto& each)
                       { return !each.second->listed && each.second->begun < recent; });
@@ -295,8 +299,8 @@
   const bool probe = probed(worker, now);
   if (worker.hold_requested)
     return worker.holds_in_flight < (probe ? k_max_probes_in_flight + 1 : k_max_holds_in_flight);
-  if (probe)
-    return worker.holds_in_flight < k_max_probes_in_flight && since_last >= probe_interval();
+  if (probe && worker.holds_in_flight < k_max_probes_in_flight && since_last >= probe_interval())
+    return true;
   if (worker.holds_in_flight > 0)
     return false;
   if (!worker.claimed && worker.listed)
@@ -311,7 +315,7 @@
     return since_last >= m_state.options.hold_refresh;
   // Nor can a hold wait at a worker whose ends are not acknowledged for other reasons, so the
   // worker is asked often.
-  if (!worker.kept_ends.empty())
+  if (!worker.kept_ends.empty() || worker.confirmation_wanted_at)
     return since_last >= m_state.options.hold_retry;
   return !worker.runs.empty() || !worker.foreign.empty() || worker.late_start_possible(now);
 }
@@ -324,7 +328,7 @@
 duration worker_holder::probe_interval() const
 {
   const duration by_workers = m_state.options.hold_wait_per_worker * m_probed;
-  return std::max(m_state.options.late_start_probe, by_workers);
+  return std::clamp(by_workers, m_state.options.late_start_probe, m_state.options.hold_retry);
 }
 
 duration worker_holder::overdue(const worker_record& worker, time_point now) const
@@ -404,6 +408,15 @@
   m_accounting.on_worker_reported(worker->info.id, now);
 }
 
+void worker_holder::send_requested_holds(time_point now)
+{
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->hold_requested && hold_due(*worker, now))
+      hold(*worker, now);
+  }
+}
+
 // A worker without an entry counts as present as long as it answers.
 void worker_holder::update_unlisted(worker_record& worker, bool heard)
 {
--- a/Source/Core/Scheduling/WorkerHolder.h
+++ b/Source/Core/Scheduling/WorkerHolder.h
@@ -32,6 +32,8 @@
   void on_other_worker(const worker_id& id, time_point sent, time_point now);
   // Issues the holds that are due, and gives up the runs on workers whose leases have expired.
   void tick(time_point now);
+  // Issues the holds that were requested since tick().
+  void send_requested_holds(time_point now);
   // The number of workers claimed by earlier owners that had not answered at the latest tick.
   std::size_t unheard() const { return m_unheard; }
   // How long the next hold to the worker is overdue, beyond the time that a hold and its answer
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -97,6 +97,8 @@
   // When a call last showed which incarnation is there: by an answer to a hold, or by another
   // worker's answer at the address.
   time_point identified_at{};
+  // Since when a hold has been wanted that confirms the incarnation, because a start waits for it.
+  std::optional<time_point> confirmation_wanted_at;
   // It has answered a hold that was sent after its entry had gone. Entries lapse while their
   // workers cannot reach the store, and return seconds after they can again.
   bool answers_unlisted = false;
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -15,6 +15,7 @@
 constexpr const char* k_service = "service";
 constexpr std::chrono::seconds k_worker_clock_lag{30};
 constexpr std::chrono::seconds k_earlier_owner_lease_time{16};
+constexpr int k_max_confirmations = 10; // in one step
 constexpr run_number k_earlier_run = 7;
 constexpr run_number k_first_run_after_takeover = 1000;
 
@@ -50,8 +51,32 @@
 void scheduler_harness::step()
 {
   scheduler->tick(now);
+  for (int i = 0; i < k_max_confirmations && confirm_incarnations(); ++i)
+    scheduler->tick(now);
+}
+
+// The answers bear no token and were sent before anything else, so nothing follows from their lists,
+// which are empty.
+bool scheduler_harness::confirm_incarnations()
+{
+  bool confirmed = false;
   for (const command& each : scheduler->take_commands())
-    collect_command(each, *this);
+  {
+    const auto* const hold = std::get_if<hold_command>(&each);
+    if (hold == nullptr || !hold->confirms_incarnation || silent.contains(hold->worker.value))
+    {
+      collect_command(each, *this);
+      continue;
+    }
+    hold_answer answer;
+    answer.worker = hold->worker;
+    answer.end = call_end::done;
+    answer.born = born;
+    answer.clock = clock();
+    scheduler->hold_answered(answer, now);
+    confirmed = true;
+  }
+  return confirmed;
 }
 
 void scheduler_harness::clear()
--- a/Source/UnitTests/Scheduling/SchedulerHarness.h
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.h
@@ -7,6 +7,7 @@
 // makes up, and collects the scheduler's commands by kind.
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,8 @@
   std::vector<advice_command> questions;
 
   void pass(duration time);
-  // Ticks the scheduler and adds its commands to those above.
+  // Ticks the scheduler and adds its commands to those above. Workers answer at once when they are
+  // asked, before a start, which incarnation is there; these holds are not collected.
   void step();
   void clear();
 
@@ -69,9 +71,16 @@
   // The incarnation of the workers that answer from now on; none: workers that do not report it.
   std::optional<incarnation_start> born;
 
+  // Workers that do not answer when they are asked before a start.
+  std::set<std::string> silent;
+
   static listed_run running(const start_command& request);
   static listed_end ended(end_number number, const start_command& request, run_outcome how,
                           const std::string& checkpoint = {});
+
+private:
+  // Answers the holds that a start waits for; false if there were none.
+  bool confirm_incarnations();
 };
 
 // An owner that takes a partition over from an earlier owner, whose leases end 16 s later.
--- a/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
@@ -12,6 +12,7 @@
 
 using namespace yardhill::scheduling;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace
 {
@@ -275,4 +276,66 @@
   BOOST_TEST(starts.empty());
 }
 
+// Tasks were started on an incarnation with half the capacity, which the owner took for the earlier
+// one: an idle worker was asked nothing, so its restart was noticed only by its entry.
+BOOST_FIXTURE_TEST_CASE(nothing_is_started_until_the_present_incarnation_is_confirmed,
+                        incarnations_harness)
+{
+  pass(seconds{1});
+  silent = {"w1"};
+  start_job(k_job, step_of(1));
+  BOOST_TEST(starts.empty());
+  BOOST_TEST_REQUIRE(!holds.empty());
+  BOOST_TEST(holds.back().wait.count() == 0);
+  born = k_second_start_time;
+  answer_hold("w1", {});
+  step();
+  BOOST_TEST(starts.empty());
+  BOOST_TEST(metrics.value(yardhill::common::counter::workers_restarted) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(no_start_is_sent_again_until_the_present_incarnation_is_confirmed,
+                        incarnations_harness)
+{
+  start_job(k_job, step_of(1));
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  answer_start(starts.front(), call_end::unanswered);
+  clear();
+  silent = {"w1"};
+  pass(milliseconds{310});
+  step();
+  BOOST_TEST(starts.empty());
+  answer_hold("w1", {});
+  step();
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// A task that is done was started again: an unanswered copy of its start request was carried out by
+// the worker's next incarnation, after the end of its run had been acknowledged.
+BOOST_FIXTURE_TEST_CASE(an_end_is_not_acknowledged_while_a_copy_of_its_start_may_be_carried_out,
+                        incarnations_harness)
+{
+  start_job(k_job, step_of(1));
+  const start_command request = starts.front();
+  answer_start(request, call_end::unanswered);
+  pass(milliseconds{310});
+  step();
+  answer_start(request, call_end::done);
+  pass(milliseconds{700});
+  answer_hold("w1", {}, {ended(1, request, run_outcome::done)});
+  const auto acknowledged = [this]
+  {
+    clear();
+    answer_hold("w1", {}, {});
+    commit_and_step();
+    pass(options.hold_retry);
+    step();
+    return !holds.empty() && holds.back().acknowledged == 1;
+  };
+  BOOST_TEST(!acknowledged());
+  BOOST_TEST((scheduler->state_of(k_job) == yardhill::jobs::job_state::completed));
+  pass(options.late_start_window);
+  BOOST_TEST(acknowledged());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Scheduling/ZoneTest.cpp
+++ b/Source/UnitTests/Scheduling/ZoneTest.cpp
@@ -173,8 +173,10 @@
   for (const start_command& each : std::vector<start_command>(starts))
     answer_start(each, call_end::unanswered);
   clear();
+  silent = {"w1", "w3"};
   start_job("0123456789abcde0", step_of(20)); // more than zone b has capacity for
   BOOST_TEST(used().count("w1") + used().count("w3") == 0U);
+  silent.clear();
   pass(options.zone_retry + milliseconds{1});
   clear();
   step();
