--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -41,9 +41,11 @@
   // Ends are acknowledged only within this time (or the request timeout, if that is longer) of the
   // worker's latest lists. The worker may have restarted under its id since, and the ends of the
   // new incarnation bear the same numbers; but no task that it may have started ends sooner than
-  // this, nor sooner than replies arrive. For the same reason nothing is started on a worker whose
-  // incarnation was last confirmed longer ago: the next one may be smaller.
+  // this, nor sooner than replies arrive.
   duration max_list_age = std::chrono::milliseconds{250};
+  // Nothing is started on a worker whose incarnation was last confirmed longer ago than this (or
+  // than the request timeout, if that is longer): the next one may be smaller.
+  duration max_confirmation_age = std::chrono::milliseconds{500};
   // A worker that is asked before a start which incarnation is there is passed over once it has not
   // answered for this long, or for two round trips if those take longer.
   duration confirmation_patience = std::chrono::milliseconds{50};
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -77,7 +77,8 @@
 bool scheduler_state::incarnation_confirmed(const worker_record& worker, time_point now) const
 {
   return !worker.incarnation_uncertain &&
-         worker.identified_at >= now - std::max(options.max_list_age, worker_request_timeout);
+         worker.identified_at >=
+             now - std::max(options.max_confirmation_age, worker_request_timeout);
 }
 
 void scheduler_state::request_confirmation(worker_record& worker, time_point now)
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -277,7 +277,7 @@
     return false;
   const time_point recent =
       now - std::max(m_state.options.max_list_age, m_state.worker_request_timeout);
-  return m_state.incarnation_confirmed(worker, now) ||
+  return worker.identified_at >= recent ||
          std::none_of(worker.runs.begin(), worker.runs.end(),
                       [recent](const auto& each)
                       { return !each.second->listed && each.second->begun < recent; });
