--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -405,10 +405,10 @@
                                     { return each.run == run && each.worker == worker; });
   if (pending != observed.pending_ends.end())
   {
+    const std::string cause = " started after the end of run " + std::to_string(run) + " on " +
+                              worker + ", which was acknowledged later";
     for (const std::string& each : pending->later_starts)
-      violate("TWICE", task,
-              each + " started after the end of run " + std::to_string(run) + " on " + worker +
-                  ", which was acknowledged later");
+      violate("TWICE", task, std::string(each).append(cause));
     noted = noted_by_list(*pending, at).value_or(at);
     observed.pending_ends.erase(pending);
   }
--- a/Source/UnitTests/Model/LateStartTest.cpp
+++ b/Source/UnitTests/Model/LateStartTest.cpp
@@ -365,7 +365,7 @@
           continue;
         each.acknowledged = true;
         if (m_delayed.contains(task))
-          note("the end of " + task + " is acknowledged at " + life);
+          note(std::string("the end of ").append(task).append(" is acknowledged at ").append(life));
       }
     }
   }
@@ -384,7 +384,7 @@
         continue;
       m_done[task].push_back({life, number, m_cell.time().now(), false});
       if (m_delayed.contains(task))
-        note("the end of " + task + " as done is listed by " + life);
+        note(std::string("the end of ").append(task).append(" as done is listed by ").append(life));
     }
   }
 
