--- a/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerLivesTest.cpp
@@ -276,8 +276,7 @@
   BOOST_TEST(starts.empty());
 }
 
-// Tasks were started on an incarnation with half the capacity, which the owner took for the earlier
-// one: an idle worker was asked nothing, so its restart was noticed only by its entry.
+// The next incarnation of an idle worker may have less capacity than the known one.
 BOOST_FIXTURE_TEST_CASE(nothing_is_started_until_the_present_incarnation_is_confirmed,
                         incarnations_harness)
 {
@@ -310,8 +309,8 @@
   BOOST_TEST(starts.size() == 1U);
 }
 
-// A task that is done was started again: an unanswered copy of its start request was carried out by
-// the worker's next incarnation, after the end of its run had been acknowledged.
+// The worker's next incarnation may carry out an unanswered copy, which must not run a task whose
+// end is acknowledged.
 BOOST_FIXTURE_TEST_CASE(an_end_is_not_acknowledged_while_a_copy_of_its_start_may_be_carried_out,
                         incarnations_harness)
 {
