--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -55,8 +55,8 @@
     scheduler->tick(now);
 }
 
-// The answers bear no token and were sent before anything else, so nothing follows from their lists,
-// which are empty.
+// The answers bear no token and were sent before anything else, so nothing follows from their
+// lists, which are empty.
 bool scheduler_harness::confirm_incarnations()
 {
   bool confirmed = false;
