--- a/Source/Benchmarks/CallBenchmark.cpp
+++ b/Source/Benchmarks/CallBenchmark.cpp
@@ -85,7 +85,7 @@
   const std::string lists = make_hold_answer(runs);
   const std::string clock = json{{adapter::wire::k_clock_ms, 123456789}}.dump();
   const http::http_listener listener(
-      io, {"0.0.0.0", port}, adapter::wire::k_expected_instance,
+      io, {"0.0.0.0", port}, {adapter::wire::k_expected_instance},
       [&](const http::incoming_request& call, const http::responder& respond)
       {
         respond({200,
--- a/Source/Core/Common/Reason.cpp
+++ b/Source/Core/Common/Reason.cpp
@@ -35,6 +35,8 @@
     "config_conflict",
     "config_invalid",
     "key_reused_differently",
+    "unknown_key",
+    "other_workspace",
 });
 static_assert(k_refusal_names.size() == k_refusal_reasons);
 
--- a/Source/Core/Common/Reason.h
+++ b/Source/Core/Common/Reason.h
@@ -36,6 +36,8 @@
   config_conflict,
   config_invalid,
   key_reused_differently,
+  unknown_key,     // the caller's key is not in the configuration in force
+  other_workspace, // the job belongs to another workspace than the caller
   count
 };
 
--- a/Source/Core/Gateway/AnswerForm.cpp
+++ b/Source/Core/Gateway/AnswerForm.cpp
@@ -18,6 +18,8 @@
   ok = 200,
   accepted = 202,
   bad_request_status = 400,
+  unauthorized = 401,
+  forbidden = 403,
   not_found = 404,
   conflict = 409,
   gone = 410,
@@ -36,6 +38,10 @@
   case refusal_reason::malformed_request:
   case refusal_reason::config_invalid:
     return bad_request_status;
+  case refusal_reason::unknown_key:
+    return unauthorized;
+  case refusal_reason::other_workspace:
+    return forbidden;
   case refusal_reason::request_too_large:
     return too_large;
   case refusal_reason::unknown_workload:
--- a/Source/Core/Http/HttpListener.cpp
+++ b/Source/Core/Http/HttpListener.cpp
@@ -29,7 +29,7 @@
 struct listener_state
 {
   listener_limits limits;
-  std::string captured_header;
+  std::vector<std::string> captured_headers;
   request_handler handle;
   std::size_t connections = 0;
   std::size_t in_flight = 0;
@@ -119,7 +119,8 @@
     request.verb = method_of(message.method());
     request.host = std::string(message[bhttp::field::host]);
     request.target = std::string(message.target());
-    request.captured_header = std::string(message[m_state->captured_header]);
+    for (const std::string& name : m_state->captured_headers)
+      request.captured_headers.emplace_back(message[name]);
     request.body = std::move(message.body());
     ++m_state->in_flight;
     m_request_in_flight = true;
@@ -168,13 +169,13 @@
 class http_listener::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-  implementation(asio::io_context& io, const common::endpoint& where, std::string captured_header,
-                 request_handler handle)
+  implementation(asio::io_context& io, const common::endpoint& where,
+                 std::vector<std::string> captured_headers, request_handler handle)
       : m_acceptor(io, tcp::endpoint(asio::ip::make_address(where.address), where.port)),
         m_accept_timer(io),
         m_state(std::make_shared<listener_state>())
   {
-    m_state->captured_header = std::move(captured_header);
+    m_state->captured_headers = std::move(captured_headers);
     m_state->handle = std::move(handle);
   }
 
@@ -223,8 +224,8 @@
 };
 
 http_listener::http_listener(asio::io_context& io, const common::endpoint& where,
-                             std::string captured_header, request_handler handle)
-    : m_implementation(std::make_shared<implementation>(io, where, std::move(captured_header),
+                             std::vector<std::string> captured_headers, request_handler handle)
+    : m_implementation(std::make_shared<implementation>(io, where, std::move(captured_headers),
                                                         std::move(handle)))
 {
   m_implementation->accept();
--- a/Source/Core/Http/HttpListener.h
+++ b/Source/Core/Http/HttpListener.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -25,7 +26,8 @@
   std::string host;
   std::string target;
   std::string body;
-  std::string captured_header; // value of the header given to the listener, or empty
+  // The values of the headers given to the listener, in its order; empty for one that is missing.
+  std::vector<std::string> captured_headers;
 };
 
 struct outgoing_reply
@@ -43,10 +45,10 @@
 class http_listener
 {
 public:
-  // Throws boost::system::system_error if listening on the address fails. `captured_header` is the
-  // name of the request header whose value is passed to the handler.
+  // Throws boost::system::system_error if listening on the address fails. `captured_headers` are
+  // the names of the request headers whose values are passed to the handler.
   http_listener(boost::asio::io_context& io, const common::endpoint& where,
-                std::string captured_header, request_handler handle);
+                std::vector<std::string> captured_headers, request_handler handle);
   ~http_listener();
   http_listener(const http_listener&) = delete;
   http_listener& operator=(const http_listener&) = delete;
--- a/Source/Core/Jobs/JobSpec.cpp
+++ b/Source/Core/Jobs/JobSpec.cpp
@@ -182,6 +182,8 @@
   json out;
   out["queue"] = job.queue;
   out["home"] = job.home;
+  if (!job.workspace.empty())
+    out["workspace"] = job.workspace;
   out["at"] = job.accepted_at.time_since_epoch().count();
   out["payload"] = job.spec.payload;
   out["steps"] = json::array();
@@ -203,6 +205,7 @@
   job.id = id;
   job.queue = in.at("queue").get<std::string>();
   job.home = in.at("home").get<std::string>();
+  job.workspace = in.value("workspace", std::string());
   job.accepted_at = wall_time(milliseconds(in.at("at").get<std::int64_t>()));
   job.spec.payload = in.at("payload").get<std::string>();
   for (const json& step : in.at("steps"))
--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -103,8 +103,9 @@
 struct accepted_job
 {
   std::string id;
-  std::string queue; // the route's name
-  std::string home;  // the partition that runs it, or k_every_partition
+  std::string queue;     // the route's name
+  std::string home;      // the partition that runs it, or k_every_partition
+  std::string workspace; // of the caller who submitted it; empty: none, on a public queue
   wall_time accepted_at{};
   job_spec spec;
 };
--- a/Source/Core/Jobs/QueueTable.h
+++ b/Source/Core/Jobs/QueueTable.h
@@ -3,15 +3,18 @@
 
 #pragma once
 
-// The configuration in force: the queues that callers reach by host and path, and their limits.
+// The configuration in force: the queues that callers reach by host and path, the workspaces that
+// may use them, and the limits of both.
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Http/ListenerLimits.h"
 #include "Jobs/JobSpec.h"
+#include "Jobs/Workspaces.h"
 
 namespace yardhill::jobs
 {
@@ -21,6 +24,7 @@
   std::string host;
   std::string path_prefix;
   queue_policy policy;
+  bool is_public = false; // callers need no key
 };
 
 struct queue_table
@@ -28,7 +32,10 @@
   std::uint64_t version = 0; // 0: no configuration has been received yet
   std::vector<queue_route> routes;
   http::listener_limits limits;
+  // None: the cell has no workspaces, and no caller needs a key.
+  std::optional<workspace_table> workspaces;
 
+  bool needs_key(const queue_route& route) const { return workspaces && !route.is_public; }
   // The route of `host` with the longest path prefix that `path` starts with; null if there is
   // none.
   const queue_route* find(const std::string& host, const std::string& path) const
--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -135,6 +135,29 @@
     m_time.schedule(draw_time(milliseconds(0), time), [this] { hand_in(); });
 }
 
+void caller_model::set_workspaces(workspace_model& workspaces, std::uint64_t seed)
+{
+  m_workspaces = &workspaces;
+  m_workspace_random.seed(seed);
+}
+
+void caller_model::choose_workspace(const std::string& id)
+{
+  if (m_workspaces == nullptr)
+    return;
+  const std::vector<std::string> names = m_workspaces->names();
+  m_workspace_of[id] = names[m_workspace_random() % names.size()];
+  m_judge.belongs_to(id, m_workspace_of[id]);
+}
+
+std::vector<std::string> caller_model::headers_of(const std::string& id)
+{
+  std::vector<std::string> headers{k_timeout_ms};
+  if (m_workspaces != nullptr)
+    headers.push_back(m_workspaces->draw_key(m_workspace_of.at(id)));
+  return headers;
+}
+
 std::uint64_t caller_model::waiting(const std::string& prefix, time_point accepted_by) const
 {
   return static_cast<std::uint64_t>(std::count_if(m_accepted_at.begin(), m_accepted_at.end(),
@@ -152,6 +175,7 @@
   m_prefixes[id] = draw(2) == 0 ? k_urgent_prefix : k_plain_prefix;
   m_specs[id] = random_spec();
   m_judge.submitted(id, m_specs[id], k_max_attempts);
+  choose_workspace(id);
   submit(id, submission_of(m_specs[id]), k_submit_tries);
   if (m_specs[id].long_running() || draw(12) == 0)
     m_time.schedule(draw_time(milliseconds(300), milliseconds(8000)),
@@ -202,6 +226,7 @@
   m_prefixes[id] = k_plain_prefix;
   m_specs[id] = spec;
   m_judge.submitted(id, spec, k_max_attempts);
+  choose_workspace(id);
   submit(id, submission_of(spec), k_submit_tries);
   return id;
 }
@@ -245,7 +270,7 @@
       on_submitted(id, body, tries, status);
   };
   const bool sent =
-      m_deliver({http::method::post, k_host, m_prefixes[id] + id, body, k_timeout_ms},
+      m_deliver({http::method::post, k_host, m_prefixes[id] + id, body, headers_of(id)},
                 [ended](const http::outgoing_reply& answer) { ended(answer.status); });
   if (!sent)
   {
@@ -265,7 +290,8 @@
   if (status == 200)
     m_accepted_at.emplace(id, m_time.now());
   const bool refused = status == 429 || status == 503;
-  const bool unclear = status == 0 || status == 502 || status == 504;
+  // With 401 the caller has used a key that was revoked, and tries another one.
+  const bool unclear = status == 0 || status == 401 || status == 502 || status == 504;
   if (unclear || (refused && draw(k_give_up_odds) != 0))
     submit_again(id, body, tries);
   else if (!refused && tries > 0 && draw(6) == 0)
@@ -276,7 +302,7 @@
 {
   const auto answered = std::make_shared<bool>(false);
   m_judge.cancel_requested(id);
-  m_deliver({http::method::remove, k_host, m_prefixes[id] + id, "", k_timeout_ms},
+  m_deliver({http::method::remove, k_host, m_prefixes[id] + id, "", headers_of(id)},
             [this, id, answered](const http::outgoing_reply& answer)
             {
               *answered = answer.status == 200 || answer.status == 410;
@@ -294,8 +320,13 @@
 void caller_model::query_all()
 {
   for (const auto& [id, prefix] : m_prefixes)
-    m_deliver({http::method::get, k_host, prefix + id, "", k_timeout_ms},
+  {
+    std::vector<std::string> headers{k_timeout_ms};
+    if (m_workspaces != nullptr)
+      headers.push_back(m_workspaces->present_key(m_workspace_of.at(id)));
+    m_deliver({http::method::get, k_host, prefix + id, "", std::move(headers)},
               [this, id = id](const http::outgoing_reply& answer) { on_state(id, answer); });
+  }
 }
 
 void caller_model::on_state(const std::string& id, const http::outgoing_reply& answer)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -15,6 +15,7 @@
 #include "Http/HttpListener.h"
 #include "Model/RunJudge.h"
 #include "Model/VirtualTime.h"
+#include "Model/WorkspaceModel.h"
 
 namespace yardhill::model
 {
@@ -34,6 +35,8 @@
   caller_model(virtual_time& time, std::uint64_t seed, run_judge& judge,
                deliver_function deliver_request);
 
+  // From now on each job belongs to one of the workspaces, and calls bear its keys.
+  void set_workspaces(workspace_model& workspaces, std::uint64_t seed);
   // Submits random jobs from now until `end`.
   void submit_jobs_until(time_point end);
   // Submits that number of additional jobs, at random moments within `time`.
@@ -62,6 +65,9 @@
   std::string hand_in();
   void set_crash(const std::string& id, std::uint32_t step, std::uint32_t index, duration after);
   jobs::job_spec random_spec();
+  void choose_workspace(const std::string& id);
+  // The headers of a call for the job.
+  std::vector<std::string> headers_of(const std::string& id);
   void submit(const std::string& id, const std::string& body, unsigned tries);
   void on_submitted(const std::string& id, const std::string& body, unsigned tries,
                     unsigned status);
@@ -83,5 +89,8 @@
   std::map<std::string, time_point> m_accepted_at;
   std::map<std::string, jobs::job_state> m_states;
   std::uint64_t m_jobs = 0;
+  workspace_model* m_workspaces = nullptr; // null: calls bear no keys
+  std::mt19937_64 m_workspace_random;
+  std::map<std::string, std::string> m_workspace_of; // by job
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -3,6 +3,7 @@
 
 #include "Model/CellExplorer.h"
 
+#include <optional>
 #include <utility>
 
 #include "Common/EventLog.h"
@@ -11,6 +12,7 @@
 #include "Model/CellFaults.h"
 #include "Model/CountJudge.h"
 #include "Model/ExploredCell.h"
+#include "Model/KeyJudge.h"
 
 namespace yardhill::model
 {
@@ -85,9 +87,13 @@
 }
 } // namespace
 
-exploration explore_cell(std::uint64_t seed, omission without, restarts how, std::size_t partitions)
+exploration explore_cell(std::uint64_t seed, omission without, restarts how, std::size_t partitions,
+                         workspaces callers)
 {
   explored_cell cell(seed, partitions);
+  if (callers == workspaces::changing)
+    cell.add_workspaces(seed, without != omission::limits_omitted,
+                        without != omission::keys_omitted);
   const logged_time logged(cell);
   cell_faults faults(cell, without);
   cell.time().schedule(k_first_job,
@@ -99,6 +105,12 @@
   watch_long_running(cell, faults);
   const count_judge counts(cell, cell.begin() + k_run_length);
   const cancel_judge cancelled(cell, cell.begin() + k_run_length);
+  std::optional<key_judge> keys;
+  if (callers == workspaces::changing)
+  {
+    keys.emplace(cell, cell.begin() + k_run_length);
+    faults.draw_workspace_changes(seed);
+  }
   faults.draw();
   if (how == restarts::same_id)
     faults.draw_restarts(seed);
@@ -109,7 +121,15 @@
   cell.judge().check_all_ended(cell.callers().states());
   std::vector<std::string> violations = cell.judge().violations();
   violations.insert(violations.end(), counts.violations().begin(), counts.violations().end());
-  return {std::move(violations), faults.descriptions(), cell.judge().accepted_jobs(),
-          cell.judge().starts(), counts.counted(),      counts.unknown()};
+  exploration result{std::move(violations), faults.descriptions(), cell.judge().accepted_jobs(),
+                     cell.judge().starts(), counts.counted(),      counts.unknown()};
+  if (keys)
+  {
+    result.violations.insert(result.violations.end(), keys->violations().begin(),
+                             keys->violations().end());
+    result.keys_served = keys->served();
+    result.keys_refused = keys->refused();
+  }
+  return result;
 }
 } // namespace yardhill::model
--- a/Source/Core/Model/CellExplorer.h
+++ b/Source/Core/Model/CellExplorer.h
@@ -16,8 +16,10 @@
 enum class omission
 {
   none,
-  claims_omitted,  // a new owner finds no stored claims of workers
-  progress_omitted // a new owner finds no stored record of steps that have begun
+  claims_omitted,   // a new owner finds no stored claims of workers
+  progress_omitted, // a new owner finds no stored record of steps that have begun
+  limits_omitted,   // the instances' configuration contains no limits of workspaces
+  keys_omitted      // by the instances' configuration callers need no keys
 };
 
 // Whether workers also restart under their previous ids, in addition to the seed's other faults.
@@ -27,6 +29,13 @@
   same_id
 };
 
+// Whether the cell has workspaces whose keys and limits change.
+enum class workspaces
+{
+  none,
+  changing
+};
+
 struct exploration
 {
   std::vector<std::string> violations;
@@ -37,9 +46,13 @@
   // answered without one.
   std::size_t counted = 0;
   std::size_t unknown_counts = 0;
+  // Calls with valid keys that were served, and calls with other keys that were refused.
+  std::size_t keys_served = 0;
+  std::size_t keys_refused = 0;
 };
 
 // The same arguments always give the same simulation.
 exploration explore_cell(std::uint64_t seed, omission without = omission::none,
-                         restarts how = restarts::none, std::size_t partitions = 1);
+                         restarts how = restarts::none, std::size_t partitions = 1,
+                         workspaces callers = workspaces::none);
 } // namespace yardhill::model
--- a/Source/Core/Model/CellFaults.h
+++ b/Source/Core/Model/CellFaults.h
@@ -32,6 +32,8 @@
   // Additionally schedules restarts of workers. From now on most new incarnations keep their
   // worker's id.
   void draw_restarts(std::uint64_t seed);
+  // Additionally schedules changes of the cell's workspaces: revoked keys, changed limits.
+  void draw_workspace_changes(std::uint64_t seed);
   // Descriptions of the faults injected so far.
   const std::vector<std::string>& descriptions() const { return m_descriptions; }
   // The time at which the last effect of the faults injected so far ends or will end.
@@ -76,6 +78,12 @@
   void restart_during_delayed_calls();
   void restart_during_owner_loss();
   void restart_during_crashing_jobs();
+  void inject_random_workspace_change();
+  void revoke_key();
+  void revoke_workspace();
+  void revoke_while_isolated();
+  void lower_limit();
+  void raise_limit();
 
   void lose_next_owner(time_point end);
   void lose_owner(explored_instance& which);
@@ -91,6 +99,10 @@
   // Restarts the worker `times` times in a row.
   void restart(fleet_worker& which, std::uint64_t times);
   void start_next_incarnation(fleet_worker& which, std::uint64_t times);
+  void apply_workspace_change(const std::string& description);
+  void restore_keys_later();
+  std::string draw_workspace();
+  duration draw_workspace_time(std::chrono::milliseconds least, std::chrono::milliseconds most);
   void change_capacity(fleet_worker& which, const common::resources& capacity);
   network_cuts links_of(const fleet_worker& which) const;
   void drop_omitted_rows();
@@ -107,5 +119,6 @@
   std::vector<std::string> m_descriptions;
   time_point m_disturbed_until{};
   std::mt19937_64 m_restart_random;
+  std::mt19937_64 m_workspace_random;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/CountJudge.cpp
+++ b/Source/Core/Model/CountJudge.cpp
@@ -3,6 +3,9 @@
 
 #include "Model/CountJudge.h"
 
+#include <set>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 #include "platform/WireNames.h"
@@ -46,12 +49,19 @@
 {
   const time_point accepted_by = m_cell.time().now() - k_count_delay;
   const std::uint64_t due = m_cell.version_written_by(m_cell.time().now() - k_configuration_delay);
+  std::vector<std::string> headers{k_timeout_ms};
+  if (workspace_model* const workspaces = m_cell.workspaces())
+  {
+    const std::set<std::string> valid = workspaces->keys_always_valid(
+        m_cell.time().now() - k_configuration_delay, m_cell.time().now());
+    headers.push_back(valid.empty() ? std::string() : *valid.begin());
+  }
   which.time->schedule(
       duration{0},
-      [this, &which, prefix, accepted_by, due]
+      [this, &which, prefix, accepted_by, due, headers = std::move(headers)]
       {
         which.core->handle(
-            {http::method::get, k_host, prefix, "", k_timeout_ms},
+            {http::method::get, k_host, prefix, "", headers},
             [this, &which, prefix, accepted_by, due](const http::outgoing_reply& answer)
             {
               on_answer(which, prefix, m_cell.callers().waiting(prefix, accepted_by), answer);
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -34,14 +34,16 @@
 const common::endpoint k_store_address{"10.200.0.1", 80};
 const common::endpoint k_advice_address{"10.200.0.2", 80};
 
-std::string configuration(std::uint64_t version, std::size_t unused_queues)
+json configuration(std::uint64_t version, std::size_t unused_queues, bool public_queues)
 {
-  const auto route = [](const std::string& name, const std::string& prefix, int priority)
+  const auto route =
+      [public_queues](const std::string& name, const std::string& prefix, int priority)
   {
-    return json{{wire::k_name, name},         {wire::k_host, k_host},
-                {wire::k_prefix, prefix},     {wire::k_service, "service"},
-                {wire::k_priority, priority}, {wire::k_max_attempts, k_max_attempts},
-                {wire::k_stretch, 1.5},       {wire::k_latency_target_ms, 250}};
+    return json{{wire::k_name, name},           {wire::k_host, k_host},
+                {wire::k_prefix, prefix},       {wire::k_service, "service"},
+                {wire::k_priority, priority},   {wire::k_max_attempts, k_max_attempts},
+                {wire::k_stretch, 1.5},         {wire::k_latency_target_ms, 250},
+                {wire::k_public, public_queues}};
   };
   json urgent = route("urgent", k_urgent_prefix, 0);
   urgent[wire::k_advice] = {
@@ -49,7 +51,7 @@
   json routes{urgent, route("plain", k_plain_prefix, 1)};
   for (std::size_t i = 0; i < unused_queues; ++i)
     routes.push_back(route("unused-" + std::to_string(i), "/unused-" + std::to_string(i) + "/", 1));
-  return json{{wire::k_version, version}, {wire::k_routes, std::move(routes)}}.dump();
+  return json{{wire::k_version, version}, {wire::k_routes, std::move(routes)}};
 }
 
 http::outgoing_reply broken_connection()
@@ -107,11 +109,46 @@
 
 void explored_cell::configure(std::uint64_t version, std::size_t unused_queues)
 {
-  m_store.put({wire::k_operator_table, "", wire::k_config_key},
-              configuration(version, unused_queues));
+  json written = configuration(version, unused_queues, !m_keys_configured);
+  if (m_workspaces)
+  {
+    json list = m_workspaces->configuration();
+    for (json& each : list)
+    {
+      if (!m_limits_configured)
+        each.erase(wire::k_max_running);
+    }
+    written[wire::k_workspaces] = std::move(list);
+    m_workspaces->configured();
+  }
+  m_store.put({wire::k_operator_table, "", wire::k_config_key}, written.dump());
   m_configurations[m_time.now()] = version;
 }
 
+void explored_cell::add_workspaces(std::uint64_t seed, bool instances_see_limits,
+                                   bool instances_see_keys)
+{
+  m_limits_configured = instances_see_limits;
+  m_keys_configured = instances_see_keys;
+  m_workspaces.emplace(m_time, seed);
+  m_callers.set_workspaces(*m_workspaces, seed + 1);
+  // An owner that is cut off may start tasks under an older configuration for as long as it may
+  // send commands at all.
+  m_judge.set_workspace_limits(
+      [this](const std::string& workspace, common::time_point at)
+      {
+        constexpr seconds k_configuration_limit{3};
+        constexpr milliseconds k_authority{4500};
+        return m_workspaces->highest_limit(workspace, at - k_configuration_limit - k_authority, at);
+      });
+  reconfigure();
+}
+
+void explored_cell::reconfigure()
+{
+  configure(m_configurations.rbegin()->second + 1);
+}
+
 std::uint64_t explored_cell::version_written_by(time_point when) const
 {
   const auto later = m_configurations.upper_bound(when);
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -23,6 +23,7 @@
 #include "Model/VirtualNetwork.h"
 #include "Model/VirtualTime.h"
 #include "Model/WorkerFleet.h"
+#include "Model/WorkspaceModel.h"
 #include "Node/NodeCore.h"
 
 namespace yardhill::model
@@ -75,6 +76,12 @@
   // Writes the operator's next configuration, with the same queues plus `unused_queues` that nobody
   // uses, each of which makes the row about 0.25 KB longer.
   void configure(std::uint64_t version, std::size_t unused_queues = 0);
+  // From now on the cell has workspaces, and callers need keys. Called before anything runs.
+  void add_workspaces(std::uint64_t seed, bool instances_see_limits, bool instances_see_keys);
+  // Null if the cell has none.
+  workspace_model* workspaces() { return m_workspaces ? &*m_workspaces : nullptr; }
+  // Writes the next configuration version with the workspaces as they are now.
+  void reconfigure();
   // The newest configuration version that had been written by that time; 0 if there was none.
   std::uint64_t version_written_by(time_point when) const;
   void start_instance(explored_instance& which);
@@ -114,6 +121,10 @@
   std::vector<explored_instance> m_instances;
   // The versions of the operator's configuration, by the time of writing.
   std::map<time_point, std::uint64_t> m_configurations;
+  std::optional<workspace_model> m_workspaces;
+  // Whether the configuration contains the limits, and that callers need keys.
+  bool m_limits_configured = true;
+  bool m_keys_configured = true;
   std::uint64_t m_incarnations = 0;
   std::optional<processor_costs> m_costs;
   bool m_suspended_clocks = false;
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t k_crashes_to_give_up = 2;
 constexpr std::size_t k_crash_limit = 3;
 constexpr std::size_t k_starts_over_limit = 3;
+// A workspace may exceed its limit by this fraction and by one task more.
+constexpr double k_workspace_overage = 0.1;
 
 std::string run_text(const observed_start& start)
 {
@@ -313,6 +315,52 @@
   check_crashes(start);
   found->second.started = true;
   m_tasks[start.task].active[start.run] = {start.worker, start.at};
+  check_workspace(found->second, start);
+}
+
+common::resources run_judge::used_by(const std::string& workspace) const
+{
+  common::resources used;
+  for (const auto& [task, observed] : m_tasks)
+  {
+    if (observed.active.empty())
+      continue;
+    const observed_job& job = m_jobs.at(task.job);
+    if (job.workspace == workspace)
+      used += common::scaled(job.spec.steps[task.place.step].demand,
+                             static_cast<double>(observed.active.size()));
+  }
+  return used;
+}
+
+// A start that was carried out late may exceed the limit: nobody can take it back.
+void run_judge::check_workspace(const observed_job& job, const observed_start& start)
+{
+  if (job.workspace.empty() || !m_workspace_limits || start.late)
+    return;
+  const common::resources limit = m_workspace_limits(job.workspace, start.at);
+  const common::resources allowed = common::scaled(limit, 1.0 + k_workspace_overage);
+  const common::resources before =
+      used_by(job.workspace) - job.spec.steps[start.task.place.step].demand;
+  const bool over = (limit.cpu_millis > 0 && before.cpu_millis > allowed.cpu_millis) ||
+                    (limit.memory_mib > 0 && before.memory_mib > allowed.memory_mib) ||
+                    (limit.accelerators > 0 && before.accelerators > allowed.accelerators);
+  if (over)
+    violate("QUOTA", start.task,
+            job.workspace + " has " + std::to_string(before.cpu_millis) + " of " +
+                std::to_string(limit.cpu_millis) + " thousandths of a core and " +
+                std::to_string(before.memory_mib) + " of " + std::to_string(limit.memory_mib) +
+                " MiB before this start");
+}
+
+bool run_judge::below_half_of_limit(const observed_job& job, common::time_point now) const
+{
+  if (job.workspace.empty() || !m_workspace_limits)
+    return true;
+  const common::resources limit = m_workspace_limits(job.workspace, now);
+  const common::resources used = used_by(job.workspace);
+  return (limit.cpu_millis == 0 || 2 * used.cpu_millis < limit.cpu_millis) &&
+         (limit.memory_mib == 0 || 2 * used.memory_mib < limit.memory_mib);
 }
 
 void run_judge::check_leaving(const observed_start& start)
@@ -455,7 +503,8 @@
     const observed_job& job = m_jobs.at(id);
     if (!job.accepted || !job.started)
       continue;
-    const bool capacity_free = has_free_capacity(job.spec.steps.front(), usable);
+    const bool capacity_free =
+        has_free_capacity(job.spec.steps.front(), usable) && below_half_of_limit(job, now);
     for (std::uint32_t index = 0; index < job.spec.steps.front().count; ++index)
     {
       const task_ref ref{id, {0, 0, index}};
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -57,6 +57,14 @@
 
   // The requests of callers and their answers.
   void submitted(const std::string& job, const jobs::job_spec& spec, std::uint32_t max_attempts);
+  // The job is of a caller of that workspace.
+  void belongs_to(const std::string& job, const std::string& workspace)
+  {
+    m_jobs[job].workspace = workspace;
+  }
+  // The highest limit of a workspace that may be in force at a time; 0 in a dimension: no limit.
+  using limit_lookup = std::function<common::resources(const std::string&, common::time_point)>;
+  void set_workspace_limits(limit_lookup limits) { m_workspace_limits = std::move(limits); }
   // A submission of the job, the first one or a retry, is in flight.
   void tried(const std::string& job);
   // Result of the latest submission; status 0 means that there was no answer.
@@ -137,6 +145,7 @@
   struct observed_job
   {
     jobs::job_spec spec;
+    std::string workspace; // empty: none
     std::uint32_t max_attempts = 1;
     bool accepted = false;
     // Whether the latest submission was; then neither it nor an earlier one may take effect.
@@ -203,8 +212,15 @@
   // Whether some task or gang of the job has used up its attempts.
   bool out_of_attempts(const std::string& job, const observed_job& observed) const;
   void check_crashes(const observed_start& start);
+  // What all active runs of the workspace demand.
+  common::resources used_by(const std::string& workspace) const;
+  // Checks the workspace's limit after the start.
+  void check_workspace(const observed_job& job, const observed_start& start);
+  // Whether the workspace uses less than half of its limit, so that its tasks should run.
+  bool below_half_of_limit(const observed_job& job, common::time_point now) const;
 
   job_lookup m_is_stored;
+  limit_lookup m_workspace_limits;
   std::map<std::string, observed_job> m_jobs;
   std::set<std::string> m_long_running;
   std::map<task_ref, observed_task> m_tasks;
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -66,9 +66,8 @@
 {
 }
 
-std::chrono::milliseconds caller_gateway::timeout_of(const http::incoming_request& request) const
+std::chrono::milliseconds caller_gateway::timeout_of(std::chrono::milliseconds caller_timeout) const
 {
-  const std::chrono::milliseconds caller_timeout = parse_timeout(request.captured_header);
   if (!m_stop_deadline)
     return caller_timeout;
   const auto left =
@@ -83,7 +82,8 @@
   call->respond = std::move(respond);
   call->received = m_time.now();
   call->known_version = m_store.newest_known_version();
-  call->timeout = timeout_of(request);
+  call->timeout =
+      timeout_of(parse_timeout(adapter::caller_headers_from(request.captured_headers).timeout_ms));
   call->body = std::move(request.body);
   if (!may_serve() &&
       m_startup_requests.enqueue([this, call, request] { dispatch(call, request); }))
@@ -124,6 +124,9 @@
     return;
   }
   call->route = *route;
+  if (!identify_workspace(call, request.verb,
+                          adapter::caller_headers_from(request.captured_headers).key))
+    return;
   call->id = path.substr(call->route->path_prefix.size());
   if (call->id.empty() && request.verb == http::method::get)
     reply_with_pending_count(*call);
@@ -139,6 +142,25 @@
     refuse(*call, {405, refusal_reason::malformed_request, "no such method"});
 }
 
+// The key itself is never logged.
+bool caller_gateway::identify_workspace(const std::shared_ptr<caller_call>& call, http::method verb,
+                                        const std::string& key)
+{
+  if (!m_queues.workspaces)
+    return true;
+  if (const jobs::workspace* const found = m_queues.workspaces->find_by_key(key))
+    call->workspace = *found;
+  if (call->workspace || !m_queues.needs_key(*call->route))
+    return true;
+  // A newer configuration may have the key.
+  if (m_configuration.newest() == 0)
+    refuse_unconfigured(*call, verb, "the key is unknown here, and a newer configuration exists");
+  else
+    refuse(*call, {401, refusal_reason::unknown_key,
+                   key.empty() ? "the call has no key" : "no workspace has this key"});
+  return false;
+}
+
 void caller_gateway::refuse_unconfigured(const caller_call& call, http::method verb,
                                          const std::string& reason)
 {
@@ -155,6 +177,8 @@
                        {"reason", common::to_text(rejection.reason)},
                        {"detail", rejection.detail},
                        {"row", to_text(rejection.evidence)},
+                       {"queue", call.route ? call.route->name : std::string()},
+                       {"workspace", call.workspace ? call.workspace->name : std::string()},
                        {"config_version", m_queues.version},
                        {"instance_age_ms", m_time.now() - m_started},
                        {"after_ms", m_time.now() - call.received}});
@@ -236,7 +260,7 @@
     refuse(*call, {400, refusal_reason::malformed_request, common::to_text(spec.error())});
     return;
   }
-  if (const auto reason = m_capacities.never_fits(call->route->policy.service, *spec))
+  if (const auto reason = never_runs(*call, *spec))
   {
     refuse(*call, {422, refusal_reason::never_fits, *reason});
     return;
@@ -244,6 +268,7 @@
   jobs::accepted_job job;
   job.id = call->id;
   job.queue = call->route->name;
+  job.workspace = call->workspace ? call->workspace->name : std::string();
   job.spec = *std::move(spec);
   job.home = choose_home(job.id, job.spec);
   job.accepted_at = m_time.wall();
@@ -255,6 +280,16 @@
                  { on_accepted(call, job, result); });
 }
 
+std::optional<std::string> caller_gateway::never_runs(const caller_call& call,
+                                                      const jobs::job_spec& spec) const
+{
+  if (auto reason = m_capacities.never_fits(call.route->policy.service, spec))
+    return reason;
+  if (!call.workspace)
+    return std::nullopt;
+  return never_within(*call.workspace, spec);
+}
+
 void caller_gateway::on_accepted(const std::shared_ptr<caller_call>& call,
                                  const jobs::accepted_job& job, const accept_result& result)
 {
@@ -270,6 +305,7 @@
   }
   common::log_request("job_accepted", job.id,
                       {{"queue", job.queue},
+                       {"workspace", job.workspace},
                        {"home", result.first ? std::string_view(job.home) : "as before"},
                        {"first", result.first},
                        {"steps", job.spec.steps.size()},
@@ -411,6 +447,12 @@
            [this, call](const found_job& found)
            {
              const std::string home = found.job->home;
+             if (!may_cancel(*call, *found.job))
+             {
+               refuse(*call, {403, refusal_reason::other_workspace,
+                              "the job belongs to another workspace"});
+               return;
+             }
              if (found.cancelled)
              {
                on_cancelled(*call, home, true);
@@ -421,6 +463,11 @@
            });
 }
 
+bool caller_gateway::may_cancel(const caller_call& call, const jobs::accepted_job& job)
+{
+  return job.workspace.empty() || !call.workspace || call.workspace->name == job.workspace;
+}
+
 void caller_gateway::on_cancelled(const caller_call& call, const std::string& home, bool stored)
 {
   if (!stored)
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -54,6 +54,8 @@
   {
     // Copied from the configuration in force at dispatch, which the call may outlive; none before.
     std::optional<jobs::queue_route> route;
+    // Of the caller, likewise copied; none on a public queue and without a key.
+    std::optional<jobs::workspace> workspace;
     std::string id; // of the job; empty if the request is for the queue itself
     std::string body;
     std::chrono::milliseconds timeout{0}; // how long the caller waits
@@ -74,14 +76,19 @@
 
   bool may_serve() const { return m_queues.version != 0 && !m_partitions.empty(); }
   void release_startup_requests();
-  // How long a call that has just arrived may take.
-  std::chrono::milliseconds timeout_of(const http::incoming_request& request) const;
+  // How long a call that has just arrived may take, if its caller waits for `caller_timeout`.
+  std::chrono::milliseconds timeout_of(std::chrono::milliseconds caller_timeout) const;
   // Passes the call to the function for the request's verb and path.
   void dispatch(const std::shared_ptr<caller_call>& call, const http::incoming_request& request);
+  // Sets the caller's workspace; false if the call was refused for its key.
+  bool identify_workspace(const std::shared_ptr<caller_call>& call, http::method verb,
+                          const std::string& key);
   // Refuses a call that cannot be answered correctly, as no configuration here is certain to be the
   // one in force.
   void refuse_unconfigured(const caller_call& call, http::method verb, const std::string& reason);
   void submit(const std::shared_ptr<caller_call>& call);
+  // Why no task of some step could ever run; none if every step can.
+  std::optional<std::string> never_runs(const caller_call& call, const jobs::job_spec& spec) const;
   // Refuses the call by `deadline` if the job's owner is overloaded; returns whether it took the
   // call over. If the refusal finds the job stored already, the call is answered as accepted.
   bool refuse_if_overloaded(const std::shared_ptr<caller_call>& call, const jobs::accepted_job& job,
@@ -101,6 +108,8 @@
   // row, then its stored state.
   void read_job_and_state(const std::shared_ptr<caller_call>& call);
   void cancel(const std::shared_ptr<caller_call>& call);
+  // Whether the caller's workspace may cancel the job.
+  static bool may_cancel(const caller_call& call, const jobs::accepted_job& job);
   void on_cancelled(const caller_call& call, const std::string& home, bool stored);
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
   void with_job(const std::shared_ptr<caller_call>& call,
--- a/Source/Core/Node/NodeService.cpp
+++ b/Source/Core/Node/NodeService.cpp
@@ -8,6 +8,7 @@
 
 #include "Common/EventLog.h"
 #include "Common/ProcessClock.h"
+#include "platform/Ingress.h"
 #include "platform/WireNames.h"
 
 namespace yardhill::node
@@ -54,16 +55,16 @@
 
 void node_service::run()
 {
-  m_callers.emplace(m_io, m_settings.callers, adapter::wire::k_deadline,
+  m_callers.emplace(m_io, m_settings.callers, adapter::caller_header_names(),
                     [this](http::incoming_request request, http::responder respond)
                     { m_core.handle(std::move(request), std::move(respond)); });
-  m_ready.emplace(m_io, m_settings.ready, adapter::wire::k_deadline,
+  m_ready.emplace(m_io, m_settings.ready, std::vector<std::string>{},
                   [this](const http::incoming_request& request, const http::responder& respond)
                   {
                     const bool known = request.target == adapter::wire::k_ready_path;
                     respond({known ? (m_core.ready() ? 200U : 503U) : 404U, "", "text/plain", {}});
                   });
-  m_metrics_page.emplace(m_io, m_settings.metrics, adapter::wire::k_deadline,
+  m_metrics_page.emplace(m_io, m_settings.metrics, std::vector<std::string>{},
                          [this](const http::incoming_request&, const http::responder& respond) {
                            respond({200, m_metrics.exposition(), "text/plain", {}});
                          });
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -373,6 +373,8 @@
   for (const jobs::queue_route& route : m_dependencies.queues.routes)
     policies[route.name] = route.policy;
   m_scheduler->set_policies(std::move(policies));
+  if (m_dependencies.queues.workspaces)
+    m_scheduler->set_workspaces(m_dependencies.queues.workspaces->all());
   schedule_pass();
 }
 
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -219,7 +219,8 @@
     for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
     {
       const step_record& step = job.cycles()[c].steps[s];
-      if (step.waiting == 0 || job.ready(c, s, m_state.wall(now)))
+      if (step.waiting == 0 || job.ready(c, s, m_state.wall(now)) ||
+          !scheduler_state::within_workspace_limit(job, *step.spec))
         continue;
       const bool any_ticket =
           std::any_of(step.permits.tickets.begin(), step.permits.tickets.end(),
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -114,6 +114,23 @@
   return false;
 }
 
+common::resources job_record::unaccounted_demand() const
+{
+  common::resources sum;
+  for (const cycle_record& cycle : m_cycles)
+  {
+    for (const step_record& step : cycle.steps)
+    {
+      for (const task_record& task : step.tasks)
+      {
+        if (task.phase == task_phase::unaccounted)
+          sum += step.spec->demand;
+      }
+    }
+  }
+  return sum;
+}
+
 void job_record::set_phase(const task_place& place, task_phase phase)
 {
   step_record& record = step(place);
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -21,6 +21,7 @@
 namespace yardhill::scheduling
 {
 struct run_record;
+struct workspace_account;
 
 // Whether the store has a mark that something may be started.
 enum class begin_mark
@@ -116,6 +117,8 @@
   step_permits permits;
   step_begin_marks begun;
 
+  // Whether the log says that the step waits for its workspace's limit.
+  bool workspace_wait_logged = false;
   // Since when tasks of the step have been seen waiting although the step is ready (see backlog).
   std::optional<time_point> waiting_since;
 
@@ -146,6 +149,10 @@
   const jobs::queue_policy& policy() const { return m_policy; }
   void set_policy(const jobs::queue_policy& policy);
 
+  // Of the job's workspace; null if it has none.
+  workspace_account* account() const { return m_account; }
+  void set_account(workspace_account* account) { m_account = account; }
+
   jobs::job_state state() const { return m_state; }
   // Whether a task is known to have begun, from a worker's answer or lists or from an earlier
   // owner's record.
@@ -172,6 +179,8 @@
   task_record& task(const task_place& place) { return step(place).tasks[place.index]; }
   bool contains(const task_place& place) const;
   std::uint32_t waiting() const;
+  // What the tasks demand together that an earlier owner may have started.
+  common::resources unaccounted_demand() const;
 
   // Whether the step's cycle is due and all steps that it depends on are complete.
   bool ready(std::uint32_t cycle, std::uint32_t step, jobs::wall_time wall) const;
@@ -210,6 +219,7 @@
 
   jobs::accepted_job m_job;
   jobs::queue_policy m_policy;
+  workspace_account* m_account = nullptr;
   jobs::job_state m_state = jobs::job_state::queued;
   bool m_known_begun = false;
   bool m_start_sent = false;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -47,6 +47,12 @@
   m_state.place_again = true;
 }
 
+void job_scheduler::set_workspaces(const std::map<std::string, jobs::workspace>& workspaces)
+{
+  m_state.workspaces.configure(workspaces);
+  m_state.place_again = true;
+}
+
 const jobs::queue_policy& job_scheduler::policy_of(const std::string& queue) const
 {
   static const jobs::queue_policy s_default_policy;
@@ -129,6 +135,8 @@
   auto record = std::make_unique<job_record>(job, policy_of(job.queue), accepted);
   if (record->shared())
     record->exclude_other_shares(m_state.options.share);
+  if (!job.workspace.empty())
+    record->set_account(&m_state.workspaces.account(job.workspace));
   m_state.jobs[job.id] = std::move(record);
   m_state.open.insert(job.id);
   m_state.place_again = true;
@@ -362,7 +370,8 @@
   for (auto each = m_ending.begin(); each != m_ending.end();)
   {
     const auto found = m_state.jobs.find(*each);
-    if (m_state.dirty.contains(*each) || found->second->has_runs())
+    if (m_state.dirty.contains(*each) || found->second->has_runs() ||
+        (m_accounting.under_way() && found->second->unaccounted_demand() != common::resources{}))
     {
       ++each;
       continue;
@@ -378,6 +387,29 @@
   }
 }
 
+void job_scheduler::charge_unaccounted_tasks()
+{
+  m_state.workspaces.clear_unaccounted();
+  // Runs of jobs that have ended, which their workers are told to stop.
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    for (const auto& [task, run] : worker->foreign)
+    {
+      const job_record* const job = m_state.find_job(task.job);
+      if (job != nullptr && job->account() != nullptr && job->contains(task.place))
+        job->account()->unaccounted +=
+            job->cycles()[task.place.cycle].steps[task.place.step].spec->demand;
+    }
+  }
+  if (!m_accounting.under_way())
+    return;
+  for (const auto& [id, job] : m_state.jobs)
+  {
+    if (job->account() != nullptr)
+      job->account()->unaccounted += job->unaccounted_demand();
+  }
+}
+
 void job_scheduler::look_ahead(time_point now)
 {
   for (const std::string& id : m_state.open)
@@ -417,6 +449,7 @@
   if (survey)
     m_follower.resend_requests(now);
   m_state.place_again = false;
+  charge_unaccounted_tasks();
   m_placer.place(now, survey);
   if (survey)
     m_evacuator.tick(now);
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -61,6 +61,8 @@
   job_scheduler& operator=(const job_scheduler&) = delete;
 
   void set_policies(std::map<std::string, jobs::queue_policy> policies);
+  // The workspaces of the configuration in force.
+  void set_workspaces(const std::map<std::string, jobs::workspace>& workspaces);
   // The time of day at `now`.
   void set_wall_clock(jobs::wall_time wall, time_point now);
   void set_advice_slots(const advice_slots& slots) { m_advice.set_slots(slots); }
@@ -161,6 +163,8 @@
   void drop_old_ended_jobs();
   // Drops ended jobs from memory whose final state is written and that have no runs any more.
   void drop_ended_jobs();
+  // Charges the workspaces for what earlier owners may have started and this one has no record of.
+  void charge_unaccounted_tasks();
   void look_ahead(time_point now);
   // Publishes metrics and log lines about waiting tasks, once a second.
   void report_if_due(time_point now);
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -113,12 +113,12 @@
 
 bool placer::place_or_reserve(const waiting_step& each, time_point now)
 {
-  const step_record& step = each.job->cycles()[each.cycle].steps[each.step];
+  step_record& step = each.job->cycles()[each.cycle].steps[each.step];
   if (step.spec->gang)
     place_gang(each, now);
   else
     place_step(each, now);
-  if (step.waiting == 0)
+  if (step.waiting == 0 || waits_for_workspace(*each.job, each.step, step))
     return true;
   m_reservations.reserve_for(*each.job, each.cycle, each.step, now);
   m_advice.want(*each.job, each.cycle, each.step, now);
@@ -149,7 +149,9 @@
     {
       for (std::uint32_t s = 0; s < job.cycles()[c].steps.size(); ++s)
       {
-        if (job.cycles()[c].steps[s].waiting > 0 && job.ready(c, s, m_state.wall(now)))
+        step_record& step = job.cycles()[c].steps[s];
+        if (step.waiting > 0 && job.ready(c, s, m_state.wall(now)) &&
+            !waits_for_workspace(job, s, step))
           steps.push_back({&job, c, s, job.prospect(s, now)});
       }
     }
@@ -159,6 +161,22 @@
   return steps;
 }
 
+bool placer::waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step)
+{
+  if (scheduler_state::within_workspace_limit(job, *step.spec))
+    return false;
+  if (!std::exchange(step.workspace_wait_logged, true))
+    common::log_request("workspace_limit_reached", job.id(),
+                        {{"workspace", job.account()->name},
+                         {"step", index},
+                         {"waiting", step.waiting},
+                         {"cpu_millis_used", job.account()->running.cpu_millis},
+                         {"cpu_millis_limit", job.account()->limit.cpu_millis},
+                         {"memory_mib_used", job.account()->running.memory_mib},
+                         {"memory_mib_limit", job.account()->limit.memory_mib}});
+  return true;
+}
+
 bool placer::has_free_capacity(const worker_record& worker, const job_record& job,
                                const task_place& place) const
 {
@@ -338,6 +356,8 @@
     const task_record& task = step.tasks[index];
     if (task.phase != task_phase::waiting || m_state.awaits_renewal(task, now))
       continue;
+    if (waits_for_workspace(job, each.step, step))
+      break;
     const task_place place{each.cycle, each.step, index};
     worker_record* const worker = worker_for(job, place, now);
     if (worker == nullptr && suspected(task.crashes))
@@ -422,6 +442,8 @@
       return;
     job_record& job = *run->job;
     const task_place place = run->place;
+    if (!scheduler_state::within_workspace_limit(job, run->spec()))
+      continue;
     worker_record* const worker = worker_for(job, place, now);
     if (worker == nullptr || worker == run->worker ||
         !begin_mark_written({&job, place.cycle, place.step}, *worker, now))
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -74,6 +74,8 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> sorted_waiting_steps(time_point now) const;
+  // Whether the workspace's limit leaves no place for the step. Logged when it is first seen.
+  static bool waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step);
   static bool is_long_running(const waiting_step& each);
   // Order of steps while starts are paced: long-running steps (0) come first, since the pass goes
   // on with them even when its budget is spent, then jobs that have begun (1), then all others (2).
--- a/Source/Core/Scheduling/PlacerGangs.cpp
+++ b/Source/Core/Scheduling/PlacerGangs.cpp
@@ -36,7 +36,7 @@
   job_record& job = *each.job;
   step_record& step = job.cycles()[each.cycle].steps[each.step];
   // A member of an earlier run that has not ended yet would run twice.
-  if (!step.all_wait())
+  if (!step.all_wait() || waits_for_workspace(job, each.step, step))
     return;
   run_number number = m_state.first_run;
   for (const task_record& task : step.tasks)
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -117,6 +117,15 @@
       wall_clock_offset);
 }
 
+bool scheduler_state::within_workspace_limit(const job_record& job, const jobs::step_spec& step)
+{
+  const workspace_account* const account = job.account();
+  if (account == nullptr)
+    return true;
+  return step.gang ? account->admits(common::scaled(step.demand, step.count), false)
+                   : account->admits(step.demand, true);
+}
+
 void scheduler_state::request_begin_mark(const job_record& job, step_record& step,
                                          const std::string& zone)
 {
@@ -147,6 +156,8 @@
   run->begun = now;
   run->checkpoint = job.task(place).checkpoint;
   worker.used += run->room;
+  if (workspace_account* const account = job.account())
+    account->running += run->spec().demand;
   task_record& task = job.task(place);
   task.last_run = std::max(task.last_run, number);
   task.runs.push_back(run.get());
@@ -170,6 +181,8 @@
     job.set_phase(place, task_phase::waiting);
   worker_record& worker = *run.worker;
   worker.used -= run.room;
+  if (workspace_account* const account = job.account())
+    account->running -= run.spec().demand;
   if (worker.trial == &run)
   {
     worker.trial = nullptr;
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -22,13 +22,17 @@
 #include "Scheduling/StartBudget.h"
 #include "Scheduling/StartWaitEstimator.h"
 #include "Scheduling/WorkerRecord.h"
+#include "Scheduling/WorkspaceUsage.h"
 
 namespace yardhill::scheduling
 {
 struct scheduler_state
 {
   scheduler_state(const scheduler_options& initial_options, common::metrics& shared_metrics)
-      : options(initial_options), metrics(shared_metrics), starts(initial_options.starts)
+      : options(initial_options),
+        metrics(shared_metrics),
+        starts(initial_options.starts),
+        workspaces(initial_options.share)
   {
   }
 
@@ -41,6 +45,7 @@
   // A flat map, since every pass iterates over all workers, and few are added or removed.
   boost::container::flat_map<worker_id, std::unique_ptr<worker_record>> workers;
   std::map<std::string, jobs::queue_policy> policies; // by queue
+  workspace_usage workspaces;
   std::vector<command> commands;
   std::set<std::string> dirty;  // jobs whose rows have to be written
   std::set<std::string> open;   // jobs that have not ended
@@ -93,6 +98,8 @@
   {
     return task.lost && !ownership_recently_confirmed(now);
   }
+  // Whether another task of the step, or its whole gang, may start within its workspace's limit.
+  static bool within_workspace_limit(const job_record& job, const jobs::step_spec& step);
   // Whether tasks may be placed and started at all.
   bool may_place(time_point now) const { return may_act(now) && starts_allowed && !placing_ended; }
 
--- a/Source/Core/Scheduling/WaitReport.cpp
+++ b/Source/Core/Scheduling/WaitReport.cpp
@@ -12,28 +12,13 @@
 {
 namespace
 {
-constexpr auto k_reason_names = std::to_array<std::string_view>({"may_not_place",
-                                                                 "unaccounted",
-                                                                 "run_orphaned",
-                                                                 "run_stopping",
-                                                                 "run_silent",
-                                                                 "run_unanswered",
-                                                                 "run_unheld",
-                                                                 "renewal",
-                                                                 "gang",
-                                                                 "trial_postponed",
-                                                                 "announcement",
-                                                                 "begin_mark",
-                                                                 "unplaced",
-                                                                 "no_worker",
-                                                                 "worker_unusable",
-                                                                 "other_zone",
-                                                                 "worker_unsuitable",
-                                                                 "no_room",
-                                                                 "unfit_for_trial",
-                                                                 "reserved",
-                                                                 "no_ticket",
-                                                                 "turn"});
+constexpr auto k_reason_names = std::to_array<std::string_view>(
+    {"may_not_place", "unaccounted",       "run_orphaned", "run_stopping",
+     "run_silent",    "run_unanswered",    "run_unheld",   "renewal",
+     "gang",          "trial_postponed",   "announcement", "workspace_limit",
+     "begin_mark",    "unplaced",          "no_worker",    "worker_unusable",
+     "other_zone",    "worker_unsuitable", "no_room",      "unfit_for_trial",
+     "reserved",      "no_ticket",         "turn"});
 static_assert(k_reason_names.size() == static_cast<std::size_t>(wait_reason::count));
 
 wait_reason reason_of(placer::obstacle from)
@@ -240,6 +225,12 @@
   }
   if (step.spec->gang && !step.all_wait())
     return wait_for(wait_reason::gang);
+  if (!scheduler_state::within_workspace_limit(*entry.job, *step.spec))
+  {
+    task_wait wait = wait_for(wait_reason::workspace_limit);
+    wait.detail = entry.job->account()->name;
+    return wait;
+  }
   if (m_crashes.postponed(task, now))
     return wait_for(wait_reason::trial_postponed);
   return std::nullopt;
--- a/Source/Core/Scheduling/WaitReport.h
+++ b/Source/Core/Scheduling/WaitReport.h
@@ -33,6 +33,7 @@
   gang,            // members of an earlier run have not ended
   trial_postponed, // suspected of crashing workers; its next trial is postponed
   announcement,    // the announcement of its trial is not written yet
+  workspace_limit, // its workspace uses all that it may
   begin_mark,      // the mark that the step may run in the zone is not written yet
   unplaced,        // no reason found without checking all workers
   no_worker,       // there is no worker, or the policy permits none
--- /dev/null
+++ b/Source/Core/Scheduling/WorkspaceUsage.h
@@ -0,0 +1,62 @@
+// SPDX-FileCopyrightText: 2026 yardhill contributors
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+// What the jobs of each workspace use of a partition, and whether more of their tasks may start.
+//
+// Everything that may be running counts: runs whose start or stop has no answer yet, runs on silent
+// workers until their leases end, and tasks that an earlier owner may have started on workers not
+// heard yet.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Jobs/JobSpec.h"
+#include "Jobs/Workspaces.h"
+
+namespace yardhill::scheduling
+{
+using common::resources;
+
+// A workspace's account in one partition.
+struct workspace_account
+{
+  std::string name;
+  resources limit; // this partition's part of the workspace's limit; 0 in a dimension: no limit
+  double weight = 1.0;
+  resources running;     // of all runs that the owner has a record of
+  resources unaccounted; // of tasks that may be running on an earlier owner's workers
+
+  // Whether tasks larger than the limit may start here one at a time. The limit may have been
+  // lowered below their demand after they were accepted. In one partition only, since several would
+  // exceed the limit by several tasks.
+  bool single_tasks = false;
+
+  bool idle() const { return running == resources{} && unaccounted == resources{}; }
+  // Whether tasks of this total demand, or a single one, may start.
+  bool admits(const resources& demand, bool single_task) const;
+};
+
+class workspace_usage
+{
+public:
+  // `share`: the partition's part of every limit.
+  explicit workspace_usage(const jobs::task_share& share) : m_share(share) {}
+
+  // The account of a workspace. The reference stays valid.
+  workspace_account& account(const std::string& name);
+  // Sets the limits and weights of the configuration in force. A workspace that the configuration
+  // no longer has keeps its last ones for its accepted jobs.
+  void configure(const std::map<std::string, jobs::workspace>& workspaces);
+  void clear_unaccounted();
+  const std::map<std::string, workspace_account>& accounts() const { return m_accounts; }
+
+private:
+  resources part_of(const resources& limit) const;
+
+  jobs::task_share m_share;
+  std::map<std::string, workspace_account> m_accounts;
+};
+} // namespace yardhill::scheduling
--- a/Source/StandIns/CellStandIn.cpp
+++ b/Source/StandIns/CellStandIn.cpp
@@ -58,8 +58,8 @@
   call.verb = request.verb;
   call.target = request.target;
   call.body = request.body;
-  if (!request.captured_header.empty())
-    call.headers.emplace_back(wire::k_expected_instance, request.captured_header);
+  if (!request.captured_headers.empty() && !request.captured_headers.front().empty())
+    call.headers.emplace_back(wire::k_expected_instance, request.captured_headers.front());
   return call;
 }
 
@@ -155,7 +155,8 @@
   void listen(boost::asio::io_context& io, std::uint32_t port, http::request_handler handle)
   {
     m_listeners.push_back(std::make_unique<http::http_listener>(
-        io, address_of(port), wire::k_expected_instance, std::move(handle)));
+        io, address_of(port), std::vector<std::string>{wire::k_expected_instance},
+        std::move(handle)));
   }
 
   void add_worker(boost::asio::io_context& io, std::uint32_t number)
--- a/Source/UnitTests/Model/NarrowConfigurationTest.cpp
+++ b/Source/UnitTests/Model/NarrowConfigurationTest.cpp
@@ -64,7 +64,7 @@
   unsigned query_status(explored_instance& which, const std::string& prefix, http::method verb)
   {
     const auto status = std::make_shared<unsigned>(0);
-    which.core->handle({verb, k_host, prefix, "{}", "3000"},
+    which.core->handle({verb, k_host, prefix, "{}", {"3000"}},
                        [status](const http::outgoing_reply& answer) { *status = answer.status; });
     run_for(milliseconds{5});
     return *status;
--- a/Source/UnitTests/Model/PartitionsTest.cpp
+++ b/Source/UnitTests/Model/PartitionsTest.cpp
@@ -106,7 +106,7 @@
   BOOST_TEST(cell.judge().active_runs() > 6U);
   std::optional<http::outgoing_reply> received;
   cell.instances()[0].core->handle(
-      {http::method::remove, model::k_host, model::k_plain_prefix + id, {}, "3000"},
+      {http::method::remove, model::k_host, model::k_plain_prefix + id, {}, {"3000"}},
       [&received](const http::outgoing_reply& answer) { received = answer; });
   run_for(seconds{2});
   BOOST_TEST_REQUIRE(received.has_value());
--- a/Source/UnitTests/Model/PendingCountsTest.cpp
+++ b/Source/UnitTests/Model/PendingCountsTest.cpp
@@ -92,9 +92,9 @@
         common::duration{0},
         [&which, reply]
         {
-          which.core->handle({http::method::get, model::k_host, model::k_plain_prefix, "", "3000"},
-                             [reply](const http::outgoing_reply& answer)
-                             { read_reply(*reply, answer); });
+          which.core->handle(
+              {http::method::get, model::k_host, model::k_plain_prefix, "", {"3000"}},
+              [reply](const http::outgoing_reply& answer) { read_reply(*reply, answer); });
         });
     run_for(milliseconds{5});
     return *reply;
--- a/Source/UnitTests/Model/RouteLifetimeTest.cpp
+++ b/Source/UnitTests/Model/RouteLifetimeTest.cpp
@@ -31,8 +31,11 @@
   cell.store().silence_parts({parts.begin(), parts.end()});
   unsigned status = 0;
   cell.instances().front().core->handle(
-      {http::method::post, k_host, std::string(k_plain_prefix) + "0123456789abcdef",
-       R"({"spec":"text","phases":[{"count":1,"cpu":100,"mem_mb":10,"estimate_ms":100}]})", "3000"},
+      {http::method::post,
+       k_host,
+       std::string(k_plain_prefix) + "0123456789abcdef",
+       R"({"spec":"text","phases":[{"count":1,"cpu":100,"mem_mb":10,"estimate_ms":100}]})",
+       {"3000"}},
       [&status](const http::outgoing_reply& answer) { status = answer.status; });
   run_for(milliseconds{100});
   BOOST_TEST(status == 0U);
--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -99,8 +99,11 @@
   unsigned submit(const std::string& queue)
   {
     got.reset();
-    gateway->handle({http::method::post, "host", "/" + queue + "/" + k_id,
-                     adapter::submission_body(spec_of(seconds{1})), "3000"},
+    gateway->handle({http::method::post,
+                     "host",
+                     "/" + queue + "/" + k_id,
+                     adapter::submission_body(spec_of(seconds{1})),
+                     {"3000"}},
                     [this](const http::outgoing_reply& answer) { got = answer; });
     time.run_until(time.now() + milliseconds{100});
     BOOST_TEST_REQUIRE(got.has_value());
--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -66,12 +66,13 @@
   void send_request(std::size_t which, http::method verb, const std::string& body)
   {
     got.reset();
-    instance(which).core->handle({verb, model::k_host, model::k_plain_prefix + k_id, body, "3000"},
-                                 [this](const http::outgoing_reply& answer)
-                                 {
-                                   got = answer;
-                                   answered_at = cell.time().now();
-                                 });
+    instance(which).core->handle(
+        {verb, model::k_host, model::k_plain_prefix + k_id, body, {"3000"}},
+        [this](const http::outgoing_reply& answer)
+        {
+          got = answer;
+          answered_at = cell.time().now();
+        });
   }
 
   // The job is stored by an instance that is killed before the store's reply reaches it.
