Scheduling: Advice by need, shares of workspaces, runs of cancelled jobs after a takeover

Advice by need. Change: a call names workers until the tasks that they should take reach 1.25 times those that wait, by room, by what is known to be permitted, and by the learnt share that is. Cause: what a workspace sends beyond its weight delayed all others. Change: such jobs wait behind the rest. Quota after takeovers. Change: ended jobs are kept while a worker lists them, and the loader passes on those ended by cancellation.

--- a/Source/Core/Jobs/Workspaces.h
+++ b/Source/Core/Jobs/Workspaces.h
@@ -23,8 +23,8 @@
 struct workspace
 {
   std::string name;
-  // Its share of the cell when everything is full, and the jobs a second that it is entitled to.
-  double weight = 1.0;
+  // Its share of the cell when everything is full, in jobs a second; 0: none is stated.
+  double weight = 0.0;
   // What its tasks may use at a time, over all workers. 0 in a dimension: no limit.
   common::resources max_running;
 };
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -161,11 +161,15 @@
       shared_jobs.insert(each.job.id);
   }
   std::erase_if(m_loaded.jobs,
-                [this](const loaded_partition::stored_job& each)
+                [this](loaded_partition::stored_job& each)
                 {
                   const auto progress = m_loaded.progress.find(each.job.id);
-                  return progress != m_loaded.progress.end() &&
-                         jobs::is_final(progress->second.state);
+                  if (progress == m_loaded.progress.end() ||
+                      !jobs::is_final(progress->second.state))
+                    return false;
+                  if (progress->second.state == jobs::job_state::cancelled)
+                    m_loaded.ended_by_cancellation.push_back(std::move(each.job));
+                  return true;
                 });
   for (const auto& [id, progress] : m_loaded.progress)
   {
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -4,6 +4,7 @@
 #include "Scheduling/AdvicePlanner.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "Common/EventLog.h"
 
@@ -21,6 +22,12 @@
 // Covers the drift of a worker's clock over a ticket's validity: clocks may run 2 % slow, and
 // tickets are valid for some seconds.
 constexpr milliseconds k_clock_drift_allowance{100};
+// The share of the workers asked about that a queue's policy permits, until answers show it.
+constexpr double k_initial_permitted_share = 0.5;
+// Keeps a queue whose policy permitted nobody for a while from asking about all workers for ever.
+constexpr double k_min_permitted_share = 0.05;
+// Weight of the latest answer in the learnt share.
+constexpr double k_share_learning_rate = 0.1;
 
 bool is_long(const jobs::queue_policy::advice_policy& policy)
 {
@@ -74,16 +81,20 @@
   return found->second.until + m_state.options.ticket_margin + k_clock_drift_allowance;
 }
 
+// A call names as many workers as the waiting tasks should need, the most useful ones first: each
+// further worker makes the call longer, and each further call costs its fixed time again.
+//
 // For the first long call and for steps that are not ready yet, all suitable workers are
-// candidates, the ones with the most free processors first. Otherwise only those with free capacity
-// are, since a ticket expires before a full worker has capacity again.
+// candidates. Otherwise only those with free capacity are, since a ticket expires before a full
+// worker has capacity again.
 std::vector<worker_id> advice_planner::candidate_workers(const job_record& job,
                                                          const step_ref& which,
                                                          request_reason reason,
                                                          time_point now) const
 {
   const step_record& step = job.cycles()[which.cycle].steps[which.step];
-  std::vector<const worker_record*> candidates;
+  const std::uint32_t needed = tasks_in_need(job, step);
+  std::vector<candidate> candidates;
   for (const auto& [id, worker] : m_state.workers)
   {
     // Checked first because most workers have no free capacity while steps wait.
@@ -97,20 +108,72 @@
       continue;
     if (policy_forbids(step, id))
       continue;
-    candidates.push_back(worker.get());
+    candidates.push_back({worker.get(), expected_tasks(job, step, *worker, needed, reason)});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const worker_record* left, const worker_record* right)
-                   { return left->free().cpu_millis > right->free().cpu_millis; });
-  if (candidates.size() > m_state.options.max_advice_workers)
-    candidates.resize(m_state.options.max_advice_workers);
+                   [](const candidate& left, const candidate& right)
+                   {
+                     return std::tuple(left.expected_tasks, left.worker->free().cpu_millis) >
+                            std::tuple(right.expected_tasks, right.worker->free().cpu_millis);
+                   });
   std::vector<worker_id> ids;
-  ids.reserve(candidates.size());
-  for (const worker_record* worker : candidates)
-    ids.push_back(worker->info.id);
+  double expected = 0.0;
+  for (const candidate& each : candidates)
+  {
+    const bool full = each.expected_tasks == 0.0;
+    if (expected >= needed * m_state.options.advice_margin ||
+        ids.size() >=
+            (full ? m_state.options.max_full_advice_workers : m_state.options.max_advice_workers))
+      break;
+    expected += each.expected_tasks;
+    ids.push_back(each.worker->info.id);
+  }
   return ids;
 }
 
+std::uint32_t advice_planner::tasks_in_need(const job_record& job, const step_record& step)
+{
+  const workspace_account* const account = job.account();
+  return account == nullptr ? step.waiting : account->admitted(step.spec->demand, step.waiting);
+}
+
+double advice_planner::expected_tasks(const job_record& job, const step_record& step,
+                                      const worker_record& worker, std::uint32_t needed,
+                                      request_reason reason) const
+{
+  const std::uint32_t most = step.spec->max_tasks_per_worker == 0
+                                 ? needed
+                                 : std::min(needed, step.spec->max_tasks_per_worker);
+  std::uint32_t fitting = tasks_that_fit(required_resources(*step.spec), worker.free(), most);
+  // Capacity that is not free now may be by the time that the reply arrives.
+  if (reason != request_reason::first_long_call)
+    fitting = std::max(fitting, 1U);
+  const auto known = step.permits.permitted.find(worker.info.id);
+  const auto share = m_permitted_shares.find(job.accepted().queue);
+  const double permitted = known != step.permits.permitted.end() ? 1.0
+                           : share == m_permitted_shares.end()   ? k_initial_permitted_share
+                                                                 : share->second;
+  return permitted * fitting;
+}
+
+void advice_planner::learn_permitted_share(const job_record& job, const step_permits& permits,
+                                           const advice_answer& answer)
+{
+  std::size_t unknown = 0;
+  for (const worker_id& worker : answer.asked)
+    unknown += permits.permitted.contains(worker) ? 0 : 1;
+  if (unknown == 0)
+    return;
+  std::size_t permitted = 0;
+  for (const admission_ticket& each : answer.permitted)
+    permitted += permits.permitted.contains(each.worker) ? 0 : 1;
+  const double share = static_cast<double>(permitted) / static_cast<double>(unknown);
+  double& learnt =
+      m_permitted_shares.try_emplace(job.accepted().queue, k_initial_permitted_share).first->second;
+  learnt += k_share_learning_rate * (share - learnt);
+  learnt = std::max(learnt, k_min_permitted_share);
+}
+
 bool advice_planner::has_capacity_in_time(const worker_record& worker, const job_record& job,
                                           const step_ref& which, time_point now) const
 {
@@ -259,6 +322,7 @@
     permits.ask_after = now + m_state.options.advice_retry;
     return;
   }
+  learn_permitted_share(*job, permits, answer);
   for (const worker_id& worker : answer.asked)
   {
     if (same_incarnation(request, worker))
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -60,6 +60,19 @@
     std::map<worker_id, std::uint64_t> incarnations; // of the workers asked about, when asked
   };
 
+  struct candidate
+  {
+    const worker_record* worker = nullptr;
+    double expected_tasks = 0.0; // that it should take if it is asked about; 0: it is full
+  };
+
+  // How many tasks of the step may start, as far as its workspace's limit goes.
+  static std::uint32_t tasks_in_need(const job_record& job, const step_record& step);
+  double expected_tasks(const job_record& job, const step_record& step, const worker_record& worker,
+                        std::uint32_t needed, request_reason reason) const;
+  // Learns from the workers of which it was not known whether they are permitted.
+  void learn_permitted_share(const job_record& job, const step_permits& permits,
+                             const advice_answer& answer);
   std::vector<worker_id> candidate_workers(const job_record& job, const step_ref& which,
                                            request_reason reason, time_point now) const;
   // Whether the worker has free capacity for a task of the step, or is reserved for the step and
@@ -78,6 +91,8 @@
   std::int64_t m_cpu_budget = 0;
   advice_slots m_call_slots;
   std::map<step_ref, pending_request> m_in_flight;
+  // The share of workers that the policy permits, by queue.
+  std::map<std::string, double> m_permitted_shares;
 };
 
 // Whether the worker could run a task of the step at all (service, label, capacity, valid claim),
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -152,6 +152,9 @@
   // Of the job's workspace; null if it has none.
   workspace_account* account() const { return m_account; }
   void set_account(workspace_account* account) { m_account = account; }
+  // Whether the workspace had used up its share when the job was accepted.
+  bool beyond_share() const { return m_beyond_share; }
+  void set_beyond_share(bool beyond) { m_beyond_share = beyond; }
 
   jobs::job_state state() const { return m_state; }
   // Whether a task is known to have begun, from a worker's answer or lists or from an earlier
@@ -220,6 +223,7 @@
   jobs::accepted_job m_job;
   jobs::queue_policy m_policy;
   workspace_account* m_account = nullptr;
+  bool m_beyond_share = false;
   jobs::job_state m_state = jobs::job_state::queued;
   bool m_known_begun = false;
   bool m_start_sent = false;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -136,7 +136,11 @@
   if (record->shared())
     record->exclude_other_shares(m_state.options.share);
   if (!job.workspace.empty())
-    record->set_account(&m_state.workspaces.account(job.workspace));
+  {
+    workspace_account& account = m_state.workspaces.account(job.workspace);
+    record->set_account(&account);
+    record->set_beyond_share(account.count_job(accepted));
+  }
   m_state.jobs[job.id] = std::move(record);
   m_state.open.insert(job.id);
   m_state.place_again = true;
@@ -160,6 +164,16 @@
   }
 }
 
+void job_scheduler::restore_cancelled_job(const jobs::accepted_job& job)
+{
+  if (job.workspace.empty())
+    return;
+  charged_job& charged = m_cancelled_before[job.id];
+  charged = {&m_state.workspaces.account(job.workspace), {}};
+  for (const jobs::step_spec& step : job.spec.steps)
+    charged.demands.push_back(step.demand);
+}
+
 void job_scheduler::set_earlier_owners_lease_end(time_point end)
 {
   m_state.earlier_owners_lease_end = end;
@@ -365,13 +379,27 @@
   }
 }
 
+bool job_scheduler::may_run_unrecorded(const job_record& job) const
+{
+  if (m_accounting.under_way() && job.unaccounted_demand() != common::resources{})
+    return true;
+  return std::any_of(m_state.workers.begin(), m_state.workers.end(),
+                     [&job](const auto& each)
+                     {
+                       const auto& foreign = each.second->foreign;
+                       return std::any_of(foreign.begin(), foreign.end(),
+                                          [&job](const auto& run)
+                                          { return run.first.job == job.id(); });
+                     });
+}
+
 void job_scheduler::drop_ended_jobs()
 {
   for (auto each = m_ending.begin(); each != m_ending.end();)
   {
     const auto found = m_state.jobs.find(*each);
     if (m_state.dirty.contains(*each) || found->second->has_runs() ||
-        (m_accounting.under_way() && found->second->unaccounted_demand() != common::resources{}))
+        may_run_unrecorded(*found->second))
     {
       ++each;
       continue;
@@ -394,12 +422,7 @@
   for (const auto& [id, worker] : m_state.workers)
   {
     for (const auto& [task, run] : worker->foreign)
-    {
-      const job_record* const job = m_state.find_job(task.job);
-      if (job != nullptr && job->account() != nullptr && job->contains(task.place))
-        job->account()->unaccounted +=
-            job->cycles()[task.place.cycle].steps[task.place.step].spec->demand;
-    }
+      charge_foreign_run(task);
   }
   if (!m_accounting.under_way())
     return;
@@ -410,6 +433,20 @@
   }
 }
 
+void job_scheduler::charge_foreign_run(const task_ref& task)
+{
+  if (const job_record* const job = m_state.find_job(task.job))
+  {
+    if (job->account() != nullptr && job->contains(task.place))
+      job->account()->unaccounted +=
+          job->cycles()[task.place.cycle].steps[task.place.step].spec->demand;
+    return;
+  }
+  const auto cancelled = m_cancelled_before.find(task.job);
+  if (cancelled != m_cancelled_before.end() && task.place.step < cancelled->second.demands.size())
+    cancelled->second.account->unaccounted += cancelled->second.demands[task.place.step];
+}
+
 void job_scheduler::look_ahead(time_point now)
 {
   for (const std::string& id : m_state.open)
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -100,6 +100,9 @@
   // Adds a job of an earlier owner with its stored progress.
   void restore_job(const jobs::accepted_job& job, const std::optional<jobs::job_progress>& progress,
                    time_point now);
+  // An earlier owner has ended the job by its cancellation. Its tasks may still be running, and its
+  // workspace is charged for those that workers list.
+  void restore_cancelled_job(const jobs::accepted_job& job);
   // After this time, nothing that an earlier owner started can be running on a worker that has not
   // been heard since. Must be called before any worker is added.
   void set_earlier_owners_lease_end(time_point end);
@@ -161,10 +164,15 @@
   worker_claim claim_of(const worker_record& worker, time_point now) const;
   // Removes jobs from m_dropped_jobs that were dropped longer than remember_ended ago.
   void drop_old_ended_jobs();
+  // Whether tasks of an ended job may be running that have no record here; its workspace is charged
+  // for them.
+  bool may_run_unrecorded(const job_record& job) const;
   // Drops ended jobs from memory whose final state is written and that have no runs any more.
   void drop_ended_jobs();
   // Charges the workspaces for what earlier owners may have started and this one has no record of.
   void charge_unaccounted_tasks();
+  // Charges the task's workspace for a run that this owner has no record of.
+  void charge_foreign_run(const task_ref& task);
   void look_ahead(time_point now);
   // Publishes metrics and log lines about waiting tasks, once a second.
   void report_if_due(time_point now);
@@ -185,6 +193,14 @@
   evacuator m_evacuator;
   wait_report m_waits;
   std::optional<time_point> m_last_report;
+  // What the tasks of a job demand, by step, and the account that is charged for them.
+  struct charged_job
+  {
+    workspace_account* account = nullptr;
+    std::vector<resources> demands;
+  };
+  // Jobs that earlier owners ended by cancellation, by id.
+  std::map<std::string, charged_job> m_cancelled_before;
   std::set<std::string> m_ending; // ended jobs that are still in memory
   // The final states of jobs that ended under this owner and were dropped from memory not long ago.
   std::map<std::string, jobs::job_state> m_dropped_jobs;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -129,16 +129,18 @@
 {
   const auto urgency = [](const waiting_step& each)
   {
-    return std::tuple(each.job->policy().priority, each.prospect, each.job->objective(),
-                      std::string_view(each.job->id()), each.cycle, each.step);
+    return std::tuple(each.job->beyond_share(), each.job->policy().priority, each.prospect,
+                      each.job->objective(), std::string_view(each.job->id()), each.cycle,
+                      each.step);
   };
   return urgency(*this) < urgency(other);
 }
 
-// Sorted by priority; within a priority, jobs that can still meet their objective come before late
-// ones that are still worth part of their credit, and those before worthless ones; then by
-// objective, the earliest first. If late jobs came first, all jobs behind them would become late
-// too.
+// Jobs beyond their workspaces' shares come last: a workspace that sends more than its share does
+// not delay others. The rest is sorted by priority; within a priority, jobs that can still meet
+// their objective come before late ones that are still worth part of their credit, and those before
+// worthless ones; then by objective, the earliest first. If late jobs came first, all jobs behind
+// them would become late too.
 std::vector<placer::waiting_step> placer::sorted_waiting_steps(time_point now) const
 {
   std::vector<waiting_step> steps;
@@ -335,7 +337,8 @@
     if (!each.job->policy().advice || permits.asking)
       continue;
     const time_point waits_since = std::max(permits.last_advice_turn, each.job->accepted_at());
-    if (waits_since > earliest)
+    // Steps are sorted, so those beyond their workspace's share come last.
+    if (waits_since > earliest || (longest != nullptr && each.job->beyond_share()))
       continue;
     longest = &each;
     earliest = waits_since;
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -166,9 +166,14 @@
   duration max_advice_turn_wait = std::chrono::milliseconds{2000};
   // Advice for a step is requested when the steps that it depends on should end within this time.
   duration advice_ahead = std::chrono::milliseconds{1200};
-  // The most workers named in one advice call. Of 24, about 8 are permitted by the sites' strictest
-  // queues, and naming more costs up to 6.5 ms each. The platform's bound is 100.
-  std::size_t max_advice_workers = 24;
+  // The most workers named in one advice call (the platform's bound).
+  std::size_t max_advice_workers = 100;
+  // Workers without free capacity are named only up to this many in all: what an answer says of
+  // them is of use only later.
+  std::size_t max_full_advice_workers = 24;
+  // A call should bring tickets for this many times the tasks that wait, since other steps may use
+  // up some workers before the answer arrives.
+  double advice_margin = 1.25;
 
   // Time between two passes; events that arrive meanwhile are processed together. A pass examines
   // every worker and run, which takes some 0.3 us for a worker with three tasks
--- a/Source/Core/Scheduling/WorkerRecord.cpp
+++ b/Source/Core/Scheduling/WorkerRecord.cpp
@@ -79,4 +79,20 @@
     required.cpu_millis = 0;
   return required;
 }
+
+std::uint32_t tasks_that_fit(const common::resources& task, const common::resources& free,
+                             std::uint32_t most)
+{
+  using common::resources;
+  if (!task.fits_in(free))
+    return 0;
+  std::int64_t count = most;
+  for (const auto member : {&resources::cpu_millis, &resources::memory_mib,
+                            &resources::accelerators, &resources::slots, &resources::connections})
+  {
+    if (task.*member > 0)
+      count = std::min(count, free.*member / task.*member);
+  }
+  return static_cast<std::uint32_t>(count);
+}
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -227,4 +227,7 @@
 
 // The part of a worker's capacity that one task of the step occupies.
 common::resources required_resources(const jobs::step_spec& step);
+// How many tasks that each need `task` fit in `free`, at most `most`.
+std::uint32_t tasks_that_fit(const common::resources& task, const common::resources& free,
+                             std::uint32_t most);
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/WorkspaceUsage.cpp
+++ b/Source/Core/Scheduling/WorkspaceUsage.cpp
@@ -10,6 +10,12 @@
 
 namespace yardhill::scheduling
 {
+namespace
+{
+// Jobs of earlier owners are counted as well, in any order.
+constexpr std::size_t k_remembered_seconds = 300;
+} // namespace
+
 bool workspace_account::admits(const resources& demand, bool single_task) const
 {
   if (single_task && single_tasks && idle())
@@ -17,6 +23,32 @@
   return !jobs::excess_over(running + unaccounted + demand, limit);
 }
 
+std::uint32_t workspace_account::admitted(const resources& demand, std::uint32_t most) const
+{
+  std::uint32_t count = most;
+  const auto bound = [&count](std::int64_t wanted, std::int64_t used, std::int64_t allowed)
+  {
+    if (allowed == 0 || wanted <= 0)
+      return;
+    const std::int64_t fitting = std::max<std::int64_t>(0, allowed - used) / wanted;
+    count = static_cast<std::uint32_t>(std::min<std::int64_t>(count, fitting));
+  };
+  const resources used = running + unaccounted;
+  bound(demand.cpu_millis, used.cpu_millis, limit.cpu_millis);
+  bound(demand.memory_mib, used.memory_mib, limit.memory_mib);
+  bound(demand.accelerators, used.accelerators, limit.accelerators);
+  return single_tasks && idle() && most > 0 ? std::max(count, 1U) : count;
+}
+
+bool workspace_account::count_job(common::time_point accepted)
+{
+  const auto second = std::chrono::floor<std::chrono::seconds>(accepted.time_since_epoch());
+  const std::uint32_t count = ++jobs_by_second[second];
+  if (jobs_by_second.size() > k_remembered_seconds)
+    jobs_by_second.erase(jobs_by_second.begin());
+  return share > 0.0 && count > std::max(1.0, share);
+}
+
 workspace_account& workspace_usage::account(const std::string& name)
 {
   workspace_account& found = m_accounts[name];
@@ -39,7 +71,7 @@
                                               {"cpu_millis_used", changed.running.cpu_millis},
                                               {"memory_mib_used", changed.running.memory_mib}});
     changed.limit = limit;
-    changed.weight = configured.weight;
+    changed.share = configured.weight / m_share.partitions;
   }
 }
 
--- a/Source/Core/Scheduling/WorkspaceUsage.h
+++ b/Source/Core/Scheduling/WorkspaceUsage.h
@@ -9,10 +9,12 @@
 // workers until their leases end, and tasks that an earlier owner may have started on workers not
 // heard yet.
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
 
+#include "Common/Time.h"
 #include "Jobs/JobSpec.h"
 #include "Jobs/Workspaces.h"
 
@@ -24,19 +26,26 @@
 struct workspace_account
 {
   std::string name;
-  resources limit; // this partition's part of the workspace's limit; 0 in a dimension: no limit
-  double weight = 1.0;
-  resources running;     // of all runs that the owner has a record of
+  resources limit;    // this partition's part of the workspace's limit; 0 in a dimension: no limit
+  double share = 0.0; // this partition's part of the jobs a second; 0: none is stated
+  resources running;  // of all runs that the owner has a record of
   resources unaccounted; // of tasks that may be running on an earlier owner's workers
 
+  std::map<std::chrono::seconds, std::uint32_t> jobs_by_second; // of the latest seconds
   // Whether tasks larger than the limit may start here one at a time. The limit may have been
   // lowered below their demand after they were accepted. In one partition only, since several would
   // exceed the limit by several tasks.
   bool single_tasks = false;
 
+  // Counts a job that was accepted at that time. Returns whether the workspace has used up its
+  // share of jobs in that second, so that the job has to wait behind those of workspaces that have
+  // not.
+  bool count_job(common::time_point accepted);
   bool idle() const { return running == resources{} && unaccounted == resources{}; }
   // Whether tasks of this total demand, or a single one, may start.
   bool admits(const resources& demand, bool single_task) const;
+  // How many of `most` tasks with this demand may start.
+  std::uint32_t admitted(const resources& demand, std::uint32_t most) const;
 };
 
 class workspace_usage
--- a/Source/Core/Scheduling/ZoneChooser.cpp
+++ b/Source/Core/Scheduling/ZoneChooser.cpp
@@ -16,22 +16,6 @@
 // a step only on 35 to 70 % of the workers at the sites.
 constexpr std::uint32_t k_capacity_factor = 2;
 
-std::uint32_t tasks_that_fit(const common::resources& task, const common::resources& free,
-                             std::uint32_t max_per_worker)
-{
-  using common::resources;
-  if (!task.fits_in(free))
-    return 0;
-  std::int64_t count = max_per_worker;
-  for (const auto member : {&resources::cpu_millis, &resources::memory_mib,
-                            &resources::accelerators, &resources::slots, &resources::connections})
-  {
-    if (task.*member > 0)
-      count = std::min(count, free.*member / task.*member);
-  }
-  return static_cast<std::uint32_t>(count);
-}
-
 // The zone to which the cycle's tasks are restricted; empty if none of its steps has a begin mark
 // or one of them may run in any zone.
 std::string zone_of(const cycle_record& cycle)
--- a/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
@@ -234,6 +234,26 @@
   BOOST_TEST(starts.empty());
 }
 
+// The job is no longer in the rows of open jobs, but the worker has not stopped its task yet.
+BOOST_FIXTURE_TEST_CASE(runs_of_jobs_that_an_earlier_owner_cancelled_count, takeover_harness)
+{
+  scheduler->set_workspaces(limited_to(1000));
+  worker_claim claim;
+  claim.zone = "zone";
+  claim.address = worker("w1").address;
+  restore_claim("w1", claim);
+  scheduler->restore_cancelled_job(job_of(k_limited, k_job, step_of(1)));
+  begin();
+  step();
+  answer_hold("w1", {earlier_run()});
+  add_worker(worker("w2"));
+  scheduler->add_job(job_of(k_limited, k_other_job, step_of(1)), now);
+  step();
+  commit_and_step();
+  step();
+  BOOST_TEST(starts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_parts_of_all_partitions_add_up_to_the_limit)
 {
   std::int64_t sum = 0;
