--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -39,11 +39,13 @@
   const auto route =
       [public_queues](const std::string& name, const std::string& prefix, int priority)
   {
-    return json{{wire::k_name, name},           {wire::k_host, k_host},
-                {wire::k_prefix, prefix},       {wire::k_service, "service"},
-                {wire::k_priority, priority},   {wire::k_max_attempts, k_max_attempts},
-                {wire::k_stretch, 1.5},         {wire::k_latency_target_ms, 250},
-                {wire::k_public, public_queues}};
+    json added{{wire::k_name, name},         {wire::k_host, k_host},
+               {wire::k_prefix, prefix},     {wire::k_service, "service"},
+               {wire::k_priority, priority}, {wire::k_max_attempts, k_max_attempts},
+               {wire::k_stretch, 1.5},       {wire::k_latency_target_ms, 250}};
+    if (public_queues)
+      added[wire::k_public] = true;
+    return added;
   };
   json urgent = route("urgent", k_urgent_prefix, 0);
   urgent[wire::k_advice] = {
--- a/Source/UnitTests/Model/ExplorerTest.cpp
+++ b/Source/UnitTests/Model/ExplorerTest.cpp
@@ -3,48 +3,15 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <string>
 
 #include <boost/test/unit_test.hpp>
 
 #include "Common/SimulationLog.h"
+#include "ExplorerSeeds.h"
 #include "Model/CellExplorer.h"
 
 using namespace yardhill::model;
 
-namespace
-{
-// The seeds that CI runs. The environment variable YARDHILL_SEEDS=FIRST,COUNT selects others.
-struct seed_range
-{
-  std::uint64_t first = 1;
-  std::uint64_t count = 150;
-};
-
-seed_range selected_seeds()
-{
-  seed_range range;
-  if (const char* const setting = std::getenv("YARDHILL_SEEDS"))
-  {
-    const std::string text = setting;
-    const std::size_t comma = text.find(',');
-    range.first = std::stoull(text.substr(0, comma));
-    range.count = std::stoull(text.substr(comma + 1));
-  }
-  return range;
-}
-
-std::string failure_text(std::uint64_t seed, const exploration& result)
-{
-  std::string text = "seed " + std::to_string(seed) + ":";
-  for (const std::string& each : result.troubles)
-    text += "\n  " + each;
-  for (const std::string& each : result.violations)
-    text += "\n  " + each;
-  return text;
-}
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(ExplorerTest)
 
 BOOST_AUTO_TEST_CASE(no_seed_breaks_a_promise)
@@ -147,48 +114,6 @@
   }
 }
 
-// Keys are revoked and limits of workspaces change, beside the seed's other faults.
-BOOST_AUTO_TEST_CASE(no_seed_breaks_a_promise_to_workspaces)
-{
-  if (std::getenv("YARDHILL_LOG") != nullptr)
-    yardhill::common::open_simulation_log("explorer-workspaces");
-  const seed_range range = selected_seeds();
-  std::size_t accepted = 0;
-  std::size_t served = 0;
-  std::size_t refused = 0;
-  for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed)
-  {
-    const exploration result =
-        explore_cell(seed, omission::none, restarts::none, 1 + seed % 2, workspaces::changing);
-    accepted += result.accepted;
-    served += result.keys_served;
-    refused += result.keys_refused;
-    BOOST_TEST(result.violations.empty(), failure_text(seed, result));
-  }
-  BOOST_TEST(accepted > range.count * 20);
-  BOOST_TEST(served > range.count * 400);
-  BOOST_TEST(refused > range.count * 400);
-}
-
-BOOST_AUTO_TEST_CASE(ignoring_limits_of_workspaces_is_detected)
-{
-  std::size_t detected = 0;
-  for (std::uint64_t seed = 1; seed <= 20 && detected == 0; ++seed)
-    detected +=
-        explore_cell(seed, omission::limits_omitted, restarts::none, 1, workspaces::changing)
-                .violations.empty()
-            ? 0
-            : 1;
-  BOOST_TEST(detected > 0U);
-}
-
-BOOST_AUTO_TEST_CASE(ignoring_keys_is_detected)
-{
-  const exploration result =
-      explore_cell(1, omission::keys_omitted, restarts::none, 1, workspaces::changing);
-  BOOST_TEST(!result.violations.empty());
-}
-
 // Without the claims of workers a new owner would not know which workers to query. Some seed has to
 // show the omission; otherwise the explorer does not detect such faults.
 BOOST_AUTO_TEST_CASE(omitting_worker_claims_is_detected)
