--- a/Source/UnitTests/Scheduling/WideStepsScarceAdviceTest.cpp
+++ b/Source/UnitTests/Scheduling/WideStepsScarceAdviceTest.cpp
@@ -1,9 +1,8 @@
 // SPDX-FileCopyrightText: 2026 yardhill contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// Advice is scarce and steps are wide: nine tenths of the advice service's time was in use, and a
-// step of 21 tasks of which a worker takes one at a time needed three calls of 24 workers each,
-// whose fixed time alone was 1.5 s. A call names as many workers as the step needs.
+// Advice is scarce and steps are wide: each call takes a fixed time, whatever it names, so a call
+// names as many workers as the tasks of the step need.
 
 #include <algorithm>
 #include <string>
