Model: Limits of workspaces bind late starts too, and the judge's cases of them are tested

Cause: the judge left out starts that were carried out late. And no test showed that the judge catches what is forbidden. Change: late starts are judged; accelerators are compared like the other amounts; RunJudgeTest has nine cases: one task beyond the overage is allowed and two are reported, late ones too, each resource apart, other workspaces and ended runs do not count, and a task that has to run may wait only while its workspace uses half of its limit or more. RunJudgeTest passes.

--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -42,6 +42,21 @@
 // A workspace may exceed its limit by this fraction and by one task more.
 constexpr double k_workspace_overage = 0.1;
 
+// Whether any amount is above its limit, or at it; 0 is no limit.
+bool exceeds(const common::resources& used, const common::resources& limit)
+{
+  return (limit.cpu_millis > 0 && used.cpu_millis > limit.cpu_millis) ||
+         (limit.memory_mib > 0 && used.memory_mib > limit.memory_mib) ||
+         (limit.accelerators > 0 && used.accelerators > limit.accelerators);
+}
+
+bool reaches(const common::resources& used, const common::resources& limit)
+{
+  return (limit.cpu_millis > 0 && used.cpu_millis >= limit.cpu_millis) ||
+         (limit.memory_mib > 0 && used.memory_mib >= limit.memory_mib) ||
+         (limit.accelerators > 0 && used.accelerators >= limit.accelerators);
+}
+
 std::string run_text(const observed_start& start)
 {
   return "run " + std::to_string(start.run) + " on " + start.worker;
@@ -333,34 +348,31 @@
   return used;
 }
 
-// A start that was carried out late may exceed the limit: nobody can take it back.
+// The limit is none in time, so it binds starts that were carried out late as well.
 void run_judge::check_workspace(const observed_job& job, const observed_start& start)
 {
-  if (job.workspace.empty() || !m_workspace_limits || start.late)
+  if (job.workspace.empty() || !m_workspace_limits)
     return;
   const common::resources limit = m_workspace_limits(job.workspace, start.at);
-  const common::resources allowed = common::scaled(limit, 1.0 + k_workspace_overage);
   const common::resources before =
       used_by(job.workspace) - job.spec.steps[start.task.place.step].demand;
-  const bool over = (limit.cpu_millis > 0 && before.cpu_millis > allowed.cpu_millis) ||
-                    (limit.memory_mib > 0 && before.memory_mib > allowed.memory_mib) ||
-                    (limit.accelerators > 0 && before.accelerators > allowed.accelerators);
-  if (over)
-    violate("QUOTA", start.task,
-            job.workspace + " has " + std::to_string(before.cpu_millis) + " of " +
-                std::to_string(limit.cpu_millis) + " thousandths of a core and " +
-                std::to_string(before.memory_mib) + " of " + std::to_string(limit.memory_mib) +
-                " MiB before this start");
+  if (!exceeds(before, common::scaled(limit, 1.0 + k_workspace_overage)))
+    return;
+  violate("QUOTA", start.task,
+          job.workspace + " has " + std::to_string(before.cpu_millis) + " of " +
+              std::to_string(limit.cpu_millis) + " thousandths of a core, " +
+              std::to_string(before.memory_mib) + " of " + std::to_string(limit.memory_mib) +
+              " MiB and " + std::to_string(before.accelerators) + " of " +
+              std::to_string(limit.accelerators) + " accelerators before this start" +
+              (start.late ? ", which was carried out late" : ""));
 }
 
 bool run_judge::below_half_of_limit(const observed_job& job, common::time_point now) const
 {
   if (job.workspace.empty() || !m_workspace_limits)
     return true;
-  const common::resources limit = m_workspace_limits(job.workspace, now);
-  const common::resources used = used_by(job.workspace);
-  return (limit.cpu_millis == 0 || 2 * used.cpu_millis < limit.cpu_millis) &&
-         (limit.memory_mib == 0 || 2 * used.memory_mib < limit.memory_mib);
+  const common::resources twice = common::scaled(used_by(job.workspace), 2.0);
+  return !reaches(twice, m_workspace_limits(job.workspace, now));
 }
 
 void run_judge::check_leaving(const observed_start& start)
--- a/Source/Core/Model/WorkspaceModel.cpp
+++ b/Source/Core/Model/WorkspaceModel.cpp
@@ -182,6 +182,8 @@
         first ? limit.cpu_millis : higher_limit(highest.cpu_millis, limit.cpu_millis);
     highest.memory_mib =
         first ? limit.memory_mib : higher_limit(highest.memory_mib, limit.memory_mib);
+    highest.accelerators =
+        first ? limit.accelerators : higher_limit(highest.accelerators, limit.accelerators);
     first = false;
   }
   return highest;
--- a/Source/UnitTests/Model/RunJudgeTest.cpp
+++ b/Source/UnitTests/Model/RunJudgeTest.cpp
@@ -382,4 +382,124 @@
   }
 }
 
+namespace
+{
+// A job of ten tasks of one core and 100 MiB each in a workspace that may use four cores, and a job
+// of another workspace.
+struct limited_workspace
+{
+  const std::string other_job = "00000000000000bb";
+  model::run_judge judge;
+  common::resources limit;
+
+  limited_workspace()
+  {
+    limit.cpu_millis = 4000;
+    judge.set_workspace_limits([this](const std::string& workspace, common::time_point)
+                               { return workspace == "handbooks" ? limit : common::resources{}; });
+    submit(k_job, "handbooks");
+    submit(other_job, "manuals");
+  }
+
+  void submit(const std::string& id, const std::string& workspace)
+  {
+    jobs::job_spec spec;
+    spec.steps.emplace_back();
+    spec.steps.back().count = 10;
+    spec.steps.back().demand.cpu_millis = 1000;
+    spec.steps.back().demand.memory_mib = 100;
+    spec.steps.back().long_running = true;
+    judge.submitted(id, spec, 1);
+    judge.belongs_to(id, workspace);
+    judge.answered(id, 200);
+  }
+
+  void start(const std::string& id, std::uint32_t first, std::uint32_t count, bool late = false)
+  {
+    for (std::uint32_t index = first; index < first + count; ++index)
+      judge.started({{id, {0, 0, index}}, 1, k_worker, {}, {}, judged_job::at(seconds{1}), late});
+  }
+
+  // Whether the job's last task is reported as one that has to run and does not, with much free
+  // capacity and a long time after its run.
+  bool last_task_missed()
+  {
+    judge.expect_to_keep_running(k_job);
+    for (milliseconds time{0}; time < seconds{20}; time += milliseconds{100})
+      judge.check_long_running({{k_other_worker, {100000, 100000}}},
+                               judged_job::at(seconds{30} + time), judged_job::at(seconds{1}));
+    return !judge.violations().empty();
+  }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(one_task_beyond_the_limit_and_its_overage_is_allowed, limited_workspace)
+{
+  start(k_job, 0, 5);
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(two_tasks_beyond_the_limit_and_its_overage_are_reported, limited_workspace)
+{
+  start(k_job, 0, 6);
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
+// The limit is not one in time, so the rules do not except these.
+BOOST_FIXTURE_TEST_CASE(late_starts_beyond_the_limit_are_reported_as_well, limited_workspace)
+{
+  start(k_job, 0, 5);
+  start(k_job, 5, 1, true);
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(each_resource_is_checked_against_its_own_limit, limited_workspace)
+{
+  limit = {};
+  limit.memory_mib = 250;
+  start(k_job, 0, 3);
+  BOOST_TEST(judge.violations().empty());
+  start(k_job, 3, 1);
+  BOOST_TEST(judge.violations().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(without_a_limit_anything_may_run, limited_workspace)
+{
+  limit = {};
+  start(k_job, 0, 10);
+  BOOST_TEST(judge.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ended_runs_and_other_workspaces_do_not_count, limited_workspace)
+{
+  start(other_job, 0, 10);
+  start(k_job, 0, 5);
+  for (std::uint32_t index = 0; index < 5; ++index)
+    judge.ended({k_job, {0, 0, index}}, 1, k_worker, run_outcome::stopped);
+  start(k_job, 5, 5);
+  BOOST_TEST(judge.violations().empty());
+}
+
+// The platform counts a task as missing only while its workspace uses less than half of its limit.
+BOOST_FIXTURE_TEST_CASE(a_task_may_wait_while_its_workspace_uses_half_of_its_limit,
+                        limited_workspace)
+{
+  start(k_job, 0, 2);
+  BOOST_TEST(!last_task_missed());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_task_must_run_while_its_workspace_uses_less_than_half_of_its_limit,
+                        limited_workspace)
+{
+  start(k_job, 0, 1);
+  BOOST_TEST(last_task_missed());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_task_must_run_where_its_workspace_has_no_limit, limited_workspace)
+{
+  limit = {};
+  start(k_job, 0, 9);
+  BOOST_TEST(last_task_missed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
