Scheduling, Node: All jobs whose runs may outlive them are charged; only a queue's own jobs are cancelled without a key

Cause (found in reading): a caller without a key could cancel any workspace's job through any public queue. Change: only jobs of that queue. CallerKeyTest has the case and that of a public queue without keys. Reading: what `unaccounted` holds, the parts of small limits, the bound of the learnt share, "share" in the glossary.

--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -463,9 +463,13 @@
            });
 }
 
+// Without a key a caller can only have come through a public queue, and may cancel the jobs of that
+// queue: whoever submits there with a key need not cancel with it.
 bool caller_gateway::may_cancel(const caller_call& call, const jobs::accepted_job& job)
 {
-  return job.workspace.empty() || !call.workspace || call.workspace->name == job.workspace;
+  if (job.workspace.empty())
+    return true;
+  return call.workspace ? call.workspace->name == job.workspace : call.route->name == job.queue;
 }
 
 void caller_gateway::on_cancelled(const caller_call& call, const std::string& home, bool stored)
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -108,7 +108,7 @@
   // row, then its stored state.
   void read_job_and_state(const std::shared_ptr<caller_call>& call);
   void cancel(const std::shared_ptr<caller_call>& call);
-  // Whether the caller's workspace may cancel the job.
+  // Whether the caller may cancel the job, as far as workspaces go.
   static bool may_cancel(const caller_call& call, const jobs::accepted_job& job);
   void on_cancelled(const caller_call& call, const std::string& home, bool stored);
   // Reads the job's row; refuses the call if the store does not answer or there is no such job.
--- a/Source/Core/Node/JobIntake.cpp
+++ b/Source/Core/Node/JobIntake.cpp
@@ -69,8 +69,8 @@
   }
   for (const std::string& id : loaded.cancelled)
     m_scheduler->cancel_job(id, now);
-  for (const jobs::accepted_job& job : loaded.ended_by_cancellation)
-    m_scheduler->restore_cancelled_job(job);
+  for (const jobs::accepted_job& job : loaded.still_stopping)
+    m_scheduler->restore_ended_job(job);
 }
 
 void job_intake::follow_feed()
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -21,6 +21,15 @@
 // that are repeated without a pause keep a saturated link saturated.
 constexpr std::chrono::milliseconds k_initial_retry_delay{150};
 constexpr std::chrono::milliseconds k_max_retry_delay{1200};
+
+// Whether runs of a job may go on after its end. Of a completed job that holds for the members of a
+// gang, of which one has ended as done, and for copies of tasks.
+bool runs_may_outlive(const jobs::job_spec& spec, jobs::job_state end)
+{
+  return end != jobs::job_state::completed ||
+         std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const jobs::step_spec& step) { return step.gang || step.speculative; });
+}
 } // namespace
 
 partition_loader::range_reader::range_reader(common::timekeeper& time, adapter::row_range to_read)
@@ -167,8 +176,8 @@
                   if (progress == m_loaded.progress.end() ||
                       !jobs::is_final(progress->second.state))
                     return false;
-                  if (progress->second.state == jobs::job_state::cancelled)
-                    m_loaded.ended_by_cancellation.push_back(std::move(each.job));
+                  if (runs_may_outlive(each.job.spec, progress->second.state))
+                    m_loaded.still_stopping.push_back(std::move(each.job));
                   return true;
                 });
   for (const auto& [id, progress] : m_loaded.progress)
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -30,8 +30,9 @@
     adapter::row_version version = 0;
   };
   std::vector<stored_job> jobs; // of this partition, without ended jobs
-  // Of the ended ones, those that were cancelled: their tasks may still be running.
-  std::vector<jobs::accepted_job> ended_by_cancellation;
+  // Of the ended ones, those of which tasks may still be running, as they are only stopped at the
+  // job's end.
+  std::vector<jobs::accepted_job> still_stopping;
   // Ended jobs, whose rows can be removed after a while. Refusal marks are not included and stay: a
   // job may replace them.
   std::vector<std::string> ended;
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds k_clock_drift_allowance{100};
 // The share of the workers asked about that a queue's policy permits, until answers show it.
 constexpr double k_initial_permitted_share = 0.5;
-// Keeps a queue whose policy permitted nobody for a while from asking about all workers for ever.
+// Lower bound of the learnt share. At 0, every call would name as many workers as it may.
 constexpr double k_min_permitted_share = 0.05;
 // Weight of the latest answer in the learnt share.
 constexpr double k_share_learning_rate = 0.1;
@@ -148,6 +148,7 @@
   // Capacity that is not free now may be by the time that the reply arrives.
   if (reason != request_reason::first_long_call)
     fitting = std::max(fitting, 1U);
+  // Workers that are known not to be permitted are no candidates.
   const auto known = step.permits.permitted.find(worker.info.id);
   const auto share = m_permitted_shares.find(job.accepted().queue);
   const double permitted = known != step.permits.permitted.end() ? 1.0
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -68,6 +68,7 @@
 
   // How many tasks of the step may start, as far as its workspace's limit goes.
   static std::uint32_t tasks_in_need(const job_record& job, const step_record& step);
+  // How many of the `needed` tasks the worker should take if it is asked about.
   double expected_tasks(const job_record& job, const step_record& step, const worker_record& worker,
                         std::uint32_t needed, request_reason reason) const;
   // Learns from the workers of which it was not known whether they are permitted.
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -164,11 +164,11 @@
   }
 }
 
-void job_scheduler::restore_cancelled_job(const jobs::accepted_job& job)
+void job_scheduler::restore_ended_job(const jobs::accepted_job& job)
 {
   if (job.workspace.empty())
     return;
-  charged_job& charged = m_cancelled_before[job.id];
+  charged_job& charged = m_ended_before[job.id];
   charged = {&m_state.workspaces.account(job.workspace), {}};
   for (const jobs::step_spec& step : job.spec.steps)
     charged.demands.push_back(step.demand);
@@ -418,7 +418,7 @@
 void job_scheduler::charge_unaccounted_tasks()
 {
   m_state.workspaces.clear_unaccounted();
-  // Runs of jobs that have ended, which their workers are told to stop.
+  // Runs of jobs that have ended; their workers are told to stop them.
   for (const auto& [id, worker] : m_state.workers)
   {
     for (const auto& [task, run] : worker->foreign)
@@ -442,9 +442,9 @@
           job->cycles()[task.place.cycle].steps[task.place.step].spec->demand;
     return;
   }
-  const auto cancelled = m_cancelled_before.find(task.job);
-  if (cancelled != m_cancelled_before.end() && task.place.step < cancelled->second.demands.size())
-    cancelled->second.account->unaccounted += cancelled->second.demands[task.place.step];
+  const auto ended = m_ended_before.find(task.job);
+  if (ended != m_ended_before.end() && task.place.step < ended->second.demands.size())
+    ended->second.account->unaccounted += ended->second.demands[task.place.step];
 }
 
 void job_scheduler::look_ahead(time_point now)
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -100,9 +100,9 @@
   // Adds a job of an earlier owner with its stored progress.
   void restore_job(const jobs::accepted_job& job, const std::optional<jobs::job_progress>& progress,
                    time_point now);
-  // An earlier owner has ended the job by its cancellation. Its tasks may still be running, and its
-  // workspace is charged for those that workers list.
-  void restore_cancelled_job(const jobs::accepted_job& job);
+  // The job had ended under an earlier owner. Its tasks may still be running, and its workspace is
+  // charged for those that workers list.
+  void restore_ended_job(const jobs::accepted_job& job);
   // After this time, nothing that an earlier owner started can be running on a worker that has not
   // been heard since. Must be called before any worker is added.
   void set_earlier_owners_lease_end(time_point end);
@@ -199,8 +199,8 @@
     workspace_account* account = nullptr;
     std::vector<resources> demands;
   };
-  // Jobs that earlier owners ended by cancellation, by id.
-  std::map<std::string, charged_job> m_cancelled_before;
+  // Jobs that had ended under earlier owners, by id.
+  std::map<std::string, charged_job> m_ended_before;
   std::set<std::string> m_ending; // ended jobs that are still in memory
   // The final states of jobs that ended under this owner and were dropped from memory not long ago.
   std::map<std::string, jobs::job_state> m_dropped_jobs;
--- a/Source/Core/Scheduling/WorkspaceUsage.cpp
+++ b/Source/Core/Scheduling/WorkspaceUsage.cpp
@@ -81,8 +81,8 @@
     each.unaccounted = {};
 }
 
-// The parts of all partitions add up to the limit at most. A part is at least 1, since 0 means that
-// there is no limit.
+// The parts of all partitions add up to the limit at most, unless that is smaller than their
+// number: a part is at least 1, since 0 means that there is no limit.
 resources workspace_usage::part_of(const resources& limit) const
 {
   const auto part = [this](std::int64_t amount)
--- a/Source/Core/Scheduling/WorkspaceUsage.h
+++ b/Source/Core/Scheduling/WorkspaceUsage.h
@@ -29,7 +29,7 @@
   resources limit;    // this partition's part of the workspace's limit; 0 in a dimension: no limit
   double share = 0.0; // this partition's part of the jobs a second; 0: none is stated
   resources running;  // of all runs that the owner has a record of
-  resources unaccounted; // of tasks that may be running on an earlier owner's workers
+  resources unaccounted; // of what may be running without such a record, after a takeover
 
   std::map<std::chrono::seconds, std::uint32_t> jobs_by_second; // of the latest seconds
   // Whether tasks larger than the limit may start here one at a time. The limit may have been
--- a/Source/UnitTests/Node/CallerKeyTest.cpp
+++ b/Source/UnitTests/Node/CallerKeyTest.cpp
@@ -31,9 +31,9 @@
 {
   explored_cell cell{k_seed};
 
-  cell_with_workspaces()
+  explicit cell_with_workspaces(bool keys_needed = true)
   {
-    cell.add_workspaces(k_seed, true, true);
+    cell.add_workspaces(k_seed, true, keys_needed);
     run_for(seconds{3});
   }
 
@@ -52,12 +52,12 @@
   }
 
   unsigned call(http::method verb, const std::string& id, const std::string& key,
-                const std::string& body = {}, std::size_t instance = 0)
+                const std::string& body = {}, const std::string& prefix = model::k_plain_prefix)
   {
     std::optional<unsigned> status;
-    cell.instances()[instance].core->handle(
-        {verb, model::k_host, model::k_plain_prefix + id, body, {"3000", key}},
-        [&status](const http::outgoing_reply& answer) { status = answer.status; });
+    cell.instances()[0].core->handle({verb, model::k_host, prefix + id, body, {"3000", key}},
+                                     [&status](const http::outgoing_reply& answer)
+                                     { status = answer.status; });
     run_for(seconds{1});
     BOOST_TEST_REQUIRE(status.has_value());
     return *status;
@@ -130,6 +130,26 @@
   BOOST_TEST(call(http::method::remove, k_id, key_of("manuals")) == k_ok);
 }
 
+struct cell_with_public_queues : cell_with_workspaces
+{
+  cell_with_public_queues() : cell_with_workspaces(false) {}
+};
+
+BOOST_FIXTURE_TEST_CASE(a_public_queue_needs_no_key, cell_with_public_queues)
+{
+  BOOST_TEST(submit("") == k_ok);
+  BOOST_TEST(call(http::method::get, k_id, "") == k_ok);
+  BOOST_TEST(call(http::method::remove, k_id, "") == k_ok);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_without_a_key_cancels_only_jobs_of_its_queue,
+                        cell_with_public_queues)
+{
+  BOOST_TEST_REQUIRE(submit(key_of("manuals")) == k_ok);
+  BOOST_TEST(call(http::method::remove, k_id, "", {}, model::k_urgent_prefix) == k_forbidden);
+  BOOST_TEST(call(http::method::remove, k_id, "") == k_ok);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_task_larger_than_its_workspace_may_run_is_refused, cell_with_workspaces)
 {
   BOOST_TEST(submit(key_of("handbooks"), 18500) == k_unprocessable);
--- a/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
@@ -235,14 +235,14 @@
 }
 
 // The job is no longer in the rows of open jobs, but the worker has not stopped its task yet.
-BOOST_FIXTURE_TEST_CASE(runs_of_jobs_that_an_earlier_owner_cancelled_count, takeover_harness)
+BOOST_FIXTURE_TEST_CASE(runs_of_jobs_that_had_ended_under_an_earlier_owner_count, takeover_harness)
 {
   scheduler->set_workspaces(limited_to(1000));
   worker_claim claim;
   claim.zone = "zone";
   claim.address = worker("w1").address;
   restore_claim("w1", claim);
-  scheduler->restore_cancelled_job(job_of(k_limited, k_job, step_of(1)));
+  scheduler->restore_ended_job(job_of(k_limited, k_job, step_of(1)));
   begin();
   step();
   answer_hold("w1", {earlier_run()});
