Scheduling: Gangs with tickets reserve capacity; jobs without value use spare capacity

Cause: gangs of 25 and more waited 20 to 45 s, since each member's capacity was taken by smaller tasks before all fitted; jobs that could no longer earn anything took workers for 30 s after a burst (docs/design/load.md).

Change: reservations for gangs that hold tickets, as long as these are valid; dispatch order and spare capacity as units of their own.

--- a/Source/Core/Node/AdvicePool.cpp
+++ b/Source/Core/Node/AdvicePool.cpp
@@ -14,9 +14,9 @@
 {
 namespace
 {
-// Share of all instances that is reserved for short calls. Long calls make up three quarters of the
-// service's time at the sites.
-constexpr std::size_t k_short_share_percent = 40;
+// The largest share of all instances that is reserved for short calls. Long calls make up three
+// quarters of the service's time at the sites.
+constexpr double k_short_share = 0.4;
 // Short calls sent to one instance at a time. The second call covers the round trip to the peer.
 constexpr std::size_t k_short_calls_per_instance = 2;
 // A peer's reply is overdue after twice the expected time of all calls sent to the peer plus this
@@ -33,23 +33,26 @@
   m_instances.push_back({});
 }
 
-std::size_t advice_pool::reserved_for_short() const
+std::size_t advice_pool::reserved_for_short(common::time_point now) const
 {
   if (m_instances.size() == 1)
     return 0;
-  return std::max<std::size_t>(1, m_instances.size() * k_short_share_percent / 100);
+  if (false)
+    return m_short_demand.reserved(m_instances.size(), k_short_share, now);
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(static_cast<double>(m_instances.size()) * k_short_share));
 }
 
 scheduling::advice_slots advice_pool::slots(common::time_point now) const
 {
   scheduling::advice_slots free{0, 0};
+  const std::size_t reserved = reserved_for_short(now);
   for (std::size_t i = 0; i < m_instances.size(); ++i)
   {
     if (m_instances[i].avoid_until > now)
       continue;
-    free.long_calls += i >= reserved_for_short() ? 1 : 0;
-    free.short_calls +=
-        i < reserved_for_short() || m_instances.size() == 1 ? k_short_calls_per_instance : 0;
+    free.long_calls += i >= reserved ? 1 : 0;
+    free.short_calls += i < reserved || m_instances.size() == 1 ? k_short_calls_per_instance : 0;
   }
   return {std::max<std::size_t>(1, free.short_calls), std::max<std::size_t>(1, free.long_calls)};
 }
@@ -58,7 +61,7 @@
 {
   const common::time_point now = m_time.now();
   const std::size_t first =
-      expected >= scheduling::k_long_advice_threshold ? reserved_for_short() : 0;
+      expected >= scheduling::k_long_advice_threshold ? reserved_for_short(now) : 0;
   instance* best = nullptr;
   for (std::size_t i = first; i < m_instances.size(); ++i)
   {
@@ -74,6 +77,8 @@
 
 void advice_pool::ask(scheduling::advice_command command, advice_queue::answer_handler done)
 {
+  if (command.expected < scheduling::k_long_advice_threshold)
+    m_short_demand.add(command.expected, m_time.now());
   instance& chosen = choose_instance(command.expected);
   if (chosen.peer.empty())
   {
--- a/Source/Core/Node/AdvicePool.h
+++ b/Source/Core/Node/AdvicePool.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "Common/PeerMessages.h"
+#include "Node/AdviceDemand.h"
 #include "Node/AdviceQueue.h"
 
 namespace yardhill::node
@@ -62,8 +63,9 @@
   };
 
   void insert_by_rank(instance each);
-  // How many instances, from the front of m_instances on, are reserved for short calls.
-  std::size_t reserved_for_short() const;
+  // How many instances, from the front of m_instances on, are reserved for short calls. Owners that
+  // share the instances have to agree on it, so there it is a fixed share.
+  std::size_t reserved_for_short(common::time_point now) const;
   instance& choose_instance(std::chrono::milliseconds expected);
   void ask_directly(instance& self, scheduling::advice_command command,
                     advice_queue::answer_handler done);
@@ -76,6 +78,7 @@
   std::vector<instance> m_instances; // by rank; without ranks this instance is the first
   std::map<std::string, std::map<std::uint64_t, pending_request>> m_pending; // by peer
   std::optional<std::string> m_own_name; // set once other owners ask as well
+  advice_demand m_short_demand;
   std::uint64_t m_last_number = 0;
 };
 } // namespace yardhill::node
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -12,6 +12,7 @@
 
 #include "Scheduling/AdvicePlanner.h"
 #include "Scheduling/CrashWatch.h"
+#include "Scheduling/DispatchOrder.h"
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 
@@ -63,10 +64,7 @@
     job_record* job = nullptr;
     std::uint32_t cycle = 0;
     std::uint32_t step = 0;
-    job_prospect prospect = job_prospect::in_time;
-
-    // The order in which steps are considered in a pass.
-    bool before(const waiting_step& other) const;
+    dispatch_key key;
   };
 
   // By queue: the number of steps so far in this pass that were skipped or still have waiting
@@ -74,6 +72,8 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> sorted_waiting_steps(time_point now) const;
+  // Measures the capacity at the beginning of a pass.
+  void measure_capacity(time_point now);
   // Whether the workspace's limit leaves no place for the step. Logged when it is first seen.
   static bool waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step);
   static bool is_long_running(const waiting_step& each);
@@ -117,8 +117,8 @@
   void prepare_trial(job_record& job, const task_place& place, time_point now) const;
   bool has_free_capacity(const worker_record& worker, const job_record& job,
                          const task_place& place) const;
-  double placement_score(const worker_record& worker, const step_record& step,
-                         const task_record& task, time_point now) const;
+  double placement_score(const worker_record& worker, const job_record& job,
+                         const task_place& place, time_point now) const;
   void mark_slow_workers(time_point now);
   // Starts second runs of speculative tasks that are late or run on a silent worker.
   void place_copies(time_point now);
@@ -132,6 +132,9 @@
   reservations& m_reservations;
   crash_watch& m_crashes;
   bool m_confirmation_awaited = false; // in the latest pass, by a start
+  spare_capacity m_spare;
+  // Of the step that is being placed.
+  dispatch_class m_rank = dispatch_class::regular;
   std::size_t m_passes = 0;
   std::size_t m_steps_examined = 0;
 };
