Common, Node, Scheduling: Decisions on requests have a budget of their own in the event log

Lines were dropped whatever their kind, both over the rate limit and when the reader was slow.

Change: log_decision stands beside log_request, and the call site chooses. job_accepted, refused, job_cancelled, job_ended, task_given_up, tasks_started and gang_started are decisions; all others stay with log_request. The buffer's limit moves to log_budget, which is asked before a line is composed, so a dropped line costs no formatting; the buffer may exceed its limit by one line. The line log_lines_dropped has decisions, repeating and process_lines beside lines and total, and waits until the reader has caught up: before, it could be dropped and counted itself. counters keeps log_lines_dropped and gains log_decisions_dropped and log_repeating_dropped, which are on the metrics address too.

--- a/Source/Core/Common/EventLog.cpp
+++ b/Source/Core/Common/EventLog.cpp
@@ -3,7 +3,6 @@
 
 #include "Common/EventLog.h"
 
-#include <algorithm>
 #include <chrono>
 #include <memory>
 
@@ -22,30 +21,23 @@
 {
 using steady = std::chrono::steady_clock;
 
-// Lines for a slow reader of standard output are buffered up to this many bytes; further lines are
-// dropped and counted.
-constexpr std::size_t k_max_buffered_bytes = 256U << 10U;
 // Lines are written together once this many bytes are buffered, or on flush. A write of up to 4 KiB
 // to a pipe is atomic (POSIX: PIPE_BUF is 512 or more, 4,096 on Linux); a larger write may be
 // split, and a reader may see a partial line.
 constexpr std::size_t k_max_write_bytes = 4U << 10U;
 
-// Buffers lines and writes them to standard output without ever blocking.
+// Buffers lines and writes them to standard output without ever blocking. The size of the buffer is
+// bounded by log_budget.
 class stdout_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
 public:
   stdout_sink() { ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK); }
 
-  std::uint64_t dropped() const { return m_dropped; }
+  std::size_t buffered() const { return m_buffer.size(); }
 
 protected:
   void sink_it_(const spdlog::details::log_msg& message) override
   {
-    if (m_buffer.size() + message.payload.size() > k_max_buffered_bytes)
-    {
-      ++m_dropped;
-      return;
-    }
     spdlog::memory_buf_t formatted;
     formatter_->format(message, formatted);
     m_buffer.append(formatted.data(), formatted.size());
@@ -67,19 +59,20 @@
 
 private:
   std::string m_buffer;
-  std::uint64_t m_dropped = 0;
 };
 
+time_point current_time()
+{
+  return time_point{std::chrono::duration_cast<duration>(steady::now().time_since_epoch())};
+}
+
 struct event_log_state
 {
   std::shared_ptr<stdout_sink> sink;
   std::shared_ptr<spdlog::logger> logger;
   std::function<std::chrono::milliseconds()> simulation_clock;
-  bool rate_limited = true;
-  double tokens = k_log_burst;
-  steady::time_point refilled = steady::now();
-  std::uint64_t dropped_over_limit = 0;
-  std::uint64_t dropped_reported = 0; // dropped lines that a log_lines_dropped event has counted
+  log_budget budget{current_time()};
+  dropped_lines dropped_reported; // dropped lines that a log_lines_dropped event has counted
 };
 
 event_log_state& state()
@@ -101,12 +94,16 @@
   void operator()(bool flag) const { out += flag ? "true" : "false"; }
 };
 
-void write_line(std::string_view event, std::string_view request,
+void write_line(log_group group, std::string_view event, std::string_view request,
                 std::initializer_list<log_field> fields)
 {
+  event_log_state& log = state();
+  // Decided before the line is composed, so that a dropped line costs little.
+  if (!log.logger || !log.budget.admit(group, log.sink->buffered(), current_time()))
+    return;
   std::string line;
-  if (state().simulation_clock)
-    line = "\"at_ms\":" + std::to_string(state().simulation_clock().count()) + ",";
+  if (log.simulation_clock)
+    line = "\"at_ms\":" + std::to_string(log.simulation_clock().count()) + ",";
   line += "\"event\":\"";
   line += event;
   line += '"';
@@ -122,25 +119,7 @@
     line += "\":";
     std::visit(field_writer{line}, field.value);
   }
-  state().logger->info("{}", line);
-}
-
-bool take_token()
-{
-  event_log_state& log = state();
-  if (!log.rate_limited)
-    return true;
-  const auto now = steady::now();
-  const double passed = std::chrono::duration<double>(now - log.refilled).count();
-  log.refilled = now;
-  log.tokens = std::min(k_log_burst, log.tokens + passed * k_log_lines_per_second);
-  if (log.tokens < 1.0)
-  {
-    ++log.dropped_over_limit;
-    return false;
-  }
-  log.tokens -= 1.0;
-  return true;
+  log.logger->info("{}", line);
 }
 } // namespace
 
@@ -163,7 +142,7 @@
 void open_simulation_log(const std::string& process)
 {
   open_event_log(process);
-  state().rate_limited = false;
+  state().budget = log_budget(current_time(), log_budget::rates::unlimited);
 }
 
 void set_simulation_clock(std::function<std::chrono::milliseconds()> clock)
@@ -173,24 +152,27 @@
 
 void log_process(std::string_view event, std::initializer_list<log_field> fields)
 {
-  if (!state().logger)
-    return;
-  write_line(event, {}, fields);
-  state().logger->flush();
+  write_line(log_group::process, event, {}, fields);
+  if (state().logger)
+    state().logger->flush();
+}
+
+void log_decision(std::string_view event, std::string_view request,
+                  std::initializer_list<log_field> fields)
+{
+  write_line(log_group::decisions, event, request, fields);
 }
 
 void log_request(std::string_view event, std::string_view request,
                  std::initializer_list<log_field> fields)
 {
-  if (state().logger && take_token())
-    write_line(event, request, fields);
+  write_line(log_group::repeating, event, request, fields);
 }
 
 void log_request_always(std::string_view event, std::string_view request,
                         std::initializer_list<log_field> fields)
 {
-  if (state().logger)
-    write_line(event, request, fields);
+  write_line(log_group::limited_by_caller, event, request, fields);
 }
 
 void flush_event_log()
@@ -198,19 +180,22 @@
   event_log_state& log = state();
   if (!log.logger)
     return;
-  const std::uint64_t dropped = dropped_log_lines();
-  if (dropped > log.dropped_reported)
-  {
-    write_line("log_lines_dropped", {},
-               {{"lines", dropped - log.dropped_reported}, {"total", dropped}});
-    log.dropped_reported = dropped;
-  }
   log.logger->flush();
+  const dropped_lines dropped = log.budget.dropped();
+  // While the reader is slow, the line waits, so that it cannot itself be dropped and counted.
+  if (dropped.total() == log.dropped_reported.total() || log.sink->buffered() > 0)
+    return;
+  const dropped_lines& before = log.dropped_reported;
+  log_process("log_lines_dropped", {{"lines", dropped.total() - before.total()},
+                                    {"decisions", dropped.decisions - before.decisions},
+                                    {"repeating", dropped.repeating - before.repeating},
+                                    {"process_lines", dropped.process - before.process},
+                                    {"total", dropped.total()}});
+  log.dropped_reported = dropped;
 }
 
-std::uint64_t dropped_log_lines()
+dropped_lines dropped_log_lines()
 {
-  const event_log_state& log = state();
-  return log.dropped_over_limit + (log.sink ? log.sink->dropped() : 0);
+  return state().budget.dropped();
 }
 } // namespace yardhill::common
--- a/Source/Core/Common/EventLog.h
+++ b/Source/Core/Common/EventLog.h
@@ -6,15 +6,18 @@
 // The event log of the process on standard output: one line for each decision, each a JSON object.
 //
 // Lines about requests are rate-limited: lines over the limit are dropped and counted, so that
-// logging a flood of requests cannot cost more than serving it. The limit does not apply to lines
-// about the process itself.
+// logging a flood of requests cannot cost more than serving it. The decisions on a request have a
+// budget of their own (LogBudget.h), so that repeating lines cannot displace them. The limit does
+// not apply to lines about the process itself.
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include "Common/LogBudget.h"
 #include "Common/Time.h"
 
 namespace yardhill::common
@@ -43,18 +46,18 @@
   }
 };
 
-// Rate limit (a token bucket) of the lines about single requests: 300 per second with bursts of
-// 1,500 is ten times what the decisions of a standard day need.
-inline constexpr double k_log_lines_per_second = 300.0;
-inline constexpr double k_log_burst = 1500.0;
-
 // Starts writing the events of `process` to standard output. Events logged before this call, and
 // in tests that never call it, are discarded.
 void open_event_log(const std::string& process);
 // Logs an event of the process itself: start, stop, reload, a dependency lost or regained, its view
 // of the cell. The line is written at once.
 void log_process(std::string_view event, std::initializer_list<log_field> fields);
-// Logs an event of one request; subject to the rate limit.
+// Logs a decision on a request: its acceptance, refusal, cancellation, starts or end. Subject to
+// the budget of decisions. Use log_request for events that may recur for the same request without a
+// bound.
+void log_decision(std::string_view event, std::string_view request,
+                  std::initializer_list<log_field> fields);
+// Logs any other event of one request; subject to the budget of repeating lines.
 void log_request(std::string_view event, std::string_view request,
                  std::initializer_list<log_field> fields);
 // Like log_request, without the rate limit: for events that the calling code itself limits to a few
@@ -66,5 +69,6 @@
 std::size_t bytes_to_write(std::string_view lines, std::size_t most);
 // Writes the buffered lines and, if further lines have been dropped, a line with their number.
 void flush_event_log();
-std::uint64_t dropped_log_lines();
+// The lines dropped since the process started.
+dropped_lines dropped_log_lines();
 } // namespace yardhill::common
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -51,6 +51,8 @@
   starts_sent,
   stops_sent,
   process_cpu_ms,
+  log_decisions_dropped,
+  log_repeating_dropped,
   count
 };
 
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -85,6 +85,7 @@
   call->timeout =
       timeout_of(parse_timeout(adapter::caller_headers_from(request.captured_headers).timeout_ms));
   call->body = std::move(request.body);
+  call->reads = request.verb == http::method::get;
   if (!may_serve() &&
       m_startup_requests.enqueue([this, call, request] { dispatch(call, request); }))
     return;
@@ -172,16 +173,18 @@
 void caller_gateway::refuse(const caller_call& call, const refusal& rejection)
 {
   m_metrics.add(rejection.reason);
-  common::log_request("refused", call.id,
-                      {{"status", rejection.status},
-                       {"reason", common::to_text(rejection.reason)},
-                       {"detail", rejection.detail},
-                       {"row", to_text(rejection.evidence)},
-                       {"queue", call.route ? call.route->name : std::string()},
-                       {"workspace", call.workspace ? call.workspace->name : std::string()},
-                       {"config_version", m_queues.version},
-                       {"instance_age_ms", m_time.now() - m_started},
-                       {"after_ms", m_time.now() - call.received}});
+  // Callers ask for states and counts again and again, also while each such request is refused.
+  const auto log = call.reads ? common::log_request : common::log_decision;
+  log("refused", call.id,
+      {{"status", rejection.status},
+       {"reason", common::to_text(rejection.reason)},
+       {"detail", rejection.detail},
+       {"row", to_text(rejection.evidence)},
+       {"queue", call.route ? call.route->name : std::string()},
+       {"workspace", call.workspace ? call.workspace->name : std::string()},
+       {"config_version", m_queues.version},
+       {"instance_age_ms", m_time.now() - m_started},
+       {"after_ms", m_time.now() - call.received}});
   http::outgoing_reply answer;
   answer.status = rejection.status;
   answer.body = adapter::error_body(rejection.detail);
@@ -303,15 +306,15 @@
     refuse(*call, {504, refusal_reason::run_unclear, result.detail});
     return;
   }
-  common::log_request("job_accepted", job.id,
-                      {{"queue", job.queue},
-                       {"workspace", job.workspace},
-                       {"home", result.first ? std::string_view(job.home) : "as before"},
-                       {"first", result.first},
-                       {"steps", job.spec.steps.size()},
-                       {"config_version", m_queues.version},
-                       {"row_version", result.version},
-                       {"after_ms", m_time.now() - call->received}});
+  common::log_decision("job_accepted", job.id,
+                       {{"queue", job.queue},
+                        {"workspace", job.workspace},
+                        {"home", result.first ? std::string_view(job.home) : "as before"},
+                        {"first", result.first},
+                        {"steps", job.spec.steps.size()},
+                        {"config_version", m_queues.version},
+                        {"row_version", result.version},
+                        {"after_ms", m_time.now() - call->received}});
   call->respond({200, "{}", "application/json", {}});
   if (!result.first)
     return;
@@ -479,7 +482,7 @@
     refuse(call, {504, refusal_reason::run_unclear, "the cancellation could not be kept for sure"});
     return;
   }
-  common::log_request("job_cancelled", call.id, {{"after_ms", m_time.now() - call.received}});
+  common::log_decision("job_cancelled", call.id, {{"after_ms", m_time.now() - call.received}});
   call.respond({200, "{}", "application/json", {}});
   for (const auto& each : m_partitions)
   {
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -58,6 +58,7 @@
     std::optional<jobs::workspace> workspace;
     std::string id; // of the job; empty if the request is for the queue itself
     std::string body;
+    bool reads = false; // asks for a state or a count, and decides nothing about the job
     std::chrono::milliseconds timeout{0}; // how long the caller waits
     common::time_point received{};
     // A version of the store that is no newer than the request's arrival.
--- a/Source/Core/Node/ProcessReport.cpp
+++ b/Source/Core/Node/ProcessReport.cpp
@@ -36,7 +36,10 @@
   m_metrics.set(common::gauge::loop_late_ms, milliseconds_of(m_loop.lateness()));
   const bool line_due = due(now);
   if (line_due || !m_sampled_at || now - *m_sampled_at >= k_sample_period)
+  {
     sample_cpu(now);
+    sample_log();
+  }
   if (!line_due)
     return false;
   close_interval(now);
@@ -62,6 +65,14 @@
   m_sampled_at = now;
 }
 
+void process_report::sample_log()
+{
+  const common::dropped_lines dropped = common::dropped_log_lines();
+  m_metrics.add(common::counter::log_decisions_dropped, dropped.decisions - m_dropped.decisions);
+  m_metrics.add(common::counter::log_repeating_dropped, dropped.repeating - m_dropped.repeating);
+  m_dropped = dropped;
+}
+
 void process_report::close_interval(common::time_point now)
 {
   const common::metrics::recorded passes = m_metrics.total(common::timing::decision);
@@ -88,7 +99,9 @@
                                    {"store_writes", m_metrics.value(counter::store_writes)},
                                    {"worker_calls", m_metrics.value(counter::worker_calls)},
                                    {"peer_messages", m_metrics.value(counter::peer_messages)},
-                                   {"log_lines_dropped", common::dropped_log_lines()},
+                                   {"log_lines_dropped", m_dropped.total()},
+                                   {"log_decisions_dropped", m_dropped.decisions},
+                                   {"log_repeating_dropped", m_dropped.repeating},
                                    {"since_ms", m_latest.length},
                                    {"loop_late_ms", m_loop.latest()},
                                    {"loop_late_worst_ms", m_latest.worst_lateness},
--- a/Source/Core/Node/ProcessReport.h
+++ b/Source/Core/Node/ProcessReport.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 
+#include "Common/LogBudget.h"
 #include "Common/Metrics.h"
 #include "Common/Timekeeper.h"
 #include "Node/LoopMonitor.h"
@@ -46,6 +47,7 @@
 private:
   bool due(common::time_point now) const;
   void sample_cpu(common::time_point now);
+  void sample_log();
   void close_interval(common::time_point now);
   void log() const;
 
@@ -60,5 +62,6 @@
   common::duration m_cpu{0};        // total at the latest sample
   common::duration m_cpu_logged{0}; // total at the latest line
   common::metrics::recorded m_passes_logged;
+  common::dropped_lines m_dropped; // at the latest sample
 };
 } // namespace yardhill::node
--- a/Source/Core/Scheduling/CrashWatch.cpp
+++ b/Source/Core/Scheduling/CrashWatch.cpp
@@ -334,12 +334,12 @@
 {
   const jobs::crash_history& crashes = job.task(place).crashes;
   m_state.metrics.add(common::counter::tasks_given_up);
-  common::log_request("task_given_up", job.id(),
-                      {{"step", place.step},
-                       {"task", place.index},
-                       {"crashes", crashes.blamed.size()},
-                       {"unclear", crashes.unclear.size()},
-                       {"unanswered", crashes.unanswered}});
+  common::log_decision("task_given_up", job.id(),
+                       {{"step", place.step},
+                        {"task", place.index},
+                        {"crashes", crashes.blamed.size()},
+                        {"unclear", crashes.unclear.size()},
+                        {"unanswered", crashes.unanswered}});
   m_state.end_job(job, jobs::job_state::failed, now);
 }
 
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -384,12 +384,12 @@
     ++started;
   }
   if (started > 0)
-    common::log_request("tasks_started", job.id(),
-                        {{"step", each.step},
-                         {"started", started},
-                         {"still_waiting", step.waiting},
-                         {"since_accepted_ms", now - job.accepted_at()},
-                         {"before_objective_ms", job.objective() - now}});
+    common::log_decision("tasks_started", job.id(),
+                         {{"step", each.step},
+                          {"started", started},
+                          {"still_waiting", step.waiting},
+                          {"since_accepted_ms", now - job.accepted_at()},
+                          {"before_objective_ms", job.objective() - now}});
 }
 
 void placer::mark_slow_workers(time_point now)
--- a/Source/Core/Scheduling/PlacerGangs.cpp
+++ b/Source/Core/Scheduling/PlacerGangs.cpp
@@ -69,8 +69,8 @@
     task.checkpoint = checkpoint;
   for (run_record* member : members)
     start(job, member->place, number, *member->worker, now);
-  common::log_request("gang_started", job.id(),
-                      {{"step", each.step}, {"members", members.size()}, {"run", number}});
+  common::log_decision("gang_started", job.id(),
+                       {{"step", each.step}, {"members", members.size()}, {"run", number}});
 }
 
 run_record* placer::add_member(const waiting_step& each, const task_place& place, run_number number,
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -210,11 +210,11 @@
   job.set_state(final_state);
   mark_dirty(job);
   open.erase(job.id());
-  common::log_request("job_ended", job.id(),
-                      {{"state", jobs::to_text(final_state)},
-                       {"queue", job.accepted().queue},
-                       {"after_ms", now - job.accepted_at()},
-                       {"before_objective_ms", job.objective() - now}});
+  common::log_decision("job_ended", job.id(),
+                       {{"state", jobs::to_text(final_state)},
+                        {"queue", job.accepted().queue},
+                        {"after_ms", now - job.accepted_at()},
+                        {"before_objective_ms", job.objective() - now}});
   for (cycle_record& cycle : job.cycles())
   {
     for (step_record& step : cycle.steps)
--- a/Source/UnitTests/Node/ProcessReportTest.cpp
+++ b/Source/UnitTests/Node/ProcessReportTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Common/LoggedLines.h"
 #include "Model/VirtualTime.h"
 #include "Node/ProcessReport.h"
 
@@ -95,4 +96,35 @@
   BOOST_TEST((report.latest().pass_time == milliseconds{7}));
 }
 
+// Guards against an operator who takes a log without decisions for a complete one.
+BOOST_FIXTURE_TEST_CASE(dropped_lines_are_counted_by_group, reporting_process)
+{
+  constexpr int k_flood = 20000;
+  const auto logged = common::lines_logged_by(
+      [this]
+      {
+        for (int i = 0; i < k_flood; ++i)
+        {
+          common::log_decision("refused", "00000000000000aa", {});
+          common::log_request("state_shown", "00000000000000aa", {});
+        }
+        tick();
+        pass(seconds{2});
+        const auto decisions = metrics.value(counter::log_decisions_dropped);
+        const auto repeating = metrics.value(counter::log_repeating_dropped);
+        common::log_process("metrics", {{"decisions", decisions}, {"repeating", repeating}});
+      });
+  const nlohmann::json* const counters = common::find_event(logged, "counters");
+  BOOST_TEST_REQUIRE(counters != nullptr);
+  const auto decisions = counters->at("log_decisions_dropped").get<int>();
+  const auto repeating = counters->at("log_repeating_dropped").get<int>();
+  BOOST_TEST(decisions > 0);
+  BOOST_TEST(repeating > decisions);
+  BOOST_TEST(counters->at("log_lines_dropped") == decisions + repeating);
+  const nlohmann::json* const exposed = common::find_event(logged, "metrics");
+  BOOST_TEST_REQUIRE(exposed != nullptr);
+  BOOST_TEST(exposed->at("decisions") == decisions);
+  BOOST_TEST(exposed->at("repeating") == repeating);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
