Node: Retry-After under load spreads callers evenly

Cause: less urgent callers were spread twice by the same hash of the job's id, once for the class and once for the backlog. With a backlog of 1 s they got 2 s or 4 s and never 3 s, with one of 3 s every other value was left out. A caller allows 3 s from its first attempt, so the larger value made it give up although the backlog was worked off sooner.

Change: one spread over the time in which the backlog is worked off, and a fixed second for all but the most urgent queues.

Test: a_short_backlog_spreads_callers_evenly fails with the formula before.

--- a/Source/Core/Node/RetryAfter.cpp
+++ b/Source/Core/Node/RetryAfter.cpp
@@ -14,6 +14,8 @@
 // How long the store will be unavailable cannot be known; 1 s is the smallest value of the header.
 constexpr std::chrono::seconds k_min_delay{1};
 constexpr std::uint64_t k_spread_s = 2;
+// By how much callers of less urgent queues retry after those of the most urgent ones.
+constexpr std::chrono::seconds k_less_urgent_delay{1};
 // The rate at which a backlog is worked off may change, so a backlog delays no caller for longer.
 constexpr std::chrono::seconds k_max_backlog_delay{10};
 } // namespace
@@ -33,6 +35,6 @@
       std::clamp(std::chrono::ceil<std::chrono::seconds>(excess), k_min_delay, k_max_backlog_delay);
   const auto spread = static_cast<std::uint64_t>(worked_off.count()) + 1;
   const std::chrono::seconds share(common::stable_hash(id) % spread);
-  return default_retry_after(priority, id) + worked_off - k_min_delay + share;
+  return worked_off + share + (priority == 0 ? std::chrono::seconds{0} : k_less_urgent_delay);
 }
 } // namespace yardhill::node
--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -5,6 +5,7 @@
 // their value. Such a job is refused instead; the refusal has to be correct, has to come at once,
 // and must never be given for a job that is stored.
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -195,6 +196,25 @@
   BOOST_TEST((node::retry_after_overload(2, k_id, std::chrono::hours{1}) < seconds{30}));
 }
 
+// Guards against two spreads by the same hash: callers of less urgent queues got 2 s or 4 s and
+// never 3 s, although the backlog is worked off within 1 s.
+BOOST_AUTO_TEST_CASE(a_short_backlog_spreads_callers_evenly)
+{
+  std::map<seconds, int> others;
+  std::map<seconds, int> urgent;
+  for (int i = 10; i < 100; ++i)
+  {
+    const std::string id = "00000000000000" + std::to_string(i);
+    ++others[node::retry_after_overload(2, id, milliseconds{400})];
+    ++urgent[node::retry_after_overload(0, id, milliseconds{400})];
+  }
+  BOOST_TEST(others.size() == 2U);
+  BOOST_TEST(others[seconds{2}] > 20);
+  BOOST_TEST(others[seconds{3}] > 20);
+  BOOST_TEST(urgent.size() == 2U);
+  BOOST_TEST(urgent[seconds{1}] > 20);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_job_that_would_start_too_late_is_refused_at_once, gateway_under_test)
 {
   owner_reports(row_of(k_latest_start + seconds{3}));
