--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -32,6 +32,7 @@
     "workers_restarted", "tasks_given_up",
     "holds_sent",        "starts_sent",
     "stops_sent",        "process_cpu_ms",
+    "forecasts_begun",   "forecasts_ignored",
 });
 static_assert(k_counter_names.size() == static_cast<std::size_t>(counter::count));
 
@@ -63,6 +64,7 @@
     "oldest_wait_ms",
     "lasting_waiting",
     "lasting_wait_ms",
+    "forecast_wait_ms",
 });
 static_assert(k_gauge_names.size() == static_cast<std::size_t>(gauge::count));
 
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -51,6 +51,8 @@
   starts_sent,
   stops_sent,
   process_cpu_ms,
+  forecasts_begun,
+  forecasts_ignored,
   count
 };
 
@@ -84,6 +86,7 @@
   oldest_wait_ms,
   lasting_waiting,
   lasting_wait_ms,
+  forecast_wait_ms,
   count
 };
 
