Node: Test of a refusal whose mark the store does not confirm

Cause: the rule that a refusal is answered only once its mark is written was tested on the store's side (without_the_store_the_outcome_is_unknown), not at the gateway that refuses for the predicted start.

Change: a test only.

--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -99,7 +99,8 @@
   }
 
   unsigned submit(const std::string& queue, const std::string& id = k_id,
-                  const jobs::job_spec& spec = spec_of(seconds{1}))
+                  const jobs::job_spec& spec = spec_of(seconds{1}),
+                  milliseconds time_to_answer = milliseconds{100})
   {
     got.reset();
     gateway->handle({http::method::post,
@@ -108,7 +109,7 @@
                      adapter::submission_body(spec),
                      {"3000"}},
                     [this](const http::outgoing_reply& answer) { got = answer; });
-    time.run_until(time.now() + milliseconds{100});
+    time.run_until(time.now() + time_to_answer);
     BOOST_TEST_REQUIRE(got.has_value());
     return got->status;
   }
@@ -289,7 +290,17 @@
   BOOST_TEST(metrics.value(common::counter::forecasts_ignored) == 1U);
 }
 
-// An owner of 10 instances reports the same waits twice a second. What arrives between two reports
+// The store's replies are lost, so it is unknown whether the mark is written.
+BOOST_FIXTURE_TEST_CASE(without_the_mark_the_outcome_is_unknown, gateway_under_test)
+{
+  owner_reports(row_of(k_latest_start + seconds{3}));
+  wire.lose_answers = true;
+  BOOST_TEST(submit("usual", k_id, spec_of(seconds{1}), seconds{3}) == 504U);
+  BOOST_TEST(metrics.value(common::refusal_reason::queue_full) == 0U);
+  BOOST_TEST(metrics.value(common::refusal_reason::run_unclear) == 1U);
+}
+
+// An owner reports the same waits to 10 instances twice a second. What arrives between two reports
 // must not be admitted all at once.
 BOOST_FIXTURE_TEST_CASE(arrivals_between_two_reports_are_not_all_admitted, gateway_under_test)
 {
