--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -49,6 +49,8 @@
     "process_cpu_ms",
     "log_decisions_dropped",
     "log_repeating_dropped",
+    "forecasts_begun",
+    "forecasts_ignored",
 });
 static_assert(k_counter_names.size() == static_cast<std::size_t>(counter::count));
 
@@ -80,6 +82,7 @@
     "oldest_wait_ms",
     "lasting_waiting",
     "lasting_wait_ms",
+    "forecast_wait_ms",
 });
 static_assert(k_gauge_names.size() == static_cast<std::size_t>(gauge::count));
 
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -53,6 +53,8 @@
   process_cpu_ms,
   log_decisions_dropped,
   log_repeating_dropped,
+  forecasts_begun,
+  forecasts_ignored,
   count
 };
 
@@ -86,6 +88,7 @@
   oldest_wait_ms,
   lasting_waiting,
   lasting_wait_ms,
+  forecast_wait_ms,
   count
 };
 
