Scheduling: Workers of different speed in placement and expected ends

Cause: Where a quarter of the workers is permanently slow, urgent tasks started there at random, their runs counted as overdue and got copies, reservations expected capacity too early, and the runtime model averaged the slow workers' run times into those of the queue.

Change: The ends of whole runs feed worker_speeds (none of gang members, long-running tasks, runs from a checkpoint, taken-over runs, repeated starts, tasks on idle CPU time or away from their data). While the ratios are used, the runtime model learns normalised run times, the check for overdue runs and the reservations take the worker's ratio into account, and the placement score has a term of at most 0.45: steps with little slack compared with their critical path and the last tasks of a step prefer fast workers, steps with much slack and late jobs prefer slow ones. The difference of 0.9 plus that of the utilization stays below the weight of the data's rack. A worker whose record is removed loses its ratio. The gauge worker_speeds_used shows how many ratios are used.

Each of the new tests with the scheduler was seen to fail without the part that it tests: the normalisation, the expected ends, the check for overdue runs, the placement term and its weight, the last tasks, the slack of late jobs, long-running tasks in placement, the exclusion of gangs and of runs from a checkpoint, and the removal. The other exclusions have no test. Where all workers are alike, placement is as before. scheduling_tests: 223 cases pass.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -63,6 +63,7 @@
     "oldest_wait_ms",
     "lasting_waiting",
     "lasting_wait_ms",
+    "worker_speeds_used",
 });
 static_assert(k_gauge_names.size() == static_cast<std::size_t>(gauge::count));
 
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -84,6 +84,7 @@
   oldest_wait_ms,
   lasting_waiting,
   lasting_wait_ms,
+  worker_speeds_used,
   count
 };
 
--- a/Source/Core/Scheduling/Backlog.h
+++ b/Source/Core/Scheduling/Backlog.h
@@ -3,7 +3,8 @@
 
 #pragma once
 
-// Measures how far a partition's owner is behind: overdue holds and waiting tasks.
+// Measures how far a partition's owner is behind: overdue holds and waiting tasks. Also counts the
+// workers whose speed is taken into account.
 
 #include <cstdint>
 
@@ -24,6 +25,7 @@
   duration oldest_wait{0};
   std::uint64_t long_running_waiting = 0; // long-running tasks that do not run (see wait_report)
   duration longest_long_running_wait{0};  // longest wait of these tasks
+  std::uint64_t worker_speeds_used = 0;   // see worker_speeds; 0 while the workers are alike
 };
 
 // Computes the backlog from all workers and steps, and updates waiting_since of each step.
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 // Score bonus for a worker on the rack that holds the step's data. It exceeds any difference in
-// worker utilization, which is at most 1.
+// worker utilization (at most 1) and speed (at most 0.9) together.
 constexpr double k_data_rack_weight = 2.0;
 // Score bonus for the worker for which the task's next run is already announced in the job's row.
 // It exceeds all other terms, so that worker is chosen whenever it is still possible.
@@ -193,7 +193,8 @@
 // keep free capacity for large tasks. A task that may crash its worker prefers the least utilized
 // one, because all runs on that worker would be lost with it.
 double placer::placement_score(const worker_record& worker, const step_record& step,
-                               const task_record& task, time_point now) const
+                               const task_record& task, double speed_preference,
+                               time_point now) const
 {
   const double share =
       common::dominant_share(worker.used + required_resources(*step.spec), worker.info.capacity);
@@ -201,7 +202,26 @@
   const bool near = !step.spec->data_rack.empty() && worker.info.rack == step.spec->data_rack;
   const bool announced = task.crashes.announced_on == worker.info.id.value;
   return used + (announced ? k_announced_weight : 0.0) + (near ? k_data_rack_weight : 0.0) -
-         (worker.slow_until > now ? k_slow_weight : 0.0);
+         (worker.slow_until > now ? k_slow_weight : 0.0) +
+         m_state.speeds.placement_term(worker.info.id, speed_preference);
+}
+
+// The slack counts until the objective. For a job that is certain to be late it counts until the
+// job has no value left, so that late jobs do not take the fast workers from jobs that can be in
+// time.
+double placer::speed_preference(const job_record& job, const task_place& place,
+                                time_point now) const
+{
+  const step_record& step = job.cycles()[place.cycle].steps[place.step];
+  if (!m_state.speeds.active() || step.spec->long_running)
+    return 0.0;
+  const milliseconds path = job.critical_path_from(place.step);
+  const job_prospect prospect = job.prospect(place.step, now);
+  if (prospect == job_prospect::none)
+    return -1.0;
+  const time_point end = prospect == job_prospect::in_time ? job.objective() : job.credit_end();
+  const bool last = !step.spec->gang && step.waiting <= std::max(1U, step.spec->count / 8);
+  return worker_speeds::preference(end - now - path, path, last);
 }
 
 placer::obstacle placer::obstacle_at(const worker_record& worker, const job_record& job,
@@ -238,13 +258,14 @@
     return nullptr;
   worker_record* best = nullptr;
   double best_score = 0.0;
+  const double preference = speed_preference(job, place, now);
   const auto consider = [&](worker_record& worker)
   {
     // Checked first because it is cheap and most workers have no free capacity while steps wait.
     if (!has_free_capacity(worker, job, place) ||
         obstacle_at(worker, job, place, now, rule) != obstacle::none)
       return;
-    const double value = placement_score(worker, step, task, now);
+    const double value = placement_score(worker, step, task, preference, now);
     if (best != nullptr && value <= best_score)
       return;
     best = &worker;
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -118,7 +118,10 @@
   bool has_free_capacity(const worker_record& worker, const job_record& job,
                          const task_place& place) const;
   double placement_score(const worker_record& worker, const step_record& step,
-                         const task_record& task, time_point now) const;
+                         const task_record& task, double speed_preference, time_point now) const;
+  // How much a task of the step gains from a fast worker (see worker_speeds); 0 while the speeds of
+  // the workers are not used, and for long-running tasks.
+  double speed_preference(const job_record& job, const task_place& place, time_point now) const;
   void mark_slow_workers(time_point now);
   // Starts second runs of speculative tasks that are late or run on a silent worker.
   void place_copies(time_point now);
--- a/Source/Core/Scheduling/Reservations.cpp
+++ b/Source/Core/Scheduling/Reservations.cpp
@@ -33,7 +33,8 @@
     return time_point::max();
   const duration run_time =
       m_state.runtimes.expected(run.job->accepted().queue, run.spec().estimate);
-  return std::max(run.begun + run_time, now + k_overdue_run_end);
+  return std::max(run.begun + m_state.speeds.time_on(run.worker->info.id, run_time),
+                  now + k_overdue_run_end);
 }
 
 common::resources reservations::free_capacity_at(const worker_record& worker, time_point when,
@@ -118,7 +119,7 @@
   const reservation& reserved = found->second;
   const duration run_time = m_state.runtimes.expected(job.accepted().queue, step.spec->estimate);
   if (!step.spec->long_running && step.spec->estimate.count() > 0 &&
-      now + run_time <= reserved.expected_at)
+      now + m_state.speeds.time_on(worker.info.id, run_time) <= reserved.expected_at)
     return true;
   return required_resources(*step.spec)
       .fits_in(free_capacity_at(worker, reserved.expected_at, now) - reserved.capacity);
--- a/Source/Core/Scheduling/RunTracker.cpp
+++ b/Source/Core/Scheduling/RunTracker.cpp
@@ -10,6 +10,21 @@
 
 namespace yardhill::scheduling
 {
+namespace
+{
+// Whether the run time depends on the worker's own speed alone. A run that was taken over (`sends`
+// is 0) has an unknown start, one whose start was repeated an uncertain one. A run from a
+// checkpoint does a part of the work. Other tasks delay one that uses idle processor time, and
+// distant data one that has a data rack.
+bool shows_worker_speed(const run_record& run)
+{
+  const jobs::step_spec& spec = run.spec();
+  return !spec.long_running && !spec.uses_idle_cpu && run.sends == 1 &&
+         run.job->task(run.place).checkpoint.empty() &&
+         (spec.data_rack.empty() || spec.data_rack == run.worker->info.rack);
+}
+} // namespace
+
 run_tracker::run_tracker(scheduler_state& state, crash_watch& crashes, copy_watch& copies)
     : m_state(state), m_crashes(crashes), m_copies(copies)
 {
@@ -167,8 +182,8 @@
   // This run is removed first, so that only runs that still go on are stopped below.
   if (run_record* const run = m_state.find_run(worker.info.id, end.task, end.run))
   {
-    if (end.how == run_outcome::done && !run->spec().gang && worker.slow_until <= now)
-      m_state.runtimes.learn(job->accepted().queue, run->spec().estimate, now - run->begun);
+    if (end.how == run_outcome::done && !run->spec().gang)
+      learn_run_time(*run, now);
     if (run->sends > run->answers)
       copies_until = run->last_sent + m_state.options.late_start_window;
     m_state.remove_run(*run);
@@ -187,6 +202,21 @@
     check_complete(*job, now);
 }
 
+// Not called for gang members, whose end is determined by the slowest member. The speed is also
+// learned while the worker counts as slow, but the queue's run times are not.
+void run_tracker::learn_run_time(const run_record& run, time_point now)
+{
+  const std::string& queue = run.job->accepted().queue;
+  const milliseconds estimate = run.spec().estimate;
+  const worker_record& worker = *run.worker;
+  const duration actual = now - run.begun;
+  if (shows_worker_speed(run))
+    m_state.speeds.record(worker.info.id, queue, m_state.runtimes.expected(queue, estimate), actual,
+                          now);
+  if (worker.slow_until <= now)
+    m_state.runtimes.learn(queue, estimate, m_state.speeds.normalised(worker.info.id, actual));
+}
+
 void run_tracker::update_failure_count(worker_record& worker, const listed_end& end, time_point now)
 {
   if (end.how == run_outcome::done)
--- a/Source/Core/Scheduling/RunTracker.h
+++ b/Source/Core/Scheduling/RunTracker.h
@@ -31,6 +31,8 @@
   void handle_refused_start(run_record& run, call_end end, time_point now);
   void handle_superseded_start(run_record& run, time_point now);
   void apply_end(worker_record& worker, const listed_end& end, time_point now);
+  // Records how long a completed run took, for its queue and its worker.
+  void learn_run_time(const run_record& run, time_point now);
   void task_done(job_record& job, const task_place& place, time_point now);
   void task_failed(job_record& job, const listed_end& end, time_point now);
   void update_failure_count(worker_record& worker, const listed_end& end, time_point now);
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -107,7 +107,8 @@
 {
   if (run.spec().long_running || run.spec().uses_idle_cpu || run.spec().estimate.count() <= 0)
     return false;
-  return now - run.begun > runtimes.longest(run.job->accepted().queue, run.spec().estimate);
+  const duration longest = runtimes.longest(run.job->accepted().queue, run.spec().estimate);
+  return now - run.begun > speeds.time_on(run.worker->info.id, longest);
 }
 
 jobs::wall_time scheduler_state::wall(time_point now) const
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -22,6 +22,7 @@
 #include "Scheduling/StartBudget.h"
 #include "Scheduling/StartWaitEstimator.h"
 #include "Scheduling/WorkerRecord.h"
+#include "Scheduling/WorkerSpeeds.h"
 #include "Scheduling/WorkspaceUsage.h"
 
 namespace yardhill::scheduling
@@ -41,6 +42,7 @@
   start_budget starts;
   start_wait_estimator outlook;
   runtime_model runtimes;
+  worker_speeds speeds;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
   // A flat map, since every pass iterates over all workers, and few are added or removed.
   boost::container::flat_map<worker_id, std::unique_ptr<worker_record>> workers;
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -449,6 +449,7 @@
     {
       if (worker.claim)
         m_state.released.insert(each->first);
+      m_state.speeds.forget(each->first);
       each = m_state.workers.erase(each);
       continue;
     }
--- a/Source/UnitTests/Scheduling/WorkerSpeedsTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerSpeedsTest.cpp
@@ -7,25 +7,32 @@
 // none: estimates are wrong by up to 90 %, runs hang, and workers are slow for a while.
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "Scheduling/RuntimeModel.h"
+#include "Scheduling/SchedulerHarness.h"
 #include "Scheduling/WorkerSpeeds.h"
 
 using namespace yardhill::scheduling;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using yardhill::common::gauge;
 
 namespace
 {
 constexpr const char* k_rechecks = "recheck";
 constexpr double k_slow = 0.55;
 constexpr double k_fast = 1.2;
+// Of jobs whose critical path is a second.
+constexpr milliseconds k_little_slack{500};
+constexpr milliseconds k_medium_slack{2500};
+constexpr milliseconds k_much_slack{20000};
 
 // Workers that each complete a run a second. The estimates are wrong by up to `error`.
 struct observed_fleet
@@ -94,6 +101,194 @@
     BOOST_TEST_REQUIRE(speeds.active());
   }
 };
+
+// Eight workers of 16 processors under a scheduler. Each task occupies a whole worker and would
+// take a second at speed 1.0.
+struct scheduled_fleet : scheduler_harness
+{
+  static constexpr int k_workers = 8;
+
+  explicit scheduled_fleet(const std::set<std::string>& slow)
+  {
+    for (int i = 1; i <= k_workers; ++i)
+    {
+      const std::string id = "w" + std::to_string(i);
+      add_worker(worker(id));
+      speed_of[id] = slow.empty() ? 1.0 : (slow.contains(id) ? k_slow : k_fast);
+    }
+  }
+
+  static yardhill::jobs::step_spec whole_worker_step(std::uint32_t count)
+  {
+    return step_of(count, 16000);
+  }
+
+  // The slack to the objective that a job has which starts now.
+  void set_slack(milliseconds slack)
+  {
+    yardhill::jobs::queue_policy policy;
+    policy.max_attempts = 3;
+    // The latency target counts from the jobs' acceptance, which the harness sets to time zero.
+    policy.latency_target =
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) + slack;
+    set_policy(policy);
+  }
+
+  struct going
+  {
+    start_command request;
+    time_point until;
+  };
+
+  void begin_started()
+  {
+    for (const start_command& each : starts)
+    {
+      answer_start(each, call_end::done);
+      const auto time =
+          std::chrono::duration_cast<duration>(seconds{1} / speed_of.at(each.worker.value));
+      runs[each.worker.value].push_back({each, now + time});
+    }
+    starts.clear();
+  }
+
+  listed_end end_of(const start_command& request, end_number number) const
+  {
+    if (first_runs_fail && request.checkpoint.empty())
+      return ended(number, request, run_outcome::failed, "checkpoint");
+    return ended(number, request, run_outcome::done);
+  }
+
+  // Reports the runs that are over.
+  void end_runs()
+  {
+    for (auto& [id, on_worker] : runs)
+    {
+      std::vector<listed_run> listed;
+      std::vector<listed_end> over;
+      for (const going& each : on_worker)
+      {
+        if (each.until <= now)
+          over.push_back(end_of(each.request, ++latest_end[id]));
+        else
+          listed.push_back(running(each.request));
+      }
+      if (over.empty())
+        continue;
+      std::erase_if(on_worker, [this](const going& each) { return each.until <= now; });
+      answer_hold(id, listed, over);
+    }
+  }
+
+  void play(duration span)
+  {
+    for (const time_point end = now + span; now < end;)
+    {
+      pass(milliseconds{20});
+      end_runs();
+      commit_and_step();
+      begin_started();
+    }
+  }
+
+  // Keeps all workers busy for long enough to know their speeds, and waits until all are free.
+  void observe() { observe(whole_worker_step(8)); }
+  void observe(const yardhill::jobs::step_spec& step)
+  {
+    for (int i = 0; i < 60; ++i)
+      scheduler->add_job(job("job-" + std::to_string(1000 + i), {step}), now);
+    play(seconds{240});
+    BOOST_TEST_REQUIRE(std::all_of(runs.begin(), runs.end(),
+                                   [](const auto& each) { return each.second.empty(); }));
+  }
+
+  // Every worker restarts under its id.
+  void restart_all()
+  {
+    pass(seconds{1});
+    born = incarnation_start{seconds{1000}};
+    for (const auto& [id, speed] : speed_of)
+    {
+      worker_info info = worker(id);
+      info.born = born;
+      scheduler->worker_entry(info, now);
+      answer_hold(id, {});
+    }
+    commit_and_step();
+    for (const auto& [id, speed] : speed_of)
+      answer_hold(id, {});
+    commit_and_step();
+    BOOST_TEST_REQUIRE(metrics.value(yardhill::common::counter::workers_restarted) == 8U);
+  }
+
+  // The workers on which the tasks of a job with that slack start, in the order of the tasks.
+  std::vector<std::string> workers_for(const yardhill::jobs::step_spec& step, milliseconds slack)
+  {
+    set_slack(slack);
+    start_job(k_job, step);
+    std::vector<std::string> workers;
+    for (const start_command& each : starts)
+      workers.push_back(each.worker.value);
+    return workers;
+  }
+
+  bool first_runs_fail = false; // and leave a checkpoint
+  std::map<std::string, double> speed_of;
+  std::map<std::string, std::vector<going>> runs; // by worker
+  std::map<std::string, end_number> latest_end;
+};
+
+struct first_two_slow : scheduled_fleet
+{
+  first_two_slow() : scheduled_fleet({"w1", "w2"}) {}
+};
+
+struct last_two_slow : scheduled_fleet
+{
+  last_two_slow() : scheduled_fleet({"w7", "w8"}) {}
+};
+
+// The slow worker w8 is the only one for steps that require its label.
+struct labelled_slow_worker : last_two_slow
+{
+  labelled_slow_worker()
+  {
+    worker_info info = worker("w8");
+    info.labels = {"label"};
+    scheduler->worker_entry(info, now);
+    observe();
+    BOOST_TEST_REQUIRE(metrics.value(gauge::worker_speeds_used) == 8U);
+    set_slack(k_much_slack);
+  }
+
+  static yardhill::jobs::step_spec labelled(std::int64_t cpu_millis, milliseconds estimate)
+  {
+    yardhill::jobs::step_spec spec = step_of(1, cpu_millis);
+    spec.estimate = estimate;
+    spec.required_label = "label";
+    return spec;
+  }
+
+  // Half of w8 is used for about 7 s by a task that would take 4 s at normal speed, and w8 is
+  // reserved for a large task after that. Whether a task with that estimate may start there now.
+  bool may_start_before_the_large_task(milliseconds estimate)
+  {
+    start_job("0000000000000001", labelled(8000, milliseconds{4000}));
+    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    answer_start(starts.front(), call_end::done);
+    answer_hold("w8", {running(starts.front())});
+    starts.clear();
+    start_job("0000000000000002", labelled(16000, milliseconds{1000}));
+    BOOST_TEST_REQUIRE(starts.empty());
+    start_job("0000000000000003", labelled(8000, estimate));
+    return starts.size() == 1;
+  }
+};
+
+struct all_alike : scheduled_fleet
+{
+  all_alike() : scheduled_fleet({}) {}
+};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkerSpeedsTest)
@@ -295,4 +490,185 @@
   BOOST_TEST(worker_speeds::preference(seconds{1}, duration{0}, true) == 0.0);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_task_with_little_slack_starts_on_a_fast_worker, first_two_slow)
+{
+  // Where nothing is known the first of equal workers is chosen.
+  const auto unknown = workers_for(whole_worker_step(1), k_little_slack);
+  BOOST_TEST_REQUIRE(unknown.size() == 1U);
+  BOOST_TEST(unknown.front() == "w1");
+  begin_started();
+  observe();
+  BOOST_TEST_REQUIRE(metrics.value(gauge::worker_speeds_used) == 8U);
+  set_slack(k_little_slack);
+  start_job(k_other_job, whole_worker_step(1));
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(speed_of.at(starts.front().worker.value) == k_fast);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_task_with_much_slack_starts_on_a_slow_worker, last_two_slow)
+{
+  observe();
+  const auto chosen = workers_for(whole_worker_step(1), k_much_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST(speed_of.at(chosen.front()) == k_slow);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_last_task_of_a_step_starts_on_a_fast_worker, first_two_slow)
+{
+  observe();
+  const auto chosen = workers_for(whole_worker_step(2), k_medium_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 2U);
+  BOOST_TEST(speed_of.at(chosen.front()) == k_slow);
+  BOOST_TEST(speed_of.at(chosen.back()) == k_fast);
+}
+
+// Guards against late jobs that take the fast workers from jobs that can still be in time.
+BOOST_FIXTURE_TEST_CASE(a_task_of_a_late_job_starts_on_a_slow_worker, last_two_slow)
+{
+  observe();
+  const auto chosen = workers_for(whole_worker_step(1), milliseconds{-500});
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST(speed_of.at(chosen.front()) == k_slow);
+}
+
+// Guards against fast workers that are occupied for days by tasks that have no end to be in time.
+BOOST_FIXTURE_TEST_CASE(the_speed_is_ignored_for_long_running_tasks, first_two_slow)
+{
+  observe();
+  yardhill::jobs::step_spec step = whole_worker_step(1);
+  step.long_running = true;
+  const auto chosen = workers_for(step, k_little_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST(chosen.front() == "w1");
+}
+
+// Guards against a speed term that outweighs the rack of the data, which is slower to reach from
+// any other rack than a slow worker is.
+BOOST_FIXTURE_TEST_CASE(the_rack_of_the_data_outweighs_the_speed, first_two_slow)
+{
+  worker_info near = worker("w1");
+  near.rack = "near";
+  scheduler->worker_entry(near, now);
+  observe();
+  yardhill::jobs::step_spec step = whole_worker_step(1);
+  step.data_rack = "near";
+  const auto chosen = workers_for(step, k_little_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST(chosen.front() == "w1");
+}
+
+BOOST_FIXTURE_TEST_CASE(placement_is_unchanged_where_all_workers_are_alike, all_alike)
+{
+  observe();
+  BOOST_TEST(metrics.value(gauge::worker_speeds_used) == 0U);
+  const auto urgent = workers_for(whole_worker_step(2), k_little_slack);
+  BOOST_TEST((urgent == std::vector<std::string>{"w1", "w2"}));
+}
+
+// Guards against copies of runs that are in time for the slow worker on which they are.
+BOOST_FIXTURE_TEST_CASE(a_run_is_overdue_later_on_a_slow_worker, last_two_slow)
+{
+  observe();
+  yardhill::jobs::step_spec step = whole_worker_step(1);
+  step.speculative = true;
+  const auto chosen = workers_for(step, k_much_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST_REQUIRE(speed_of.at(chosen.front()) == k_slow);
+  const start_command first = starts.front();
+  answer_start(first, call_end::done);
+  starts.clear();
+  const auto wait = [&](milliseconds time)
+  {
+    pass(time);
+    answer_hold(first.worker.value, {running(first)});
+    commit_and_step();
+  };
+  wait(milliseconds{1700});
+  BOOST_TEST(starts.empty());
+  wait(milliseconds{1300});
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against backfilling that ends after a large task on a slow worker should have begun.
+BOOST_FIXTURE_TEST_CASE(a_task_that_a_slow_worker_cannot_end_in_time_does_not_start_there,
+                        labelled_slow_worker)
+{
+  BOOST_TEST(!may_start_before_the_large_task(milliseconds{5000}));
+}
+
+// Guards against capacity that stays free because a run on a slow worker is expected to end early.
+BOOST_FIXTURE_TEST_CASE(a_run_is_expected_to_end_later_on_a_slow_worker, labelled_slow_worker)
+{
+  BOOST_TEST(may_start_before_the_large_task(milliseconds{3000}));
+}
+
+// Guards against run times of a queue that depend on the workers on which its latest tasks ran:
+// late runs on fast workers would not be noticed.
+BOOST_FIXTURE_TEST_CASE(many_runs_on_a_slow_worker_do_not_change_those_of_the_queue,
+                        labelled_slow_worker)
+{
+  for (int i = 0; i < 40; ++i)
+    scheduler->add_job(
+        job("labelled-" + std::to_string(1000 + i), {labelled(16000, milliseconds{1000})}), now);
+  play(seconds{90});
+  yardhill::jobs::step_spec step = whole_worker_step(1);
+  step.speculative = true;
+  const auto chosen = workers_for(step, k_little_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST_REQUIRE(speed_of.at(chosen.front()) == k_fast);
+  const start_command first = starts.front();
+  answer_start(first, call_end::done);
+  starts.clear();
+  pass(milliseconds{1500});
+  answer_hold(first.worker.value, {running(first)});
+  commit_and_step();
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against gang members whose end is that of the slowest member.
+BOOST_FIXTURE_TEST_CASE(nothing_is_learned_from_gangs, last_two_slow)
+{
+  yardhill::jobs::step_spec step = whole_worker_step(8);
+  step.gang = true;
+  observe(step);
+  BOOST_TEST(metrics.value(gauge::worker_speeds_used) == 0U);
+}
+
+// Guards against runs that are short because an earlier run did a part of the work.
+BOOST_FIXTURE_TEST_CASE(nothing_is_learned_from_runs_that_begin_at_a_checkpoint, last_two_slow)
+{
+  first_runs_fail = true;
+  yardhill::jobs::step_spec step = whole_worker_step(8);
+  step.checkpointing = true;
+  observe(step);
+  BOOST_TEST(metrics.value(gauge::worker_speeds_used) == 0U);
+}
+
+// Guards against memory that grows with each worker that has ever been seen.
+BOOST_FIXTURE_TEST_CASE(the_ratio_of_a_worker_that_is_gone_is_forgotten, last_two_slow)
+{
+  observe();
+  scheduler->worker_entry_gone(worker_id("w7"), now);
+  for (int i = 0; i < 30; ++i)
+  {
+    fail_hold("w7", call_end::unanswered);
+    pass(seconds{1});
+    commit_and_step();
+  }
+  start_job(k_job, whole_worker_step(1));
+  begin_started();
+  play(seconds{4});
+  BOOST_TEST(metrics.value(gauge::worker_speeds_used) == 7U);
+}
+
+// Guards against deployments whose workers restart often and whose ratios would never be known.
+BOOST_FIXTURE_TEST_CASE(a_restarted_worker_keeps_its_ratio, last_two_slow)
+{
+  observe();
+  restart_all();
+  const auto chosen = workers_for(whole_worker_step(1), k_much_slack);
+  BOOST_TEST_REQUIRE(chosen.size() == 1U);
+  BOOST_TEST(speed_of.at(chosen.front()) == k_slow);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
