--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -89,6 +89,7 @@
   lasting_waiting,
   lasting_wait_ms,
   forecast_wait_ms,
+  worker_speeds_used,
   count
 };
 
--- a/Source/Core/Scheduling/Backlog.cpp
+++ b/Source/Core/Scheduling/Backlog.cpp
@@ -42,6 +42,7 @@
   sum.long_running_waiting = waits.waiting();
   sum.longest_long_running_wait = waits.longest();
   sum.forecast_wait = state.forecast.longest_wait(now);
+  sum.worker_speeds_used = state.speeds.ratios_used();
   for (const auto& [id, worker] : state.workers)
   {
     const duration overdue = holder.overdue(*worker, now);
@@ -67,5 +68,6 @@
   metrics.set(gauge::lasting_waiting, shown.long_running_waiting);
   metrics.set(gauge::lasting_wait_ms, milliseconds_of(shown.longest_long_running_wait));
   metrics.set(gauge::forecast_wait_ms, milliseconds_of(shown.forecast_wait));
+  metrics.set(gauge::worker_speeds_used, shown.worker_speeds_used);
 }
 } // namespace yardhill::scheduling
