Node: A submission's write without a reply is repeated before a refusal mark is written

Cause: after a write without a reply (the store reset the connection), a submission wrote only a refusal mark. A caller that arrived shortly before the store was back was refused with 503 and had no time left to retry. Change: the write is repeated with the same condition and content until 300 ms before the deadline. A conflict with the job's own row is a success, and `first` is set only if the row has this call's content. Then the mark is written, and no further write of the job; if the mark has no reply, the outcome is unknown as before. Cases that need a refused submission now use a caller that leaves time for only one write: the interleaving in them is the same as before.

--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -24,10 +24,13 @@
 constexpr std::chrono::milliseconds k_write_timeout{900};
 // How many times a write that conflicted with another row is repeated.
 constexpr unsigned k_max_conflict_retries = 3;
-// A write that the store rejected as unavailable is repeated after a delay that doubles from the
+// A write that the store rejected or did not answer is repeated after a delay that doubles from the
 // first to the second value.
 constexpr std::chrono::milliseconds k_first_retry_delay{60};
 constexpr std::chrono::milliseconds k_max_retry_delay{480};
+// A write without a reply is repeated until this long before the deadline. The rest is for the
+// refusal mark, which a store that is sixty times slower answers in 240 ms.
+constexpr std::chrono::milliseconds k_mark_time{300};
 
 // Stores one submission, or a refusal in its place, and determines the outcome.
 class acceptance : public std::enable_shared_from_this<acceptance>
@@ -43,13 +46,16 @@
         m_key(job_key(job.id)),
         m_text(jobs::to_row_text(job)),
         m_deadline(deadline),
+        m_write_end(deadline - k_mark_time),
         m_done(std::move(done))
   {
   }
 
   void write()
   {
-    put(m_text, [self = shared_from_this()](const adapter::transaction_result& result)
+    m_sent_at = m_time.now();
+    put(m_text, m_unanswered ? m_write_end : m_deadline,
+        [self = shared_from_this()](const adapter::transaction_result& result)
         { self->on_written(result); });
   }
 
@@ -62,13 +68,14 @@
   }
 
 private:
-  void put(const std::string& text, std::function<void(adapter::transaction_result)> done)
+  // `end`: when the reply is no longer waited for.
+  void put(const std::string& text, common::time_point end,
+           std::function<void(adapter::transaction_result)> done)
   {
     adapter::transaction change;
     change.conditions.push_back({m_key, m_expected});
     change.puts.push_back({m_key, text});
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - m_time.now());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - m_time.now());
     m_store.transact(change, std::min(k_write_timeout, left), std::move(done));
   }
 
@@ -83,7 +90,13 @@
       on_conflict(result);
       return;
     case adapter::store_outcome::unavailable:
-      retry_write(result.detail);
+      m_detail = "the store is not available: " + result.detail;
+      retry_write();
+      return;
+    case adapter::store_outcome::unclear:
+      m_unanswered = true;
+      m_detail = "the store did not answer: " + result.detail;
+      retry_write();
       return;
     default:
       m_detail = "the store did not answer: " + result.detail;
@@ -91,19 +104,44 @@
     }
   }
 
-  // Repeats the write until the deadline: the store may become available at any moment. After that
-  // the outcome is unknown and not a refusal, since only this call is known not to have stored the
-  // job; writes of earlier calls may still be queued at the store.
-  void retry_write(const std::string& detail)
+  // Repeats the write, with the same condition and content: of all copies, including those that the
+  // store carries out late, at most one takes effect.
+  void retry_write()
   {
-    const common::duration delay = m_retry_delay;
+    if (m_unanswered)
+      retry_unanswered_write();
+    else
+      retry_rejected_write();
+  }
+
+  // No write of this call can take effect any more. The outcome is unknown all the same at the
+  // deadline, and not a refusal: writes of earlier calls may still be queued at the store.
+  void retry_rejected_write()
+  {
+    const common::duration delay = next_retry_delay();
     if (m_time.now() + delay >= m_deadline)
-    {
-      m_done({accept_outcome::unknown, "the store is not available: " + detail, false, 0});
-      return;
-    }
+      m_done({accept_outcome::unknown, m_detail, false, 0});
+    else
+      run_after(delay, [this] { write(); });
+  }
+
+  // Repeats the write as long as there is time for the refusal mark after it. A write that timed
+  // out may still be on its way through a full link, so the next one waits for as long again.
+  void retry_unanswered_write()
+  {
+    const common::duration left = m_write_end - m_time.now() - k_first_retry_delay;
+    if (left < k_first_retry_delay)
+      confirm_refusal();
+    else
+      run_after(std::min(std::max(next_retry_delay(), m_time.now() - m_sent_at), left),
+                [this] { write(); });
+  }
+
+  common::duration next_retry_delay()
+  {
+    const common::duration delay = m_retry_delay;
     m_retry_delay = std::min(2 * m_retry_delay, k_max_retry_delay);
-    run_after(delay, [this] { write(); });
+    return delay;
   }
 
   // Another row is present: the same job, or a refusal mark. A mark that was present before the
@@ -121,7 +159,8 @@
     }
     if (present->value != k_refused_text)
     {
-      m_done({accept_outcome::accepted, "the id was there already", false, present->version});
+      m_done({accept_outcome::accepted, "the id was there already",
+              m_unanswered && present->value == m_text, present->version});
       return;
     }
     if (present->version > m_known_version)
@@ -135,15 +174,19 @@
 
   void retry_after_conflict()
   {
-    if (++m_conflicts <= k_max_conflict_retries)
-      write();
-    else
+    if (++m_conflicts > k_max_conflict_retries)
       m_done({accept_outcome::unknown, "the row keeps changing", false, 0});
+    else if (m_unanswered && m_write_end - m_time.now() < k_first_retry_delay)
+      confirm_refusal();
+    else
+      write();
   }
 
-  // The write may have been carried out or may be later, and so may those of other calls for the
-  // same id. A refusal is true only once this call has written its mark to the row: the condition
-  // of every earlier write fails from then on.
+  // Any of the writes may have been carried out or may be later, and so may those of other calls
+  // for the same id. A refusal is true only once this call has written its mark to the row: the
+  // condition of every earlier write fails from then on, whether it requires that there is no row
+  // or the version of a mark that has been replaced since. So the job is never written after the
+  // first attempt to write the mark.
   void confirm_refusal()
   {
     if (m_time.now() + k_first_retry_delay >= m_deadline)
@@ -151,7 +194,8 @@
       m_done({accept_outcome::unknown, m_detail, false, 0});
       return;
     }
-    put(k_refused_text, [self = shared_from_this()](const adapter::transaction_result& result)
+    put(k_refused_text, m_deadline,
+        [self = shared_from_this()](const adapter::transaction_result& result)
         { self->on_refusal_written(result); });
   }
 
@@ -192,11 +236,15 @@
   adapter::row_key m_key;
   std::string m_text;
   common::time_point m_deadline;
+  common::time_point m_write_end; // of writes that repeat one without a reply
   std::function<void(accept_result)> m_done;
   adapter::row_version m_expected = 0;
   unsigned m_conflicts = 0;
   std::chrono::milliseconds m_retry_delay = k_first_retry_delay;
   std::string m_detail; // reason for the refusal, if the job is refused
+  // A write had no reply: it may have been carried out, or may be later.
+  bool m_unanswered = false;
+  common::time_point m_sent_at{}; // the latest write
   // Whether a job found in the row may have been stored by this call.
   bool m_may_be_own_row = true;
 };
--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -12,6 +12,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Common/Json.h"
 #include "Model/StoreModel.h"
 #include "Model/VirtualTime.h"
 #include "Node/JobStore.h"
@@ -23,17 +24,19 @@
   answered,
   answer_lost,
   lost,
-  held, // not carried out before carry_out_held(), and never answered
-  turned_away
+  timed_out, // lost, which is known only after the call's timeout
+  held,      // not carried out before carry_out_held(), and never answered
+  turned_away,
+  invalid // rejected with status 400
 };
 
-// A store model that applies the next of `fates` to each call; when none is left, calls are
-// answered.
+// A store model that applies the next of `fates` to each call. When none is left, calls are
+// answered, except that `job_writes` applies to writes of a job's row other than refusal marks.
 struct scripted_store : http::request_sender
 {
-  explicit scripted_store(model::virtual_time& time) : store(time) {}
+  explicit scripted_store(model::virtual_time& clock) : time(clock), store(clock) {}
 
-  void send(http::request call, common::duration, http::reply_handler done) override
+  void send(http::request call, common::duration timeout, http::reply_handler done) override
   {
     ++calls;
     fate next = fate::answered;
@@ -42,6 +45,10 @@
       next = fates.front();
       fates.pop_front();
     }
+    else if (call.verb == http::method::post && !is_mark(call))
+    {
+      next = job_writes;
+    }
     switch (next)
     {
     case fate::answered:
@@ -53,23 +60,36 @@
     case fate::lost:
       done({0, {}, "lost", false});
       return;
+    case fate::timed_out:
+      time.schedule(timeout, [done] { done({0, {}, "no answer in time", false}); });
+      return;
     case fate::held:
       held.push_back(std::move(call));
       done({0, {}, "no answer in time", false});
       return;
     case fate::turned_away:
       done({503, {}, {}, false});
+      return;
+    case fate::invalid:
+      done({400, {}, {}, false});
     }
   }
 
+  static bool is_mark(const http::request& call)
+  {
+    return call.body.find('"' + common::to_base64("refused") + '"') != std::string::npos;
+  }
+
   void carry_out_held()
   {
     for (const http::request& each : std::exchange(held, {}))
       store.handle(each, [](const http::reply&) {});
   }
 
+  model::virtual_time& time;
   model::store_model store;
   std::deque<fate> fates;
+  fate job_writes = fate::answered;
   std::deque<http::request> held;
   int calls = 0;
 };
@@ -84,24 +104,28 @@
   std::optional<accept_result> got;
   std::string home = "cell";
 
-  void accept(std::deque<fate> fates)
+  // The timeout of a caller that leaves time for one write and the refusal mark, but not for a
+  // second write.
+  static constexpr std::chrono::milliseconds k_one_write{350};
+
+  void accept(std::deque<fate> fates, std::chrono::milliseconds timeout = std::chrono::seconds{3})
   {
     got.reset();
     wire.fates = std::move(fates);
-    submit([this](const accept_result& result) { got = result; });
+    submit([this](const accept_result& result) { got = result; }, timeout);
     time.run_until(time.now() + std::chrono::seconds{4});
     BOOST_TEST_REQUIRE(got.has_value());
   }
 
-  void submit(std::function<void(const accept_result&)> done)
+  void submit(std::function<void(const accept_result&)> done,
+              std::chrono::milliseconds timeout = std::chrono::seconds{3})
   {
     jobs::accepted_job job;
     job.id = "0123456789abcdef";
     job.queue = "queue";
     job.home = home;
     job.spec.steps.emplace_back();
-    jobs.accept(job, jobs.newest_known_version(), time.now() + std::chrono::seconds{3},
-                std::move(done));
+    jobs.accept(job, jobs.newest_known_version(), time.now() + timeout, std::move(done));
   }
 
   bool kept()
--- a/Source/UnitTests/Node/LateRefusalTest.cpp
+++ b/Source/UnitTests/Node/LateRefusalTest.cpp
@@ -26,9 +26,9 @@
   // from there; kept() does such a read.
   two_tries() { BOOST_TEST_REQUIRE(!kept()); }
 
-  void submit_job(std::optional<accept_result>& end)
+  void submit_job(std::optional<accept_result>& end, milliseconds timeout = std::chrono::seconds{3})
   {
-    submit([&end](const accept_result& result) { end = result; });
+    submit([&end](const accept_result& result) { end = result; }, timeout);
   }
 
   void run_for(milliseconds span) { time.run_until(time.now() + span); }
@@ -45,7 +45,7 @@
   wire.fates = {fate::turned_away, fate::lost};
   submit_job(first);
   run_for(milliseconds{20});
-  submit_job(second);
+  submit_job(second, k_one_write);
   run_for(milliseconds{20});
   BOOST_TEST_REQUIRE(second.has_value());
   BOOST_TEST_REQUIRE((second->end == accept_outcome::refused));
@@ -59,7 +59,7 @@
 BOOST_FIXTURE_TEST_CASE(a_call_that_came_after_the_refusal_replaces_its_mark, two_tries)
 {
   wire.fates = {fate::lost};
-  submit_job(second);
+  submit_job(second, k_one_write);
   run_for(milliseconds{20});
   BOOST_TEST_REQUIRE(second.has_value());
   BOOST_TEST_REQUIRE((second->end == accept_outcome::refused));
--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -194,14 +194,14 @@
 // The mark of an earlier refusal may be about to be replaced by a write that is still in flight.
 BOOST_FIXTURE_TEST_CASE(a_refusal_mark_of_another_call_does_not_settle_the_outcome, accepting)
 {
-  accept({fate::lost}); // refused: the refusal mark is written
+  accept({fate::lost}, k_one_write); // refused: the refusal mark is written
   BOOST_TEST_REQUIRE((got->end == node::accept_outcome::refused));
   std::deque<fate> fates(60, fate::turned_away);
   fates.push_front(fate::held);
   fates.push_front(fate::answered); // it finds the mark; its next write is in flight for long
   accept(std::move(fates));
   BOOST_TEST_REQUIRE(wire.held.size() == 1U);
-  accept({fate::lost});
+  accept({fate::lost}, k_one_write);
   const bool refused = got->end == node::accept_outcome::refused;
   wire.carry_out_held();
   BOOST_TEST((!refused || !kept()));
@@ -215,7 +215,7 @@
   std::optional<node::accept_result> first;
   submit([&first](const node::accept_result& result) { first = result; });
   std::optional<node::accept_result> second;
-  submit([&second](const node::accept_result& result) { second = result; });
+  submit([&second](const node::accept_result& result) { second = result; }, k_one_write);
   time.run_until(time.now() + seconds{4});
   BOOST_TEST_REQUIRE((second && second->end == node::accept_outcome::refused));
   BOOST_TEST_REQUIRE(first.has_value());
@@ -236,7 +236,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_refused_job_may_be_submitted_again, accepting)
 {
-  accept({fate::lost});
+  accept({fate::lost}, k_one_write);
   BOOST_TEST_REQUIRE((got->end == node::accept_outcome::refused));
   accept({});
   BOOST_TEST((got->end == node::accept_outcome::accepted));
