Node: The path to the store can be probed more often while callers wait

Cause: while direct calls fail, the path is probed every 500 ms, and callers, who wait for 3,000 ms at most, lose up to that time after the store is back. Change: while callers wait, the period is 150 ms, for 40 probes per outage (6 s); after these it is 500 ms again. The path reports when direct calls begin to fail and when they succeed again. Tests: StorePathTest has the period with and without waiting callers, the bound, and that each change is reported once.

--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -18,6 +18,11 @@
 // How often the store is probed directly while direct calls fail, and how long a probe may take.
 constexpr std::chrono::milliseconds k_probe_period{500};
 constexpr std::chrono::milliseconds k_probe_timeout{450};
+// The period while callers wait, whose deadlines are at most 3 s away.
+constexpr std::chrono::milliseconds k_frequent_probe_period{150};
+// How many probes an outage may have at that period, which is enough for 6 s. Each call to the
+// store is paid for: 40 instances send 1,600 such probes at most.
+constexpr unsigned k_max_frequent_probes = 40;
 // Subtracted from a relayed call's timeout to cover the round trip to the peer.
 constexpr std::chrono::milliseconds k_relay_round_trip{50};
 // A healthy store answers in 4 ms. If a call has had no reply for this long, a peer may have a
@@ -75,6 +80,8 @@
     common::log_process("store_heard", {{"silent_ms", m_time.now() - *m_direct_failing_since}});
     m_direct_failing_since.reset();
     m_direct_restored_at = m_time.now();
+    if (m_events.restored)
+      m_events.restored();
     return;
   }
   // If the store has answered since this call began, only this call's reply was lost.
@@ -87,7 +94,10 @@
 {
   m_direct_failing_since = m_time.now();
   m_last_probe = *m_direct_failing_since;
+  m_frequent_probes = 0;
   common::log_process("store_lost", {{"status", status}, {"failure", failure}});
+  if (m_events.lost)
+    m_events.lost();
 }
 
 void store_path::record_too_many_requests(common::time_point began)
@@ -272,9 +282,18 @@
   for (const http::reply_handler& done : overdue)
     done({0, {}, "the peer that relays the call did not answer", false});
   copy_overdue_calls();
-  if (!m_direct_failing_since || now - m_last_probe < k_probe_period)
+  if (m_direct_failing_since)
+    probe(now);
+}
+
+void store_path::probe(common::time_point now)
+{
+  const bool frequent = m_callers_waiting && m_frequent_probes < k_max_frequent_probes;
+  if (now - m_last_probe < (frequent ? k_frequent_probe_period : k_probe_period))
     return;
   m_last_probe = now;
+  if (frequent)
+    ++m_frequent_probes;
   send_directly(m_probe, k_probe_timeout, [](const http::reply&) {});
 }
 
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
@@ -22,6 +23,12 @@
 
 namespace yardhill::node
 {
+struct store_path_events
+{
+  std::function<void()> lost;     // direct calls begin to fail
+  std::function<void()> restored; // direct calls succeed again
+};
+
 class store_path : public http::request_sender
 {
 public:
@@ -39,6 +46,10 @@
   // Sends the call directly in any case; its outcome updates the state of the direct path.
   void send_directly(http::request call, common::duration timeout, http::reply_handler done);
 
+  void set_events(store_path_events events) { m_events = std::move(events); }
+  // Whether callers wait until the store answers again. The direct path is then probed more often.
+  void set_callers_waiting(bool waiting) { m_callers_waiting = waiting; }
+
   void peer_unreachable(const std::string& peer);
   void on_request(const std::string& peer, const common::relay_request& request);
   void on_reply(const std::string& peer, const common::relay_reply& reply);
@@ -81,6 +92,7 @@
   void mark_failing(unsigned status, const std::string& failure);
   void on_direct_reply(std::uint64_t number, http::reply answer);
   void copy_overdue_calls();
+  void probe(common::time_point now);
   void relay(http::request call, common::duration timeout, http::reply_handler done);
 
   common::timekeeper& m_time;
@@ -90,6 +102,9 @@
   sender m_send_to_peer;
   std::optional<common::time_point> m_direct_failing_since;
   common::time_point m_last_probe{};
+  store_path_events m_events;
+  bool m_callers_waiting = false;
+  unsigned m_frequent_probes = 0; // since direct calls have been failing
   unsigned m_too_many_requests =
       0; // replies of status 429 in a row, since m_too_many_requests_since
   common::time_point m_too_many_requests_since{};
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -238,6 +238,68 @@
   BOOST_TEST(!path.direct_failing_since().has_value());
 }
 
+// Guards against callers who wait for half a second although the store is back.
+BOOST_FIXTURE_TEST_CASE(a_silent_store_is_probed_more_often_while_callers_wait, path_under_test)
+{
+  call(http::method::post);
+  direct.answer(k_reset);
+  path.set_callers_waiting(true);
+  pass(milliseconds{125});
+  BOOST_TEST(direct.calls.empty());
+  pass(milliseconds{25});
+  BOOST_TEST_REQUIRE(direct.calls.size() == 1U);
+  BOOST_TEST(direct.calls.front().call.target == "/probe");
+  pass(milliseconds{150});
+  BOOST_TEST(direct.calls.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_usual_probe_period_is_in_force_while_no_caller_waits, path_under_test)
+{
+  call(http::method::post);
+  direct.answer(k_reset);
+  pass(milliseconds{475});
+  BOOST_TEST(direct.calls.empty());
+  pass(milliseconds{25});
+  BOOST_TEST(direct.calls.size() == 1U);
+}
+
+// Guards against unbounded costs: each call to the store is paid for.
+BOOST_FIXTURE_TEST_CASE(the_frequent_probes_of_an_outage_are_bounded, path_under_test)
+{
+  call(http::method::post);
+  direct.answer(k_reset);
+  path.set_callers_waiting(true);
+  pass(std::chrono::seconds{6});
+  BOOST_TEST(direct.calls.size() == 40U);
+  pass(std::chrono::seconds{10});
+  BOOST_TEST(direct.calls.size() == 60U);
+  direct.answer(k_ok);
+  // The next outage has the same bound.
+  call(http::method::post);
+  std::swap(direct.calls.front(), direct.calls.back());
+  direct.answer(k_reset);
+  const std::size_t before = direct.calls.size();
+  pass(milliseconds{150});
+  BOOST_TEST(direct.calls.size() == before + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(each_change_of_the_direct_path_is_reported_once, path_under_test)
+{
+  int lost = 0;
+  int restored = 0;
+  path.set_events({[&lost] { ++lost; }, [&restored] { ++restored; }});
+  call(http::method::post);
+  call(http::method::post);
+  direct.answer(k_reset);
+  direct.answer(k_reset);
+  BOOST_TEST(lost == 1);
+  pass(milliseconds{500});
+  BOOST_TEST(restored == 0);
+  direct.answer(k_ok);
+  BOOST_TEST(lost == 1);
+  BOOST_TEST(restored == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_peer_without_a_path_refuses_to_relay, path_under_test)
 {
   call(http::method::post);
