Node: Waiting submissions are written as soon as the store answers again, by urgency

Cause: a submission whose write failed during an outage waited for its retry time, up to 480 ms after the store was back, and all waiting submissions went out in any order. Outside of outages each has its own retry time, as before. A submission whose time runs out is released at once. A rejected submission now waits until 60 ms before its deadline while the store does not answer.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -17,21 +17,22 @@
 namespace
 {
 constexpr auto k_counter_names = std::to_array<std::string_view>({
-    "requests",          "answers",
-    "tasks_accepted",    "tasks_done",
-    "tasks_failed",      "attempts_started",
-    "preemptions",       "takeovers",
-    "handovers",         "owner_lost",
-    "store_reads",       "store_feeds",
-    "store_writes",      "store_rows_written",
-    "store_bytes",       "peer_messages",
-    "peer_bytes",        "bad_frames",
-    "late_answers",      "worker_calls",
-    "circuits_opened",   "config_changes",
-    "entries_invalid",   "workers_crashed",
-    "workers_restarted", "tasks_given_up",
-    "holds_sent",        "starts_sent",
-    "stops_sent",        "process_cpu_ms",
+    "requests",           "answers",
+    "tasks_accepted",     "tasks_done",
+    "tasks_failed",       "attempts_started",
+    "preemptions",        "takeovers",
+    "handovers",          "owner_lost",
+    "store_reads",        "store_feeds",
+    "store_writes",       "store_rows_written",
+    "store_bytes",        "peer_messages",
+    "peer_bytes",         "bad_frames",
+    "late_answers",       "worker_calls",
+    "circuits_opened",    "config_changes",
+    "entries_invalid",    "workers_crashed",
+    "workers_restarted",  "tasks_given_up",
+    "holds_sent",         "starts_sent",
+    "stops_sent",         "process_cpu_ms",
+    "submissions_waited", "waited_submissions_stored",
 });
 static_assert(k_counter_names.size() == static_cast<std::size_t>(counter::count));
 
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -51,6 +51,8 @@
   starts_sent,
   stops_sent,
   process_cpu_ms,
+  submissions_waited,
+  waited_submissions_stored,
   count
 };
 
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -275,7 +275,7 @@
   const common::time_point deadline = call->received + call->timeout - k_answer_margin;
   if (refuse_if_overloaded(call, job, deadline))
     return;
-  m_store.accept(job, call->known_version, deadline,
+  m_store.accept(job, call->route->policy.priority, call->known_version, deadline,
                  [this, call, job](const accept_result& result)
                  { on_accepted(call, job, result); });
 }
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -37,11 +37,14 @@
 {
 public:
   // `known_version`: a store version from when the submission arrived.
-  acceptance(common::timekeeper& time, adapter::store_client& store,
-             adapter::row_version known_version, const jobs::accepted_job& job,
-             common::time_point deadline, std::function<void(accept_result)> done)
+  acceptance(common::timekeeper& time, adapter::store_client& store, submission_retries& retries,
+             std::uint32_t priority, adapter::row_version known_version,
+             const jobs::accepted_job& job, common::time_point deadline,
+             std::function<void(accept_result)> done)
       : m_time(time),
         m_store(store),
+        m_retries(retries),
+        m_priority(priority),
         m_known_version(known_version),
         m_key(job_key(job.id)),
         m_text(jobs::to_row_text(job)),
@@ -68,6 +71,20 @@
   }
 
 private:
+  void finish(const accept_result& result)
+  {
+    if (m_ticket)
+      m_retries.remove(*m_ticket, result.end == accept_outcome::accepted);
+    m_done(result);
+  }
+
+  void write_later(common::time_point retry_at, common::time_point latest)
+  {
+    if (!m_ticket)
+      m_ticket = m_retries.add(m_priority);
+    m_retries.wait(*m_ticket, retry_at, latest, [self = shared_from_this()] { self->write(); });
+  }
+
   // `end`: when the reply is no longer waited for.
   void put(const std::string& text, common::time_point end,
            std::function<void(adapter::transaction_result)> done)
@@ -84,7 +101,7 @@
     switch (result.end)
     {
     case adapter::store_outcome::done:
-      m_done({accept_outcome::accepted, {}, true, result.version});
+      finish({accept_outcome::accepted, {}, true, result.version});
       return;
     case adapter::store_outcome::conflict:
       on_conflict(result);
@@ -118,23 +135,28 @@
   // deadline, and not a refusal: writes of earlier calls may still be queued at the store.
   void retry_rejected_write()
   {
-    const common::duration delay = next_retry_delay();
-    if (m_time.now() + delay >= m_deadline)
-      m_done({accept_outcome::unknown, m_detail, false, 0});
+    const common::time_point now = m_time.now();
+    const common::time_point latest = m_deadline - k_first_retry_delay;
+    const common::time_point retry_at = now + next_retry_delay();
+    // While the store does not answer, the retry may come before its time.
+    if (m_retries.store_failing() && now < latest)
+      write_later(retry_at, latest);
+    else if (retry_at < m_deadline)
+      write_later(retry_at, std::max(retry_at, latest));
     else
-      run_after(delay, [this] { write(); });
+      finish({accept_outcome::unknown, m_detail, false, 0});
   }
 
   // Repeats the write as long as there is time for the refusal mark after it. A write that timed
   // out may still be on its way through a full link, so the next one waits for as long again.
   void retry_unanswered_write()
   {
-    const common::duration left = m_write_end - m_time.now() - k_first_retry_delay;
-    if (left < k_first_retry_delay)
+    const common::time_point now = m_time.now();
+    const common::time_point latest = m_write_end - k_first_retry_delay;
+    if (latest - now < k_first_retry_delay)
       confirm_refusal();
     else
-      run_after(std::min(std::max(next_retry_delay(), m_time.now() - m_sent_at), left),
-                [this] { write(); });
+      write_later(now + std::max(next_retry_delay(), now - m_sent_at), latest);
   }
 
   common::duration next_retry_delay()
@@ -159,13 +181,13 @@
     }
     if (present->value != k_refused_text)
     {
-      m_done({accept_outcome::accepted, "the id was there already",
+      finish({accept_outcome::accepted, "the id was there already",
               m_unanswered && present->value == m_text, present->version});
       return;
     }
     if (present->version > m_known_version)
     {
-      m_done({accept_outcome::unknown, "another call for it was refused meanwhile", false, 0});
+      finish({accept_outcome::unknown, "another call for it was refused meanwhile", false, 0});
       return;
     }
     m_expected = present->version;
@@ -175,7 +197,7 @@
   void retry_after_conflict()
   {
     if (++m_conflicts > k_max_conflict_retries)
-      m_done({accept_outcome::unknown, "the row keeps changing", false, 0});
+      finish({accept_outcome::unknown, "the row keeps changing", false, 0});
     else if (m_unanswered && m_write_end - m_time.now() < k_first_retry_delay)
       confirm_refusal();
     else
@@ -191,7 +213,7 @@
   {
     if (m_time.now() + k_first_retry_delay >= m_deadline)
     {
-      m_done({accept_outcome::unknown, m_detail, false, 0});
+      finish({accept_outcome::unknown, m_detail, false, 0});
       return;
     }
     put(k_refused_text, m_deadline,
@@ -203,7 +225,7 @@
   {
     if (result.end == adapter::store_outcome::done)
     {
-      m_done({accept_outcome::refused, m_detail, false, 0, row_evidence::marked});
+      finish({accept_outcome::refused, m_detail, false, 0, row_evidence::marked});
       return;
     }
     if (result.end != adapter::store_outcome::conflict)
@@ -217,7 +239,7 @@
     // The row may be an earlier submission's, even of a job that has ended since.
     if (stored != result.conflicting.end())
     {
-      m_done({accept_outcome::accepted, "settled by reading it back",
+      finish({accept_outcome::accepted, "settled by reading it back",
               m_may_be_own_row && stored->value == m_text, stored->version});
       return;
     }
@@ -232,6 +254,9 @@
 
   common::timekeeper& m_time;
   adapter::store_client& m_store;
+  submission_retries& m_retries;
+  std::uint32_t m_priority;                           // of the job's queue
+  std::optional<submission_retries::ticket> m_ticket; // once a write has failed
   adapter::row_version m_known_version;
   adapter::row_key m_key;
   std::string m_text;
@@ -302,8 +327,8 @@
 }
 
 job_store::job_store(common::timekeeper& time, adapter::store_client& store,
-                     const adapter::store_client& feed_store)
-    : m_time(time), m_store(store), m_feed_store(feed_store)
+                     const adapter::store_client& feed_store, common::metrics& counts)
+    : m_time(time), m_store(store), m_feed_store(feed_store), m_retries(time, counts)
 {
 }
 
@@ -312,10 +337,12 @@
   return std::max(m_store.newest_row_version(), m_feed_store.newest_row_version());
 }
 
-void job_store::accept(const jobs::accepted_job& job, adapter::row_version known_version,
-                       common::time_point deadline, std::function<void(accept_result)> done)
+void job_store::accept(const jobs::accepted_job& job, std::uint32_t priority,
+                       adapter::row_version known_version, common::time_point deadline,
+                       std::function<void(accept_result)> done)
 {
-  std::make_shared<acceptance>(m_time, m_store, known_version, job, deadline, std::move(done))
+  std::make_shared<acceptance>(m_time, m_store, m_retries, priority, known_version, job, deadline,
+                               std::move(done))
       ->write();
 }
 
@@ -324,7 +351,8 @@
 {
   jobs::accepted_job job;
   job.id = id;
-  std::make_shared<acceptance>(m_time, m_store, newest_known_version(), job, deadline,
+  // The priority is not used: only submissions wait.
+  std::make_shared<acceptance>(m_time, m_store, m_retries, 0, newest_known_version(), job, deadline,
                                std::move(done))
       ->refuse(why);
 }
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -20,6 +20,7 @@
 #include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
+#include "Node/SubmissionRetries.h"
 #include "platform/StoreClient.h"
 
 namespace yardhill::node
@@ -97,14 +98,15 @@
 public:
   // `feed_store`: its replies also show how new the store's rows are.
   job_store(common::timekeeper& time, adapter::store_client& store,
-            const adapter::store_client& feed_store);
+            const adapter::store_client& feed_store, common::metrics& counts);
 
   // The newest store version known here; it is not newer than the present moment.
   adapter::row_version newest_known_version() const;
-  // Stores the job; `done` is called by `deadline`. `known_version`: a store version from when the
-  // submission arrived.
-  void accept(const jobs::accepted_job& job, adapter::row_version known_version,
-              common::time_point deadline, std::function<void(accept_result)> done);
+  // Stores the job; `done` is called by `deadline`. `priority`: of the job's queue.
+  // `known_version`: a store version from when the submission arrived.
+  void accept(const jobs::accepted_job& job, std::uint32_t priority,
+              adapter::row_version known_version, common::time_point deadline,
+              std::function<void(accept_result)> done);
   // Writes a refusal mark for the job, unless the job is already stored. `why` is the reason given
   // in the result.
   void refuse(const std::string& id, const std::string& why, common::time_point deadline,
@@ -116,9 +118,16 @@
   void state(const std::string& partition, const std::string& id, common::duration timeout,
              std::function<void(written_state)> done);
 
+  // Called when the store stops answering this instance, and when it answers again.
+  void store_lost() { m_retries.store_lost(); }
+  void store_restored(std::size_t instances) { m_retries.store_restored(instances); }
+  // Whether submissions wait for another write.
+  bool submissions_waiting() const { return !m_retries.empty(); }
+
 private:
   common::timekeeper& m_time;
   adapter::store_client& m_store;
   const adapter::store_client& m_feed_store;
+  submission_retries m_retries;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -58,7 +58,7 @@
       m_configuration(environment.time, m_operator_feed, m_store_path, m_queues,
                       settings.configuration_limit),
       m_layout(environment.time, m_store, settings.partitions),
-      m_jobs(environment.time, m_store, m_feed_store),
+      m_jobs(environment.time, m_store, m_feed_store, environment.metrics),
       m_states(environment.time, environment.send_to_peer, m_partitions),
       m_gateway(environment.time, m_jobs, m_states, m_store_path, m_queues, m_configuration,
                 m_capacities, m_layout, m_partitions, environment.metrics),
@@ -80,6 +80,8 @@
                     true})
 {
   m_reported_strength = m_processor_millis;
+  m_store_path.set_events(
+      {[this] { m_jobs.store_lost(); }, [this] { m_jobs.store_restored(m_peers.count() + 1); }});
 }
 
 node_core::~node_core() = default;
@@ -109,6 +111,7 @@
   fetch_configuration();
   m_environment.metrics.set(common::gauge::partitions_owned, owns_any() ? 1 : 0);
   m_advice.tick(now);
+  m_store_path.set_callers_waiting(m_jobs.submissions_waiting());
   m_store_path.tick(now);
   m_states.tick(now);
   m_peers.tick(now, owns_any(), m_store_path.in_doubt());
--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -70,7 +70,7 @@
 
   node::table_feed feed{time, store, "operator", {""}, {ignore, ignore, {}, {}, false}};
   node::configuration_watch configuration{time, feed, path, queues, seconds{5}};
-  node::job_store jobs{time, store, store};
+  node::job_store jobs{time, store, store, metrics};
   std::vector<std::unique_ptr<node::partition_owner>> partitions;
   node::layout_manager keeper{time, store, 0};
   node::job_state_queries states{time, [](const std::string&, const common::peer_message&) {},
--- a/Source/UnitTests/Node/JobStoreHarness.h
+++ b/Source/UnitTests/Node/JobStoreHarness.h
@@ -100,7 +100,7 @@
   common::metrics metrics;
   scripted_store wire{time};
   adapter::store_client client{wire, metrics};
-  job_store jobs{time, client, client};
+  job_store jobs{time, client, client, metrics};
   std::optional<accept_result> got;
   std::string home = "cell";
 
@@ -125,7 +125,7 @@
     job.queue = "queue";
     job.home = home;
     job.spec.steps.emplace_back();
-    jobs.accept(job, jobs.newest_known_version(), time.now() + timeout, std::move(done));
+    jobs.accept(job, 0, jobs.newest_known_version(), time.now() + timeout, std::move(done));
   }
 
   bool kept()
--- a/Source/UnitTests/Node/JobStoreTest.cpp
+++ b/Source/UnitTests/Node/JobStoreTest.cpp
@@ -206,6 +206,90 @@
   BOOST_TEST(!got->first);
 }
 
+namespace
+{
+// The store rejects or does not answer any write of a job, until it answers again after `outage`.
+struct waiting_for_store : accepting
+{
+  std::optional<std::chrono::milliseconds> waited; // from the end of the outage to the result
+
+  void accept_during_outage(fate each, std::chrono::milliseconds outage)
+  {
+    wire.job_writes = each;
+    jobs.store_lost();
+    const common::time_point end = time.now() + outage;
+    submit(
+        [this, end](const node::accept_result& result)
+        {
+          got = result;
+          waited = std::chrono::duration_cast<std::chrono::milliseconds>(time.now() - end);
+        });
+    time.run_until(end);
+    BOOST_TEST_REQUIRE(!got.has_value());
+    BOOST_TEST(jobs.submissions_waiting());
+    wire.job_writes = fate::answered;
+    jobs.store_restored(40);
+    time.run_until(end + std::chrono::seconds{4});
+    BOOST_TEST_REQUIRE(got.has_value());
+    BOOST_TEST(!jobs.submissions_waiting());
+  }
+};
+} // namespace
+
+// Guards against submissions that wait for their retry time although the store is back.
+BOOST_FIXTURE_TEST_CASE(a_reset_write_is_repeated_as_soon_as_the_store_answers, waiting_for_store)
+{
+  accept_during_outage(fate::lost, std::chrono::milliseconds{1000}); // its retry is due at 1,380 ms
+  BOOST_TEST((got->end == node::accept_outcome::accepted));
+  BOOST_TEST(got->first);
+  BOOST_TEST((*waited == std::chrono::milliseconds{0}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_rejected_write_is_repeated_as_soon_as_the_store_answers,
+                        waiting_for_store)
+{
+  accept_during_outage(fate::turned_away, std::chrono::milliseconds{1000});
+  BOOST_TEST((got->end == node::accept_outcome::accepted));
+  BOOST_TEST((*waited == std::chrono::milliseconds{0}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_that_timed_out_is_repeated_as_soon_as_the_store_answers,
+                        waiting_for_store)
+{
+  accept_during_outage(fate::timed_out, std::chrono::milliseconds{1000});
+  BOOST_TEST((got->end == node::accept_outcome::accepted));
+  BOOST_TEST((*waited == std::chrono::milliseconds{0}));
+}
+
+// The last retry time before the deadline is 2,820 ms after the first write.
+BOOST_FIXTURE_TEST_CASE(a_rejected_submission_waits_for_the_store_until_its_deadline,
+                        waiting_for_store)
+{
+  accept_during_outage(fate::turned_away, std::chrono::milliseconds{2900});
+  BOOST_TEST((got->end == node::accept_outcome::accepted));
+  BOOST_TEST((*waited == std::chrono::milliseconds{0}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_submission_ends_by_its_deadline_though_the_store_does_not_answer,
+                        accepting)
+{
+  jobs.store_lost();
+  const common::time_point begin = time.now();
+  common::time_point end{};
+  wire.job_writes = fate::turned_away;
+  submit(
+      [this, &end](const node::accept_result& result)
+      {
+        got = result;
+        end = time.now();
+      });
+  time.run_until(begin + std::chrono::seconds{4});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST((got->end == node::accept_outcome::unknown));
+  BOOST_TEST((end - begin < std::chrono::seconds{3}));
+  BOOST_TEST(!jobs.submissions_waiting());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_submission_is_stored_as_soon_as_the_store_accepts_it, accepting)
 {
   accept({fate::turned_away, fate::turned_away, fate::turned_away, fate::turned_away});
--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -183,6 +183,22 @@
   BOOST_TEST(got->status == 200U);
 }
 
+// Guards against refusals of jobs that arrive shortly before the store is back, and against waits
+// for a retry time after that: the path was probed every 500 ms.
+BOOST_FIXTURE_TEST_CASE(a_submission_is_accepted_shortly_after_the_store_is_back, refusing)
+{
+  for (std::size_t i = 0; i < cell.instances().size(); ++i)
+    disconnect(i, "store");
+  run_for(milliseconds{2000});
+  submit(0);
+  run_for(milliseconds{1900});
+  BOOST_TEST_REQUIRE(!got.has_value());
+  cell.network().troubles.cuts.clear();
+  run_for(milliseconds{200});
+  BOOST_TEST_REQUIRE(got.has_value());
+  BOOST_TEST(got->status == 200U);
+}
+
 BOOST_FIXTURE_TEST_CASE(rejected_writes_do_not_show_whether_the_job_is_stored, accepting)
 {
   accept({});
