Node: A submission without an outcome names the write that had no reply

Cause: rejections after a write without a reply replaced the reason in the answer, so that a 504 no longer told which write is in doubt. Change: that reason stays. JobStoreTest has the case.

--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -107,7 +107,8 @@
       on_conflict(result);
       return;
     case adapter::store_outcome::unavailable:
-      m_detail = "the store is not available: " + result.detail;
+      if (!m_unanswered)
+        m_detail = "the store is not available: " + result.detail;
       retry_write();
       return;
     case adapter::store_outcome::unclear:
--- a/Source/UnitTests/Node/JobStoreTest.cpp
+++ b/Source/UnitTests/Node/JobStoreTest.cpp
@@ -80,6 +80,16 @@
   BOOST_TEST((got->end == node::accept_outcome::unknown));
 }
 
+// Guards against a reason that hides the write whose outcome is unknown.
+BOOST_FIXTURE_TEST_CASE(later_rejections_do_not_hide_the_write_without_a_reply, accepting)
+{
+  std::deque<fate> fates(60, fate::turned_away);
+  fates.push_front(fate::lost);
+  accept(std::move(fates));
+  BOOST_TEST((got->end == node::accept_outcome::unknown));
+  BOOST_TEST(got->detail == "the store did not answer: lost");
+}
+
 // Guards against a job that runs although it was refused: the store carries out a write of the
 // refused call seconds later.
 BOOST_FIXTURE_TEST_CASE(no_late_copy_of_a_write_undoes_a_refusal, accepting)
--- a/Source/UnitTests/Node/RefusalTest.cpp
+++ b/Source/UnitTests/Node/RefusalTest.cpp
@@ -183,8 +183,7 @@
   BOOST_TEST(got->status == 200U);
 }
 
-// Guards against refusals of jobs that arrive shortly before the store is back, and against waits
-// for a retry time after that: the path was probed every 500 ms.
+// Guards against a submission that waits for its retry time although the store is back.
 BOOST_FIXTURE_TEST_CASE(a_submission_is_accepted_shortly_after_the_store_is_back, refusing)
 {
   for (std::size_t i = 0; i < cell.instances().size(); ++i)
