--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -51,6 +51,8 @@
     "log_repeating_dropped",
     "forecasts_begun",
     "forecasts_ignored",
+    "submissions_waited",
+    "waited_submissions_stored",
 });
 static_assert(k_counter_names.size() == static_cast<std::size_t>(counter::count));
 
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -55,6 +55,8 @@
   log_repeating_dropped,
   forecasts_begun,
   forecasts_ignored,
+  submissions_waited,
+  waited_submissions_stored,
   count
 };
 
