--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -51,6 +51,12 @@
   starts_sent,
   stops_sent,
   process_cpu_ms,
+  log_decisions_dropped,
+  log_repeating_dropped,
+  forecasts_begun,
+  forecasts_ignored,
+  submissions_waited,
+  waited_submissions_stored,
   count
 };
 
@@ -84,6 +90,8 @@
   oldest_wait_ms,
   lasting_waiting,
   lasting_wait_ms,
+  forecast_wait_ms,
+  worker_speeds_used,
   count
 };
 
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -67,6 +67,15 @@
     dispatch_key key;
   };
 
+  // The task for which workers are compared.
+  struct placement_request
+  {
+    const step_record& step;
+    const task_record& task;
+    step_ref which;
+    double speed_preference = 0.0;
+  };
+
   // By queue: the number of steps so far in this pass that were skipped or still have waiting
   // tasks.
   using blocked_steps = std::map<std::string, std::size_t>;
@@ -117,8 +126,11 @@
   void prepare_trial(job_record& job, const task_place& place, time_point now) const;
   bool has_free_capacity(const worker_record& worker, const job_record& job,
                          const task_place& place) const;
-  double placement_score(const worker_record& worker, const job_record& job,
-                         const task_place& place, time_point now) const;
+  double placement_score(const worker_record& worker, const placement_request& request,
+                         time_point now) const;
+  // How much a task of the step gains from a fast worker (see worker_speeds); 0 while the speeds of
+  // the workers are not used, and for long-running tasks.
+  double speed_preference(const job_record& job, const task_place& place, time_point now) const;
   void mark_slow_workers(time_point now);
   // Starts second runs of speculative tasks that are late or run on a silent worker.
   void place_copies(time_point now);
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -107,7 +107,8 @@
 {
   if (run.spec().long_running || run.spec().uses_idle_cpu || run.spec().estimate.count() <= 0)
     return false;
-  return now - run.begun > runtimes.longest(run.job->accepted().queue, run.spec().estimate);
+  const duration longest = runtimes.longest(run.job->accepted().queue, run.spec().estimate);
+  return now - run.begun > speeds.time_on(run.worker->info.id, longest);
 }
 
 jobs::wall_time scheduler_state::wall(time_point now) const
@@ -126,6 +127,18 @@
                    : account->admits(step.demand, true);
 }
 
+bool scheduler_state::ahead_of_new_jobs(const job_record& job, std::uint32_t step, time_point now)
+{
+  return !job.accepted().spec.steps[step].long_running && !job.beyond_share() &&
+         job.prospect(step, now) != job_prospect::none;
+}
+
+void scheduler_state::record_started_work(job_record& job, const task_place& place, time_point now)
+{
+  if (job.task(place).runs.size() <= 1 && ahead_of_new_jobs(job, place.step, now))
+    forecast.record_start(job.policy().priority, work_of_task(*job.step(place).spec), now);
+}
+
 void scheduler_state::request_begin_mark(const job_record& job, step_record& step,
                                          const std::string& zone)
 {
@@ -210,11 +223,11 @@
   job.set_state(final_state);
   mark_dirty(job);
   open.erase(job.id());
-  common::log_request("job_ended", job.id(),
-                      {{"state", jobs::to_text(final_state)},
-                       {"queue", job.accepted().queue},
-                       {"after_ms", now - job.accepted_at()},
-                       {"before_objective_ms", job.objective() - now}});
+  common::log_decision("job_ended", job.id(),
+                       {{"state", jobs::to_text(final_state)},
+                        {"queue", job.accepted().queue},
+                        {"after_ms", now - job.accepted_at()},
+                        {"before_objective_ms", job.objective() - now}});
   for (cycle_record& cycle : job.cycles())
   {
     for (step_record& step : cycle.steps)
