--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -145,10 +145,6 @@
                                  ? needed
                                  : std::min(needed, step.spec->max_tasks_per_worker);
   std::uint32_t fitting = tasks_that_fit(required_resources(*step.spec), worker.free(), most);
-  // Capacity is reserved for a gang until all its members fit, so what is free now matters less.
-  if (step.spec->gang && is_long(*job.policy().advice))
-    fitting = std::max(
-        fitting, tasks_that_fit(required_resources(*step.spec), worker.info.capacity, most) / 2);
   // Capacity that is not free now may be by the time that the reply arrives.
   if (reason != request_reason::first_long_call)
     fitting = std::max(fitting, 1U);
@@ -202,9 +198,6 @@
     send_request(job, cycle, step, request_reason::first_long_call, now);
     return;
   }
-  // The gang holds the tickets that it needs and waits for reserved capacity.
-  if (m_reservations.gang_start({job.id(), cycle, step}))
-    return;
   if (m_cpu_budget <= 0)
     return;
   m_cpu_budget -=
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -20,9 +20,6 @@
 constexpr double k_announced_weight = 8.0;
 // Score penalty for a slow worker, so that it is chosen only if no other worker can take the task.
 constexpr double k_slow_weight = 4.0;
-// Score penalty for a worker with capacity reserved for another step. It exceeds any difference in
-// worker utilization.
-constexpr double k_reserved_weight = 1.0;
 
 // The metric that records the time from a job's acceptance to its first start.
 common::timing wait_timing(const job_record& job, const jobs::step_spec& step)
@@ -46,7 +43,10 @@
 {
   if (!m_state.may_place(now))
     return;
-  measure_capacity(now);
+  std::int64_t free_cpu_millis = 0;
+  for (const auto& [id, worker] : m_state.workers)
+    free_cpu_millis += worker->offered() && !worker->unresponsive ? worker->idle_cpu_millis() : 0;
+  m_advice.set_budget(free_cpu_millis);
   if (survey)
     mark_slow_workers(now);
   m_reservations.clear();
@@ -68,7 +68,7 @@
       short_of_starts = true;
       break;
     }
-    if (!m_spare.admits(each.key.rank) || !due_in_this_pass(each, blocked_by_queue))
+    if (!due_in_this_pass(each, blocked_by_queue))
     {
       ++blocked_by_queue[each.job->accepted().queue];
       continue;
@@ -80,29 +80,10 @@
   // A pass in which starts waited for confirmations does not show whether the budget suffices.
   if (short_of_starts || !m_confirmation_awaited || !m_state.starts.bounded())
     m_state.outlook.record_pass(short_of_starts, now);
-  m_rank = dispatch_class::regular;
   if (survey)
     place_copies(now);
 }
 
-void placer::measure_capacity(time_point now)
-{
-  std::int64_t total = 0;
-  std::int64_t idle = 0;
-  std::int64_t used_by_spare = 0;
-  for (const auto& [id, worker] : m_state.workers)
-  {
-    if (!worker->offered() || worker->unresponsive)
-      continue;
-    total += worker->info.capacity.cpu_millis;
-    idle += worker->idle_cpu_millis();
-    for (const auto& [task, run] : worker->runs)
-      used_by_spare += run->on_spare_capacity ? run->room.cpu_millis : 0;
-  }
-  m_advice.set_budget(idle);
-  m_spare.begin_pass(total, total - idle, used_by_spare, now);
-}
-
 bool placer::is_long_running(const waiting_step& each)
 {
   return each.job->cycles()[each.cycle].steps[each.step].spec->long_running;
@@ -133,7 +114,6 @@
 bool placer::place_or_reserve(const waiting_step& each, time_point now)
 {
   step_record& step = each.job->cycles()[each.cycle].steps[each.step];
-  m_rank = each.key.rank;
   if (step.spec->gang)
     place_gang(each, now);
   else
@@ -145,6 +125,22 @@
   return false;
 }
 
+bool placer::waiting_step::before(const waiting_step& other) const
+{
+  const auto urgency = [](const waiting_step& each)
+  {
+    return std::tuple(each.job->beyond_share(), each.job->policy().priority, each.prospect,
+                      each.job->objective(), std::string_view(each.job->id()), each.cycle,
+                      each.step);
+  };
+  return urgency(*this) < urgency(other);
+}
+
+// Jobs beyond their workspaces' shares come last: a workspace that sends more than its share does
+// not delay others. The rest is sorted by priority; within a priority, jobs that can still meet
+// their objective come before late ones that are still worth part of their credit, and those before
+// worthless ones; then by objective, the earliest first. If late jobs came first, all jobs behind
+// them would become late too.
 std::vector<placer::waiting_step> placer::sorted_waiting_steps(time_point now) const
 {
   std::vector<waiting_step> steps;
@@ -158,15 +154,12 @@
         step_record& step = job.cycles()[c].steps[s];
         if (step.waiting > 0 && job.ready(c, s, m_state.wall(now)) &&
             !waits_for_workspace(job, s, step))
-          steps.push_back(
-              {&job, c, s,
-               dispatch_key_of(job, c, s, cautious_prospect(job, s, m_state.runtimes, now))});
+          steps.push_back({&job, c, s, job.prospect(s, now)});
       }
     }
   }
   std::sort(steps.begin(), steps.end(),
-            [](const waiting_step& left, const waiting_step& right)
-            { return left.key < right.key; });
+            [](const waiting_step& left, const waiting_step& right) { return left.before(right); });
   return steps;
 }
 
@@ -199,21 +192,18 @@
 // Best fit: prefers the most utilized worker that can still take the task, so that other workers
 // keep free capacity for large tasks. A task that may crash its worker prefers the least utilized
 // one, because all runs on that worker would be lost with it.
-double placer::placement_score(const worker_record& worker, const placement_request& request,
+double placer::placement_score(const worker_record& worker, const step_record& step,
+                               const task_record& task, double speed_preference,
                                time_point now) const
 {
-  const step_record& step = request.step;
-  const task_record& task = request.task;
   const double share =
       common::dominant_share(worker.used + required_resources(*step.spec), worker.info.capacity);
   const double used = suspected(task.crashes) ? -share : share;
   const bool near = !step.spec->data_rack.empty() && worker.info.rack == step.spec->data_rack;
   const bool announced = task.crashes.announced_on == worker.info.id.value;
   return used + (announced ? k_announced_weight : 0.0) + (near ? k_data_rack_weight : 0.0) -
-         (worker.slow_until > now ? k_slow_weight : 0.0) -
-         (m_reservations.was_reserved_for_other(worker.info.id, request.which) ? k_reserved_weight
-                                                                               : 0.0) +
-         m_state.speeds.placement_term(worker.info.id, request.speed_preference);
+         (worker.slow_until > now ? k_slow_weight : 0.0) +
+         m_state.speeds.placement_term(worker.info.id, speed_preference);
 }
 
 // The slack counts until the objective. For a job that is certain to be late it counts until the
@@ -263,20 +253,19 @@
                                    isolation rule) const
 {
   const step_record& step = job.step(place);
-  if (rule == isolation::enforced && m_crashes.postponed(job.task(place), now))
+  const task_record& task = job.task(place);
+  if (rule == isolation::enforced && m_crashes.postponed(task, now))
     return nullptr;
   worker_record* best = nullptr;
   double best_score = 0.0;
-  const placement_request request{step, job.task(place),
-                                  step_ref{job.id(), place.cycle, place.step},
-                                  speed_preference(job, place, now)};
+  const double preference = speed_preference(job, place, now);
   const auto consider = [&](worker_record& worker)
   {
     // Checked first because it is cheap and most workers have no free capacity while steps wait.
     if (!has_free_capacity(worker, job, place) ||
         obstacle_at(worker, job, place, now, rule) != obstacle::none)
       return;
-    const double value = placement_score(worker, request, now);
+    const double value = placement_score(worker, step, task, preference, now);
     if (best != nullptr && value <= best_score)
       return;
     best = &worker;
@@ -366,7 +355,7 @@
   for (const waiting_step& each : steps)
   {
     const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
-    if (!each.job->policy().advice || permits.asking || !m_spare.admits(each.key.rank))
+    if (!each.job->policy().advice || permits.asking)
       continue;
     const time_point waits_since = std::max(permits.last_advice_turn, each.job->accepted_at());
     // Steps are sorted, so those beyond their workspace's share come last.
@@ -481,7 +470,7 @@
       continue;
     worker_record* const worker = worker_for(job, place, now);
     if (worker == nullptr || worker == run->worker ||
-        !begin_mark_written({&job, place.cycle, place.step, {}}, *worker, now))
+        !begin_mark_written({&job, place.cycle, place.step}, *worker, now))
     {
       widen_small_zone(job, job.step(place));
       m_advice.want(job, place.cycle, place.step, now);
@@ -514,8 +503,6 @@
   m_crashes.mark_trial(run, now);
   job.task(place).waiting_for_trial_since.reset();
   worker.latest_start = now;
-  run.on_spare_capacity = m_rank != dispatch_class::regular;
-  m_spare.add(m_rank, run.room.cpu_millis);
   run.last_sent = now;
   run.sends = 1;
   run.start_expires = m_state.extend_worker_lease(worker, now);
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -12,7 +12,6 @@
 
 #include "Scheduling/AdvicePlanner.h"
 #include "Scheduling/CrashWatch.h"
-#include "Scheduling/DispatchOrder.h"
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 
@@ -64,16 +63,10 @@
     job_record* job = nullptr;
     std::uint32_t cycle = 0;
     std::uint32_t step = 0;
-    dispatch_key key;
-  };
+    job_prospect prospect = job_prospect::in_time;
 
-  // The task for which workers are compared.
-  struct placement_request
-  {
-    const step_record& step;
-    const task_record& task;
-    step_ref which;
-    double speed_preference = 0.0;
+    // The order in which steps are considered in a pass.
+    bool before(const waiting_step& other) const;
   };
 
   // By queue: the number of steps so far in this pass that were skipped or still have waiting
@@ -81,8 +74,6 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> sorted_waiting_steps(time_point now) const;
-  // Measures the capacity at the beginning of a pass.
-  void measure_capacity(time_point now);
   // Whether the workspace's limit leaves no place for the step. Logged when it is first seen.
   static bool waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step);
   static bool is_long_running(const waiting_step& each);
@@ -126,8 +117,8 @@
   void prepare_trial(job_record& job, const task_place& place, time_point now) const;
   bool has_free_capacity(const worker_record& worker, const job_record& job,
                          const task_place& place) const;
-  double placement_score(const worker_record& worker, const placement_request& request,
-                         time_point now) const;
+  double placement_score(const worker_record& worker, const step_record& step,
+                         const task_record& task, double speed_preference, time_point now) const;
   // How much a task of the step gains from a fast worker (see worker_speeds); 0 while the speeds of
   // the workers are not used, and for long-running tasks.
   double speed_preference(const job_record& job, const task_place& place, time_point now) const;
@@ -144,9 +135,6 @@
   reservations& m_reservations;
   crash_watch& m_crashes;
   bool m_confirmation_awaited = false; // in the latest pass, by a start
-  spare_capacity m_spare;
-  // Of the step that is being placed.
-  dispatch_class m_rank = dispatch_class::regular;
   std::size_t m_passes = 0;
   std::size_t m_steps_examined = 0;
 };
--- a/Source/Core/Scheduling/Reservations.h
+++ b/Source/Core/Scheduling/Reservations.h
@@ -3,15 +3,12 @@
 
 #pragma once
 
-// Reserves capacity for large waiting tasks and for gangs that need admission tickets. Without a
-// reservation, smaller tasks would take all capacity that becomes free, however late or unimportant
-// they are: a task that needs most of a worker would never find enough of it, and a wide gang would
-// never find capacity for all its members at once.
+// Reserves workers for large waiting tasks. Without a reservation, smaller tasks would take all
+// capacity that becomes free, however late or unimportant they are, and a task that needs most of a
+// worker would never find enough of it.
 
 #include <map>
 #include <optional>
-#include <utility>
-#include <vector>
 
 #include "Scheduling/SchedulerState.h"
 
@@ -24,19 +21,10 @@
 
   // Removes all reservations. Called at the start of a pass, which then reserves for the waiting
   // steps in the order in which they should start.
-  void clear()
-  {
-    m_previous_pass = std::exchange(m_by_worker, {});
-    m_gang_starts.clear();
-  }
-  // Whether the worker was reserved for another step in the previous pass. More urgent tasks, which
-  // are placed before the reservations of a pass are made, may use it but should prefer others.
-  bool was_reserved_for_other(const worker_id& worker, const step_ref& step) const;
+  void clear() { m_by_worker.clear(); }
   // Reserves, for each waiting task of the step, the permitted worker that should have free
   // capacity for it first. Only workers of which the task needs a large share, and on which it
-  // would still meet the job's objective, are reserved. For a gang whose queue needs tickets,
-  // reserves the capacity for all members on the permitted workers on which they can start
-  // together first, however small the members are.
+  // would still meet the job's objective, are reserved.
   void reserve_for(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
   // Whether a task of the step may start on the worker. It may if the worker is not reserved, if
   // the task should end before the reserved capacity is expected to be free, or if the worker then
@@ -46,25 +34,15 @@
   // When the capacity should be free on a worker that is reserved for the step; none for other
   // workers.
   std::optional<time_point> expected_free_time(const step_ref& step, const worker_id& worker) const;
-  // The reserved start of a gang; none if nothing is reserved for it.
-  std::optional<time_point> gang_start(const step_ref& step) const;
 
 private:
   struct reservation
   {
     step_ref step;
-    common::resources capacity; // of all tasks that it is reserved for
+    common::resources capacity;
     time_point expected_at;
   };
 
-  void reserve_for_gang(const job_record& job, const step_ref& which, time_point now);
-  // When the worker should have capacity for the first of at most `most` tasks of that demand, for
-  // the second beside it, and so on.
-  std::vector<time_point> openings(const worker_record& worker, const common::resources& needed,
-                                   std::uint32_t most, time_point now) const;
-  bool may_reserve(const worker_record& worker, const job_record& job, const step_record& step,
-                   time_point now) const;
-
   bool is_large(const step_record& step, const worker_record& worker) const;
   time_point expected_end(const run_record& run, time_point now) const;
   common::resources free_capacity_at(const worker_record& worker, time_point when,
@@ -76,7 +54,5 @@
 
   const scheduler_state& m_state;
   std::map<worker_id, reservation> m_by_worker;
-  std::map<worker_id, reservation> m_previous_pass;
-  std::map<step_ref, time_point> m_gang_starts;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/RuntimeModel.cpp
+++ b/Source/Core/Scheduling/RuntimeModel.cpp
@@ -40,13 +40,6 @@
   return std::chrono::duration_cast<common::duration>(estimate * mean);
 }
 
-common::duration runtime_model::cautious(const std::string& queue, common::duration estimate) const
-{
-  const auto found = m_ratios.find(queue);
-  const ratio known = found == m_ratios.end() ? ratio{} : found->second;
-  return std::chrono::duration_cast<common::duration>(estimate * (known.mean + known.deviation));
-}
-
 common::duration runtime_model::longest(const std::string& queue, common::duration estimate) const
 {
   const auto found = m_ratios.find(queue);
--- a/Source/Core/Scheduling/RuntimeModel.h
+++ b/Source/Core/Scheduling/RuntimeModel.h
@@ -20,8 +20,6 @@
   void learn(const std::string& queue, common::duration estimate, common::duration actual);
   // The average duration of healthy runs of tasks with that estimate.
   common::duration expected(const std::string& queue, common::duration estimate) const;
-  // A duration that most healthy runs do not exceed: the average and one mean deviation.
-  common::duration cautious(const std::string& queue, common::duration estimate) const;
   // An upper bound that hardly any healthy run of a task with that estimate exceeds.
   common::duration longest(const std::string& queue, common::duration estimate) const;
 
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -58,7 +58,6 @@
   std::uint32_t percent = 0;
   std::int64_t load = 0;
   std::uint32_t pace = 100; // percent, as it was last set
-  bool on_spare_capacity = false; // see spare_capacity
 
   // Whether a copy of the start request may still be carried out, by whichever incarnation of the
   // worker receives it.
