Node: A feed goes on at once after a reply that may have been cut off

The feed of workers' entries waits 400 ms between replies; with 500 rows a reply, the bound that the store states for reads, it delivers at most 1,250 rows a second, while 3,000 workers renew 2,000 entries a second.

Change: a reply with as many rows as a reply may have is continued at once, and the feed counts as incomplete until then. The store's model can limit replies.

That the users' store cuts replies of feeds is concluded from the figures, not shown yet.

--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -271,17 +271,23 @@
 std::string store_model::feed_answer(const std::string& table, adapter::row_version since) const
 {
   json rows = json::array();
+  adapter::row_version version = m_version;
   for (const change& each : m_history)
   {
     if (each.version <= since || each.at.table != table)
       continue;
+    if (m_max_feed_rows > 0 && rows.size() == m_max_feed_rows)
+    {
+      version = each.version - 1;
+      break;
+    }
     json row = row_json(each.at, each.value, each.version);
     if (each.removed)
       row[wire::k_row_removed] = true;
     rows.push_back(std::move(row));
   }
   return json{{wire::k_rows, std::move(rows)},
-              {wire::k_row_version, m_version},
+              {wire::k_row_version, version},
               {wire::k_store_clock_ms, clock_ms()}}
       .dump();
 }
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -42,6 +42,8 @@
   void set_transaction_time(common::duration each) { m_transaction_time = each; }
   // Whether the store is slow or silent at present.
   bool disturbed() const { return m_transaction_time.count() != 0 || !m_silent.empty(); }
+  // A reply of a feed has at most so many rows (0: any number); the next call continues there.
+  void limit_feed_replies(std::size_t rows) { m_max_feed_rows = rows; }
   // Drops the history, so that feeds that are behind have to read everything again.
   void discard_history();
   // Deletes all rows of a table, as if they had never been written.
@@ -88,6 +90,7 @@
   std::deque<change> m_history;
   std::list<waiting_feed> m_feeds;
   std::set<std::string> m_silent;
+  std::size_t m_max_feed_rows = 0;
   common::duration m_transaction_time{};
   std::map<std::string, common::time_point> m_busy_until; // by part of the store
   adapter::row_version m_version = 0;
--- a/Source/Core/Node/TableFeed.cpp
+++ b/Source/Core/Node/TableFeed.cpp
@@ -43,6 +43,10 @@
 // have bytes of their own.
 constexpr std::size_t k_reply_overhead_bytes = 64U << 10U;
 constexpr std::size_t k_row_overhead_bytes = 200; // for the names in a row
+// The store sends at most 500 rows in a reply to a read. A reply of a feed with as many rows may
+// have been cut off there as well. With a batch window of 400 ms, such a feed would deliver 1,250
+// rows a second; 3,000 workers renew 2,000 entries a second.
+constexpr std::size_t k_max_reply_rows = 500;
 } // namespace
 
 class table_feed::implementation : public std::enable_shared_from_this<implementation>
@@ -254,14 +258,21 @@
       retry();
       return;
     }
+    const auto incomplete_since = m_incomplete_since;
     call_succeeded();
+    const bool cut_off = result.rows.size() >= k_max_reply_rows;
+    if (cut_off)
+    {
+      m_catching_up = true;
+      m_incomplete_since = incomplete_since.value_or(m_call_sent_at);
+    }
     m_known_version = std::max(*m_known_version, result.version);
     m_table_bytes = std::max(m_table_bytes, bytes_of(result.rows));
     if (!result.rows.empty())
       m_handlers.changed(result.rows);
     if (m_stopped)
       return;
-    if (result.rows.empty() || m_handlers.batch_window.count() == 0)
+    if (cut_off || result.rows.empty() || m_handlers.batch_window.count() == 0)
       wait_for_changes();
     else
       m_timer.start(m_handlers.batch_window, [this] { wait_for_changes(); });
