Node, Scheduling: Admission by predicted start is withdrawn; both takeover tests of workspaces have a control

Ruled out: refusing only while no capacity is free at all, which never holds in a cell of many workers; a forecast that is only logged, which no decision needs.

Change: queue_forecast and offered_load are reverted, with their tests; the evener Retry-After stays.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -49,8 +49,6 @@
     "process_cpu_ms",
     "log_decisions_dropped",
     "log_repeating_dropped",
-    "forecasts_begun",
-    "forecasts_ignored",
     "submissions_waited",
     "waited_submissions_stored",
 });
@@ -84,7 +82,6 @@
     "oldest_wait_ms",
     "lasting_waiting",
     "lasting_wait_ms",
-    "forecast_wait_ms",
     "worker_speeds_used",
 });
 static_assert(k_gauge_names.size() == static_cast<std::size_t>(gauge::count));
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -53,8 +53,6 @@
   process_cpu_ms,
   log_decisions_dropped,
   log_repeating_dropped,
-  forecasts_begun,
-  forecasts_ignored,
   submissions_waited,
   waited_submissions_stored,
   count
@@ -90,7 +88,6 @@
   oldest_wait_ms,
   lasting_waiting,
   lasting_wait_ms,
-  forecast_wait_ms,
   worker_speeds_used,
   count
 };
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -21,7 +21,6 @@
 #include "Node/JobStore.h"
 #include "Node/KnownCapacities.h"
 #include "Node/LayoutManager.h"
-#include "Node/OfferedLoad.h"
 #include "Node/PartitionOwner.h"
 #include "Node/StartupRequests.h"
 
@@ -45,10 +44,6 @@
   // The timeout of every call that arrives from now on ends at `end` at the latest.
   void set_stop_deadline(common::time_point end) { m_stop_deadline = end; }
 
-  // How many instances serve callers, this one included. Each of them is taken to get
-  // as many jobs as this one.
-  void set_instances(std::size_t instances) { m_instances = instances; }
-
 private:
   // A partition whose owner has not renewed its row for this long gets no new jobs if another
   // partition can run them, and the load that the row reports is ignored.
@@ -95,9 +90,8 @@
   void submit(const std::shared_ptr<caller_call>& call);
   // Why no task of some step could ever run; none if every step can.
   std::optional<std::string> never_runs(const caller_call& call, const jobs::job_spec& spec) const;
-  // Refuses the call by `deadline` if the job's owner predicts that the job starts too late to have
-  // any value; returns whether it took the call over. If the refusal finds the job stored already,
-  // the call is answered as accepted.
+  // Refuses the call by `deadline` if the job's owner is overloaded; returns whether it took the
+  // call over. If the refusal finds the job stored already, the call is answered as accepted.
   bool refuse_if_overloaded(const std::shared_ptr<caller_call>& call, const jobs::accepted_job& job,
                             common::time_point deadline);
   void on_accepted(const std::shared_ptr<caller_call>& call, const jobs::accepted_job& job,
@@ -144,8 +138,6 @@
   common::metrics& m_metrics;
   common::time_point m_started; // of this instance
   startup_requests m_startup_requests;
-  offered_load m_offered;
-  std::size_t m_instances = 1;
   std::unordered_map<std::string, std::string> m_homes; // of jobs that were submitted or read here
   // When this process ends, once its stop is planned.
   std::optional<common::time_point> m_stop_deadline;
--- a/Source/Core/Node/CallerGatewayOverload.cpp
+++ b/Source/Core/Node/CallerGatewayOverload.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 yardhill contributors
 // SPDX-License-Identifier: Apache-2.0
 
-// Refuses jobs that the owner of their home cannot start before they have lost all their value.
+// Refuses jobs that the overloaded owner of their home could not start in time.
 
 #include "Node/CallerGateway.h"
 
@@ -16,28 +16,12 @@
                                           common::time_point deadline)
 {
   const partition_owner* const home = partition(job.home);
-  if (home == nullptr)
+  if (home == nullptr || m_time.now() - home->seen().changed_at > k_owner_row_max_age)
     return false;
-  const observed_owner& owner = home->seen();
-  const common::time_point now = m_time.now();
-  const std::uint32_t priority = call->route->policy.priority;
-  const std::int64_t arrived =
-      m_offered.arrived_since(owner.changed_at, job.home, priority, m_instances, now);
-  m_offered.record(job.home, priority, required_cpu_millis(job.spec), now);
-  const auto excess = excess_wait(call->route->policy, job.spec, owner.row, arrived);
+  const auto excess = excess_wait(call->route->policy, job.spec, home->seen().row);
   if (!excess)
     return false;
-  if (now - owner.changed_at > k_owner_row_max_age)
-  {
-    m_metrics.add(common::counter::forecasts_ignored);
-    return false;
-  }
-  const std::string why = "it would start " + std::to_string(excess->count()) +
-                          " ms too late to be of any value; the owner predicts a wait of " +
-                          std::to_string(owner.row.start_waits.at(priority).count()) +
-                          " ms, and jobs for " + std::to_string(arrived) +
-                          " thousandths of a core have arrived since";
-  m_store.refuse(job.id, why, deadline,
+  m_store.refuse(job.id, "its partition is overloaded", deadline,
                  [this, call, job, excess](const accept_result& result)
                  {
                    if (result.end != accept_outcome::refused)
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -115,7 +115,6 @@
   m_store_path.tick(now);
   m_states.tick(now);
   m_peers.tick(now, owns_any(), m_store_path.in_doubt());
-  m_gateway.set_instances(m_peers.count() + 1);
 }
 
 void node_core::follow_workers()
--- a/Source/Core/Node/OwnerRow.h
+++ b/Source/Core/Node/OwnerRow.h
@@ -59,7 +59,7 @@
   // cannot run.
   std::set<std::string> labels;
   // How long a new job would wait for its first start, by priority; empty unless the owner is
-  // overloaded or work waits for the workers' capacity.
+  // overloaded.
   std::map<std::uint32_t, std::chrono::milliseconds> start_waits = {};
   // When the requests of all previous owners to workers have ended; none: unknown.
   std::optional<adapter::store_time> previous_requests_end = std::nullopt;
--- a/Source/Core/Scheduling/Backlog.cpp
+++ b/Source/Core/Scheduling/Backlog.cpp
@@ -41,7 +41,6 @@
   backlog sum;
   sum.long_running_waiting = waits.waiting();
   sum.longest_long_running_wait = waits.longest();
-  sum.forecast_wait = state.forecast.longest_wait(now);
   sum.worker_speeds_used = state.speeds.ratios_used();
   for (const auto& [id, worker] : state.workers)
   {
@@ -67,7 +66,6 @@
   metrics.set(gauge::oldest_wait_ms, milliseconds_of(shown.oldest_wait));
   metrics.set(gauge::lasting_waiting, shown.long_running_waiting);
   metrics.set(gauge::lasting_wait_ms, milliseconds_of(shown.longest_long_running_wait));
-  metrics.set(gauge::forecast_wait_ms, milliseconds_of(shown.forecast_wait));
   metrics.set(gauge::worker_speeds_used, shown.worker_speeds_used);
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Backlog.h
+++ b/Source/Core/Scheduling/Backlog.h
@@ -25,7 +25,6 @@
   duration oldest_wait{0};
   std::uint64_t long_running_waiting = 0; // long-running tasks that do not run (see wait_report)
   duration longest_long_running_wait{0};  // longest wait of these tasks
-  duration forecast_wait{0}; // longest predicted wait of a new job for workers' capacity
   std::uint64_t worker_speeds_used = 0;   // see worker_speeds; 0 while the workers are alike
 };
 
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -488,7 +488,6 @@
   m_state.place_again = false;
   charge_unaccounted_tasks();
   m_placer.place(now, survey);
-  update_forecast(m_state, now);
   if (survey)
     m_evacuator.tick(now);
   // Starts wait for the answers to these.
--- a/Source/Core/Scheduling/PartitionLoad.h
+++ b/Source/Core/Scheduling/PartitionLoad.h
@@ -30,11 +30,8 @@
 };
 
 partition_load load_of(const scheduler_state& state);
-// Has the state's forecast observe the waiting work, if the next observation is due.
-void update_forecast(scheduler_state& state, time_point now);
-// Estimated wait of a new job until its first start, by priority: the larger one of the estimates
-// for an owner that cannot send starts as fast as workers have free capacity for them, and for
-// workers without free capacity. Empty if neither is the case.
+// Estimated wait of a new job until its first start, by priority. Empty unless the owner is
+// overloaded, that is, cannot send starts as fast as workers have free capacity for them.
 std::map<std::uint32_t, std::chrono::milliseconds> start_waits(const scheduler_state& state,
                                                                time_point now);
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -510,7 +510,6 @@
   run.ticket_over = m_advice.ticket_expiry(job, job.step(place), worker.info.id);
   m_state.starts.take();
   m_state.metrics.add(common::counter::attempts_started);
-  m_state.record_started_work(job, place, now);
   if (job.first_start())
   {
     m_state.outlook.record_first_start(job.policy().priority, now);
--- a/Source/Core/Scheduling/SchedulerState.cpp
+++ b/Source/Core/Scheduling/SchedulerState.cpp
@@ -127,18 +127,6 @@
                    : account->admits(step.demand, true);
 }
 
-bool scheduler_state::ahead_of_new_jobs(const job_record& job, std::uint32_t step, time_point now)
-{
-  return !job.accepted().spec.steps[step].long_running && !job.beyond_share() &&
-         job.prospect(step, now) != job_prospect::none;
-}
-
-void scheduler_state::record_started_work(job_record& job, const task_place& place, time_point now)
-{
-  if (job.task(place).runs.size() <= 1 && ahead_of_new_jobs(job, place.step, now))
-    forecast.record_start(job.policy().priority, work_of_task(*job.step(place).spec), now);
-}
-
 void scheduler_state::request_begin_mark(const job_record& job, step_record& step,
                                          const std::string& zone)
 {
--- a/Source/Core/Scheduling/SchedulerState.h
+++ b/Source/Core/Scheduling/SchedulerState.h
@@ -17,7 +17,6 @@
 
 #include "Common/Metrics.h"
 #include "Scheduling/JobRecord.h"
-#include "Scheduling/QueueForecast.h"
 #include "Scheduling/RuntimeModel.h"
 #include "Scheduling/SchedulerOptions.h"
 #include "Scheduling/StartBudget.h"
@@ -34,7 +33,6 @@
       : options(initial_options),
         metrics(shared_metrics),
         starts(initial_options.starts),
-        forecast(shared_metrics),
         workspaces(initial_options.share)
   {
   }
@@ -43,7 +41,6 @@
   common::metrics& metrics;
   start_budget starts;
   start_wait_estimator outlook;
-  queue_forecast forecast;
   runtime_model runtimes;
   worker_speeds speeds;
   std::unordered_map<std::string, std::unique_ptr<job_record>> jobs;
@@ -105,10 +102,6 @@
   }
   // Whether another task of the step, or its whole gang, may start within its workspace's limit.
   static bool within_workspace_limit(const job_record& job, const jobs::step_spec& step);
-  // Whether a new job of the same priority may have to wait for the step: not for a long-running
-  // one, since those are started before all others, nor if the job is beyond its workspace's share
-  // or can earn nothing any more, since those are started after all others.
-  static bool ahead_of_new_jobs(const job_record& job, std::uint32_t step, time_point now);
   // Whether tasks may be placed and started at all.
   bool may_place(time_point now) const { return may_act(now) && starts_allowed && !placing_ended; }
 
@@ -143,9 +136,6 @@
   // The run has ended or never began: its resources are released, and its task waits again unless
   // it is done or has another run.
   void remove_run(run_record& run);
-  // Records for the forecast that the task is started, if its step is ahead of new jobs. A copy of
-  // a task that runs already is not work that waited.
-  void record_started_work(job_record& job, const task_place& place, time_point now);
   // Sends a stop request for the run, unless one was sent just before.
   void request_stop(run_record& run, time_point now);
   // The job has ended in the given state. All its runs are stopped.
--- a/Source/Core/Scheduling/StartWaitEstimator.h
+++ b/Source/Core/Scheduling/StartWaitEstimator.h
@@ -6,7 +6,8 @@
 // Estimates how long new jobs would wait for their first start while the owner's processor is the
 // bottleneck.
 //
-// There is no estimate while merely the workers are full; see queue_forecast for that.
+// There is no estimate while merely the workers are full, because waiting for free capacity is the
+// purpose of a queue.
 
 #include <cstdint>
 #include <deque>
--- a/Source/UnitTests/Scheduling/StartWaitEstimatorTest.cpp
+++ b/Source/UnitTests/Scheduling/StartWaitEstimatorTest.cpp
@@ -3,7 +3,8 @@
 
 // Guards against an owner that accepts nearly all jobs of a day although its processor is
 // saturated: most jobs began when they were worth nothing any more, and delayed those that still
-// were worth something. Full workers are no overload of the owner (see QueueForecastTest).
+// were worth something. Full workers alone are no reason to refuse jobs, because their queue
+// advances as tasks end.
 
 #include <string>
 
--- a/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkspaceLimitTest.cpp
@@ -88,6 +88,38 @@
   }
 };
 
+// A takeover in a cell whose worker w1 an earlier owner had claimed. The limited workspace may use
+// one core.
+struct limited_takeover : takeover_harness
+{
+  static constexpr const char* k_unlimited_job = "0123456789abcde1";
+  const std::vector<std::string> expected{k_unlimited_job};
+
+  limited_takeover()
+  {
+    scheduler->set_workspaces(limited_to(1000));
+    worker_claim claim;
+    claim.zone = "zone";
+    claim.address = worker("w1").address;
+    restore_claim("w1", claim);
+  }
+
+  // Adds another worker and a job of each workspace. Returns the jobs that start.
+  std::vector<std::string> started_on_another_worker()
+  {
+    add_worker(worker("w2"));
+    scheduler->add_job(job_of(k_limited, k_other_job, step_of(1)), now);
+    scheduler->add_job(job_of(k_other, k_unlimited_job, step_of(1)), now);
+    step();
+    commit_and_step();
+    step();
+    std::vector<std::string> started;
+    for (const start_command& each : starts)
+      started.push_back(each.task.job);
+    return started;
+  }
+};
+
 struct advised_workspace : limited_workspace
 {
   advised_workspace()
@@ -217,41 +249,21 @@
 }
 
 // An earlier owner may have started the tasks on a worker that has not been heard yet.
-BOOST_FIXTURE_TEST_CASE(tasks_that_an_earlier_owner_may_have_started_count, takeover_harness)
+BOOST_FIXTURE_TEST_CASE(tasks_that_an_earlier_owner_may_have_started_count, limited_takeover)
 {
-  scheduler->set_workspaces(limited_to(1000));
-  worker_claim claim;
-  claim.zone = "zone";
-  claim.address = worker("w1").address;
-  restore_claim("w1", claim);
   scheduler->restore_job(job_of(k_limited, k_job, step_of(1)), begun(), now);
   begin();
-  add_worker(worker("w2"));
-  scheduler->add_job(job_of(k_limited, k_other_job, step_of(1)), now);
-  step();
-  commit_and_step();
-  step();
-  BOOST_TEST(starts.empty());
+  BOOST_TEST(started_on_another_worker() == expected, boost::test_tools::per_element());
 }
 
 // The job is no longer in the rows of open jobs, but the worker has not stopped its task yet.
-BOOST_FIXTURE_TEST_CASE(runs_of_jobs_that_had_ended_under_an_earlier_owner_count, takeover_harness)
+BOOST_FIXTURE_TEST_CASE(runs_of_jobs_that_had_ended_under_an_earlier_owner_count, limited_takeover)
 {
-  scheduler->set_workspaces(limited_to(1000));
-  worker_claim claim;
-  claim.zone = "zone";
-  claim.address = worker("w1").address;
-  restore_claim("w1", claim);
   scheduler->restore_ended_job(job_of(k_limited, k_job, step_of(1)));
   begin();
   step();
   answer_hold("w1", {earlier_run()});
-  add_worker(worker("w2"));
-  scheduler->add_job(job_of(k_limited, k_other_job, step_of(1)), now);
-  step();
-  commit_and_step();
-  step();
-  BOOST_TEST(starts.empty());
+  BOOST_TEST(started_on_another_worker() == expected, boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(the_parts_of_all_partitions_add_up_to_the_limit)
