--- a/Source/Core/Scheduling/WorkerSpeeds.cpp
+++ b/Source/Core/Scheduling/WorkerSpeeds.cpp
@@ -48,9 +48,11 @@
 double midmean(std::vector<double> values)
 {
   std::sort(values.begin(), values.end());
-  const auto cut = static_cast<std::ptrdiff_t>(values.size() / 4);
-  const double sum = std::accumulate(values.begin() + cut, values.end() - cut, 0.0);
-  return sum / static_cast<double>(values.size() - 2 * (values.size() / 4));
+  const std::size_t quarter = values.size() / 4;
+  const std::size_t middle = values.size() - 2 * quarter;
+  const auto begin = values.begin() + static_cast<std::ptrdiff_t>(quarter);
+  const double sum = std::accumulate(begin, begin + static_cast<std::ptrdiff_t>(middle), 0.0);
+  return sum / static_cast<double>(middle);
 }
 
 double median(std::vector<double> values)
