Node, UnitTests: Comments that told what had been are about the present

Cause: the read-through of the change. Three comments said "no longer" where the rule of today is meant; no code differs.

--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -85,7 +85,7 @@
     m_retries.wait(*m_ticket, retry_at, latest, [self = shared_from_this()] { self->write(); });
   }
 
-  // `end`: when the reply is no longer waited for.
+  // `end`: the latest time for the reply.
   void put(const std::string& text, common::time_point end,
            std::function<void(adapter::transaction_result)> done)
   {
--- a/Source/Core/Node/SubmissionQueue.h
+++ b/Source/Core/Node/SubmissionQueue.h
@@ -50,7 +50,8 @@
   bool store_failing() const { return m_failing; }
   bool empty() const { return m_submissions.empty(); }
 
-  // The submissions to write now, the most urgent first. They no longer wait.
+  // The submissions to write now, the most urgent first. A submission is returned
+  // again only after the next wait().
   std::vector<ticket> take_due(common::time_point now);
   // When take_due() has to be called next; none if no submission waits.
   std::optional<common::time_point> next_due() const;
--- a/Source/UnitTests/Scheduling/WorkerSpeedsTest.cpp
+++ b/Source/UnitTests/Scheduling/WorkerSpeedsTest.cpp
@@ -449,8 +449,8 @@
   BOOST_TEST(!ever_active);
 }
 
-// Guards against ratios that are attributed to the queues once slow and fast workers no longer run
-// tasks of the same queues, as placement by speed brings about.
+// Guards against ratios that are attributed to the queues while slow and fast workers run tasks of
+// different queues, as placement by speed brings about.
 BOOST_FIXTURE_TEST_CASE(ratios_stay_when_slow_workers_run_another_queue, slow_quarter_of_80)
 {
   for (int i = 0; i < 200; ++i)
