Scheduling: One place decides whether a task may start on a worker; waits and advice replies tell why not

`no_room` is divided into step_limit, foreign_runs and no_room. A policy that does not permit the worker is an obstacle too. A worker that is reserved for a step no longer counts as reserved against that step in the report. Observability: `advice` logs how many named workers were known to be permitted, and on how many of the permitted ones a task could start when the reply came, with the obstacles at the others and the duration of the call. `lasting_task_waits` has the latest attempt to request advice and the latest call with its reply.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -12,16 +12,12 @@
 {
 namespace
 {
-const std::string k_no_ticket;
 // A reply that arrives later than its expected duration plus this limit was delayed on its way, so
 // its tickets were issued earlier than it arrived.
 constexpr milliseconds k_reply_delay_limit{200};
 // Tickets for a worker that is reserved for a step are requested so that they arrive this long
 // before the capacity should be free.
 constexpr milliseconds k_ticket_lead_time{300};
-// Covers the drift of a worker's clock over a ticket's validity: clocks may run 2 % slow, and
-// tickets are valid for some seconds.
-constexpr milliseconds k_clock_drift_allowance{100};
 // The share of the workers asked about that a queue's policy permits, until answers show it.
 constexpr double k_initial_permitted_share = 0.5;
 // Lower bound of the learnt share. At 0, every call would name as many workers as it may.
@@ -36,51 +32,11 @@
 } // namespace
 
 advice_planner::advice_planner(scheduler_state& state, const zone_chooser& zones,
-                               const reservations& reserved)
-    : m_state(state), m_zones(zones), m_reservations(reserved)
+                               const reservations& reserved, const start_rules& rules)
+    : m_state(state), m_zones(zones), m_reservations(reserved), m_rules(rules)
 {
 }
 
-bool meets_requirements(const worker_record& worker, const job_record& job, const step_record& step)
-{
-  return worker.offered() && worker.claimed && worker.claim_open() &&
-         worker.info.service == job.policy().service &&
-         worker.has_label(step.spec->required_label) &&
-         required_resources(*step.spec).fits_in(worker.info.capacity);
-}
-
-bool policy_forbids(const step_record& step, const worker_id& worker)
-{
-  const auto known = step.permits.permitted.find(worker);
-  return known != step.permits.permitted.end() && !known->second;
-}
-
-bool advice_planner::valid_on_arrival(const step_permits::ticket& ticket, time_point now) const
-{
-  return ticket.until - m_state.request_round_trip > now;
-}
-
-const std::string* advice_planner::ticket(const job_record& job, const step_record& step,
-                                          const worker_id& worker, time_point now) const
-{
-  if (!job.policy().advice)
-    return &k_no_ticket;
-  const auto found = step.permits.tickets.find(worker);
-  if (found == step.permits.tickets.end() || !valid_on_arrival(found->second, now))
-    return nullptr;
-  return &found->second.text;
-}
-
-std::optional<time_point> advice_planner::ticket_expiry(const job_record& job,
-                                                        const step_record& step,
-                                                        const worker_id& worker) const
-{
-  const auto found = step.permits.tickets.find(worker);
-  if (!job.policy().advice || found == step.permits.tickets.end())
-    return std::nullopt;
-  return found->second.until + m_state.options.ticket_margin + k_clock_drift_allowance;
-}
-
 // A call names as many workers as the waiting tasks should need, the most useful ones first: each
 // further worker makes the call longer, and each further call costs its fixed time again.
 //
@@ -102,7 +58,7 @@
         (reason == request_reason::waiting && !has_capacity_in_time(*worker, job, which, now)))
       continue;
     if (!meets_requirements(*worker, job, step) || !step.begun.covers(worker->info.zone) ||
-        ticket(job, step, id, now) != nullptr)
+        m_rules.ticket(job, step, id, now) != nullptr)
       continue;
     if (reason == request_reason::waiting && !m_state.usable(*worker, now))
       continue;
@@ -180,8 +136,7 @@
 {
   const step_record& step = job.cycles()[which.cycle].steps[which.step];
   if (required_resources(*step.spec).fits_in(worker.free()))
-    return m_reservations.allows(worker, job, step, now) ||
-           m_reservations.expected_free_time(which, worker.info.id).has_value();
+    return m_reservations.allows(worker, job, {which.cycle, which.step, 0}, now);
   const auto expected = m_reservations.expected_free_time(which, worker.info.id);
   return expected && *expected - now <= job.policy().advice->per_call + k_ticket_lead_time;
 }
@@ -199,7 +154,11 @@
     return;
   }
   if (m_cpu_budget <= 0)
+  {
+    if (!record.permits.asking)
+      job.cycles()[cycle].steps[step].permits.latest_attempt = advice_attempt::no_budget;
     return;
+  }
   m_cpu_budget -=
       static_cast<std::int64_t>(record.waiting) * required_resources(*record.spec).cpu_millis;
   send_request(job, cycle, step, request_reason::waiting, now);
@@ -219,15 +178,23 @@
 {
   step_record& record = job.cycles()[cycle].steps[step];
   step_permits& permits = record.permits;
-  if (!job.policy().advice || permits.asking || now < permits.ask_after)
+  if (!job.policy().advice || permits.asking)
+    return;
+  if (now < permits.ask_after)
+  {
+    permits.latest_attempt = advice_attempt::paused;
     return;
+  }
   const bool is_long_call = is_long(*job.policy().advice);
   const auto in_flight = std::count_if(m_in_flight.begin(), m_in_flight.end(),
                                        [is_long_call](const auto& each)
                                        { return each.second.is_long == is_long_call; });
   if (static_cast<std::size_t>(in_flight) >=
       (is_long_call ? m_call_slots.long_calls : m_call_slots.short_calls))
+  {
+    permits.latest_attempt = advice_attempt::no_slot;
     return;
+  }
   permits.last_advice_turn = now;
   // The begin mark is written while the request is in flight, to save time.
   if (record.begun.mark == begin_mark::none)
@@ -235,12 +202,18 @@
   std::vector<worker_id> workers = candidate_workers(job, {job.id(), cycle, step}, reason, now);
   if (workers.empty())
   {
+    permits.latest_attempt = advice_attempt::no_worker;
     // The step's zone has no suitable worker, or none with free capacity.
     if (reason != request_reason::ahead)
       m_state.request_begin_mark_in_all_zones(job, record);
     return;
   }
   permits.asking = true;
+  permits.latest_attempt = advice_attempt::in_flight;
+  permits.latest_call = step_permits::call{now, std::nullopt, workers.size()};
+  permits.latest_call->known_permitted = static_cast<std::size_t>(std::count_if(
+      workers.begin(), workers.end(),
+      [&permits](const worker_id& each) { return permits.permitted.contains(each); }));
   const auto expected_duration =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
@@ -343,10 +316,36 @@
   // in vain without a pause; other workers may come.
   if (answer.permitted.empty())
     permits.ask_after = now + m_state.options.advice_retry;
+  log_reply(*job, answer, now);
+}
+
+void advice_planner::log_reply(job_record& job, const advice_answer& answer, time_point now) const
+{
+  step_record& step = job.cycles()[answer.step.cycle].steps[answer.step.step];
+  if (!step.permits.latest_call)
+    return;
+  step_permits::call& call = *step.permits.latest_call;
+  call.replied = now;
+  call.permitted = answer.permitted.size();
+  const std::optional<std::uint32_t> waiting = step.first_waiting();
+  obstacle_counts obstacles;
+  for (const admission_ticket& each : answer.permitted)
+  {
+    const worker_record* const worker = m_state.find_worker(each.worker);
+    if (worker != nullptr && waiting)
+      obstacles.add(m_rules.obstacle_at(
+          *worker, job, {answer.step.cycle, answer.step.step, *waiting}, now, isolation::ignored));
+  }
+  call.usable = obstacles.count(obstacle::none);
   common::log_request("advice", answer.step.job,
                       {{"step", answer.step.step},
-                       {"asked", answer.asked.size()},
-                       {"permitted", answer.permitted.size()},
+                       {"waiting", step.waiting},
+                       {"asked", call.named},
+                       {"known", call.known_permitted},
+                       {"permitted", call.permitted},
+                       {"usable", call.usable},
+                       {"obstacles", obstacles.text()},
+                       {"took_ms", now - call.sent},
                        {"valid_ms", answer.valid}});
 }
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -8,6 +8,7 @@
 
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/StartRules.h"
 #include "Scheduling/ZoneChooser.h"
 
 namespace yardhill::scheduling
@@ -15,7 +16,8 @@
 class advice_planner
 {
 public:
-  advice_planner(scheduler_state& state, const zone_chooser& zones, const reservations& reserved);
+  advice_planner(scheduler_state& state, const zone_chooser& zones, const reservations& reserved,
+                 const start_rules& rules);
 
   // Requests advice for a step with waiting tasks, about workers that have free capacity for a task
   // but no ticket yet.
@@ -33,16 +35,6 @@
   void on_answer(const advice_answer& answer, time_point now);
   // Limits how many long and short advice calls may be in flight.
   void set_slots(const advice_slots& slots) { m_call_slots = slots; }
-  // The ticket to start a task of the step on that worker; null if there is no valid one. An empty
-  // string if the queue needs no tickets.
-  const std::string* ticket(const job_record& job, const step_record& step, const worker_id& worker,
-                            time_point now) const;
-  // Whether a start request that is sent now should arrive while the ticket is still valid.
-  bool valid_on_arrival(const step_permits::ticket& ticket, time_point now) const;
-  // When the worker surely regards that ticket as expired; none if there is no ticket or the queue
-  // needs none.
-  std::optional<time_point> ticket_expiry(const job_record& job, const step_record& step,
-                                          const worker_id& worker) const;
 
 private:
   // Why advice is requested for a step.
@@ -82,6 +74,8 @@
                             const step_ref& which, time_point now) const;
   void send_request(job_record& job, std::uint32_t cycle, std::uint32_t step, request_reason reason,
                     time_point now);
+  // Records and logs how much the reply is worth to the waiting tasks of its step.
+  void log_reply(job_record& job, const advice_answer& answer, time_point now) const;
   // Whether the worker's present incarnation is the one that the request was about.
   bool same_incarnation(const pending_request& request, const worker_id& worker) const;
   bool ready_soon(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now) const;
@@ -89,17 +83,11 @@
   scheduler_state& m_state;
   const zone_chooser& m_zones;
   const reservations& m_reservations;
+  const start_rules& m_rules;
   std::int64_t m_cpu_budget = 0;
   advice_slots m_call_slots;
   std::map<step_ref, pending_request> m_in_flight;
   // The share of workers that the policy permits, by queue.
   std::map<std::string, double> m_permitted_shares;
 };
-
-// Whether the worker could run a task of the step at all (service, label, capacity, valid claim),
-// regardless of its present load.
-bool meets_requirements(const worker_record& worker, const job_record& job,
-                        const step_record& step);
-// Whether an earlier reply said that the queue's policy does not permit the step on the worker.
-bool policy_forbids(const step_record& step, const worker_id& worker);
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -8,6 +8,16 @@
 
 namespace yardhill::scheduling
 {
+std::optional<std::uint32_t> step_record::first_waiting() const
+{
+  const auto found =
+      std::find_if(tasks.begin(), tasks.end(),
+                   [](const task_record& each) { return each.phase == task_phase::waiting; });
+  if (found == tasks.end())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(found - tasks.begin());
+}
+
 job_record::job_record(jobs::accepted_job job, const jobs::queue_policy& policy,
                        time_point accepted)
     : m_job(std::move(job)), m_policy(policy), m_accepted_at(accepted)
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -70,10 +70,30 @@
   std::vector<run_record*> runs;
 };
 
+// What became of the latest attempt to request advice for a step.
+enum class advice_attempt
+{
+  none,
+  in_flight,
+  paused,    // the last request had no reply or permitted no worker
+  no_slot,   // as many calls are in flight as may be
+  no_budget, // more urgent steps of the pass need the free capacity
+  no_worker  // no worker to ask about could take a task
+};
+
 // The workers that the queue's policy permits for a step, as far as the admission service was
 // asked.
 struct step_permits
 {
+  struct call
+  {
+    time_point sent{};
+    std::optional<time_point> replied;
+    std::size_t named = 0;
+    std::size_t known_permitted = 0; // of those named
+    std::size_t permitted = 0;       // by the reply
+    std::size_t usable = 0;          // of the permitted: could take a task when the reply came
+  };
   struct ticket
   {
     std::string text;
@@ -86,6 +106,8 @@
   time_point ask_after{}; // no request before this time
   // When advice was last requested, or would have been if there had been a worker to ask about.
   time_point last_advice_turn{};
+  advice_attempt latest_attempt = advice_attempt::none;
+  std::optional<call> latest_call;
 };
 
 // Where tasks of a step may be started. This is written to the store before the first start, so
@@ -124,6 +146,8 @@
 
   bool complete() const { return done == tasks.size(); }
   bool all_wait() const { return waiting == tasks.size(); }
+  // The index of the first task that waits.
+  std::optional<std::uint32_t> first_waiting() const;
 };
 
 struct cycle_record
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -26,10 +26,11 @@
       m_holder(m_state, m_crashes, m_follower, m_accounting, m_copies),
       m_zones(m_state),
       m_reservations(m_state),
-      m_advice(m_state, m_zones, m_reservations),
-      m_placer(m_state, m_zones, m_advice, m_reservations, m_crashes),
+      m_rules(m_state, m_reservations, m_crashes),
+      m_advice(m_state, m_zones, m_reservations, m_rules),
+      m_placer(m_state, m_zones, m_advice, m_reservations, m_crashes, m_rules),
       m_evacuator(m_state, m_advice, m_placer),
-      m_waits(m_state, m_placer, m_crashes, m_accounting, m_holder)
+      m_waits(m_state, m_rules, m_crashes, m_accounting, m_holder)
 {
   m_state.first_run = first_run;
 }
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -188,6 +188,7 @@
   worker_holder m_holder;
   zone_chooser m_zones;
   reservations m_reservations;
+  start_rules m_rules;
   advice_planner m_advice;
   placer m_placer;
   evacuator m_evacuator;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -34,8 +34,13 @@
 } // namespace
 
 placer::placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-               reservations& reserved, crash_watch& crashes)
-    : m_state(state), m_zones(zones), m_advice(advice), m_reservations(reserved), m_crashes(crashes)
+               reservations& reserved, crash_watch& crashes, const start_rules& rules)
+    : m_state(state),
+      m_zones(zones),
+      m_advice(advice),
+      m_reservations(reserved),
+      m_crashes(crashes),
+      m_rules(rules)
 {
 }
 
@@ -179,16 +184,6 @@
   return true;
 }
 
-bool placer::has_free_capacity(const worker_record& worker, const job_record& job,
-                               const task_place& place) const
-{
-  const step_record& step = job.cycles()[place.cycle].steps[place.step];
-  if (!worker.foreign.empty() || !required_resources(*step.spec).fits_in(worker.free()))
-    return false;
-  return step.spec->max_tasks_per_worker == 0 ||
-         worker.count_runs_of_step(job, place.cycle, place.step) < step.spec->max_tasks_per_worker;
-}
-
 // Best fit: prefers the most utilized worker that can still take the task, so that other workers
 // keep free capacity for large tasks. A task that may crash its worker prefers the least utilized
 // one, because all runs on that worker would be lost with it.
@@ -224,29 +219,6 @@
   return worker_speeds::preference(end - now - path, path, last);
 }
 
-placer::obstacle placer::obstacle_at(const worker_record& worker, const job_record& job,
-                                     const task_place& place, time_point now, isolation rule) const
-{
-  const step_record& step = job.cycles()[place.cycle].steps[place.step];
-  if (!m_state.usable(worker, now))
-    return obstacle::unusable;
-  if (!step.begun.covers(worker.info.zone))
-    return obstacle::other_zone;
-  if (!meets_requirements(worker, job, step))
-    return obstacle::unsuitable;
-  if (!has_free_capacity(worker, job, place))
-    return obstacle::no_room;
-  const task_record& task = step.tasks[place.index];
-  if (rule == isolation::enforced ? !m_crashes.fit(worker, task, now)
-                                  : !m_crashes.can_become_fit(worker, task, now))
-    return obstacle::unfit_for_trial;
-  if (!m_reservations.allows(worker, job, step, now))
-    return obstacle::reserved;
-  if (m_advice.ticket(job, step, worker.info.id, now) == nullptr)
-    return obstacle::no_ticket;
-  return obstacle::none;
-}
-
 // If the queue's policy names the permitted workers, only workers with a ticket are checked, which
 // are few of all workers.
 worker_record* placer::best_worker(job_record& job, const task_place& place, time_point now,
@@ -261,9 +233,7 @@
   const double preference = speed_preference(job, place, now);
   const auto consider = [&](worker_record& worker)
   {
-    // Checked first because it is cheap and most workers have no free capacity while steps wait.
-    if (!has_free_capacity(worker, job, place) ||
-        obstacle_at(worker, job, place, now, rule) != obstacle::none)
+    if (!m_rules.may_start(worker, job, place, now, rule))
       return;
     const double value = placement_score(worker, step, task, preference, now);
     if (best != nullptr && value <= best_score)
@@ -275,7 +245,7 @@
   {
     for (const auto& [id, ticket] : step.permits.tickets)
     {
-      if (!m_advice.valid_on_arrival(ticket, now))
+      if (!m_rules.valid_on_arrival(ticket, now))
         continue;
       if (worker_record* const worker = m_state.find_worker(id))
         consider(*worker);
@@ -324,7 +294,7 @@
     if (asked >= job.step(place).waiting)
       break;
     if (m_state.incarnation_confirmed(*other, now) ||
-        obstacle_at(*other, job, place, now, isolation::enforced) != obstacle::none)
+        !m_rules.may_start(*other, job, place, now, isolation::enforced))
       continue;
     m_state.request_confirmation(*other, now);
     ++asked;
@@ -499,7 +469,7 @@
   const auto known = worker.runs.find({job.id(), place});
   run_record& run = known == worker.runs.end() ? m_state.add_run(job, place, number, worker, now)
                                                : *known->second;
-  const std::string* const ticket = m_advice.ticket(job, job.step(place), worker.info.id, now);
+  const std::string* const ticket = m_rules.ticket(job, job.step(place), worker.info.id, now);
   m_crashes.mark_trial(run, now);
   job.task(place).waiting_for_trial_since.reset();
   worker.latest_start = now;
@@ -507,7 +477,7 @@
   run.sends = 1;
   run.start_expires = m_state.extend_worker_lease(worker, now);
   run.ticket = ticket == nullptr ? std::string() : *ticket;
-  run.ticket_over = m_advice.ticket_expiry(job, job.step(place), worker.info.id);
+  run.ticket_over = m_rules.ticket_expiry(job, job.step(place), worker.info.id);
   m_state.starts.take();
   m_state.metrics.add(common::counter::attempts_started);
   if (job.first_start())
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -14,6 +14,7 @@
 #include "Scheduling/CrashWatch.h"
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/StartRules.h"
 
 namespace yardhill::scheduling
 {
@@ -21,7 +22,7 @@
 {
 public:
   placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-         reservations& reserved, crash_watch& crashes);
+         reservations& reserved, crash_watch& crashes, const start_rules& rules);
 
   // Makes one pass over the waiting steps. With `survey`, the pass also checks the running tasks:
   // it marks slow workers and starts copies of speculative tasks that are late.
@@ -35,28 +36,6 @@
     return best_worker(job, place, now, isolation::enforced);
   }
 
-  // Whether tasks suspected of crashing workers have to be isolated from other tasks.
-  enum class isolation
-  {
-    enforced,
-    ignored
-  };
-  // The reason why a task cannot be started on a worker. The checks are made in the order of the
-  // enumerators; the first one that fails is returned.
-  enum class obstacle
-  {
-    unusable,        // the worker is silent or paused, or its whole zone is silent
-    other_zone,      // the step is restricted to another zone
-    unsuitable,      // the worker does not meet the step's requirements (see meets_requirements)
-    no_room,         // not enough free capacity, or the step's limit per worker is reached
-    unfit_for_trial, // isolated for another task's trial, or unfit for this task's trial
-    reserved,        // the worker is reserved for another step
-    no_ticket,       // the queue's policy needs a ticket, and there is no valid one
-    none
-  };
-  obstacle obstacle_at(const worker_record& worker, const job_record& job, const task_place& place,
-                       time_point now, isolation rule) const;
-
 private:
   struct waiting_step
   {
@@ -115,8 +94,6 @@
   // Called when no worker can take a suspected task: keeps a worker free of new starts so that it
   // becomes fit for the task's trial, and records since when the task waits for such a worker.
   void prepare_trial(job_record& job, const task_place& place, time_point now) const;
-  bool has_free_capacity(const worker_record& worker, const job_record& job,
-                         const task_place& place) const;
   double placement_score(const worker_record& worker, const step_record& step,
                          const task_record& task, double speed_preference, time_point now) const;
   // How much a task of the step gains from a fast worker (see worker_speeds); 0 while the speeds of
@@ -134,6 +111,7 @@
   advice_planner& m_advice;
   reservations& m_reservations;
   crash_watch& m_crashes;
+  const start_rules& m_rules;
   bool m_confirmation_awaited = false; // in the latest pass, by a start
   std::size_t m_passes = 0;
   std::size_t m_steps_examined = 0;
--- a/Source/Core/Scheduling/Reservations.cpp
+++ b/Source/Core/Scheduling/Reservations.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <vector>
 
-#include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/StartRules.h"
 
 namespace yardhill::scheduling
 {
@@ -111,12 +111,15 @@
 }
 
 bool reservations::allows(const worker_record& worker, const job_record& job,
-                          const step_record& step, time_point now) const
+                          const task_place& place, time_point now) const
 {
   const auto found = m_by_worker.find(worker.info.id);
   if (found == m_by_worker.end())
     return true;
   const reservation& reserved = found->second;
+  if (reserved.step == step_ref{job.id(), place.cycle, place.step})
+    return true;
+  const step_record& step = job.cycles()[place.cycle].steps[place.step];
   const duration run_time = m_state.runtimes.expected(job.accepted().queue, step.spec->estimate);
   if (!step.spec->long_running && step.spec->estimate.count() > 0 &&
       now + m_state.speeds.time_on(worker.info.id, run_time) <= reserved.expected_at)
--- a/Source/Core/Scheduling/Reservations.h
+++ b/Source/Core/Scheduling/Reservations.h
@@ -26,10 +26,10 @@
   // capacity for it first. Only workers of which the task needs a large share, and on which it
   // would still meet the job's objective, are reserved.
   void reserve_for(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
-  // Whether a task of the step may start on the worker. It may if the worker is not reserved, if
-  // the task should end before the reserved capacity is expected to be free, or if the worker then
-  // has capacity for both tasks.
-  bool allows(const worker_record& worker, const job_record& job, const step_record& step,
+  // Whether a task may start on the worker. It may if the worker is not reserved or is reserved
+  // for the task's step, if the task should end before the reserved capacity is expected to be
+  // free, or if the worker then has capacity for both tasks.
+  bool allows(const worker_record& worker, const job_record& job, const task_place& place,
               time_point now) const;
   // When the capacity should be free on a worker that is reserved for the step; none for other
   // workers.
--- a/Source/Core/Scheduling/WaitReport.cpp
+++ b/Source/Core/Scheduling/WaitReport.cpp
@@ -13,21 +13,22 @@
 namespace
 {
 constexpr auto k_reason_names = std::to_array<std::string_view>(
-    {"may_not_place", "unaccounted",       "run_orphaned", "run_stopping",
-     "run_silent",    "run_unanswered",    "run_unheld",   "renewal",
-     "gang",          "trial_postponed",   "announcement", "workspace_limit",
-     "begin_mark",    "unplaced",          "no_worker",    "worker_unusable",
-     "other_zone",    "worker_unsuitable", "no_room",      "unfit_for_trial",
-     "reserved",      "no_ticket",         "turn"});
+    {"may_not_place",   "unaccounted",     "run_orphaned",      "run_stopping", "run_silent",
+     "run_unanswered",  "run_unheld",      "renewal",           "gang",         "trial_postponed",
+     "announcement",    "workspace_limit", "begin_mark",        "unplaced",     "no_worker",
+     "worker_unusable", "other_zone",      "worker_unsuitable", "step_limit",   "foreign_runs",
+     "no_room",         "unfit_for_trial", "reserved",          "no_ticket",    "turn"});
 static_assert(k_reason_names.size() == static_cast<std::size_t>(wait_reason::count));
 
-wait_reason reason_of(placer::obstacle from)
+wait_reason reason_of(obstacle from)
 {
-  static constexpr std::array k_reasons{wait_reason::worker_unusable,   wait_reason::other_zone,
-                                        wait_reason::worker_unsuitable, wait_reason::no_room,
-                                        wait_reason::unfit_for_trial,   wait_reason::reserved,
-                                        wait_reason::no_ticket,         wait_reason::turn};
-  static_assert(k_reasons.size() == static_cast<std::size_t>(placer::obstacle::none) + 1);
+  static constexpr std::array k_reasons{wait_reason::no_worker,  wait_reason::worker_unusable,
+                                        wait_reason::other_zone, wait_reason::worker_unsuitable,
+                                        wait_reason::step_limit, wait_reason::foreign_runs,
+                                        wait_reason::no_room,    wait_reason::unfit_for_trial,
+                                        wait_reason::reserved,   wait_reason::no_ticket,
+                                        wait_reason::turn};
+  static_assert(k_reasons.size() == static_cast<std::size_t>(obstacle::none) + 1);
   return k_reasons.at(static_cast<std::size_t>(from));
 }
 
@@ -66,6 +67,31 @@
     return "the last advice request had no reply or permitted no worker";
   return permits.permitted.empty() ? "no advice yet" : "no valid ticket";
 }
+
+std::string in_milliseconds(duration time)
+{
+  return std::to_string(common::to_milliseconds(time).count()) + " ms";
+}
+
+// For instance "no_budget; latest call 700 ms ago: 8 named, 2 of them known, reply after 640 ms: 2
+// permitted, 0 usable".
+std::string advice_history(const step_permits& permits, time_point now)
+{
+  static constexpr auto k_attempts = std::to_array<std::string_view>(
+      {"not requested", "in_flight", "paused", "no_slot", "no_budget", "no_worker"});
+  std::string text(common::name_of(k_attempts, permits.latest_attempt));
+  if (!permits.latest_call)
+    return text;
+  const step_permits::call& call = *permits.latest_call;
+  text += "; latest call " + in_milliseconds(now - call.sent) +
+          " ago: " + std::to_string(call.named) + " named, " +
+          std::to_string(call.known_permitted) + " of them known";
+  if (call.replied)
+    text += ", reply after " + in_milliseconds(*call.replied - call.sent) + ": " +
+            std::to_string(call.permitted) + " permitted, " + std::to_string(call.usable) +
+            " usable";
+  return text;
+}
 } // namespace
 
 const std::array<wait_report::wait_check, 4> wait_report::k_wait_checks{
@@ -77,14 +103,10 @@
   return common::name_of(k_reason_names, reason);
 }
 
-wait_report::wait_report(scheduler_state& state, const placer& task_placer,
+wait_report::wait_report(scheduler_state& state, const start_rules& rules,
                          const crash_watch& crashes, const takeover_accounting& accounting,
                          const worker_holder& holder)
-    : m_state(state),
-      m_placer(task_placer),
-      m_crashes(crashes),
-      m_accounting(accounting),
-      m_holder(holder)
+    : m_state(state), m_rules(rules), m_crashes(crashes), m_accounting(accounting), m_holder(holder)
 {
 }
 
@@ -236,35 +258,30 @@
   return std::nullopt;
 }
 
-// Reports the worker that passes most of the placer's checks.
+// Reports the worker that passes most of the checks for a start.
 task_wait wait_report::placement_wait(const waiting_task& entry, time_point now) const
 {
-  using obstacle = placer::obstacle;
   const step_record& step = entry.job->step(entry.place);
   const task_record& task = entry.job->task(entry.place);
-  std::array<std::size_t, static_cast<std::size_t>(obstacle::none) + 1> counts{};
-  std::size_t not_permitted = 0;
+  obstacle_counts counts;
   const worker_record* nearest = nullptr;
-  obstacle nearest_obstacle = obstacle::unusable;
+  obstacle nearest_obstacle = obstacle::not_permitted;
   for (const auto& [id, worker] : m_state.workers)
   {
-    if (entry.job->policy().advice && policy_forbids(step, id))
-    {
-      ++not_permitted;
-      continue;
-    }
-    const obstacle worker_obstacle =
-        m_placer.obstacle_at(*worker, *entry.job, entry.place, now, placer::isolation::enforced);
-    ++counts.at(static_cast<std::size_t>(worker_obstacle));
-    if (nearest != nullptr && worker_obstacle <= nearest_obstacle)
+    const obstacle found =
+        m_rules.obstacle_at(*worker, *entry.job, entry.place, now, isolation::enforced);
+    counts.add(found);
+    if (nearest != nullptr && found <= nearest_obstacle)
       continue;
     nearest = worker.get();
-    nearest_obstacle = worker_obstacle;
+    nearest_obstacle = found;
   }
   if (nearest == nullptr)
     return wait_for(wait_reason::no_worker);
   task_wait wait = wait_for(reason_of(nearest_obstacle), *nearest, now);
-  wait.workers = counts.at(static_cast<std::size_t>(nearest_obstacle));
+  wait.workers = counts.count(nearest_obstacle);
+  if (entry.job->policy().advice)
+    wait.advice = advice_history(step.permits, now);
   if (nearest_obstacle == obstacle::none && !step.begun.written_for(nearest->info.zone))
   {
     wait.reason = wait_reason::begin_mark;
@@ -274,14 +291,7 @@
     wait.reason = wait_reason::announcement;
   if (nearest_obstacle == obstacle::no_ticket)
     wait.detail = advice_state(step.permits, now);
-  wait.detail +=
-      (wait.detail.empty() ? "" : "; ") + std::to_string(not_permitted) + " not permitted";
-  for (std::size_t i = 0; i < counts.size(); ++i)
-  {
-    if (counts.at(i) > 0)
-      wait.detail += ", " + std::to_string(counts.at(i)) + " " +
-                     std::string(to_text(reason_of(static_cast<obstacle>(i))));
-  }
+  wait.detail += (wait.detail.empty() ? "" : "; ") + counts.text();
   return wait;
 }
 
@@ -301,6 +311,7 @@
                               {"workers", wait.workers},
                               {"lease_left_ms", wait.lease_remaining},
                               {"unheard_ms", wait.since_heard},
+                              {"advice", wait.advice},
                               {"detail", wait.detail}});
   m_reported.push_back({m_last_reported, entry.waited, std::move(wait)});
 }
--- a/Source/Core/Scheduling/WaitReport.h
+++ b/Source/Core/Scheduling/WaitReport.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "Scheduling/CrashWatch.h"
-#include "Scheduling/Placer.h"
 #include "Scheduling/SchedulerState.h"
+#include "Scheduling/StartRules.h"
 #include "Scheduling/TakeoverAccounting.h"
 #include "Scheduling/WorkerHolder.h"
 
@@ -38,10 +38,12 @@
   unplaced,        // no reason found without checking all workers
   no_worker,       // there is no worker, or the policy permits none
   // The remaining reasons say why the task does not start on the worker that passes most of the
-  // placer's checks (see placer::obstacle).
+  // checks (see obstacle).
   worker_unusable,
   other_zone,
   worker_unsuitable,
+  step_limit,
+  foreign_runs,
   no_room,
   unfit_for_trial,
   reserved,
@@ -63,6 +65,7 @@
   std::size_t workers = 0;
   duration lease_remaining{0}; // until the end of the worker's lease or the owner's authority
   duration since_heard{0};     // since the last answer of the worker or confirmation by the store
+  std::string advice;          // what became of the latest requests for advice
   std::string detail;
 };
 
@@ -75,7 +78,7 @@
   // later updates in rotation.
   static constexpr std::size_t k_max_reported = 10;
 
-  wait_report(scheduler_state& state, const placer& task_placer, const crash_watch& crashes,
+  wait_report(scheduler_state& state, const start_rules& rules, const crash_watch& crashes,
               const takeover_accounting& accounting, const worker_holder& holder);
 
   // Called once a second.
@@ -118,7 +121,7 @@
   static const std::array<wait_check, 4> k_wait_checks;
 
   scheduler_state& m_state;
-  const placer& m_placer;
+  const start_rules& m_rules;
   const crash_watch& m_crashes;
   const takeover_accounting& m_accounting;
   const worker_holder& m_holder;
--- a/Source/Core/Scheduling/ZoneChooser.cpp
+++ b/Source/Core/Scheduling/ZoneChooser.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <map>
 
-#include "Scheduling/AdvicePlanner.h"
+#include "Scheduling/StartRules.h"
 
 namespace yardhill::scheduling
 {
