--- a/Source/UnitTests/Scheduling/ReservationsTest.cpp
+++ b/Source/UnitTests/Scheduling/ReservationsTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Scheduling/AdvisedCell.h"
 #include "Scheduling/SchedulerHarness.h"
 
 using namespace yardhill::scheduling;
@@ -103,4 +104,17 @@
   BOOST_TEST(started(k_later_job));
 }
 
+// Guards against capacity that no task can use: it was reserved for a step that already has as many
+// tasks on the worker as it allows.
+BOOST_FIXTURE_TEST_CASE(a_worker_at_the_step_limit_is_not_reserved_for_the_step, advised_cell)
+{
+  add_workers(1);
+  yardhill::jobs::step_spec limited = long_running_step(2, 8000);
+  limited.max_tasks_per_worker = 1;
+  submit(k_large_job, k_no_advice, limited);
+  BOOST_TEST_REQUIRE(play_until([this] { return runs_of(k_large_job).size() == 1U; }, seconds{1}));
+  submit(k_later_job, k_no_advice, long_running_step(1, 8000));
+  BOOST_TEST(play_until([this] { return runs_of(k_later_job).size() == 1U; }, seconds{3}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
