Model, UnitTests: Explorer with scarce advice for long-running steps with a limit per worker

Cause: in the incident LOST, a long-running task waited although permitted workers below its step's limit had free capacity, because the requests for advice named workers at the limit. The explorer could not show it: no long-running step had a limit per worker or needed advice, and all calls were short.

Change: explore_cell has a variant, advice_load::scarce. Its cell has 60 workers and a queue with calls of 560 ms plus 8 ms per worker, tickets for 2 s, and three tenths of the workers permitted. Two long-running jobs there have 12 tasks with one per worker and 10 tasks with two per worker; other jobs compete for the calls for 45 s. The judge counts free capacity only on workers that the queue's policy permits and on which the step is below its limit; tasks without limit and policy are judged as before. omission::usable_tickets_omitted withholds tickets for workers below the limit.

--- a/Source/Core/Model/AdviceModel.cpp
+++ b/Source/Core/Model/AdviceModel.cpp
@@ -26,11 +26,17 @@
 {
 }
 
+advice_settings advice_model::settings_for(const std::string& step) const
+{
+  const std::string job = step.substr(0, step.find('.'));
+  return m_settings_of_job ? m_settings_of_job(job).value_or(m_settings) : m_settings;
+}
+
 bool advice_model::permits(const std::string& step, const std::string& incarnation) const
 {
   return static_cast<double>(common::stable_hash(step + "/" + incarnation, m_seed) %
                              k_share_resolution) <
-         m_settings.permitted_share * static_cast<double>(k_share_resolution);
+         settings_for(step).permitted_share * static_cast<double>(k_share_resolution);
 }
 
 void advice_model::handle(const std::string& machine, const http::request& call,
@@ -39,7 +45,9 @@
   const json body = json::parse(call.body, nullptr, false);
   const std::size_t named =
       body.is_object() ? body.value(wire::k_workers, json::array()).size() : 0;
-  const common::duration takes = m_settings.per_call + m_settings.per_worker * named;
+  const advice_settings settings =
+      body.is_object() ? settings_for(body.value(wire::k_step_name, std::string())) : m_settings;
+  const common::duration takes = settings.per_call + settings.per_worker * named;
   common::time_point& free_at = m_free_at[machine];
   free_at = std::max(free_at, m_time.now()) + takes;
   m_time.schedule(free_at - m_time.now(),
@@ -52,21 +60,21 @@
   if (!in.is_object())
     return {400, {}, {}, false};
   const std::string step = in.at(wire::k_step_name);
+  const std::chrono::milliseconds valid_for = settings_for(step).valid;
   json good = json::array();
   for (const json& each : in.at(wire::k_workers))
   {
     const std::string worker = each;
     const auto known = m_incarnations.find(worker);
     const std::string& incarnation = known == m_incarnations.end() ? worker : known->second;
-    if (!permits(step, incarnation))
+    if (!permits(step, incarnation) || (m_withheld && m_withheld(step, incarnation)))
       continue;
     const std::string ticket = "t" + std::to_string(m_tickets.size());
-    m_tickets[ticket] = {step, incarnation, m_time.now() + m_settings.valid};
+    m_tickets[ticket] = {step, incarnation, m_time.now() + valid_for};
     good.push_back({worker, ticket});
   }
   return {200,
-          json{{wire::k_permitted_workers, std::move(good)},
-               {wire::k_valid_ms, m_settings.valid.count()}}
+          json{{wire::k_permitted_workers, std::move(good)}, {wire::k_valid_ms, valid_for.count()}}
               .dump(),
           {},
           false};
--- a/Source/Core/Model/CallerModel.cpp
+++ b/Source/Core/Model/CallerModel.cpp
@@ -24,6 +24,14 @@
 constexpr unsigned k_submit_tries = 4;
 constexpr unsigned k_cancel_tries = 5;
 constexpr std::uint32_t k_long_running_tasks = 4;
+// The long-running jobs in the queue with scarce advice have one task per worker, and two. There
+// are fewer tasks than the workers that the queue's policy should permit may take.
+constexpr std::uint32_t k_limited_tasks = 12;
+constexpr std::uint32_t k_paired_tasks = 10;
+// Bounds of the time between two other jobs there. Each of their steps needs a call of about 600
+// ms, so that these take a fifth of the time of three instances.
+constexpr milliseconds k_min_scarce_spacing{500};
+constexpr milliseconds k_max_scarce_spacing{2500};
 constexpr const char* k_timeout_ms = "3000";
 // A caller that gets no reply within its request timeout and a small margin retries.
 constexpr milliseconds k_reply_timeout{3100};
@@ -221,9 +229,14 @@
 }
 
 std::string caller_model::hand_in(const jobs::job_spec& spec)
+{
+  return hand_in(spec, k_plain_prefix);
+}
+
+std::string caller_model::hand_in(const jobs::job_spec& spec, const char* prefix)
 {
   std::string id = job_id(++m_jobs);
-  m_prefixes[id] = k_plain_prefix;
+  m_prefixes[id] = prefix;
   m_specs[id] = spec;
   m_judge.submitted(id, spec, k_max_attempts);
   choose_workspace(id);
@@ -246,6 +259,68 @@
   m_judge.expect_to_keep_running(hand_in(spec));
 }
 
+bool caller_model::needs_scarce_advice(const std::string& job) const
+{
+  const auto found = m_prefixes.find(job);
+  return found != m_prefixes.end() && found->second == k_scarce_prefix;
+}
+
+void caller_model::submit_scarce(std::uint64_t seed, time_point end)
+{
+  m_scarce_random.seed(seed);
+  submit_limited_long_running(k_limited_tasks, 1);
+  submit_limited_long_running(k_paired_tasks, 2);
+  submit_scarce_until(end);
+}
+
+void caller_model::submit_limited_long_running(std::uint32_t tasks,
+                                               std::uint32_t max_tasks_per_worker)
+{
+  jobs::step_spec step;
+  step.count = tasks;
+  step.max_tasks_per_worker = max_tasks_per_worker;
+  step.demand.cpu_millis = 500;
+  step.demand.memory_mib = 100;
+  step.estimate = milliseconds(900);
+  step.long_running = true;
+  step.checkpointing = true;
+  jobs::job_spec spec;
+  spec.payload = "limited";
+  spec.steps.push_back(step);
+  m_judge.expect_to_keep_running(hand_in(spec, k_scarce_prefix));
+}
+
+void caller_model::submit_scarce_until(time_point end)
+{
+  if (m_time.now() > end)
+    return;
+  hand_in(random_scarce_spec(), k_scarce_prefix);
+  const auto spacing =
+      static_cast<std::uint64_t>((k_max_scarce_spacing - k_min_scarce_spacing).count());
+  m_time.schedule(k_min_scarce_spacing +
+                      milliseconds(static_cast<std::int64_t>(m_scarce_random() % spacing)),
+                  [this, end] { submit_scarce_until(end); });
+}
+
+jobs::job_spec caller_model::random_scarce_spec()
+{
+  jobs::job_spec spec;
+  spec.payload = "scarce-" + std::to_string(m_jobs);
+  const std::size_t steps = 1 + m_scarce_random() % 2;
+  for (std::size_t i = 0; i < steps; ++i)
+  {
+    jobs::step_spec step;
+    step.count = static_cast<std::uint32_t>(1 + m_scarce_random() % 4);
+    step.demand.cpu_millis = static_cast<std::int64_t>(500 + m_scarce_random() % 1000);
+    step.demand.memory_mib = 100;
+    step.estimate = milliseconds(900);
+    if (i > 0)
+      step.depends_on.push_back(static_cast<std::uint32_t>(i - 1));
+    spec.steps.push_back(step);
+  }
+  return spec;
+}
+
 void caller_model::submit_again(const std::string& id, const std::string& body, unsigned tries)
 {
   if (tries > 0)
--- a/Source/Core/Model/CallerModel.h
+++ b/Source/Core/Model/CallerModel.h
@@ -22,6 +22,8 @@
 // The queues of the cell's configuration, by the prefix of their paths.
 inline constexpr const char* k_urgent_prefix = "/u/"; // its tasks need advice
 inline constexpr const char* k_plain_prefix = "/p/";
+// Its tasks need advice that takes long. Only cells with scarce advice have this queue.
+inline constexpr const char* k_scarce_prefix = "/s/";
 inline constexpr const char* k_host = "jobs.example";
 inline constexpr std::uint32_t k_max_attempts = 3;
 
@@ -56,6 +58,11 @@
   std::optional<duration> crashes_after(const task_ref& task) const;
   // Submits a job whose long-running tasks should run until the simulation ends.
   void submit_long_running();
+  // Submits jobs to the queue with scarce advice: some whose long-running tasks should run until
+  // the simulation ends, with a limit per worker, and random other ones from now until `end`.
+  void submit_scarce(std::uint64_t seed, time_point end);
+  // Whether the job belongs to that queue.
+  bool needs_scarce_advice(const std::string& job) const;
   // Queries the state of every job; the answers are passed to the judge.
   void query_all();
   const std::map<std::string, jobs::job_spec>& specs() const { return m_specs; }
@@ -63,6 +70,10 @@
 
 private:
   std::string hand_in();
+  std::string hand_in(const jobs::job_spec& spec, const char* prefix);
+  void submit_limited_long_running(std::uint32_t tasks, std::uint32_t max_tasks_per_worker);
+  void submit_scarce_until(time_point end);
+  jobs::job_spec random_scarce_spec();
   void set_crash(const std::string& id, std::uint32_t step, std::uint32_t index, duration after);
   jobs::job_spec random_spec();
   void choose_workspace(const std::string& id);
@@ -92,5 +103,6 @@
   workspace_model* m_workspaces = nullptr; // null: calls bear no keys
   std::mt19937_64 m_workspace_random;
   std::map<std::string, std::string> m_workspace_of; // by job
+  std::mt19937_64 m_scarce_random;
 };
 } // namespace yardhill::model
--- a/Source/Core/Model/CellExplorer.cpp
+++ b/Source/Core/Model/CellExplorer.cpp
@@ -30,6 +30,10 @@
 constexpr seconds k_nothing_runs{3};
 // How often long-running tasks and, at the end, remaining runs are checked.
 constexpr std::chrono::milliseconds k_check_period{100};
+// Jobs that need scarce advice are still submitted when the cell is calm again.
+constexpr seconds k_scarce_period{45};
+// Added to the seed for the random numbers of the jobs that need scarce advice.
+constexpr std::uint64_t k_scarce_seed = 3;
 // Time for the answers to the final state queries.
 constexpr seconds k_final_queries{3};
 
@@ -88,12 +92,14 @@
 } // namespace
 
 exploration explore_cell(std::uint64_t seed, omission without, restarts how, std::size_t partitions,
-                         workspaces callers)
+                         workspaces callers, advice_load advice)
 {
   explored_cell cell(seed, partitions);
   if (callers == workspaces::changing)
     cell.add_workspaces(seed, without != omission::limits_omitted,
                         without != omission::keys_omitted);
+  if (advice == advice_load::scarce)
+    cell.make_advice_scarce(without != omission::usable_tickets_omitted);
   const logged_time logged(cell);
   cell_faults faults(cell, without);
   cell.time().schedule(k_first_job,
@@ -102,6 +108,10 @@
                          cell.callers().submit_long_running();
                          cell.callers().submit_jobs_until(cell.begin() + k_fault_period);
                        });
+  if (advice == advice_load::scarce)
+    cell.time().schedule(
+        k_first_job, [&cell, seed]
+        { cell.callers().submit_scarce(seed + k_scarce_seed, cell.begin() + k_scarce_period); });
   watch_long_running(cell, faults);
   const count_judge counts(cell, cell.begin() + k_run_length);
   const cancel_judge cancelled(cell, cell.begin() + k_run_length);
--- a/Source/Core/Model/CellExplorer.h
+++ b/Source/Core/Model/CellExplorer.h
@@ -19,7 +19,10 @@
   claims_omitted,   // a new owner finds no stored claims of workers
   progress_omitted, // a new owner finds no stored record of steps that have begun
   limits_omitted,   // the instances' configuration contains no limits of workspaces
-  keys_omitted      // by the instances' configuration callers need no keys
+  keys_omitted,     // by the instances' configuration callers need no keys
+  // Once a task of a step with a limit per worker runs, replies to calls for advice contain tickets
+  // only for workers that have reached the limit.
+  usable_tickets_omitted
 };
 
 // Whether workers also restart under their previous ids, in addition to the seed's other faults.
@@ -36,6 +39,14 @@
   changing
 };
 
+// Whether the cell also has a queue with long calls for advice that permit few workers, and jobs in
+// it: long-running ones with a limit of tasks per worker, and others that compete for the calls.
+enum class advice_load
+{
+  usual,
+  scarce
+};
+
 struct exploration
 {
   std::vector<std::string> violations;
@@ -54,5 +65,6 @@
 // The same arguments always give the same simulation.
 exploration explore_cell(std::uint64_t seed, omission without = omission::none,
                          restarts how = restarts::none, std::size_t partitions = 1,
-                         workspaces callers = workspaces::none);
+                         workspaces callers = workspaces::none,
+                         advice_load advice = advice_load::usual);
 } // namespace yardhill::model
--- a/Source/Core/Model/ExploredCell.cpp
+++ b/Source/Core/Model/ExploredCell.cpp
@@ -10,6 +10,7 @@
 #include "Common/Hash.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
+#include "platform/TaskName.h"
 #include "platform/WireNames.h"
 
 namespace yardhill::model
@@ -34,7 +35,16 @@
 const common::endpoint k_store_address{"10.200.0.1", 80};
 const common::endpoint k_advice_address{"10.200.0.2", 80};
 
-json configuration(std::uint64_t version, std::size_t unused_queues, bool public_queues)
+// The advice of the additional queue of cells with scarce advice: calls that are as long as they
+// are at the sites, and tickets that expire soon for few of the workers.
+constexpr advice_settings k_scarce_advice{milliseconds{560}, milliseconds{8}, milliseconds{2000},
+                                          0.3};
+// Far more workers than a call for a few tasks names, so that many workers remain of which an owner
+// does not know whether they are permitted.
+constexpr std::size_t k_scarce_advice_workers = 60;
+
+json configuration(std::uint64_t version, std::size_t unused_queues, bool public_queues,
+                   bool scarce_advice)
 {
   const auto route =
       [public_queues](const std::string& name, const std::string& prefix, int priority)
@@ -51,6 +61,14 @@
   urgent[wire::k_advice] = {
       {wire::k_decide_ms, 19.0}, {wire::k_each_ms, 0.28}, {wire::k_valid_ms, 2500}};
   json routes{urgent, route("plain", k_plain_prefix, 1)};
+  if (scarce_advice)
+  {
+    json scarce = route("scarce", k_scarce_prefix, 1);
+    scarce[wire::k_advice] = {{wire::k_decide_ms, k_scarce_advice.per_call.count()},
+                              {wire::k_each_ms, k_scarce_advice.per_worker.count() / 1000},
+                              {wire::k_valid_ms, k_scarce_advice.valid.count()}};
+    routes.push_back(std::move(scarce));
+  }
   for (std::size_t i = 0; i < unused_queues; ++i)
     routes.push_back(route("unused-" + std::to_string(i), "/unused-" + std::to_string(i) + "/", 1));
   return json{{wire::k_version, version}, {wire::k_routes, std::move(routes)}};
@@ -111,7 +129,7 @@
 
 void explored_cell::configure(std::uint64_t version, std::size_t unused_queues)
 {
-  json written = configuration(version, unused_queues, !m_keys_configured);
+  json written = configuration(version, unused_queues, !m_keys_configured, m_scarce_advice);
   if (m_workspaces)
   {
     json list = m_workspaces->configuration();
@@ -146,6 +164,38 @@
   reconfigure();
 }
 
+void explored_cell::make_advice_scarce(bool usable_tickets)
+{
+  m_scarce_advice = true;
+  m_advice.set_job_settings(
+      [this](const std::string& job) {
+        return m_callers.needs_scarce_advice(job) ? std::optional(k_scarce_advice) : std::nullopt;
+      });
+  if (!usable_tickets)
+    m_advice.withhold_tickets([this](const std::string& step, const std::string& incarnation)
+                              { return below_step_limit(step, incarnation); });
+  m_judge.set_permissions(
+      [this](const task_ref& task, const std::string& worker)
+      {
+        return !m_callers.needs_scarce_advice(task.job) ||
+               m_advice.permits(adapter::to_wire(scheduling::step_ref{task.job, task.place.cycle,
+                                                                      task.place.step}),
+                                worker);
+      });
+  add_workers(k_scarce_advice_workers - m_fleet.workers().size());
+  reconfigure();
+}
+
+bool explored_cell::below_step_limit(const std::string& step, const std::string& worker) const
+{
+  const std::optional<task_ref> first = adapter::task_from_wire(step + ".0");
+  const std::uint32_t limit =
+      m_callers.specs().at(first->job).steps[first->place.step].max_tasks_per_worker;
+  const auto tasks = m_judge.tasks_by_worker(first->job, first->place.cycle, first->place.step);
+  const auto there = tasks.find(worker);
+  return limit > 0 && !tasks.empty() && (there == tasks.end() || there->second < limit);
+}
+
 void explored_cell::reconfigure()
 {
   configure(m_configurations.rbegin()->second + 1);
@@ -159,7 +209,8 @@
 
 void explored_cell::add_workers(std::size_t count)
 {
-  for (std::size_t i = 0; i < count; ++i)
+  const std::size_t first = m_fleet.workers().size();
+  for (std::size_t i = first; i < first + count; ++i)
   {
     worker_settings settings;
     settings.address = {"10.1.0." + std::to_string(i + 1), 80};
@@ -189,6 +240,9 @@
   course.fails = random_bits / 2000 % 25 == 0;
   if (m_callers.specs().at(task.job).steps[task.place.step].long_running)
     course.takes = seconds(1 + static_cast<std::int64_t>(random_bits % 20));
+  // These rarely end, so that single tasks wait while all others of their step run.
+  if (m_callers.specs().at(task.job).long_running() && m_callers.needs_scarce_advice(task.job))
+    course.takes = seconds(10 + static_cast<std::int64_t>(random_bits % 50));
   course.crashes_after = m_callers.crashes_after(task);
   // No run of a task that crashes its worker ends before the crash.
   if (course.crashes_after)
--- a/Source/Core/Model/ExploredCell.h
+++ b/Source/Core/Model/ExploredCell.h
@@ -78,6 +78,9 @@
   void configure(std::uint64_t version, std::size_t unused_queues = 0);
   // From now on the cell has workspaces, and callers need keys. Called before anything runs.
   void add_workspaces(std::uint64_t seed, bool instances_see_limits, bool instances_see_keys);
+  // Adds workers, and a queue with long calls for advice that permit few workers. Called before
+  // anything runs.
+  void make_advice_scarce(bool usable_tickets);
   // Null if the cell has none.
   workspace_model* workspaces() { return m_workspaces ? &*m_workspaces : nullptr; }
   // Writes the next configuration version with the workspaces as they are now.
@@ -104,6 +107,8 @@
   void tick(explored_instance& which);
   // Whether the store has the job as accepted; false for a refusal's mark or no row in its place.
   bool is_stored(const std::string& job) const;
+  // Whether tasks of the step run, and not as many as the step permits of them on that worker.
+  bool below_step_limit(const std::string& step, const std::string& worker) const;
   // The instance that a caller contacts: often one that has just started, if there is one.
   explored_instance* choose_contacted_instance();
   // Delivers a caller's request to an instance that is up; returns false if none is.
@@ -125,6 +130,7 @@
   // Whether the configuration contains the limits, and that callers need keys.
   bool m_limits_configured = true;
   bool m_keys_configured = true;
+  bool m_scarce_advice = false;
   std::uint64_t m_incarnations = 0;
   std::optional<processor_costs> m_costs;
   bool m_suspended_clocks = false;
--- a/Source/Core/Model/RunJudge.cpp
+++ b/Source/Core/Model/RunJudge.cpp
@@ -491,19 +491,31 @@
   common::log_process("judge_violation", {{"what", m_violations.back()}});
 }
 
-bool run_judge::has_free_capacity(const jobs::step_spec& step,
+bool run_judge::has_free_capacity(const std::string& job,
                                   const std::vector<usable_worker>& usable) const
 {
+  const jobs::step_spec& step = m_jobs.at(job).spec.steps.front();
+  const std::map<std::string, std::uint32_t> of_step = tasks_by_worker(job, 0, 0);
+  const auto may_take = [&](const std::string& worker)
+  {
+    const auto running = of_step.find(worker);
+    const bool at_limit = step.max_tasks_per_worker > 0 && running != of_step.end() &&
+                          running->second >= step.max_tasks_per_worker;
+    return !at_limit && (!m_permitted || m_permitted({job, {}}, worker));
+  };
   std::map<std::string, std::int64_t> used;
   for (const auto& [task, observed] : m_tasks)
   {
     for (const auto& [number, run] : observed.active)
       used[run.worker] += m_jobs.at(task.job).spec.steps[task.place.step].demand.cpu_millis;
   }
-  return std::any_of(
-      usable.begin(), usable.end(),
-      [&](const usable_worker& each)
-      { return each.capacity.cpu_millis - used[each.id] >= 2 * step.demand.cpu_millis; });
+  return std::any_of(usable.begin(), usable.end(),
+                     [&](const usable_worker& each)
+                     {
+                       return each.capacity.cpu_millis - used[each.id] >=
+                                  2 * step.demand.cpu_millis &&
+                              may_take(each.id);
+                     });
 }
 
 void run_judge::check_long_running(const std::vector<usable_worker>& usable, common::time_point now,
@@ -515,8 +527,7 @@
     const observed_job& job = m_jobs.at(id);
     if (!job.accepted || !job.started)
       continue;
-    const bool capacity_free =
-        has_free_capacity(job.spec.steps.front(), usable) && below_half_of_limit(job, now);
+    const bool capacity_free = has_free_capacity(id, usable) && below_half_of_limit(job, now);
     for (std::uint32_t index = 0; index < job.spec.steps.front().count; ++index)
     {
       const task_ref ref{id, {0, 0, index}};
@@ -624,6 +635,21 @@
   return workers;
 }
 
+std::map<std::string, std::uint32_t>
+run_judge::tasks_by_worker(const std::string& job, std::uint32_t cycle, std::uint32_t step) const
+{
+  std::map<std::string, std::uint32_t> tasks;
+  for (auto each = m_tasks.lower_bound({job, {cycle, step, 0}});
+       each != m_tasks.end() && each->first.job == job && each->first.place.cycle == cycle &&
+       each->first.place.step == step;
+       ++each)
+  {
+    for (const auto& [number, run] : each->second.active)
+      ++tasks[run.worker];
+  }
+  return tasks;
+}
+
 std::size_t run_judge::accepted_jobs() const
 {
   return static_cast<std::size_t>(std::count_if(
--- a/Source/Core/Model/RunJudge.h
+++ b/Source/Core/Model/RunJudge.h
@@ -62,6 +62,10 @@
   {
     m_jobs[job].workspace = workspace;
   }
+  // Whether the policy of the task's queue permits it on a worker. Without a lookup, every worker
+  // is permitted.
+  using permission_lookup = std::function<bool(const task_ref&, const std::string& worker)>;
+  void set_permissions(permission_lookup permitted) { m_permitted = std::move(permitted); }
   // The highest limit of a workspace that may be in force at a time; 0 in a dimension: no limit.
   using limit_lookup = std::function<common::resources(const std::string&, common::time_point)>;
   void set_workspace_limits(limit_lookup limits) { m_workspace_limits = std::move(limits); }
@@ -108,9 +112,9 @@
   void entry_restored(const std::string& worker);
   void overloaded(const std::string& worker, const std::string& message);
 
-  // Called periodically: tasks that must keep running have to run again soon if some worker has
-  // twice the free capacity that they need. `disturbed_until`: when the latest fault ended or will
-  // end.
+  // Called periodically: tasks that must keep running have to run again soon if some worker that
+  // may take them has twice the free capacity that they need. `disturbed_until`: when the latest
+  // fault ended or will end.
   void check_long_running(const std::vector<usable_worker>& usable, common::time_point now,
                           common::time_point disturbed_until);
 
@@ -140,6 +144,9 @@
   std::vector<std::string> started_jobs() const;
   // The workers that have active runs.
   std::set<std::string> busy_workers() const;
+  // How many tasks of the step each worker runs; 0 if it is not contained.
+  std::map<std::string, std::uint32_t> tasks_by_worker(const std::string& job, std::uint32_t cycle,
+                                                       std::uint32_t step) const;
 
 private:
   struct observed_job
@@ -192,8 +199,9 @@
   void violate(const std::string& rule, const task_ref& task, const std::string& message);
   bool step_done(const std::string& job, const observed_job& of, std::uint32_t cycle,
                  std::uint32_t step) const;
-  bool has_free_capacity(const jobs::step_spec& step,
-                         const std::vector<usable_worker>& usable) const;
+  // Whether some worker that may take one more task of the job's first step has twice the free
+  // capacity that the task needs.
+  bool has_free_capacity(const std::string& job, const std::vector<usable_worker>& usable) const;
   void check_start(const observed_job& job, const observed_start& start);
   void check_done(const jobs::step_spec& spec, const observed_start& start);
   // Remembers a start after ends that are not taken note of yet, but may be later.
@@ -221,6 +229,7 @@
 
   job_lookup m_is_stored;
   limit_lookup m_workspace_limits;
+  permission_lookup m_permitted;
   std::map<std::string, observed_job> m_jobs;
   std::set<std::string> m_long_running;
   std::map<task_ref, observed_task> m_tasks;
--- a/Source/UnitTests/Model/RunJudgeTest.cpp
+++ b/Source/UnitTests/Model/RunJudgeTest.cpp
@@ -502,4 +502,124 @@
   BOOST_TEST(last_task_missed());
 }
 
+namespace
+{
+// A long-running step of three tasks, two on a worker at most, that must keep running. Its policy
+// permits two of three workers.
+struct limited_step
+{
+  const std::string forbidden_worker = "forbidden-worker";
+  // The step's tasks need one core each.
+  std::vector<model::usable_worker> usable{
+      {k_worker, {8000, 8000}}, {k_other_worker, {8000, 8000}}, {forbidden_worker, {8000, 8000}}};
+  model::run_judge judge;
+
+  limited_step()
+  {
+    jobs::job_spec spec;
+    spec.steps.emplace_back();
+    spec.steps.back().count = 3;
+    spec.steps.back().max_tasks_per_worker = 2;
+    spec.steps.back().demand.cpu_millis = 1000;
+    spec.steps.back().long_running = true;
+    judge.submitted(k_job, spec, 1);
+    judge.answered(k_job, 200);
+    judge.expect_to_keep_running(k_job);
+    judge.set_permissions([this](const model::task_ref&, const std::string& worker)
+                          { return worker != forbidden_worker; });
+  }
+
+  void start(std::uint32_t index, const std::string& worker)
+  {
+    judge.started({{k_job, {0, 0, index}}, 1, worker, {}, {}, judged_job::at(seconds{1})});
+  }
+
+  // The number of violations after the step's idle tasks were checked for `time`.
+  std::size_t violations_after(milliseconds time)
+  {
+    for (milliseconds passed{0}; passed <= time; passed += milliseconds{100})
+      judge.check_long_running(usable, judged_job::at(seconds{30} + passed),
+                               judged_job::at(seconds{1}));
+    return judge.violations().size();
+  }
+};
+
+// Long after a task that became idle has to run again.
+constexpr seconds k_long{20};
+} // namespace
+
+// A task whose step may not have more tasks on any worker that its policy permits cannot start, so
+// it may wait; it was reported because such workers had free capacity.
+BOOST_FIXTURE_TEST_CASE(a_task_may_wait_while_its_step_is_at_its_limit_on_all_permitted_workers,
+                        limited_step)
+{
+  usable.erase(usable.begin() + 1); // only k_worker and the forbidden one are left
+  start(0, k_worker);
+  start(1, k_worker);
+  BOOST_TEST(violations_after(k_long) == 0U);
+}
+
+// Guards against a judge that takes a limit reached on one worker for one reached on all, or that
+// allows more than the 6 s after the last run and the 3 s with free capacity.
+BOOST_FIXTURE_TEST_CASE(a_task_must_run_while_one_permitted_worker_is_below_its_steps_limit,
+                        limited_step)
+{
+  start(0, k_worker);
+  start(1, k_worker);
+  BOOST_TEST(violations_after(milliseconds{8900}) == 0U);
+  limited_step longer;
+  longer.start(0, k_worker);
+  longer.start(1, k_worker);
+  BOOST_TEST(longer.violations_after(milliseconds{9000}) == 1U);
+  BOOST_TEST_REQUIRE(!longer.judge.violations().empty());
+  BOOST_TEST(longer.judge.violations().front().starts_with("LOST: " + k_job + ".0.0.2"));
+}
+
+// Guards against a judge that takes a worker with some tasks of the step for one with as many as
+// the step permits.
+BOOST_FIXTURE_TEST_CASE(a_task_must_run_while_a_worker_has_fewer_tasks_than_the_limit, limited_step)
+{
+  usable.erase(usable.begin() + 1);
+  start(0, k_worker);
+  BOOST_TEST(violations_after(k_long) > 0U);
+}
+
+// The limit counts tasks that run, so a worker on which one has ended may get another one.
+BOOST_FIXTURE_TEST_CASE(a_task_must_run_once_another_one_of_its_step_has_ended, limited_step)
+{
+  usable.erase(usable.begin() + 1);
+  start(0, k_worker);
+  start(1, k_worker);
+  BOOST_TEST(violations_after(k_long) == 0U);
+  judge.ended({k_job, {0, 0, 0}}, 1, k_worker, run_outcome::failed);
+  BOOST_TEST(violations_after(k_long) > 0U);
+}
+
+// Other jobs' tasks do not count for the step's limit.
+BOOST_FIXTURE_TEST_CASE(tasks_of_another_job_do_not_count_for_a_steps_limit, limited_step)
+{
+  const std::string other_job = "00000000000000bb";
+  jobs::job_spec spec;
+  spec.steps.emplace_back();
+  spec.steps.back().count = 2;
+  judge.submitted(other_job, spec, 1);
+  judge.answered(other_job, 200);
+  usable.erase(usable.begin() + 1);
+  start(0, k_worker);
+  for (std::uint32_t index = 0; index < 2; ++index)
+    judge.started({{other_job, {0, 0, index}}, 1, k_worker, {}, {}, judged_job::at(seconds{1})});
+  BOOST_TEST(violations_after(k_long) > 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_task_may_wait_while_no_permitted_worker_has_twice_its_capacity,
+                        limited_step)
+{
+  usable[0].capacity.cpu_millis = 2900; // one core is used
+  usable[1].capacity.cpu_millis = 1900;
+  start(0, k_worker);
+  BOOST_TEST(violations_after(k_long) == 0U);
+  usable[1].capacity.cpu_millis = 2000;
+  BOOST_TEST(violations_after(k_long) > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
