Scheduling: Advice names only workers on which a task of the step may start

Cause: advice_planner had conditions of its own for "has room": without the step's limit per worker, runs of other owners and trials. Workers that run siblings up to the limit are known to be permitted, so they came first, and two of them filled the call of one waiting task. All were permitted, none could start anything, and the next call named them again.

Change: candidates are decided by start_rules, for a waiting task that stands for its like; the capacity of a candidate counts what its step's limit leaves.

Why it works: a worker is named only if nothing but a ticket is missing there, by the same answer that the placer asks for.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "Common/EventLog.h"
 
@@ -40,9 +41,8 @@
 // A call names as many workers as the waiting tasks should need, the most useful ones first: each
 // further worker makes the call longer, and each further call costs its fixed time again.
 //
-// For the first long call and for steps that are not ready yet, all suitable workers are
-// candidates. Otherwise only those with free capacity are, since a ticket expires before a full
-// worker has capacity again.
+// For the first long call and for steps that are not ready yet, workers that cannot take a task now
+// are candidates too. Otherwise they are not, since a ticket expires before they can.
 std::vector<worker_id> advice_planner::candidate_workers(const job_record& job,
                                                          const step_ref& which,
                                                          request_reason reason,
@@ -50,21 +50,20 @@
 {
   const step_record& step = job.cycles()[which.cycle].steps[which.step];
   const std::uint32_t needed = tasks_in_need(job, step);
+  const std::vector<task_place> places = distinct_waiting_tasks(job, which);
   std::vector<candidate> candidates;
   for (const auto& [id, worker] : m_state.workers)
   {
+    const std::uint32_t fitting = m_rules.tasks_that_fit_now(*worker, job, which, needed);
     // Checked first because most workers have no free capacity while steps wait.
-    if (worker->unresponsive ||
-        (reason == request_reason::waiting && !has_capacity_in_time(*worker, job, which, now)))
+    if (reason == request_reason::waiting && fitting == 0 &&
+        !reserved_in_time(*worker, job, which, now))
       continue;
-    if (!meets_requirements(*worker, job, step) || !step.begun.covers(worker->info.zone) ||
-        m_rules.ticket(job, step, id, now) != nullptr)
+    if (std::none_of(places.begin(), places.end(),
+                     [&, &named = *worker](const task_place& place)
+                     { return worth_naming(named, job, place, reason, now); }))
       continue;
-    if (reason == request_reason::waiting && !m_state.usable(*worker, now))
-      continue;
-    if (policy_forbids(step, id))
-      continue;
-    candidates.push_back({worker.get(), expected_tasks(job, step, *worker, needed, reason)});
+    candidates.push_back({worker.get(), expected_tasks(job, step, *worker, fitting, reason)});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const candidate& left, const candidate& right)
@@ -87,6 +86,43 @@
   return ids;
 }
 
+// The first waiting task that is not suspected of crashing workers stands for all such tasks, since
+// they may start on the same workers.
+std::vector<task_place> advice_planner::distinct_waiting_tasks(const job_record& job,
+                                                               const step_ref& which)
+{
+  const step_record& step = job.cycles()[which.cycle].steps[which.step];
+  std::vector<task_place> places;
+  bool unsuspected_found = false;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+  {
+    const task_record& task = step.tasks[i];
+    if (task.phase != task_phase::waiting)
+      continue;
+    if (!suspected(task.crashes) && std::exchange(unsuspected_found, true))
+      continue;
+    places.push_back({which.cycle, which.step, i});
+  }
+  return places;
+}
+
+// A suspected task may have a worker kept for it, so workers that can become fit for its trial are
+// named as well.
+bool advice_planner::worth_naming(const worker_record& worker, const job_record& job,
+                                  const task_place& place, request_reason reason,
+                                  time_point now) const
+{
+  const task_record& task = job.cycles()[place.cycle].steps[place.step].tasks[place.index];
+  const obstacle found = m_rules.obstacle_at(
+      worker, job, place, now, suspected(task.crashes) ? isolation::ignored : isolation::enforced);
+  if (found == obstacle::no_ticket)
+    return true;
+  if (reason == request_reason::waiting)
+    return found == obstacle::no_room &&
+           reserved_in_time(worker, job, {job.id(), place.cycle, place.step}, now);
+  return is_temporary(found);
+}
+
 std::uint32_t advice_planner::tasks_in_need(const job_record& job, const step_record& step)
 {
   const workspace_account* const account = job.account();
@@ -94,13 +130,9 @@
 }
 
 double advice_planner::expected_tasks(const job_record& job, const step_record& step,
-                                      const worker_record& worker, std::uint32_t needed,
+                                      const worker_record& worker, std::uint32_t fitting,
                                       request_reason reason) const
 {
-  const std::uint32_t most = step.spec->max_tasks_per_worker == 0
-                                 ? needed
-                                 : std::min(needed, step.spec->max_tasks_per_worker);
-  std::uint32_t fitting = tasks_that_fit(required_resources(*step.spec), worker.free(), most);
   // Capacity that is not free now may be by the time that the reply arrives.
   if (reason != request_reason::first_long_call)
     fitting = std::max(fitting, 1U);
@@ -131,12 +163,9 @@
   learnt = std::max(learnt, k_min_permitted_share);
 }
 
-bool advice_planner::has_capacity_in_time(const worker_record& worker, const job_record& job,
-                                          const step_ref& which, time_point now) const
+bool advice_planner::reserved_in_time(const worker_record& worker, const job_record& job,
+                                      const step_ref& which, time_point now) const
 {
-  const step_record& step = job.cycles()[which.cycle].steps[which.step];
-  if (required_resources(*step.spec).fits_in(worker.free()))
-    return m_reservations.allows(worker, job, {which.cycle, which.step, 0}, now);
   const auto expected = m_reservations.expected_free_time(which, worker.info.id);
   return expected && *expected - now <= job.policy().advice->per_call + k_ticket_lead_time;
 }
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -60,18 +60,24 @@
 
   // How many tasks of the step may start, as far as its workspace's limit goes.
   static std::uint32_t tasks_in_need(const job_record& job, const step_record& step);
-  // How many of the `needed` tasks the worker should take if it is asked about.
+  // How many tasks the worker should take if it is asked about; `fitting` of them fit now.
   double expected_tasks(const job_record& job, const step_record& step, const worker_record& worker,
-                        std::uint32_t needed, request_reason reason) const;
+                        std::uint32_t fitting, request_reason reason) const;
   // Learns from the workers of which it was not known whether they are permitted.
   void learn_permitted_share(const job_record& job, const step_permits& permits,
                              const advice_answer& answer);
   std::vector<worker_id> candidate_workers(const job_record& job, const step_ref& which,
                                            request_reason reason, time_point now) const;
-  // Whether the worker has free capacity for a task of the step, or is reserved for the step and
-  // should have the capacity when the reply arrives.
-  bool has_capacity_in_time(const worker_record& worker, const job_record& job,
-                            const step_ref& which, time_point now) const;
+  // The waiting tasks of the step that differ in the workers on which they may start.
+  static std::vector<task_place> distinct_waiting_tasks(const job_record& job,
+                                                        const step_ref& which);
+  // Whether nothing but a ticket is missing for the task to start on the worker, or soon will be.
+  bool worth_naming(const worker_record& worker, const job_record& job, const task_place& place,
+                    request_reason reason, time_point now) const;
+  // Whether the worker is reserved for the step and should have the capacity when the reply
+  // arrives.
+  bool reserved_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
+                        time_point now) const;
   void send_request(job_record& job, std::uint32_t cycle, std::uint32_t step, request_reason reason,
                     time_point now);
   // Records and logs how much the reply is worth to the waiting tasks of its step.
--- a/Source/Core/Scheduling/StartRules.cpp
+++ b/Source/Core/Scheduling/StartRules.cpp
@@ -27,6 +27,11 @@
   return common::name_of(k_obstacle_names, why);
 }
 
+bool is_temporary(obstacle why)
+{
+  return why >= obstacle::step_limit && why <= obstacle::reserved;
+}
+
 std::string obstacle_counts::text() const
 {
   std::string text;
--- a/Source/Core/Scheduling/StartRules.h
+++ b/Source/Core/Scheduling/StartRules.h
@@ -43,6 +43,9 @@
 };
 
 std::string_view to_text(obstacle why);
+// Whether the obstacle passes once other tasks on the worker have ended or other steps have
+// started.
+bool is_temporary(obstacle why);
 
 // Numbers of workers by obstacle.
 class obstacle_counts
