Scheduling: A task that can run gets usable advice within a bounded time

Long-running steps came last in the order, as jobs without value, as soon as their objective had passed. The overdue request was sent right after the reservations were cleared, so it named workers that were reserved for others (12 % of the long calls' permitted workers), and one step that could not ask now blocked the overdue requests of all others.

Change: each reply in a row without a start doubles what the next call asks for. Long-running steps keep their place in the order, since they earn as long as they run. Overdue requests observe the previous pass's reservations, and short and long calls have a turn each.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -72,13 +72,13 @@
                             std::tuple(right.expected_tasks, right.worker->free().cpu_millis);
                    });
   std::vector<worker_id> ids;
+  const double wanted = needed * margin_after(step.permits.fruitless);
   double expected = 0.0;
   for (const candidate& each : candidates)
   {
     const bool full = each.expected_tasks == 0.0;
-    if (expected >= needed * m_state.options.advice_margin ||
-        ids.size() >=
-            (full ? m_state.options.max_full_advice_workers : m_state.options.max_advice_workers))
+    if (expected >= wanted || ids.size() >= (full ? m_state.options.max_full_advice_workers
+                                                  : m_state.options.max_advice_workers))
       break;
     expected += each.expected_tasks;
     ids.push_back(each.worker->info.id);
@@ -86,6 +86,13 @@
   return ids;
 }
 
+double advice_planner::margin_after(unsigned fruitless_replies) const
+{
+  return m_state.options.advice_margin *
+         static_cast<double>(
+             1U << std::min(fruitless_replies, m_state.options.max_advice_doublings));
+}
+
 // The first waiting task that is not suspected of crashing workers stands for all such tasks, since
 // they may start on the same workers.
 std::vector<task_place> advice_planner::distinct_waiting_tasks(const job_record& job,
@@ -177,7 +184,7 @@
     return;
   // The duration of a long call hardly depends on the number of workers it names, and permissions
   // do not change. So the first long call asks about all workers, also those without free capacity.
-  if (is_long(*job.policy().advice) && record.permits.permitted.empty())
+  if (needs_long_call(job) && record.permits.permitted.empty())
   {
     send_request(job, cycle, step, request_reason::first_long_call, now);
     return;
@@ -197,11 +204,33 @@
                                      time_point now)
 {
   const bool first_long_call =
-      is_long(*job.policy().advice) && job.cycles()[cycle].steps[step].permits.permitted.empty();
+      needs_long_call(job) && job.cycles()[cycle].steps[step].permits.permitted.empty();
   send_request(job, cycle, step,
                first_long_call ? request_reason::first_long_call : request_reason::waiting, now);
 }
 
+bool advice_planner::needs_long_call(const job_record& job)
+{
+  return job.policy().advice && is_long(*job.policy().advice);
+}
+
+bool advice_planner::slot_free(bool is_long_call) const
+{
+  const auto in_flight = std::count_if(m_in_flight.begin(), m_in_flight.end(),
+                                       [is_long_call](const auto& each)
+                                       { return each.second.is_long == is_long_call; });
+  return static_cast<std::size_t>(in_flight) <
+         (is_long_call ? m_call_slots.long_calls : m_call_slots.short_calls);
+}
+
+bool advice_planner::can_request(const job_record& job, std::uint32_t cycle, std::uint32_t step,
+                                 time_point now) const
+{
+  const step_permits& permits = job.cycles()[cycle].steps[step].permits;
+  return job.policy().advice && !permits.asking && now >= permits.ask_after &&
+         slot_free(needs_long_call(job));
+}
+
 void advice_planner::send_request(job_record& job, std::uint32_t cycle, std::uint32_t step,
                                   request_reason reason, time_point now)
 {
@@ -214,12 +243,8 @@
     permits.latest_attempt = advice_attempt::paused;
     return;
   }
-  const bool is_long_call = is_long(*job.policy().advice);
-  const auto in_flight = std::count_if(m_in_flight.begin(), m_in_flight.end(),
-                                       [is_long_call](const auto& each)
-                                       { return each.second.is_long == is_long_call; });
-  if (static_cast<std::size_t>(in_flight) >=
-      (is_long_call ? m_call_slots.long_calls : m_call_slots.short_calls))
+  const bool is_long_call = needs_long_call(job);
+  if (!slot_free(is_long_call))
   {
     permits.latest_attempt = advice_attempt::no_slot;
     return;
@@ -325,6 +350,7 @@
     permits.ask_after = now + m_state.options.advice_retry;
     return;
   }
+  ++permits.fruitless;
   learn_permitted_share(*job, permits, answer);
   for (const worker_id& worker : answer.asked)
   {
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -30,6 +30,11 @@
   // Like want(), for a step that has not been asked about for too long. It ignores the budget,
   // which more urgent steps may have used up.
   void request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
+  // Whether a request for the step could be sent now, as far as its earlier requests and the calls
+  // in flight go.
+  bool can_request(const job_record& job, std::uint32_t cycle, std::uint32_t step,
+                   time_point now) const;
+  static bool needs_long_call(const job_record& job);
   // Stores the tickets and permissions of a reply. Delays the step's next request if there was no
   // reply or the policy permits none of the workers.
   void on_answer(const advice_answer& answer, time_point now);
@@ -68,6 +73,8 @@
                              const advice_answer& answer);
   std::vector<worker_id> candidate_workers(const job_record& job, const step_ref& which,
                                            request_reason reason, time_point now) const;
+  // For how many times the waiting tasks a call should bring tickets.
+  double margin_after(unsigned fruitless_replies) const;
   // The waiting tasks of the step that differ in the workers on which they may start.
   static std::vector<task_place> distinct_waiting_tasks(const job_record& job,
                                                         const step_ref& which);
@@ -78,6 +85,7 @@
   // arrives.
   bool reserved_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
                         time_point now) const;
+  bool slot_free(bool is_long_call) const;
   void send_request(job_record& job, std::uint32_t cycle, std::uint32_t step, request_reason reason,
                     time_point now);
   // Records and logs how much the reply is worth to the waiting tasks of its step.
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -52,6 +52,9 @@
 
 job_prospect job_record::prospect(std::uint32_t step, time_point now) const
 {
+  // Such a step earns credit for as long as its tasks run.
+  if (m_job.spec.steps[step].long_running)
+    return job_prospect::in_time;
   const time_point end = now + m_critical_paths[step];
   if (end <= m_objective)
     return job_prospect::in_time;
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -103,6 +103,7 @@
   // Whether the policy permits the worker, for each worker asked about. The policy does not change.
   boost::container::flat_map<worker_id, bool> permitted;
   bool asking = false;    // a request for advice is in flight
+  unsigned fruitless = 0; // replies in a row after which no task of the step has started
   time_point ask_after{}; // no request before this time
   // When advice was last requested, or would have been if there had been a worker to ask about.
   time_point last_advice_turn{};
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -4,6 +4,7 @@
 #include "Scheduling/Placer.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 #include "Common/EventLog.h"
@@ -54,13 +55,14 @@
   m_advice.set_budget(free_cpu_millis);
   if (survey)
     mark_slow_workers(now);
-  m_reservations.clear();
   blocked_steps blocked_by_queue;
   m_steps_examined = 0;
   m_confirmation_awaited = false;
   ++m_passes;
   std::vector<waiting_step> steps = sorted_waiting_steps(now);
+  // Before the reservations of the previous pass are dropped, since the requests observe them.
   request_overdue_advice(steps, now);
+  m_reservations.clear();
   bool short_of_starts = false;
   if (m_state.starts.bounded())
     std::stable_sort(steps.begin(), steps.end(),
@@ -320,22 +322,30 @@
 
 void placer::request_overdue_advice(const std::vector<waiting_step>& steps, time_point now)
 {
-  const waiting_step* longest = nullptr;
-  time_point earliest = now - m_state.options.max_advice_turn_wait;
+  struct longest_wait
+  {
+    const waiting_step* step = nullptr;
+    time_point since;
+  };
+  const time_point latest = now - m_state.options.max_advice_turn_wait;
+  std::array<longest_wait, 2> longest{{{nullptr, latest}, {nullptr, latest}}}; // short, long calls
   for (const waiting_step& each : steps)
   {
-    const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
-    if (!each.job->policy().advice || permits.asking)
+    if (!m_advice.can_request(*each.job, each.cycle, each.step, now))
       continue;
+    const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
     const time_point waits_since = std::max(permits.last_advice_turn, each.job->accepted_at());
+    longest_wait& of_kind = longest.at(advice_planner::needs_long_call(*each.job) ? 1 : 0);
     // Steps are sorted, so those beyond their workspace's share come last.
-    if (waits_since > earliest || (longest != nullptr && each.job->beyond_share()))
+    if (waits_since > of_kind.since || (of_kind.step != nullptr && each.job->beyond_share()))
       continue;
-    longest = &each;
-    earliest = waits_since;
+    of_kind = {&each, waits_since};
+  }
+  for (const longest_wait& each : longest)
+  {
+    if (each.step != nullptr)
+      m_advice.request_overdue(*each.step->job, each.step->cycle, each.step->step, now);
   }
-  if (longest != nullptr)
-    m_advice.request_overdue(*longest->job, longest->cycle, longest->step, now);
 }
 
 void placer::place_step(const waiting_step& each, time_point now)
@@ -472,6 +482,7 @@
   const std::string* const ticket = m_rules.ticket(job, job.step(place), worker.info.id, now);
   m_crashes.mark_trial(run, now);
   job.task(place).waiting_for_trial_since.reset();
+  job.step(place).permits.fruitless = 0;
   worker.latest_start = now;
   run.last_sent = now;
   run.sends = 1;
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -85,7 +85,7 @@
   // With advice, only once there was a reply and no request is in flight.
   void widen_small_zone(job_record& job, step_record& step);
   // Requests advice for the step that has waited longest since its last request, or since its job's
-  // acceptance, if that time exceeds the configured limit.
+  // acceptance, if that time exceeds the configured limit; one step each for short and long calls.
   void request_overdue_advice(const std::vector<waiting_step>& steps, time_point now);
   void place_step(const waiting_step& each, time_point now);
   void place_gang(const waiting_step& each, time_point now);
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -174,6 +174,9 @@
   // A call should bring tickets for this many times the tasks that wait, since other steps may use
   // up some workers before the answer arrives.
   double advice_margin = 1.25;
+  // After each reply in a row that let no task start, the next call should bring twice as many, as
+  // each call takes a fixed time that is far longer than that of a further worker.
+  unsigned max_advice_doublings = 5;
 
   // Time between two passes; events that arrive meanwhile are processed together. A pass examines
   // every worker and run, which takes some 0.3 us for a worker with three tasks
