Scheduling: Running tasks that need another worker get advice; budgets by service

A copy or a move off a draining worker asked for advice by the number of waiting tasks, which is 0, so the call named nobody and was never sent. A copy was given up if the best worker was the one of its own run, although others could take it. The budget of requests was one for all services, and steps that could not use the capacity took it all the same.

Change: want_elsewhere() asks for the tasks to be moved or copied. A worker with a run of the task is an obstacle of its own (already_there). Budgets are by service, and only calls in flight or without a slot are charged.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -44,22 +44,21 @@
 // For the first long call and for steps that are not ready yet, workers that cannot take a task now
 // are candidates too. Otherwise they are not, since a ticket expires before they can.
 std::vector<worker_id> advice_planner::candidate_workers(const job_record& job,
-                                                         const step_ref& which,
+                                                         const step_need& need,
                                                          request_reason reason,
                                                          time_point now) const
 {
+  const step_ref& which = need.step;
   const step_record& step = job.cycles()[which.cycle].steps[which.step];
-  const std::uint32_t needed = tasks_in_need(job, step);
-  const std::vector<task_place> places = distinct_waiting_tasks(job, which);
   std::vector<candidate> candidates;
   for (const auto& [id, worker] : m_state.workers)
   {
-    const std::uint32_t fitting = m_rules.tasks_that_fit_now(*worker, job, which, needed);
+    const std::uint32_t fitting = m_rules.tasks_that_fit_now(*worker, job, which, need.tasks);
     // Checked first because most workers have no free capacity while steps wait.
     if (reason == request_reason::waiting && fitting == 0 &&
         !reserved_in_time(*worker, job, which, now))
       continue;
-    if (std::none_of(places.begin(), places.end(),
+    if (std::none_of(need.places.begin(), need.places.end(),
                      [&, &named = *worker](const task_place& place)
                      { return worth_naming(named, job, place, reason, now); }))
       continue;
@@ -72,7 +71,7 @@
                             std::tuple(right.expected_tasks, right.worker->free().cpu_millis);
                    });
   std::vector<worker_id> ids;
-  const double wanted = needed * margin_after(step.permits.fruitless);
+  const double wanted = need.tasks * margin_after(step.permits.fruitless);
   double expected = 0.0;
   for (const candidate& each : candidates)
   {
@@ -130,10 +129,14 @@
   return is_temporary(found);
 }
 
-std::uint32_t advice_planner::tasks_in_need(const job_record& job, const step_record& step)
+advice_planner::step_need advice_planner::need_of_waiting(const job_record& job,
+                                                          const step_ref& which)
 {
+  const step_record& step = job.cycles()[which.cycle].steps[which.step];
   const workspace_account* const account = job.account();
-  return account == nullptr ? step.waiting : account->admitted(step.spec->demand, step.waiting);
+  const std::uint32_t tasks =
+      account == nullptr ? step.waiting : account->admitted(step.spec->demand, step.waiting);
+  return {which, tasks, distinct_waiting_tasks(job, which)};
 }
 
 double advice_planner::expected_tasks(const job_record& job, const step_record& step,
@@ -179,34 +182,56 @@
 
 void advice_planner::want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now)
 {
-  const step_record& record = job.cycles()[cycle].steps[step];
-  if (!job.policy().advice)
+  if (job.policy().advice)
+    request_within_budget(job, need_of_waiting(job, {job.id(), cycle, step}), now);
+}
+
+void advice_planner::want_elsewhere(job_record& job, const std::vector<task_place>& running,
+                                    time_point now)
+{
+  if (!job.policy().advice || running.empty())
     return;
-  // The duration of a long call hardly depends on the number of workers it names, and permissions
-  // do not change. So the first long call asks about all workers, also those without free capacity.
-  if (needs_long_call(job) && record.permits.permitted.empty())
+  const step_ref which{job.id(), running.front().cycle, running.front().step};
+  request_within_budget(job, {which, static_cast<std::uint32_t>(running.size()), running}, now);
+}
+
+void advice_planner::request_within_budget(job_record& job, const step_need& need, time_point now)
+{
+  step_record& record = job.cycles()[need.step.cycle].steps[need.step.step];
+  const request_reason reason = reason_for(job, record);
+  if (reason == request_reason::first_long_call)
   {
-    send_request(job, cycle, step, request_reason::first_long_call, now);
+    send_request(job, need, reason, now);
     return;
   }
-  if (m_cpu_budget <= 0)
+  std::int64_t& budget = m_cpu_budgets[job.policy().service];
+  if (budget <= 0)
   {
     if (!record.permits.asking)
-      job.cycles()[cycle].steps[step].permits.latest_attempt = advice_attempt::no_budget;
+      record.permits.latest_attempt = advice_attempt::no_budget;
     return;
   }
-  m_cpu_budget -=
-      static_cast<std::int64_t>(record.waiting) * required_resources(*record.spec).cpu_millis;
-  send_request(job, cycle, step, request_reason::waiting, now);
+  send_request(job, need, reason, now);
+  // Steps that cannot use the free capacity, or not soon, leave it to others.
+  const advice_attempt attempt = record.permits.latest_attempt;
+  if (attempt == advice_attempt::in_flight || attempt == advice_attempt::no_slot)
+    budget -= static_cast<std::int64_t>(need.tasks) * required_resources(*record.spec).cpu_millis;
+}
+
+// The duration of a long call hardly depends on the number of workers it names, and permissions do
+// not change. So the first long call asks about all workers, also those without free capacity.
+advice_planner::request_reason advice_planner::reason_for(const job_record& job,
+                                                          const step_record& step)
+{
+  return needs_long_call(job) && step.permits.permitted.empty() ? request_reason::first_long_call
+                                                                : request_reason::waiting;
 }
 
 void advice_planner::request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step,
                                      time_point now)
 {
-  const bool first_long_call =
-      needs_long_call(job) && job.cycles()[cycle].steps[step].permits.permitted.empty();
-  send_request(job, cycle, step,
-               first_long_call ? request_reason::first_long_call : request_reason::waiting, now);
+  send_request(job, need_of_waiting(job, {job.id(), cycle, step}),
+               reason_for(job, job.cycles()[cycle].steps[step]), now);
 }
 
 bool advice_planner::needs_long_call(const job_record& job)
@@ -231,10 +256,11 @@
          slot_free(needs_long_call(job));
 }
 
-void advice_planner::send_request(job_record& job, std::uint32_t cycle, std::uint32_t step,
-                                  request_reason reason, time_point now)
+void advice_planner::send_request(job_record& job, const step_need& need, request_reason reason,
+                                  time_point now)
 {
-  step_record& record = job.cycles()[cycle].steps[step];
+  const step_ref& which = need.step;
+  step_record& record = job.cycles()[which.cycle].steps[which.step];
   step_permits& permits = record.permits;
   if (!job.policy().advice || permits.asking)
     return;
@@ -252,8 +278,8 @@
   permits.last_advice_turn = now;
   // The begin mark is written while the request is in flight, to save time.
   if (record.begun.mark == begin_mark::none)
-    m_state.request_begin_mark(job, record, m_zones.choose(job, cycle, step, now));
-  std::vector<worker_id> workers = candidate_workers(job, {job.id(), cycle, step}, reason, now);
+    m_state.request_begin_mark(job, record, m_zones.choose(job, which.cycle, which.step, now));
+  std::vector<worker_id> workers = candidate_workers(job, need, reason, now);
   if (workers.empty())
   {
     permits.latest_attempt = advice_attempt::no_worker;
@@ -271,12 +297,11 @@
   const auto expected_duration =
       job.policy().advice->per_call +
       std::chrono::duration_cast<milliseconds>(job.policy().advice->per_worker * workers.size());
-  pending_request& request = m_in_flight[{job.id(), cycle, step}];
+  pending_request& request = m_in_flight[which];
   request = {is_long_call, now + expected_duration + k_reply_delay_limit, {}};
   for (const worker_id& worker : workers)
     request.incarnations[worker] = m_state.workers.at(worker)->number;
-  m_state.commands.emplace_back(
-      advice_command{{job.id(), cycle, step}, std::move(workers), expected_duration});
+  m_state.commands.emplace_back(advice_command{which, std::move(workers), expected_duration});
 }
 
 bool advice_planner::ready_soon(job_record& job, std::uint32_t cycle, std::uint32_t step,
@@ -317,7 +342,7 @@
           std::any_of(step.permits.tickets.begin(), step.permits.tickets.end(),
                       [now](const auto& each) { return each.second.until > now; });
       if (!any_ticket && ready_soon(job, c, s, now))
-        send_request(job, c, s, request_reason::ahead, now);
+        send_request(job, need_of_waiting(job, {job.id(), c, s}), request_reason::ahead, now);
     }
   }
 }
@@ -345,6 +370,7 @@
     return;
   step_permits& permits = job->cycles()[answer.step.cycle].steps[answer.step.step].permits;
   permits.asking = false;
+  permits.latest_attempt = advice_attempt::none;
   if (!answer.answered)
   {
     permits.ask_after = now + m_state.options.advice_retry;
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -22,9 +22,15 @@
   // Requests advice for a step with waiting tasks, about workers that have free capacity for a task
   // but no ticket yet.
   void want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
-  // Limits the requests made by want(): each step's waiting tasks are subtracted from this free
-  // processor capacity (thousandths of a core), and nothing is requested once it is used up.
-  void set_budget(std::int64_t cpu_millis) { m_cpu_budget = cpu_millis; }
+  // The same for running tasks of a step that need another worker, to move there or for a copy.
+  void want_elsewhere(job_record& job, const std::vector<task_place>& running, time_point now);
+  // Limits the requests made by want() and want_elsewhere(): what the tasks of each request need is
+  // subtracted from this free processor capacity (thousandths of a core, by service), and nothing
+  // is requested for the service once it is used up.
+  void set_budgets(std::map<std::string, std::int64_t> cpu_millis)
+  {
+    m_cpu_budgets = std::move(cpu_millis);
+  }
   // Requests advice for steps of the job that should become ready soon.
   void look_ahead(job_record& job, time_point now);
   // Like want(), for a step that has not been asked about for too long. It ignores the budget,
@@ -63,15 +69,23 @@
     double expected_tasks = 0.0; // that it should take if it is asked about; 0: it is full
   };
 
-  // How many tasks of the step may start, as far as its workspace's limit goes.
-  static std::uint32_t tasks_in_need(const job_record& job, const step_record& step);
+  // The tasks of a step for which workers are wanted.
+  struct step_need
+  {
+    step_ref step;
+    std::uint32_t tasks = 0;
+    std::vector<task_place> places; // those that may differ in the workers on which they may start
+  };
+
+  // The waiting tasks, as many as may start by the limit of the job's workspace.
+  static step_need need_of_waiting(const job_record& job, const step_ref& which);
   // How many tasks the worker should take if it is asked about; `fitting` of them fit now.
   double expected_tasks(const job_record& job, const step_record& step, const worker_record& worker,
                         std::uint32_t fitting, request_reason reason) const;
   // Learns from the workers of which it was not known whether they are permitted.
   void learn_permitted_share(const job_record& job, const step_permits& permits,
                              const advice_answer& answer);
-  std::vector<worker_id> candidate_workers(const job_record& job, const step_ref& which,
+  std::vector<worker_id> candidate_workers(const job_record& job, const step_need& need,
                                            request_reason reason, time_point now) const;
   // For how many times the waiting tasks a call should bring tickets.
   double margin_after(unsigned fruitless_replies) const;
@@ -86,8 +100,9 @@
   bool reserved_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
                         time_point now) const;
   bool slot_free(bool is_long_call) const;
-  void send_request(job_record& job, std::uint32_t cycle, std::uint32_t step, request_reason reason,
-                    time_point now);
+  static request_reason reason_for(const job_record& job, const step_record& step);
+  void request_within_budget(job_record& job, const step_need& need, time_point now);
+  void send_request(job_record& job, const step_need& need, request_reason reason, time_point now);
   // Records and logs how much the reply is worth to the waiting tasks of its step.
   void log_reply(job_record& job, const advice_answer& answer, time_point now) const;
   // Whether the worker's present incarnation is the one that the request was about.
@@ -98,7 +113,7 @@
   const zone_chooser& m_zones;
   const reservations& m_reservations;
   const start_rules& m_rules;
-  std::int64_t m_cpu_budget = 0;
+  std::map<std::string, std::int64_t> m_cpu_budgets; // by service
   advice_slots m_call_slots;
   std::map<step_ref, pending_request> m_in_flight;
   // The share of workers that the policy permits, by queue.
--- a/Source/Core/Scheduling/Evacuator.cpp
+++ b/Source/Core/Scheduling/Evacuator.cpp
@@ -4,6 +4,7 @@
 #include "Scheduling/Evacuator.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/EventLog.h"
 
@@ -24,6 +25,8 @@
     if (worker->info.draining && worker->present() && worker->claimed && !worker->unresponsive)
       evacuate(*worker, now);
   }
+  for (const auto& [step, tasks] : std::exchange(m_without_destination, {}))
+    m_advice.want_elsewhere(*m_state.find_job(step.job), tasks, now);
 }
 
 // Runs that should end before the worker leaves stay, and so do runs that would have to begin again
@@ -65,7 +68,7 @@
     const worker_record* const destination = m_placer.worker_for(*run->job, run->place, now);
     if (destination == nullptr)
     {
-      m_advice.want(*run->job, run->place.cycle, run->place.step, now);
+      m_without_destination[{ref.job, run->place.cycle, run->place.step}].push_back(run->place);
       continue;
     }
     if (!m_destinations.emplace(destination->info.id, now + m_state.options.move_time).second)
--- a/Source/Core/Scheduling/Evacuator.h
+++ b/Source/Core/Scheduling/Evacuator.h
@@ -10,6 +10,7 @@
 // started on another worker before that.
 
 #include <map>
+#include <vector>
 
 #include "Scheduling/AdvicePlanner.h"
 #include "Scheduling/Placer.h"
@@ -35,5 +36,7 @@
   placer& m_placer;
   // Workers to which a task is being moved, with the time by which it should have begun there.
   std::map<worker_id, time_point> m_destinations;
+  // Tasks to be moved for which there is no worker yet, collected during a tick.
+  std::map<step_ref, std::vector<task_place>> m_without_destination;
 };
 } // namespace yardhill::scheduling
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -49,10 +49,7 @@
 {
   if (!m_state.may_place(now))
     return;
-  std::int64_t free_cpu_millis = 0;
-  for (const auto& [id, worker] : m_state.workers)
-    free_cpu_millis += worker->offered() && !worker->unresponsive ? worker->idle_cpu_millis() : 0;
-  m_advice.set_budget(free_cpu_millis);
+  m_advice.set_budgets(idle_cpu_millis_by_service());
   if (survey)
     mark_slow_workers(now);
   blocked_steps blocked_by_queue;
@@ -91,6 +88,17 @@
     place_copies(now);
 }
 
+std::map<std::string, std::int64_t> placer::idle_cpu_millis_by_service() const
+{
+  std::map<std::string, std::int64_t> idle;
+  for (const auto& [id, worker] : m_state.workers)
+  {
+    if (worker->offered() && !worker->unresponsive)
+      idle[worker->info.service] += worker->idle_cpu_millis();
+  }
+  return idle;
+}
+
 bool placer::is_long_running(const waiting_step& each)
 {
   return each.job->cycles()[each.cycle].steps[each.step].spec->long_running;
@@ -440,20 +448,20 @@
         need_copy.push_back(run.get());
     }
   }
+  std::map<step_ref, std::vector<task_place>> without_worker;
   for (const run_record* run : need_copy)
   {
     if (m_state.starts.spent())
-      return;
+      break;
     job_record& job = *run->job;
     const task_place place = run->place;
     if (!scheduler_state::within_workspace_limit(job, run->spec()))
       continue;
     worker_record* const worker = worker_for(job, place, now);
-    if (worker == nullptr || worker == run->worker ||
-        !begin_mark_written({&job, place.cycle, place.step}, *worker, now))
+    if (worker == nullptr || !begin_mark_written({&job, place.cycle, place.step}, *worker, now))
     {
       widen_small_zone(job, job.step(place));
-      m_advice.want(job, place.cycle, place.step, now);
+      without_worker[{job.id(), place.cycle, place.step}].push_back(place);
       continue;
     }
     if (!confirm_incarnation(job, place, *worker, now))
@@ -470,6 +478,8 @@
     m_state.metrics.add(common::retry_reason::worker_lost);
     start(job, place, number, *worker, now);
   }
+  for (const auto& [step, tasks] : without_worker)
+    m_advice.want_elsewhere(*m_state.find_job(step.job), tasks, now);
 }
 
 void placer::start(job_record& job, const task_place& place, run_number number,
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -53,6 +53,7 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> sorted_waiting_steps(time_point now) const;
+  std::map<std::string, std::int64_t> idle_cpu_millis_by_service() const;
   // Whether the workspace's limit leaves no place for the step. Logged when it is first seen.
   static bool waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step);
   static bool is_long_running(const waiting_step& each);
--- a/Source/Core/Scheduling/StartRules.cpp
+++ b/Source/Core/Scheduling/StartRules.cpp
@@ -16,10 +16,16 @@
 // tickets are valid for some seconds.
 constexpr milliseconds k_clock_drift_allowance{100};
 constexpr auto k_obstacle_names = std::to_array<std::string_view>(
-    {"not_permitted", "worker_unusable", "other_zone", "worker_unsuitable", "step_limit",
-     "foreign_runs", "no_room", "unfit_for_trial", "reserved", "no_ticket", "startable"});
+    {"not_permitted", "worker_unusable", "other_zone", "worker_unsuitable", "already_there",
+     "step_limit", "foreign_runs", "no_room", "unfit_for_trial", "reserved", "no_ticket",
+     "startable"});
 static_assert(k_obstacle_names.size() == static_cast<std::size_t>(obstacle::none) + 1);
 
+bool runs_on(const task_record& task, const worker_record& worker)
+{
+  return std::any_of(task.runs.begin(), task.runs.end(),
+                     [&worker](const run_record* run) { return run->worker == &worker; });
+}
 } // namespace
 
 std::string_view to_text(obstacle why)
@@ -122,6 +128,8 @@
     return obstacle::other_zone;
   if (!meets_requirements(worker, job, step))
     return obstacle::unsuitable;
+  if (runs_on(task, worker))
+    return obstacle::already_there;
   if (left_of_step_limit(worker, job, place.cycle, place.step, 1) == 0)
     return obstacle::step_limit;
   if (!worker.foreign.empty())
--- a/Source/Core/Scheduling/StartRules.h
+++ b/Source/Core/Scheduling/StartRules.h
@@ -33,6 +33,7 @@
   unusable,        // the worker is silent or paused, or its whole zone is silent
   other_zone,      // the step is restricted to another zone
   unsuitable,      // the worker does not meet the step's requirements (see meets_requirements)
+  already_there,   // another run of the task is on the worker
   step_limit,      // the worker has as many tasks of the step as the step allows on one worker
   foreign_runs,    // the worker lists runs that this owner has no record of
   no_room,         // not enough free capacity
--- a/Source/Core/Scheduling/WaitReport.cpp
+++ b/Source/Core/Scheduling/WaitReport.cpp
@@ -12,22 +12,41 @@
 {
 namespace
 {
-constexpr auto k_reason_names = std::to_array<std::string_view>(
-    {"may_not_place",   "unaccounted",     "run_orphaned",      "run_stopping", "run_silent",
-     "run_unanswered",  "run_unheld",      "renewal",           "gang",         "trial_postponed",
-     "announcement",    "workspace_limit", "begin_mark",        "unplaced",     "no_worker",
-     "worker_unusable", "other_zone",      "worker_unsuitable", "step_limit",   "foreign_runs",
-     "no_room",         "unfit_for_trial", "reserved",          "no_ticket",    "turn"});
+constexpr auto k_reason_names = std::to_array<std::string_view>({"may_not_place",
+                                                                 "unaccounted",
+                                                                 "run_orphaned",
+                                                                 "run_stopping",
+                                                                 "run_silent",
+                                                                 "run_unanswered",
+                                                                 "run_unheld",
+                                                                 "renewal",
+                                                                 "gang",
+                                                                 "trial_postponed",
+                                                                 "announcement",
+                                                                 "workspace_limit",
+                                                                 "begin_mark",
+                                                                 "unplaced",
+                                                                 "no_worker",
+                                                                 "worker_unusable",
+                                                                 "other_zone",
+                                                                 "worker_unsuitable",
+                                                                 "already_there",
+                                                                 "step_limit",
+                                                                 "foreign_runs",
+                                                                 "no_room",
+                                                                 "unfit_for_trial",
+                                                                 "reserved",
+                                                                 "no_ticket",
+                                                                 "turn"});
 static_assert(k_reason_names.size() == static_cast<std::size_t>(wait_reason::count));
 
 wait_reason reason_of(obstacle from)
 {
-  static constexpr std::array k_reasons{wait_reason::no_worker,  wait_reason::worker_unusable,
-                                        wait_reason::other_zone, wait_reason::worker_unsuitable,
-                                        wait_reason::step_limit, wait_reason::foreign_runs,
-                                        wait_reason::no_room,    wait_reason::unfit_for_trial,
-                                        wait_reason::reserved,   wait_reason::no_ticket,
-                                        wait_reason::turn};
+  static constexpr std::array k_reasons{
+      wait_reason::no_worker,         wait_reason::worker_unusable, wait_reason::other_zone,
+      wait_reason::worker_unsuitable, wait_reason::already_there,   wait_reason::step_limit,
+      wait_reason::foreign_runs,      wait_reason::no_room,         wait_reason::unfit_for_trial,
+      wait_reason::reserved,          wait_reason::no_ticket,       wait_reason::turn};
   static_assert(k_reasons.size() == static_cast<std::size_t>(obstacle::none) + 1);
   return k_reasons.at(static_cast<std::size_t>(from));
 }
--- a/Source/Core/Scheduling/WaitReport.h
+++ b/Source/Core/Scheduling/WaitReport.h
@@ -42,6 +42,7 @@
   worker_unusable,
   other_zone,
   worker_unsuitable,
+  already_there,
   step_limit,
   foreign_runs,
   no_room,
