--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -24,11 +24,13 @@
       m_copies(m_state, m_accounting),
       m_follower(m_state, m_crashes, m_copies),
       m_holder(m_state, m_crashes, m_follower, m_accounting, m_copies),
-      m_zones(m_state),
       m_reservations(m_state),
       m_rules(m_state, m_reservations, m_crashes),
+      m_zones(m_state, m_rules),
+      m_reservation_planner(m_state, m_rules, m_reservations),
       m_advice(m_state, m_zones, m_reservations, m_rules),
-      m_placer(m_state, m_zones, m_advice, m_reservations, m_crashes, m_rules),
+      m_placer(m_state, m_zones, m_advice, m_reservations, m_reservation_planner, m_crashes,
+               m_rules),
       m_evacuator(m_state, m_advice, m_placer),
       m_waits(m_state, m_rules, m_crashes, m_accounting, m_holder)
 {
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -186,9 +186,10 @@
   copy_watch m_copies;
   run_tracker m_follower;
   worker_holder m_holder;
-  zone_chooser m_zones;
   reservations m_reservations;
   start_rules m_rules;
+  zone_chooser m_zones;
+  reservation_planner m_reservation_planner;
   advice_planner m_advice;
   placer m_placer;
   evacuator m_evacuator;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -35,11 +35,13 @@
 } // namespace
 
 placer::placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-               reservations& reserved, crash_watch& crashes, const start_rules& rules)
+               reservations& reserved, reservation_planner& planner, crash_watch& crashes,
+               const start_rules& rules)
     : m_state(state),
       m_zones(zones),
       m_advice(advice),
       m_reservations(reserved),
+      m_reservation_planner(planner),
       m_crashes(crashes),
       m_rules(rules)
 {
@@ -135,7 +137,7 @@
     place_step(each, now);
   if (step.waiting == 0 || waits_for_workspace(*each.job, each.step, step))
     return true;
-  m_reservations.reserve_for(*each.job, each.cycle, each.step, now);
+  m_reservation_planner.reserve_for(*each.job, each.cycle, each.step, now);
   m_advice.want(*each.job, each.cycle, each.step, now);
   return false;
 }
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -12,6 +12,7 @@
 
 #include "Scheduling/AdvicePlanner.h"
 #include "Scheduling/CrashWatch.h"
+#include "Scheduling/ReservationPlanner.h"
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/StartRules.h"
@@ -22,7 +23,8 @@
 {
 public:
   placer(scheduler_state& state, const zone_chooser& zones, advice_planner& advice,
-         reservations& reserved, crash_watch& crashes, const start_rules& rules);
+         reservations& reserved, reservation_planner& planner, crash_watch& crashes,
+         const start_rules& rules);
 
   // Makes one pass over the waiting steps. With `survey`, the pass also checks the running tasks:
   // it marks slow workers and starts copies of speculative tasks that are late.
@@ -111,6 +113,7 @@
   const zone_chooser& m_zones;
   advice_planner& m_advice;
   reservations& m_reservations;
+  reservation_planner& m_reservation_planner;
   crash_watch& m_crashes;
   const start_rules& m_rules;
   bool m_confirmation_awaited = false; // in the latest pass, by a start
--- a/Source/Core/Scheduling/Reservations.cpp
+++ b/Source/Core/Scheduling/Reservations.cpp
@@ -6,27 +6,16 @@
 #include <algorithm>
 #include <vector>
 
-#include "Scheduling/StartRules.h"
-
 namespace yardhill::scheduling
 {
 namespace
 {
-// Tasks that need a smaller share of a worker than this find free capacity soon enough without a
-// reservation.
-constexpr double k_large_share = 0.5;
 // A run that already takes longer than expected is assumed to end after this time.
 constexpr milliseconds k_overdue_run_end{250};
 } // namespace
 
 reservations::reservations(const scheduler_state& state) : m_state(state) {}
 
-bool reservations::is_large(const step_record& step, const worker_record& worker) const
-{
-  return common::dominant_share(required_resources(*step.spec), worker.info.capacity) >=
-         k_large_share;
-}
-
 time_point reservations::expected_end(const run_record& run, time_point now) const
 {
   if (run.spec().long_running || run.spec().estimate.count() <= 0)
@@ -71,43 +60,10 @@
   return when;
 }
 
-void reservations::reserve_for(job_record& job, std::uint32_t cycle, std::uint32_t step,
-                               time_point now)
+void reservations::add(const worker_id& worker, const step_ref& step,
+                       const common::resources& capacity, time_point expected_at)
 {
-  const step_record& record = job.cycles()[cycle].steps[step];
-  // Even a start now would miss the objective.
-  if (now + job.critical_path_from(step) > job.objective())
-    return;
-  const common::resources needed = required_resources(*record.spec);
-  std::vector<std::pair<time_point, worker_id>> candidates;
-  const auto consider = [&](const worker_record& worker)
-  {
-    if (!is_large(record, worker) || !m_state.usable(worker, now) ||
-        !record.begun.covers(worker.info.zone) || !meets_requirements(worker, job, record) ||
-        m_by_worker.contains(worker.info.id))
-      return;
-    const auto when = expected_free_from(worker, needed, now);
-    if (when && *when + job.critical_path_from(step) <= job.objective())
-      candidates.emplace_back(*when, worker.info.id);
-  };
-  if (job.policy().advice)
-  {
-    for (const auto& [id, permitted] : record.permits.permitted)
-    {
-      const auto found = m_state.workers.find(id);
-      if (permitted && found != m_state.workers.end())
-        consider(*found->second);
-    }
-  }
-  else
-  {
-    for (const auto& [id, worker] : m_state.workers)
-      consider(*worker);
-  }
-  std::sort(candidates.begin(), candidates.end());
-  candidates.resize(std::min<std::size_t>(candidates.size(), record.waiting));
-  for (const auto& [when, id] : candidates)
-    m_by_worker[id] = {{job.id(), cycle, step}, needed, when};
+  m_by_worker[worker] = {step, capacity, expected_at};
 }
 
 bool reservations::allows(const worker_record& worker, const job_record& job,
--- a/Source/Core/Scheduling/Reservations.h
+++ b/Source/Core/Scheduling/Reservations.h
@@ -3,9 +3,8 @@
 
 #pragma once
 
-// Reserves workers for large waiting tasks. Without a reservation, smaller tasks would take all
-// capacity that becomes free, however late or unimportant they are, and a task that needs most of a
-// worker would never find enough of it.
+// The workers that are reserved for large waiting tasks (see reservation_planner), and when they
+// should have free capacity.
 
 #include <map>
 #include <optional>
@@ -22,10 +21,10 @@
   // Removes all reservations. Called at the start of a pass, which then reserves for the waiting
   // steps in the order in which they should start.
   void clear() { m_by_worker.clear(); }
-  // Reserves, for each waiting task of the step, the permitted worker that should have free
-  // capacity for it first. Only workers of which the task needs a large share, and on which it
-  // would still meet the job's objective, are reserved.
-  void reserve_for(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
+  // Reserves the worker for a step that should find that much free capacity there at that time.
+  void add(const worker_id& worker, const step_ref& step, const common::resources& capacity,
+           time_point expected_at);
+  bool reserved(const worker_id& worker) const { return m_by_worker.contains(worker); }
   // Whether a task may start on the worker. It may if the worker is not reserved or is reserved
   // for the task's step, if the task should end before the reserved capacity is expected to be
   // free, or if the worker then has capacity for both tasks.
@@ -34,6 +33,10 @@
   // When the capacity should be free on a worker that is reserved for the step; none for other
   // workers.
   std::optional<time_point> expected_free_time(const step_ref& step, const worker_id& worker) const;
+  // When the worker should have that much free capacity; none if it cannot be foreseen.
+  std::optional<time_point> expected_free_from(const worker_record& worker,
+                                               const common::resources& needed,
+                                               time_point now) const;
 
 private:
   struct reservation
@@ -43,15 +46,9 @@
     time_point expected_at;
   };
 
-  bool is_large(const step_record& step, const worker_record& worker) const;
   time_point expected_end(const run_record& run, time_point now) const;
   common::resources free_capacity_at(const worker_record& worker, time_point when,
                                      time_point now) const;
-  // When the worker should have that much free capacity; none if it cannot be foreseen.
-  std::optional<time_point> expected_free_from(const worker_record& worker,
-                                               const common::resources& needed,
-                                               time_point now) const;
-
   const scheduler_state& m_state;
   std::map<worker_id, reservation> m_by_worker;
 };
--- a/Source/Core/Scheduling/ZoneChooser.cpp
+++ b/Source/Core/Scheduling/ZoneChooser.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <map>
 
-#include "Scheduling/StartRules.h"
-
 namespace yardhill::scheduling
 {
 namespace
@@ -33,7 +31,10 @@
 }
 } // namespace
 
-zone_chooser::zone_chooser(const scheduler_state& state) : m_state(state) {}
+zone_chooser::zone_chooser(const scheduler_state& state, const start_rules& rules)
+    : m_state(state), m_rules(rules)
+{
+}
 
 bool zone_chooser::has_slack(const job_record& job, std::uint32_t step, time_point now) const
 {
@@ -50,15 +51,13 @@
   if (spec.gang || spec.long_running || spec.uses_idle_cpu || has_slack(job, step, now))
     return {};
   const std::uint32_t wanted_tasks = spec.count * k_capacity_factor;
-  const std::uint32_t max_per_worker =
-      spec.max_tasks_per_worker == 0 ? wanted_tasks : spec.max_tasks_per_worker;
   std::map<std::string, std::uint32_t> capacity; // number of tasks that fit, by zone
   for (const auto& [id, worker] : m_state.workers)
   {
     if (m_state.usable(*worker, now) && worker->slow_until <= now &&
         meets_requirements(*worker, job, record))
       capacity[worker->info.zone] +=
-          tasks_that_fit(required_resources(spec), worker->free(), max_per_worker);
+          m_rules.tasks_that_fit_now(*worker, job, {job.id(), cycle, step}, wanted_tasks);
   }
   std::string current_zone = zone_of(its_cycle);
   if (!current_zone.empty() && capacity[current_zone] >= wanted_tasks)
--- a/Source/Core/Scheduling/ZoneChooser.h
+++ b/Source/Core/Scheduling/ZoneChooser.h
@@ -11,14 +11,14 @@
 
 #include <string>
 
-#include "Scheduling/SchedulerState.h"
+#include "Scheduling/StartRules.h"
 
 namespace yardhill::scheduling
 {
 class zone_chooser
 {
 public:
-  explicit zone_chooser(const scheduler_state& state);
+  zone_chooser(const scheduler_state& state, const start_rules& rules);
 
   // The zone in which the step's tasks should run: the zone in which its cycle already runs, if
   // that has the free capacity, else the zone with most free capacity. Empty if any zone will do:
@@ -31,5 +31,6 @@
   bool has_slack(const job_record& job, std::uint32_t step, time_point now) const;
 
   const scheduler_state& m_state;
+  const start_rules& m_rules;
 };
 } // namespace yardhill::scheduling
