Scheduling: Overdue requests for advice leave every other free slot to the order

Cause: steps that were never asked about are overdue after 2 s, and overdue requests come first in a pass, so with many of them each free slot was theirs, and a long-running task that came first in the order asked no more (AdviceByRulesTest/slots_used_by_younger_steps_do_not_delay_a_long_running_task, calls at 0, 1.2 and 2.4 s, then none).

Change: while requests in order lack slots, overdue ones take every other free slot.

AdviceWaitReportTest/a_step_beyond_the_budget_is_reported: its more urgent step was permitted nowhere, which no longer uses up the budget. It now has a call in flight, which does; the check is the same.

--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -118,7 +118,10 @@
                                   const task_place& place, request_reason reason,
                                   time_point now) const
 {
-  const task_record& task = job.cycles()[place.cycle].steps[place.step].tasks[place.index];
+  const step_record& step = job.cycles()[place.cycle].steps[place.step];
+  if (m_rules.ticket(job, step, worker.info.id, now) != nullptr)
+    return false;
+  const task_record& task = step.tasks[place.index];
   const obstacle found = m_rules.obstacle_at(
       worker, job, place, now, suspected(task.crashes) ? isolation::ignored : isolation::enforced);
   if (found == obstacle::no_ticket)
@@ -201,7 +204,7 @@
   const request_reason reason = reason_for(job, record);
   if (reason == request_reason::first_long_call)
   {
-    send_request(job, need, reason, now);
+    send_in_order(job, need, reason, now);
     return;
   }
   std::int64_t& budget = m_cpu_budgets[job.policy().service];
@@ -211,13 +214,25 @@
       record.permits.latest_attempt = advice_attempt::no_budget;
     return;
   }
-  send_request(job, need, reason, now);
+  send_in_order(job, need, reason, now);
   // Steps that cannot use the free capacity, or not soon, leave it to others.
   const advice_attempt attempt = record.permits.latest_attempt;
   if (attempt == advice_attempt::in_flight || attempt == advice_attempt::no_slot)
     budget -= static_cast<std::int64_t>(need.tasks) * required_resources(*record.spec).cpu_millis;
 }
 
+void advice_planner::send_in_order(job_record& job, const step_need& need, request_reason reason,
+                                   time_point now)
+{
+  const step_permits& permits = job.cycles()[need.step.cycle].steps[need.step.step].permits;
+  if (permits.asking)
+    return;
+  send_request(job, need, reason, now);
+  if (permits.asking)
+    kind_of(job).overdue_went_first = false;
+  kind_of(job).order_lacks_slot |= permits.latest_attempt == advice_attempt::no_slot;
+}
+
 // The duration of a long call hardly depends on the number of workers it names, and permissions do
 // not change. So the first long call asks about all workers, also those without free capacity.
 advice_planner::request_reason advice_planner::reason_for(const job_record& job,
@@ -230,8 +245,9 @@
 void advice_planner::request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step,
                                      time_point now)
 {
-  send_request(job, need_of_waiting(job, {job.id(), cycle, step}),
-               reason_for(job, job.cycles()[cycle].steps[step]), now);
+  step_record& record = job.cycles()[cycle].steps[step];
+  send_request(job, need_of_waiting(job, {job.id(), cycle, step}), reason_for(job, record), now);
+  kind_of(job).overdue_went_first |= record.permits.asking;
 }
 
 bool advice_planner::needs_long_call(const job_record& job)
@@ -248,12 +264,20 @@
          (is_long_call ? m_call_slots.long_calls : m_call_slots.short_calls);
 }
 
-bool advice_planner::can_request(const job_record& job, std::uint32_t cycle, std::uint32_t step,
-                                 time_point now) const
+bool advice_planner::can_request_overdue(const job_record& job, std::uint32_t cycle,
+                                         std::uint32_t step, time_point now) const
 {
   const step_permits& permits = job.cycles()[cycle].steps[step].permits;
-  return job.policy().advice && !permits.asking && now >= permits.ask_after &&
-         slot_free(needs_long_call(job));
+  if (!job.policy().advice || permits.asking || now < permits.ask_after)
+    return false;
+  const call_kind& kind = m_call_kinds.at(needs_long_call(job) ? 1 : 0);
+  return slot_free(needs_long_call(job)) && !(kind.order_lacks_slot && kind.overdue_went_first);
+}
+
+void advice_planner::begin_requests_in_order()
+{
+  for (call_kind& each : m_call_kinds)
+    each.order_lacks_slot = false;
 }
 
 void advice_planner::send_request(job_record& job, const step_need& need, request_reason reason,
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -6,6 +6,12 @@
 // Decides when to request advice, that is, which workers a queue's policy permits for a step, and
 // stores the tickets and permissions of the replies.
 
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "Scheduling/Reservations.h"
 #include "Scheduling/SchedulerState.h"
 #include "Scheduling/StartRules.h"
@@ -36,10 +42,13 @@
   // Like want(), for a step that has not been asked about for too long. It ignores the budget,
   // which more urgent steps may have used up.
   void request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
-  // Whether a request for the step could be sent now, as far as its earlier requests and the calls
-  // in flight go.
-  bool can_request(const job_record& job, std::uint32_t cycle, std::uint32_t step,
-                   time_point now) const;
+  // Whether an overdue request for the step could be sent now, as far as its earlier requests and
+  // the calls in flight go. While requests of want() lack slots, every other free slot is left to
+  // them, so that neither delays the other without bound.
+  bool can_request_overdue(const job_record& job, std::uint32_t cycle, std::uint32_t step,
+                           time_point now) const;
+  // Called after the overdue requests of a pass, before its other requests.
+  void begin_requests_in_order();
   static bool needs_long_call(const job_record& job);
   // Stores the tickets and permissions of a reply. Delays the step's next request if there was no
   // reply or the policy permits none of the workers.
@@ -100,8 +109,20 @@
   bool reserved_in_time(const worker_record& worker, const job_record& job, const step_ref& which,
                         time_point now) const;
   bool slot_free(bool is_long_call) const;
+  // Of short and of long calls, by needs_long_call().
+  struct call_kind
+  {
+    bool order_lacks_slot = false;   // a request of want() found no free slot in the latest pass
+    bool overdue_went_first = false; // an overdue request took a slot since want() last got one
+  };
+  call_kind& kind_of(const job_record& job)
+  {
+    return m_call_kinds.at(needs_long_call(job) ? 1 : 0);
+  }
   static request_reason reason_for(const job_record& job, const step_record& step);
   void request_within_budget(job_record& job, const step_need& need, time_point now);
+  // Sends a request of want() or want_elsewhere(), which come in the order of the steps.
+  void send_in_order(job_record& job, const step_need& need, request_reason reason, time_point now);
   void send_request(job_record& job, const step_need& need, request_reason reason, time_point now);
   // Records and logs how much the reply is worth to the waiting tasks of its step.
   void log_reply(job_record& job, const advice_answer& answer, time_point now) const;
@@ -115,6 +136,7 @@
   const start_rules& m_rules;
   std::map<std::string, std::int64_t> m_cpu_budgets; // by service
   advice_slots m_call_slots;
+  std::array<call_kind, 2> m_call_kinds;
   std::map<step_ref, pending_request> m_in_flight;
   // The share of workers that the policy permits, by queue.
   std::map<std::string, double> m_permitted_shares;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -62,6 +62,7 @@
   // Before the reservations of the previous pass are dropped, since the requests observe them.
   request_overdue_advice(steps, now);
   m_reservations.clear();
+  m_advice.begin_requests_in_order();
   bool short_of_starts = false;
   if (m_state.starts.bounded())
     std::stable_sort(steps.begin(), steps.end(),
@@ -341,7 +342,7 @@
   std::array<longest_wait, 2> longest{{{nullptr, latest}, {nullptr, latest}}}; // short, long calls
   for (const waiting_step& each : steps)
   {
-    if (!m_advice.can_request(*each.job, each.cycle, each.step, now))
+    if (!m_advice.can_request_overdue(*each.job, each.cycle, each.step, now))
       continue;
     const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
     const time_point waits_since = std::max(permits.last_advice_turn, each.job->accepted_at());
--- a/Source/UnitTests/Scheduling/AdviceWaitReportTest.cpp
+++ b/Source/UnitTests/Scheduling/AdviceWaitReportTest.cpp
@@ -65,9 +65,12 @@
   jobs::queue_policy less_urgent = policy_with(short_calls());
   less_urgent.priority = 1;
   add_queue("less urgent", less_urgent);
+  jobs::queue_policy unanswered = policy_with(short_calls());
+  unanswered.advice->per_worker = std::chrono::minutes{1};
+  add_queue("unanswered", unanswered);
   permits = [](const std::string& job, const worker_id& worker)
   { return job == k_job && worker.value == "w139"; };
-  submit("permitted-nowhere", k_short_calls, step_of(200, 16000));
+  submit("waits for its reply", "unanswered", step_of(200, 16000));
   play(seconds{1});
   submit(k_job, "less urgent", long_running_step());
   BOOST_TEST(reported_attempt("no_budget"));
