Scheduling: Bounded search for workers to name; overdue turns go to steps that can use them

And an overdue step without any worker to name used up the turn of its pass.

Change: a step is passed over at once if no worker of its service has as much free in each dimension, and a pass searches in vain for at most 32 steps. The overdue requests of a pass go on, up to eight steps, until one was sent.

--- a/Source/Core/Common/Resources.cpp
+++ b/Source/Core/Common/Resources.cpp
@@ -69,4 +69,12 @@
   }
   return share;
 }
+
+resources largest(const resources& left, const resources& right)
+{
+  resources result;
+  for (const dimension_entry& each : k_dimensions)
+    result.*each.member = std::max(left.*each.member, right.*each.member);
+  return result;
+}
 } // namespace yardhill::common
--- a/Source/Core/Common/Resources.h
+++ b/Source/Core/Common/Resources.h
@@ -73,4 +73,6 @@
 // The largest fraction of `whole` that `part` takes in any dimension: the dominant share of
 // dominant resource fairness. Above 1 if `part` exceeds `whole`.
 double dominant_share(const resources& part, const resources& whole);
+// The larger value of the two in each dimension.
+resources largest(const resources& left, const resources& right);
 } // namespace yardhill::common
--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -207,18 +207,39 @@
     send_in_order(job, need, reason, now);
     return;
   }
-  std::int64_t& budget = m_cpu_budgets[job.policy().service];
-  if (budget <= 0)
+  service_capacity& capacity = m_capacity[job.policy().service];
+  if (capacity.idle_cpu_millis <= 0 || m_vain_searches >= m_state.options.max_vain_searches)
   {
     if (!record.permits.asking)
       record.permits.latest_attempt = advice_attempt::no_budget;
     return;
   }
+  if (!record.permits.asking && surely_no_room(capacity, need, record))
+  {
+    record.permits.latest_attempt = advice_attempt::no_worker;
+    return;
+  }
   send_in_order(job, need, reason, now);
-  // Steps that cannot use the free capacity, or not soon, leave it to others.
+  // Steps for which no worker has capacity, and those whose requests are paused, leave it to
+  // others.
   const advice_attempt attempt = record.permits.latest_attempt;
   if (attempt == advice_attempt::in_flight || attempt == advice_attempt::no_slot)
-    budget -= static_cast<std::int64_t>(need.tasks) * required_resources(*record.spec).cpu_millis;
+    capacity.idle_cpu_millis -=
+        static_cast<std::int64_t>(need.tasks) * required_resources(*record.spec).cpu_millis;
+  m_vain_searches += attempt == advice_attempt::no_worker ? 1 : 0;
+}
+
+bool advice_planner::surely_no_room(const service_capacity& capacity, const step_need& need,
+                                    const step_record& step) const
+{
+  return !required_resources(*step.spec).fits_in(capacity.largest_free) &&
+         !m_reservations.any_for(need.step);
+}
+
+void advice_planner::begin_pass(std::map<std::string, service_capacity> by_service)
+{
+  m_capacity = std::move(by_service);
+  m_vain_searches = 0;
 }
 
 void advice_planner::send_in_order(job_record& job, const step_need& need, request_reason reason,
@@ -242,12 +263,13 @@
                                                                 : request_reason::waiting;
 }
 
-void advice_planner::request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step,
+bool advice_planner::request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step,
                                      time_point now)
 {
   step_record& record = job.cycles()[cycle].steps[step];
   send_request(job, need_of_waiting(job, {job.id(), cycle, step}), reason_for(job, record), now);
   kind_of(job).overdue_went_first |= record.permits.asking;
+  return record.permits.asking;
 }
 
 bool advice_planner::needs_long_call(const job_record& job)
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -30,18 +30,20 @@
   void want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
   // The same for running tasks of a step that need another worker, to move there or for a copy.
   void want_elsewhere(job_record& job, const std::vector<task_place>& running, time_point now);
-  // Limits the requests made by want() and want_elsewhere(): what the tasks of each request need is
-  // subtracted from this free processor capacity (thousandths of a core, by service), and nothing
-  // is requested for the service once it is used up.
-  void set_budgets(std::map<std::string, std::int64_t> cpu_millis)
+  struct service_capacity
   {
-    m_cpu_budgets = std::move(cpu_millis);
-  }
+    std::int64_t idle_cpu_millis = 0; // of all workers together
+    common::resources largest_free;   // in each dimension, that of the worker that has most of it
+  };
+  // Begins a pass. Its requests by want() and want_elsewhere() are limited: what the tasks of each
+  // request need is subtracted from the idle processor capacity of their service, and nothing is
+  // requested for the service once that is used up.
+  void begin_pass(std::map<std::string, service_capacity> by_service);
   // Requests advice for steps of the job that should become ready soon.
   void look_ahead(job_record& job, time_point now);
   // Like want(), for a step that has not been asked about for too long. It ignores the budget,
-  // which more urgent steps may have used up.
-  void request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
+  // which more urgent steps may have used up. Returns whether a request was sent.
+  bool request_overdue(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
   // Whether an overdue request for the step could be sent now, as far as its earlier requests and
   // the calls in flight go. While requests of want() lack slots, every other free slot is left to
   // them, so that neither delays the other without bound.
@@ -121,6 +123,9 @@
   }
   static request_reason reason_for(const job_record& job, const step_record& step);
   void request_within_budget(job_record& job, const step_need& need, time_point now);
+  // Whether no worker can have room for a task of the step, as far as is known without a search.
+  bool surely_no_room(const service_capacity& capacity, const step_need& need,
+                      const step_record& step) const;
   // Sends a request of want() or want_elsewhere(), which come in the order of the steps.
   void send_in_order(job_record& job, const step_need& need, request_reason reason, time_point now);
   void send_request(job_record& job, const step_need& need, request_reason reason, time_point now);
@@ -134,7 +139,8 @@
   const zone_chooser& m_zones;
   const reservations& m_reservations;
   const start_rules& m_rules;
-  std::map<std::string, std::int64_t> m_cpu_budgets; // by service
+  std::map<std::string, service_capacity> m_capacity; // that is left in this pass, by service
+  std::size_t m_vain_searches = 0;                    // in this pass, for workers to name
   advice_slots m_call_slots;
   std::array<call_kind, 2> m_call_kinds;
   std::map<step_ref, pending_request> m_in_flight;
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -51,7 +51,7 @@
 {
   if (!m_state.may_place(now))
     return;
-  m_advice.set_budgets(idle_cpu_millis_by_service());
+  m_advice.begin_pass(free_capacity_by_service());
   if (survey)
     mark_slow_workers(now);
   blocked_steps blocked_by_queue;
@@ -91,15 +91,18 @@
     place_copies(now);
 }
 
-std::map<std::string, std::int64_t> placer::idle_cpu_millis_by_service() const
+std::map<std::string, advice_planner::service_capacity> placer::free_capacity_by_service() const
 {
-  std::map<std::string, std::int64_t> idle;
+  std::map<std::string, advice_planner::service_capacity> by_service;
   for (const auto& [id, worker] : m_state.workers)
   {
-    if (worker->offered() && !worker->unresponsive)
-      idle[worker->info.service] += worker->idle_cpu_millis();
+    if (!worker->offered() || worker->unresponsive)
+      continue;
+    advice_planner::service_capacity& capacity = by_service[worker->info.service];
+    capacity.idle_cpu_millis += worker->idle_cpu_millis();
+    capacity.largest_free = common::largest(capacity.largest_free, worker->free());
   }
-  return idle;
+  return by_service;
 }
 
 bool placer::is_long_running(const waiting_step& each)
@@ -333,29 +336,32 @@
 
 void placer::request_overdue_advice(const std::vector<waiting_step>& steps, time_point now)
 {
-  struct longest_wait
-  {
-    const waiting_step* step = nullptr;
-    time_point since;
-  };
+  using overdue_step = std::pair<time_point, const waiting_step*>; // since when, and which
   const time_point latest = now - m_state.options.max_advice_turn_wait;
-  std::array<longest_wait, 2> longest{{{nullptr, latest}, {nullptr, latest}}}; // short, long calls
+  std::array<std::vector<overdue_step>, 2> by_kind; // for short calls, and for long ones
   for (const waiting_step& each : steps)
   {
     if (!m_advice.can_request_overdue(*each.job, each.cycle, each.step, now))
       continue;
     const step_permits& permits = each.job->cycles()[each.cycle].steps[each.step].permits;
     const time_point waits_since = std::max(permits.last_advice_turn, each.job->accepted_at());
-    longest_wait& of_kind = longest.at(advice_planner::needs_long_call(*each.job) ? 1 : 0);
+    std::vector<overdue_step>& of_kind =
+        by_kind.at(advice_planner::needs_long_call(*each.job) ? 1 : 0);
     // Steps are sorted, so those beyond their workspace's share come last.
-    if (waits_since > of_kind.since || (of_kind.step != nullptr && each.job->beyond_share()))
-      continue;
-    of_kind = {&each, waits_since};
+    if (waits_since <= latest && (of_kind.empty() || !each.job->beyond_share()))
+      of_kind.emplace_back(waits_since, &each);
   }
-  for (const longest_wait& each : longest)
+  for (std::vector<overdue_step>& of_kind : by_kind)
   {
-    if (each.step != nullptr)
-      m_advice.request_overdue(*each.step->job, each.step->cycle, each.step->step, now);
+    const std::size_t tries = std::min(of_kind.size(), m_state.options.max_overdue_tries);
+    std::partial_sort(of_kind.begin(), of_kind.begin() + static_cast<std::ptrdiff_t>(tries),
+                      of_kind.end());
+    for (std::size_t i = 0; i < tries; ++i)
+    {
+      const waiting_step& each = *of_kind[i].second;
+      if (m_advice.request_overdue(*each.job, each.cycle, each.step, now))
+        break;
+    }
   }
 }
 
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -55,7 +55,7 @@
   using blocked_steps = std::map<std::string, std::size_t>;
 
   std::vector<waiting_step> sorted_waiting_steps(time_point now) const;
-  std::map<std::string, std::int64_t> idle_cpu_millis_by_service() const;
+  std::map<std::string, advice_planner::service_capacity> free_capacity_by_service() const;
   // Whether the workspace's limit leaves no place for the step. Logged when it is first seen.
   static bool waits_for_workspace(const job_record& job, std::uint32_t index, step_record& step);
   static bool is_long_running(const waiting_step& each);
@@ -88,7 +88,8 @@
   // With advice, only once there was a reply and no request is in flight.
   void widen_small_zone(job_record& job, step_record& step);
   // Requests advice for the step that has waited longest since its last request, or since its job's
-  // acceptance, if that time exceeds the configured limit; one step each for short and long calls.
+  // acceptance, if that time exceeds the configured limit and there is a worker to ask about; one
+  // step each for short and long calls.
   void request_overdue_advice(const std::vector<waiting_step>& steps, time_point now);
   void place_step(const waiting_step& each, time_point now);
   void place_gang(const waiting_step& each, time_point now);
--- a/Source/Core/Scheduling/Reservations.cpp
+++ b/Source/Core/Scheduling/Reservations.cpp
@@ -66,6 +66,12 @@
   m_by_worker[worker] = {step, capacity, expected_at};
 }
 
+bool reservations::any_for(const step_ref& step) const
+{
+  return std::any_of(m_by_worker.begin(), m_by_worker.end(),
+                     [&step](const auto& each) { return each.second.step == step; });
+}
+
 bool reservations::allows(const worker_record& worker, const job_record& job,
                           const task_place& place, time_point now) const
 {
--- a/Source/Core/Scheduling/Reservations.h
+++ b/Source/Core/Scheduling/Reservations.h
@@ -25,6 +25,7 @@
   void add(const worker_id& worker, const step_ref& step, const common::resources& capacity,
            time_point expected_at);
   bool reserved(const worker_id& worker) const { return m_by_worker.contains(worker); }
+  bool any_for(const step_ref& step) const;
   // Whether a task may start on the worker. It may if the worker is not reserved or is reserved
   // for the task's step, if the task should end before the reserved capacity is expected to be
   // free, or if the worker then has capacity for both tasks.
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -174,6 +174,11 @@
   // A call should bring tickets for this many times the tasks that wait, since other steps may use
   // up some workers before the answer arrives.
   double advice_margin = 1.25;
+  // In each pass, workers to name are searched for in vain for at most this many steps, in the
+  // order of the steps, since each search looks at all workers.
+  std::size_t max_vain_searches = 32;
+  // The overdue steps, the longest wait first, for which a pass tries to find workers to name.
+  std::size_t max_overdue_tries = 8;
   // After each reply in a row that let no task start, the next call should bring twice as many, as
   // each call takes a fixed time that is far longer than that of a further worker.
   unsigned max_advice_doublings = 5;
