--- a/Source/Core/Scheduling/AdvicePlanner.cpp
+++ b/Source/Core/Scheduling/AdvicePlanner.cpp
@@ -189,8 +189,8 @@
     request_within_budget(job, need_of_waiting(job, {job.id(), cycle, step}), now);
 }
 
-void advice_planner::want_elsewhere(job_record& job, const std::vector<task_place>& running,
-                                    time_point now)
+void advice_planner::want_for_running(job_record& job, const std::vector<task_place>& running,
+                                      time_point now)
 {
   if (!job.policy().advice || running.empty())
     return;
@@ -250,8 +250,8 @@
     return;
   send_request(job, need, reason, now);
   if (permits.asking)
-    kind_of(job).overdue_went_first = false;
-  kind_of(job).order_lacks_slot |= permits.latest_attempt == advice_attempt::no_slot;
+    kind_of(job).overdue_used_latest_slot = false;
+  kind_of(job).ordered_request_lacked_slot |= permits.latest_attempt == advice_attempt::no_slot;
 }
 
 // The duration of a long call hardly depends on the number of workers it names, and permissions do
@@ -268,7 +268,7 @@
 {
   step_record& record = job.cycles()[cycle].steps[step];
   send_request(job, need_of_waiting(job, {job.id(), cycle, step}), reason_for(job, record), now);
-  kind_of(job).overdue_went_first |= record.permits.asking;
+  kind_of(job).overdue_used_latest_slot |= record.permits.asking;
   return record.permits.asking;
 }
 
@@ -293,13 +293,14 @@
   if (!job.policy().advice || permits.asking || now < permits.ask_after)
     return false;
   const call_kind& kind = m_call_kinds.at(needs_long_call(job) ? 1 : 0);
-  return slot_free(needs_long_call(job)) && !(kind.order_lacks_slot && kind.overdue_went_first);
+  return slot_free(needs_long_call(job)) &&
+         !(kind.ordered_request_lacked_slot && kind.overdue_used_latest_slot);
 }
 
 void advice_planner::begin_requests_in_order()
 {
   for (call_kind& each : m_call_kinds)
-    each.order_lacks_slot = false;
+    each.ordered_request_lacked_slot = false;
 }
 
 void advice_planner::send_request(job_record& job, const step_need& need, request_reason reason,
--- a/Source/Core/Scheduling/AdvicePlanner.h
+++ b/Source/Core/Scheduling/AdvicePlanner.h
@@ -29,15 +29,15 @@
   // but no ticket yet.
   void want(job_record& job, std::uint32_t cycle, std::uint32_t step, time_point now);
   // The same for running tasks of a step that need another worker, to move there or for a copy.
-  void want_elsewhere(job_record& job, const std::vector<task_place>& running, time_point now);
+  void want_for_running(job_record& job, const std::vector<task_place>& running, time_point now);
   struct service_capacity
   {
     std::int64_t idle_cpu_millis = 0; // of all workers together
     common::resources largest_free;   // in each dimension, that of the worker that has most of it
   };
-  // Begins a pass. Its requests by want() and want_elsewhere() are limited: what the tasks of each
-  // request need is subtracted from the idle processor capacity of their service, and nothing is
-  // requested for the service once that is used up.
+  // Begins a pass. Its requests by want() and want_for_running() are limited: what the tasks of
+  // each request need is subtracted from the idle processor capacity of their service, and nothing
+  // is requested for the service once that is used up.
   void begin_pass(std::map<std::string, service_capacity> by_service);
   // Requests advice for steps of the job that should become ready soon.
   void look_ahead(job_record& job, time_point now);
@@ -77,7 +77,8 @@
   struct candidate
   {
     const worker_record* worker = nullptr;
-    double expected_tasks = 0.0; // that it should take if it is asked about; 0: it is full
+    double expected_tasks =
+        0.0; // that it should take if it is asked about; 0: it can take none now
   };
 
   // The tasks of a step for which workers are wanted.
@@ -103,7 +104,8 @@
   // The waiting tasks of the step that differ in the workers on which they may start.
   static std::vector<task_place> distinct_waiting_tasks(const job_record& job,
                                                         const step_ref& which);
-  // Whether nothing but a ticket is missing for the task to start on the worker, or soon will be.
+  // Whether the task could start on the worker once there is a ticket, now or, depending on the
+  // reason, a little later.
   bool worth_naming(const worker_record& worker, const job_record& job, const task_place& place,
                     request_reason reason, time_point now) const;
   // Whether the worker is reserved for the step and should have the capacity when the reply
@@ -114,8 +116,10 @@
   // Of short and of long calls, by needs_long_call().
   struct call_kind
   {
-    bool order_lacks_slot = false;   // a request of want() found no free slot in the latest pass
-    bool overdue_went_first = false; // an overdue request took a slot since want() last got one
+    bool ordered_request_lacked_slot =
+        false; // a request of want() found no free slot in the latest pass
+    bool overdue_used_latest_slot =
+        false; // an overdue request took a slot since want() last got one
   };
   call_kind& kind_of(const job_record& job)
   {
@@ -126,7 +130,7 @@
   // Whether no worker can have room for a task of the step, as far as is known without a search.
   bool surely_no_room(const service_capacity& capacity, const step_need& need,
                       const step_record& step) const;
-  // Sends a request of want() or want_elsewhere(), which come in the order of the steps.
+  // Sends a request of want() or want_for_running(), which come in the order of the steps.
   void send_in_order(job_record& job, const step_need& need, request_reason reason, time_point now);
   void send_request(job_record& job, const step_need& need, request_reason reason, time_point now);
   // Records and logs how much the reply is worth to the waiting tasks of its step.
--- a/Source/Core/Scheduling/Evacuator.cpp
+++ b/Source/Core/Scheduling/Evacuator.cpp
@@ -26,7 +26,7 @@
       evacuate(*worker, now);
   }
   for (const auto& [step, tasks] : std::exchange(m_without_destination, {}))
-    m_advice.want_elsewhere(*m_state.find_job(step.job), tasks, now);
+    m_advice.want_for_running(*m_state.find_job(step.job), tasks, now);
 }
 
 // Runs that should end before the worker leaves stay, and so do runs that would have to begin again
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -78,7 +78,7 @@
   paused,    // the last request had no reply or permitted no worker
   no_slot,   // as many calls are in flight as may be
   no_budget, // more urgent steps of the pass need the free capacity
-  no_worker  // no worker to ask about could take a task
+  no_worker  // no worker without a valid ticket could take a task
 };
 
 // The workers that the queue's policy permits for a step, as far as the admission service was
--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -488,7 +488,7 @@
     start(job, place, number, *worker, now);
   }
   for (const auto& [step, tasks] : without_worker)
-    m_advice.want_elsewhere(*m_state.find_job(step.job), tasks, now);
+    m_advice.want_for_running(*m_state.find_job(step.job), tasks, now);
 }
 
 void placer::start(job_record& job, const task_place& place, run_number number,
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -168,7 +168,7 @@
   duration advice_ahead = std::chrono::milliseconds{1200};
   // The most workers named in one advice call (the platform's bound).
   std::size_t max_advice_workers = 100;
-  // Workers without free capacity are named only up to this many in all: what an answer says of
+  // Workers that can take no task now are named only up to this many in all: what an answer says of
   // them is of use only later.
   std::size_t max_full_advice_workers = 24;
   // A call should bring tickets for this many times the tasks that wait, since other steps may use
--- a/Source/Core/Scheduling/StartRules.h
+++ b/Source/Core/Scheduling/StartRules.h
@@ -3,9 +3,9 @@
 
 #pragma once
 
-// Decides whether a task may start on a worker. All components that select workers for tasks ask
-// here: placement, gangs, copies, evacuation, reservations, advice requests, and the report of
-// waiting tasks.
+// Decides whether a task may start on a worker. The components that select workers for tasks ask
+// here: placement, gangs, copies, evacuation, reservations, advice requests, the choice of a zone
+// (for the capacity only), and the report of waiting tasks.
 
 #include <array>
 #include <optional>
