--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -39,13 +39,23 @@
     return longest
 
 
-def play(folder, script, **cell_options):
-    """Runs `script(cell)`, which returns the list of broken rules, and exits with the verdict."""
+def play(folder, script, rounds=1, **cell_options):
+    """Runs `script(cell)`, which returns the list of broken rules, and exits with the verdict.
+
+    With several rounds, each starts a cell anew; the first one that breaks a rule is the last one.
+    """
     record = pathlib.Path(folder) / "record.txt"
+    code = HELD
+    for number in range(rounds):
+        if code == HELD:
+            code = play_round(record, script, "a" if number else "w", cell_options)
+    sys.exit(code)
+
+
+def play_round(record, script, mode, cell_options):
     cell = None
-    code = COULD_NOT_RUN
     try:
-        cell = Cell(record, **cell_options)
+        cell = Cell(record, mode=mode, **cell_options)
         cell.record(f"script: TROUBLE={trouble()}")
         broken = script(cell)
         crashed = cell.crashed()
@@ -57,15 +67,15 @@
         if not broken:
             cell.record("held")
             print("held")
-        code = BROKEN if broken else HELD
+        return BROKEN if broken else HELD
     except Exception:
         traceback.print_exc()
         if cell is not None:
             cell.record("could not run: " + traceback.format_exc())
+        return COULD_NOT_RUN
     finally:
         if cell is not None:
             cell.close()
-    sys.exit(code)
 
 
 def wait(seconds):
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -462,8 +462,8 @@
 
 class Cell:
     def __init__(self, record_file, zones=("a", "b", "c"), instances=3, workers=6, cpu=16000,
-                 mem=32768, service="docbuild"):
-        self.file = open(record_file, "w", encoding="utf-8")
+                 mem=32768, service="docbuild", mode="w"):
+        self.file = open(record_file, mode, encoding="utf-8")
         self.began = time.monotonic()
         self.lock = threading.Lock()
         self.store = Store(self.record)
