--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,7 @@
 """The owner is killed while peers ask the advice service for it; it comes back under its name.
 
 Whether an answer meets a call of the new process with the same number depends on the order in which
-the instances find each other, so up to four cells are started one after the other.
+the instances find each other, so up to five cells are started one after the other.
 """
 import pathlib
 import signal
@@ -75,4 +75,4 @@
     return broken
 
 
-play(pathlib.Path(__file__).parent, script, rounds=4, instances=6, workers=100)
+play(pathlib.Path(__file__).parent, script, rounds=5, instances=6, workers=100)
