Node: Number calls to peers by process, so that late replies match no other call

After the owner was killed and restarted under its name, accepted jobs had nothing running for good, beside workers that their policy permits.

Cause: calls to peers were numbered from 1 by each process, and a peer addresses its reply to the instance's name. The new process took the answer to a call of its predecessor, which the advice service answers after 1.1 s, for the answer to its own call of the same number. It recorded the permits of one step for another and forbade that step's workers for good. Relayed calls to the store and queries for a job's state were matched in the same way.

Change: call_numbers, one for each process, begins at a value derived from the incarnation. Replies without a call are logged.

--- a/Source/Core/Node/AdvicePool.cpp
+++ b/Source/Core/Node/AdvicePool.cpp
@@ -27,8 +27,9 @@
 constexpr std::chrono::seconds k_avoid_time{2};
 } // namespace
 
-advice_pool::advice_pool(common::timekeeper& time, advice_queue& own_queue, sender send)
-    : m_time(time), m_own_queue(own_queue), m_send(std::move(send))
+advice_pool::advice_pool(common::timekeeper& time, common::call_numbers& numbers,
+                         advice_queue& own_queue, sender send)
+    : m_time(time), m_numbers(numbers), m_own_queue(own_queue), m_send(std::move(send))
 {
   m_instances.push_back({});
 }
@@ -81,7 +82,7 @@
     return;
   }
   common::advice_request request;
-  request.number = ++m_last_number;
+  request.number = m_numbers.next();
   request.job = command.step.job;
   request.cycle = command.step.cycle;
   request.step = command.step.step;
@@ -184,11 +185,14 @@
 void advice_pool::on_reply(const std::string& peer, const common::advice_reply& reply)
 {
   const auto of_peer = m_pending.find(peer);
-  if (of_peer == m_pending.end())
+  const bool expected = of_peer != m_pending.end() && of_peer->second.contains(reply.number);
+  if (!expected)
+  {
+    // The call was given up before its reply came, or an earlier process made it.
+    common::log_process("advice_reply_unexpected", {{"peer", peer}, {"number", reply.number}});
     return;
+  }
   auto found = of_peer->second.extract(reply.number);
-  if (found.empty())
-    return; // the call was given up before its reply came
   pending_request each = std::move(found.mapped());
   subtract_backlog(peer, each.command.expected);
   scheduling::advice_answer answer;
--- a/Source/Core/Node/AdvicePool.h
+++ b/Source/Core/Node/AdvicePool.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/CallNumbers.h"
 #include "Common/PeerMessages.h"
 #include "Node/AdviceQueue.h"
 
@@ -26,7 +27,8 @@
 public:
   using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
 
-  advice_pool(common::timekeeper& time, advice_queue& own_queue, sender send);
+  advice_pool(common::timekeeper& time, common::call_numbers& numbers, advice_queue& own_queue,
+              sender send);
 
   void ask(scheduling::advice_command command, advice_queue::answer_handler done);
   // How many calls the instances that are available at `now` take at once.
@@ -71,11 +73,11 @@
   void subtract_backlog(const std::string& peer, std::chrono::milliseconds expected);
 
   common::timekeeper& m_time;
+  common::call_numbers& m_numbers;
   advice_queue& m_own_queue;
   sender m_send;
   std::vector<instance> m_instances; // by rank; without ranks this instance is the first
   std::map<std::string, std::map<std::uint64_t, pending_request>> m_pending; // by peer
   std::optional<std::string> m_own_name; // set once other owners ask as well
-  std::uint64_t m_last_number = 0;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/JobStateQueries.cpp
+++ b/Source/Core/Node/JobStateQueries.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 job_state_queries::job_state_queries(
-    common::timekeeper& time, sender send,
+    common::timekeeper& time, common::call_numbers& numbers, sender send,
     const std::vector<std::unique_ptr<partition_owner>>& partitions)
-    : m_time(time), m_send(std::move(send)), m_partitions(partitions)
+    : m_time(time), m_numbers(numbers), m_send(std::move(send)), m_partitions(partitions)
 {
 }
 
@@ -29,7 +29,7 @@
     done(partition.written_state(id));
     return;
   }
-  const std::uint64_t number = ++m_last_number;
+  const std::uint64_t number = m_numbers.next();
   m_pending[number] = {holder, std::move(done), m_time.now() + k_reply_timeout};
   m_send(holder, common::job_state_query{number, id});
 }
@@ -68,7 +68,7 @@
 {
   const auto found = m_pending.find(reply.number);
   if (found == m_pending.end() || found->second.peer != peer)
-    return; // the query timed out before its reply came
+    return; // the query timed out before its reply came, or an earlier process made it
   const handler done = std::move(found->second.done);
   m_pending.erase(found);
   const bool valid =
--- a/Source/Core/Node/JobStateQueries.h
+++ b/Source/Core/Node/JobStateQueries.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/CallNumbers.h"
 #include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
@@ -31,7 +32,7 @@
   // Called with no state if the owner does not know the job or did not answer in time.
   using handler = std::function<void(std::optional<jobs::job_state>)>;
 
-  job_state_queries(common::timekeeper& time, sender send,
+  job_state_queries(common::timekeeper& time, common::call_numbers& numbers, sender send,
                     const std::vector<std::unique_ptr<partition_owner>>& partitions);
 
   // Asks the partition's owner for the state of job `id`. `done` may be called before this returns.
@@ -52,10 +53,10 @@
   };
 
   common::timekeeper& m_time;
+  common::call_numbers& m_numbers;
   sender m_send;
   const std::vector<std::unique_ptr<partition_owner>>& m_partitions;
   std::set<std::string> m_reachable;
   std::map<std::uint64_t, pending_query> m_pending;
-  std::uint64_t m_last_number = 0;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.h
+++ b/Source/Core/Node/NodeCore.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/CallNumbers.h"
 #include "Http/RequestSender.h"
 #include "Node/CallerGateway.h"
 #include "Node/ConfigurationWatch.h"
@@ -111,6 +112,7 @@
 
   node_environment m_environment;
   instance_identity m_self;
+  common::call_numbers m_call_numbers;
   common::duration m_status_retention;
   loop_monitor m_loop;
   std::optional<common::time_point> m_next_tick_due;
--- a/Source/Core/Node/StorePath.cpp
+++ b/Source/Core/Node/StorePath.cpp
@@ -52,10 +52,11 @@
 }
 } // namespace
 
-store_path::store_path(common::timekeeper& time, http::peer_sender& client,
-                       const common::endpoint& store, http::request probe, peer_monitor& peers,
-                       sender send_to_peer)
+store_path::store_path(common::timekeeper& time, common::call_numbers& numbers,
+                       http::peer_sender& client, const common::endpoint& store,
+                       http::request probe, peer_monitor& peers, sender send_to_peer)
     : m_time(time),
+      m_numbers(numbers),
       m_client(client),
       m_store(store),
       m_probe(std::move(probe)),
@@ -157,7 +158,7 @@
   }
   // Calls of this function are watched for overdue replies, since a healthy store answers them at
   // once. Calls of feeds wait for changes; they use send_directly().
-  const std::uint64_t number = ++m_last_call_number;
+  const std::uint64_t number = m_numbers.next();
   m_in_flight[number] = {m_time.now(), call, timeout, std::move(done), false};
   send_directly(std::move(call), timeout,
                 [this, number, began = m_time.now()](http::reply answer)
@@ -211,7 +212,7 @@
     return;
   }
   common::relay_request request;
-  request.number = ++m_last_call_number;
+  request.number = m_numbers.next();
   request.verb = static_cast<std::uint8_t>(call.verb);
   request.target = std::move(call.target);
   request.body = std::move(call.body);
@@ -257,9 +258,14 @@
 
 void store_path::on_reply(const std::string& peer, const common::relay_reply& reply)
 {
-  auto found = m_relayed_calls.extract(reply.number);
-  if (found.empty())
-    return; // the call has already timed out here
+  const auto known = m_relayed_calls.find(reply.number);
+  if (known == m_relayed_calls.end() || known->second.peer != peer)
+  {
+    // The call has already timed out here, or an earlier process made it.
+    common::log_process("relay_reply_unexpected", {{"peer", peer}, {"number", reply.number}});
+    return;
+  }
+  auto found = m_relayed_calls.extract(known);
   if (reply.status == 0 && reply.refused)
     m_peers.avoid(peer);
   found.mapped().done({reply.status, reply.body, reply.failure, reply.refused});
--- a/Source/Core/Node/StorePath.h
+++ b/Source/Core/Node/StorePath.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <utility>
 
+#include "Common/CallNumbers.h"
 #include "Common/PeerMessages.h"
 #include "Common/Timekeeper.h"
 #include "Http/RequestSender.h"
@@ -34,8 +35,9 @@
 public:
   using sender = std::function<void(const std::string& peer, const common::peer_message&)>;
 
-  store_path(common::timekeeper& time, http::peer_sender& client, const common::endpoint& store,
-             http::request probe, peer_monitor& peers, sender send_to_peer);
+  store_path(common::timekeeper& time, common::call_numbers& numbers, http::peer_sender& client,
+             const common::endpoint& store, http::request probe, peer_monitor& peers,
+             sender send_to_peer);
 
   // Sends the call directly or through a peer. Sends it a second time, through a peer, if the
   // direct call has certainly not been carried out, if it changes nothing, or if it has had no
@@ -96,6 +98,7 @@
   void relay(http::request call, common::duration timeout, http::reply_handler done);
 
   common::timekeeper& m_time;
+  common::call_numbers& m_numbers;
   http::peer_sender& m_client;
   common::endpoint m_store;
   http::request m_probe;
@@ -114,7 +117,6 @@
   peer_monitor& m_peers;
   std::map<std::uint64_t, direct_call> m_in_flight; // by number, so the oldest call is first
   std::map<std::uint64_t, relayed_call> m_relayed_calls;
-  std::uint64_t m_last_call_number = 0;
 };
 
 // Sends calls only directly. Used for feeds, whose health shows whether this instance itself
--- a/Source/UnitTests/Node/AdmissionTest.cpp
+++ b/Source/UnitTests/Node/AdmissionTest.cpp
@@ -74,8 +74,8 @@
   node::job_store jobs{time, store, store, metrics};
   std::vector<std::unique_ptr<node::partition_owner>> partitions;
   node::layout_manager keeper{time, store, 0};
-  node::job_state_queries states{time, [](const std::string&, const common::peer_message&) {},
-                                 partitions};
+  node::job_state_queries states{
+      time, call_numbers, [](const std::string&, const common::peer_message&) {}, partitions};
   std::optional<node::caller_gateway> gateway;
   std::optional<http::outgoing_reply> got;
 
--- a/Source/UnitTests/Node/JobStateQueriesTest.cpp
+++ b/Source/UnitTests/Node/JobStateQueriesTest.cpp
@@ -34,8 +34,10 @@
   std::vector<std::unique_ptr<node::partition_owner>> owning;
   std::vector<std::unique_ptr<node::partition_owner>> following;
   bool disconnected = false;
+  common::call_numbers owner_numbers{"life-1"};
+  common::call_numbers follower_numbers{"life-2"};
   node::job_state_queries at_owner{
-      own.time,
+      own.time, owner_numbers,
       [this](const std::string&, const common::peer_message& message)
       {
         if (!disconnected)
@@ -43,7 +45,7 @@
       },
       owning};
   node::job_state_queries follower{
-      own.time,
+      own.time, follower_numbers,
       [this](const std::string& peer, const common::peer_message& message)
       {
         BOOST_TEST(peer == "instance-1");
@@ -122,4 +124,23 @@
   BOOST_TEST(answered);
 }
 
+// Guards against returning the state of another job: the owner answers a query of an earlier
+// process of this name.
+BOOST_FIXTURE_TEST_CASE(a_reply_to_a_query_of_an_earlier_process_is_ignored, two_instances)
+{
+  disconnected = true;
+  std::uint64_t earlier_number = 0;
+  common::call_numbers earlier_numbers{"life-of-earlier-process"};
+  node::job_state_queries earlier(
+      own.time, earlier_numbers,
+      [&earlier_number](const std::string&, const common::peer_message& message)
+      { earlier_number = std::get<common::job_state_query>(message).number; },
+      following);
+  earlier.peer_reachable("instance-1");
+  earlier.ask(*following.front(), "another job", [](const auto&) {});
+  ask();
+  follower.on_reply("instance-1", {earlier_number, true, 3});
+  BOOST_TEST(!answered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -74,7 +74,9 @@
                      {"self", "zone"},
                      [](const std::string&, const common::peer_message&) {},
                      {[](const std::string&) {}, [](const std::string&) {}}};
+  common::call_numbers call_numbers{"life-1"};
   store_path path{time,
+                  call_numbers,
                   nobody,
                   {"10.0.0.1", 80},
                   {http::method::get, "/probe", {}, {}},
@@ -83,7 +85,8 @@
   adapter::worker_client workers{time, nobody, metrics};
   adapter::advice_client advice_client{nobody, {}};
   advice_queue desk{time, advice_client};
-  advice_pool advice{time, desk, [](const std::string&, const common::peer_message&) {}};
+  advice_pool advice{time, call_numbers, desk,
+                     [](const std::string&, const common::peer_message&) {}};
   std::map<std::string, scheduling::worker_info> entries;
   bool entries_known = true;
   known_capacities capacities;
--- a/Source/UnitTests/Node/StorePathTest.cpp
+++ b/Source/UnitTests/Node/StorePathTest.cpp
@@ -49,7 +49,9 @@
                            { ++peer_queries; },
                            {[](const std::string&) {},
                             [this](const std::string& peer) { path.peer_unreachable(peer); }}};
+  common::call_numbers numbers{"life-1"};
   node::store_path path{time,
+                        numbers,
                         direct,
                         {"10.0.0.1", 80},
                         {http::method::get, "/probe", {}, {}},
@@ -305,8 +307,8 @@
   call(http::method::post);
   direct.answer(k_reset);
   std::optional<common::relay_reply> answer;
-  node::store_path other(time, direct, {"10.0.0.1", 80}, {http::method::get, "/probe", {}, {}},
-                         peers,
+  node::store_path other(time, numbers, direct, {"10.0.0.1", 80},
+                         {http::method::get, "/probe", {}, {}}, peers,
                          [&answer](const std::string&, const common::peer_message& message)
                          { answer = std::get<common::relay_reply>(message); });
   other.send({http::method::post, "/call", {}, {}}, milliseconds{900}, [](const http::reply&) {});
@@ -317,6 +319,35 @@
   BOOST_TEST(answer->refused);
 }
 
+// Guards against taking a peer's reply to an earlier process of this name for the reply to a call
+// of the present one.
+BOOST_FIXTURE_TEST_CASE(a_reply_to_a_call_of_an_earlier_process_is_ignored, path_under_test)
+{
+  peers.linked("peer", "other zone");
+  call(http::method::post);
+  direct.answer(k_busy);
+  BOOST_TEST_REQUIRE(relayed.size() == 1U);
+  common::call_numbers later_numbers{"life-2"};
+  std::deque<common::relay_request> relayed_later;
+  node::store_path later(time, later_numbers, direct, {"10.0.0.1", 80},
+                         {http::method::get, "/probe", {}, {}}, peers,
+                         [&relayed_later](const std::string&, const common::peer_message& message)
+                         { relayed_later.push_back(std::get<common::relay_request>(message)); });
+  std::optional<http::reply> answer;
+  later.send({http::method::post, "/other", {}, {}}, milliseconds{900},
+             [&answer](const http::reply& reply) { answer = reply; });
+  direct.answer(k_busy);
+  BOOST_TEST_REQUIRE(relayed_later.size() == 1U);
+  common::relay_reply reply;
+  reply.status = 200;
+  reply.number = relayed.front().number;
+  later.on_reply("peer", reply);
+  BOOST_TEST(!answer.has_value());
+  reply.number = relayed_later.front().number;
+  later.on_reply("peer", reply);
+  BOOST_TEST(answer.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_relayed_call_ends_within_its_timeout, path_under_test)
 {
   peers.linked("peer", "other zone");
