Scheduling: A list of ends that may be cut off proves no run to be missing

After one lost answer to a start, tasks that had ended as done were started again.

Cause: a run that a worker lists neither as running nor as ended was taken for one that the worker does not have. A worker lists at most 500 ends and later ones only once these are acknowledged, which a kept end (12 s after an unanswered copy of a start) or an absent store delays.

Change: hold_answer says whether further ends may follow. While they may, no run is removed, and the accounting of a takeover goes on waiting for the worker. If the end of a run hides behind the listed ones, an end that is kept only for late copies of its own start no longer holds back the others.

--- a/Source/Core/Scheduling/CopyWatch.cpp
+++ b/Source/Core/Scheduling/CopyWatch.cpp
@@ -56,18 +56,19 @@
 end_number copy_watch::acknowledgeable(worker_record& worker, time_point now) const
 {
   std::erase_if(worker.kept_ends,
-                [this, now](const auto& each)
+                [this, &worker, now](const auto& each)
                 {
                   const kept_end& kept = each.second;
                   const job_record* const job = m_state.find_job(kept.task.job);
-                  if (now < kept.until)
+                  if (now < kept.until && !worker.ends_hidden)
                     return false;
                   if (job != nullptr && copy_may_begin(*job, kept.task.place))
                     return false;
                   common::log_request("end_free", kept.task.job,
                                       {{"step", kept.task.place.step},
                                        {"task", kept.task.place.index},
-                                       {"kept_ms", now - kept.since}});
+                                       {"kept_ms", now - kept.since},
+                                       {"ends_hidden", worker.ends_hidden}});
                   return true;
                 });
   return worker.kept_ends.empty() ? worker.durable
--- a/Source/Core/Scheduling/CopyWatch.h
+++ b/Source/Core/Scheduling/CopyWatch.h
@@ -8,6 +8,9 @@
 // acknowledged to its worker nor shown to callers. The end is written, and used for placement, at
 // once.
 //
+// The end of a run of which a copy of the own start request is unanswered is kept as well, for as
+// long as the copy may arrive, unless this keeps the worker from listing later ends.
+//
 // A start request can no longer be carried out once its worker has answered the run's stop request,
 // has listed the run as running or ended, or once the worker's incarnation has ended or the lease
 // of the start request has expired.
--- a/Source/Core/Scheduling/RunTracker.cpp
+++ b/Source/Core/Scheduling/RunTracker.cpp
@@ -349,7 +349,8 @@
         stop_command{worker.info.id, worker.info.address, listed.task, listed.run, worker.token});
 }
 
-// Removes the runs that the lists should show but do not.
+// Removes the runs that the lists should show but do not. While the list of ends may be cut off,
+// that a run is not listed proves nothing.
 void run_tracker::remove_missing_runs(worker_record& worker, const hold_answer& answer,
                                       time_point now)
 {
@@ -372,6 +373,16 @@
     if (run->orphaned || started_before || stopped_before || voided_before)
       missing.push_back(run.get());
   }
+  const bool hidden = answer.more_ends && !missing.empty();
+  if (hidden != worker.ends_hidden)
+    common::log_process("worker_ends_hidden", {{"worker", worker.info.id.value},
+                                               {"hidden", hidden},
+                                               {"listed", answer.ended.size()},
+                                               {"runs", missing.size()},
+                                               {"kept", worker.kept_ends.size()}});
+  worker.ends_hidden = hidden;
+  if (hidden)
+    return;
   for (run_record* run : missing)
   {
     common::log_request("run_missing", run->job->id(),
--- a/Source/Core/Scheduling/SchedulerMessages.h
+++ b/Source/Core/Scheduling/SchedulerMessages.h
@@ -241,6 +241,9 @@
   // The call had been reported as unanswered before this answer came.
   bool late = false;
   std::optional<incarnation_start> born = std::nullopt; // of the incarnation that answered
+  // The worker may keep further ends after the last one listed, so a run that neither list has may
+  // have ended.
+  bool more_ends = false;
 };
 
 struct admission_ticket
--- a/Source/Core/Scheduling/WorkerHolder.cpp
+++ b/Source/Core/Scheduling/WorkerHolder.cpp
@@ -405,7 +405,8 @@
   // The answer shows which acknowledgement the worker has received: it lists no ends up to it.
   worker->acknowledged = std::max(worker->acknowledged, answer.acknowledged);
   m_run_tracker.on_lists(*worker, answer, now);
-  m_accounting.on_worker_reported(worker->info.id, now);
+  if (!answer.more_ends)
+    m_accounting.on_worker_reported(worker->info.id, now);
 }
 
 void worker_holder::send_requested_holds(time_point now)
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -138,7 +138,12 @@
   end_number durable = 0;      // the highest end whose effect is written to the store
   end_number acknowledged = 0; // the highest end acknowledged by a hold that was answered
 
-  std::map<end_number, kept_end> kept_ends; // none of them is acknowledged
+  // None of them is acknowledged, except those that wait only for copies of their own starts while
+  // `ends_hidden`.
+  std::map<end_number, kept_end> kept_ends;
+  // A run of this owner is in neither of the latest lists, and the list of ends was cut off. The
+  // worker lists later ends only after earlier ones are acknowledged.
+  bool ends_hidden = false;
 
   // Runs that this owner has no record of. Their demand may be unknown, so nothing is placed on the
   // worker while it lists any.
--- a/Source/UnitTests/Scheduling/SchedulerHarness.cpp
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.cpp
@@ -157,19 +157,35 @@
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch() - k_worker_clock_lag);
 }
 
-void scheduler_harness::answer_hold(const std::string& worker, std::vector<listed_run> running,
-                                    std::vector<listed_end> ended, end_number acknowledged)
+hold_answer scheduler_harness::lists_of(const std::string& worker, std::vector<listed_run> running,
+                                        std::vector<listed_end> ended) const
 {
   hold_answer answer;
   answer.worker = worker_id(worker);
   answer.end = call_end::done;
   answer.clock = clock();
-  answer.acknowledged = acknowledged;
   answer.born = born;
   answer.running = std::move(running);
   answer.ended = std::move(ended);
   answer.sent = now;
   answer.token = token;
+  return answer;
+}
+
+void scheduler_harness::answer_hold(const std::string& worker, std::vector<listed_run> running,
+                                    std::vector<listed_end> ended, end_number acknowledged)
+{
+  hold_answer answer = lists_of(worker, std::move(running), std::move(ended));
+  answer.acknowledged = acknowledged;
+  scheduler->hold_answered(answer, now);
+}
+
+void scheduler_harness::answer_hold_cut_off(const std::string& worker,
+                                            std::vector<listed_run> running,
+                                            std::vector<listed_end> ended)
+{
+  hold_answer answer = lists_of(worker, std::move(running), std::move(ended));
+  answer.more_ends = true;
   scheduler->hold_answered(answer, now);
 }
 
--- a/Source/UnitTests/Scheduling/SchedulerHarness.h
+++ b/Source/UnitTests/Scheduling/SchedulerHarness.h
@@ -57,6 +57,9 @@
   worker_clock_time clock() const;
   void answer_hold(const std::string& worker, std::vector<listed_run> running,
                    std::vector<listed_end> ended = {}, end_number acknowledged = 0);
+  // The same, with a list of ends that may be cut off.
+  void answer_hold_cut_off(const std::string& worker, std::vector<listed_run> running,
+                           std::vector<listed_end> ended);
   // Ends a hold without the worker's lists.
   void fail_hold(const std::string& worker, call_end end);
   void answer_start(const start_command& request, call_end end);
@@ -81,6 +84,8 @@
 private:
   // Answers the holds that a start waits for; false if there were none.
   bool confirm_incarnations();
+  hold_answer lists_of(const std::string& worker, std::vector<listed_run> running,
+                       std::vector<listed_end> ended) const;
 };
 
 // An owner that takes a partition over from an earlier owner, whose leases end 16 s later.
