Jobs, Node: Keep writes within the store's limits, and others going when one is refused

After one crash of a worker under a job of 1,600 tasks, or for a job of 260 times without any crash, no task of any job started again in the whole cell.

Cause: the job's progress outgrew a row. Commits with it were refused (400) and repeated for ever, the owner's renewal with them. Nothing compared rows with row_bytes, or commits with 1 MB; submissions were not checked for what their rows take.

Change: progress goes on in continuation rows, commits end before they are too large, claims of very many tasks stay open, and jobs that cannot be kept are rejected when submitted. A refused commit is given back and narrowed down; what the store refuses alone, while it takes renewals, is given up. The store's limit for a row is a setting. Progress that fits into one row is written as before, and owners of before ignore continuation rows. The store model refuses what the platform would.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -30,6 +30,7 @@
     "store_reads",
     "store_feeds",
     "store_writes",
+    "commits_refused",
     "store_rows_written",
     "store_bytes",
     "peer_messages",
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -34,6 +34,7 @@
   store_reads,
   store_feeds,
   store_writes,
+  commits_refused,
   store_rows_written,
   store_bytes,
   peer_messages,
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -95,6 +95,8 @@
   // zone to which their starts are confined; empty: they may be on any worker. An entry is written
   // before the step's first start.
   std::map<task_place, std::string> begun;
+  // How many continuation rows the progress was read from (see ProgressRows.h).
+  std::size_t continuation_rows = 0;
 };
 
 // Converts to and from the row's text, a JSON object. Reading throws nlohmann::json::exception or
--- a/Source/Core/Model/StoreModel.cpp
+++ b/Source/Core/Model/StoreModel.cpp
@@ -19,6 +19,10 @@
 namespace wire = adapter::wire;
 // A part that has more than this queued rejects further transactions.
 constexpr std::chrono::seconds k_max_transaction_wait{1};
+// The platform's limits of a transaction and of a row's value.
+constexpr std::size_t k_max_entries = 100;
+constexpr std::size_t k_max_transaction_bytes = 1'000'000;
+constexpr std::size_t k_max_row_bytes = 65536;
 using query_map = std::map<std::string, std::string>;
 
 std::string unescaped(const std::string& text)
@@ -149,9 +153,33 @@
     m_time.schedule(wait, action);
 }
 
+bool store_model::accepts(const std::string& body) const
+{
+  const json in = json::parse(body);
+  std::size_t entries = 0;
+  for (const char* const list : {wire::k_conditions, wire::k_puts, wire::k_removes})
+  {
+    if (const auto found = in.find(list); found != in.end())
+      entries += found->size();
+  }
+  if (entries > k_max_entries || body.size() > k_max_transaction_bytes)
+    return false;
+  const auto puts = in.find(wire::k_puts);
+  return puts == in.end() || std::all_of(puts->begin(), puts->end(),
+                                         [this](const json& each)
+                                         {
+                                           const auto& value =
+                                               each.at(wire::k_value).get_ref<const std::string&>();
+                                           return value.size() / 4 * 3 <= k_max_row_bytes + 2 &&
+                                                  !m_refused.contains(key_from(each));
+                                         });
+}
+
 http::reply store_model::transact(const std::string& body)
 {
   const json in = json::parse(body);
+  if (!accepts(body))
+    return {400, "the transaction is too large or has a refused row", {}, false};
   json conflicting = json::array();
   bool holds = true;
   for (const json& each : in.value(wire::k_conditions, json::array()))
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -42,6 +42,8 @@
   void set_transaction_time(common::duration each) { m_transaction_time = each; }
   // Whether the store is slow or silent at present.
   bool disturbed() const { return m_transaction_time.count() != 0 || !m_silent.empty(); }
+  // From now on transactions that write this row are refused as invalid.
+  void refuse_row(const adapter::row_key& at) { m_refused.insert(at); }
   // A reply of a feed has at most so many rows (0: any number); the next call continues there.
   void limit_feed_replies(std::size_t rows) { m_max_feed_rows = rows; }
   // Drops the history, so that feeds that are behind have to read everything again.
@@ -72,6 +74,8 @@
     common::timekeeper::entry timeout = 0;
   };
 
+  // Whether the transaction is within the store's limits.
+  bool accepts(const std::string& body) const;
   http::reply transact(const std::string& body);
   // Runs the action after `wait`, or at once if that is zero.
   void run_after(common::duration wait, const std::function<void()>& action);
@@ -90,6 +94,7 @@
   std::deque<change> m_history;
   std::list<waiting_feed> m_feeds;
   std::set<std::string> m_silent;
+  std::set<adapter::row_key> m_refused;
   std::size_t m_max_feed_rows = 0;
   common::duration m_transaction_time{};
   std::map<std::string, common::time_point> m_busy_until; // by part of the store
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -275,6 +275,11 @@
   job.spec = *std::move(spec);
   job.home = choose_home(job.id, job.spec);
   job.accepted_at = m_time.wall();
+  if (const auto reason = jobs::storage_error(job, m_store.limits()))
+  {
+    refuse(*call, {400, refusal_reason::malformed_request, *reason});
+    return;
+  }
   const common::time_point deadline = call->received + call->timeout - k_answer_margin;
   if (refuse_if_overloaded(call, job, deadline))
     return;
--- a/Source/Core/Node/CommitWriter.cpp
+++ b/Source/Core/Node/CommitWriter.cpp
@@ -69,6 +69,10 @@
       {commit_key(m_partition), to_row_text(commit_row{m_incarnation, next.number})});
   for (const auto& [id, text] : batch.rows)
     change.puts.push_back({{k_progress_table, m_partition, id}, text});
+  for (const auto& [key, text] : batch.continuations)
+    change.puts.push_back({{k_progress_table, m_partition, key}, text});
+  for (const std::string& key : batch.removed_continuations)
+    change.removals.push_back({k_progress_table, m_partition, key});
   for (const auto& [id, claim] : batch.claims)
     change.puts.push_back({{k_claims_table, m_partition, id.value}, to_row_text(claim, m_clock)});
   for (const common::worker_id& id : batch.releases)
@@ -106,6 +110,11 @@
     on_conflict(result);
     return;
   }
+  if (result.end == adapter::store_outcome::malformed)
+  {
+    on_refused(result.detail);
+    return;
+  }
   common::log_process("commit_unanswered", {{"partition", m_partition},
                                             {"number", m_pending->number},
                                             {"end", adapter::to_text(result.end)},
@@ -163,6 +172,23 @@
   handler(written.commit);
 }
 
+void commit_writer::on_refused(const std::string& detail)
+{
+  const pending refused = *std::exchange(m_pending, std::nullopt);
+  // The number is not used again: an earlier copy without a reply may have been carried out.
+  m_position.number = refused.number;
+  m_metrics.add(common::counter::commits_refused);
+  common::log_process("commit_refused", {{"partition", m_partition},
+                                         {"number", refused.number},
+                                         {"parts", refused.commit.batch.parts()},
+                                         {"bytes", refused.commit.batch.bytes()},
+                                         {"renewal", refused.commit.owner.has_value()},
+                                         {"detail", detail}});
+  // The handler may destroy this writer.
+  const auto handler = m_handlers.refused;
+  handler(refused.commit.batch);
+}
+
 void commit_writer::retry()
 {
   m_retry_timer.start(k_retry_pause, [this] { send(); });
--- a/Source/Core/Node/CommitWriter.h
+++ b/Source/Core/Node/CommitWriter.h
@@ -6,7 +6,8 @@
 // Commits an owner's decisions to the store: one transaction at a time, each conditional on the
 // owner's row still being the one it wrote and on no other commit in between.
 //
-// A commit without a reply is sent again unchanged. If an earlier copy of it was carried out, or is
+// A commit that the store refuses as invalid is given back. One without a reply is sent again
+// unchanged. If an earlier copy of it was carried out, or is
 // carried out later, the conditions let only one of the copies succeed.
 
 #include <functional>
@@ -43,6 +44,9 @@
   std::function<void(const written_commit&)> written;
   // The owner's row names another owner, so this ownership has ended.
   std::function<void(const adapter::row& owner)> replaced;
+  // The store has refused the commit as invalid. Nothing of it was written, and writing it again
+  // would end in the same way.
+  std::function<void(const scheduling::commit_batch& batch)> refused;
 };
 
 class commit_writer
@@ -77,6 +81,7 @@
   void on_reply(const adapter::transaction_result& result);
   void on_conflict(const adapter::transaction_result& result);
   void on_committed(adapter::row_version version);
+  void on_refused(const std::string& detail);
   void retry();
 
   common::timekeeper& m_time;
--- a/Source/Core/Node/JobStore.cpp
+++ b/Source/Core/Node/JobStore.cpp
@@ -328,8 +328,13 @@
 }
 
 job_store::job_store(common::timekeeper& time, adapter::store_client& store,
-                     const adapter::store_client& feed_store, common::metrics& counts)
-    : m_time(time), m_store(store), m_feed_store(feed_store), m_retries(time, counts)
+                     const adapter::store_client& feed_store, common::metrics& counts,
+                     const jobs::row_limits& limits)
+    : m_time(time),
+      m_store(store),
+      m_feed_store(feed_store),
+      m_retries(time, counts),
+      m_limits(limits)
 {
 }
 
--- a/Source/Core/Node/JobStore.h
+++ b/Source/Core/Node/JobStore.h
@@ -20,6 +20,7 @@
 #include "Common/Timekeeper.h"
 #include "Jobs/JobProgress.h"
 #include "Jobs/JobSpec.h"
+#include "Jobs/ProgressRows.h"
 #include "Node/SubmissionRetries.h"
 #include "platform/StoreClient.h"
 
@@ -97,8 +98,12 @@
 {
 public:
   // `feed_store`: its replies also show how new the store's rows are.
+  // `limits`: of the rows of a job and its progress.
   job_store(common::timekeeper& time, adapter::store_client& store,
-            const adapter::store_client& feed_store, common::metrics& counts);
+            const adapter::store_client& feed_store, common::metrics& counts,
+            const jobs::row_limits& limits = {});
+
+  const jobs::row_limits& limits() const { return m_limits; }
 
   // The newest store version known here; it is not newer than the present moment.
   adapter::row_version newest_known_version() const;
@@ -129,5 +134,6 @@
   adapter::store_client& m_store;
   const adapter::store_client& m_feed_store;
   submission_retries m_retries;
+  jobs::row_limits m_limits;
 };
 } // namespace yardhill::node
--- a/Source/Core/Node/NodeCore.cpp
+++ b/Source/Core/Node/NodeCore.cpp
@@ -27,6 +27,14 @@
 constexpr std::chrono::milliseconds k_fetch_period{1500};
 // Texts from the store are truncated to this many bytes in the log.
 constexpr std::size_t k_max_logged_length = 200;
+
+// A row's value may be limited as it is sent, in base64, which is longer by a third.
+jobs::row_limits row_limits_for(std::size_t store_row_bytes)
+{
+  jobs::row_limits limits;
+  limits.bytes = std::min(limits.bytes, store_row_bytes / 4 * 3);
+  return limits;
+}
 } // namespace
 
 node_core::node_core(const node_settings& settings, const std::string& incarnation,
@@ -59,7 +67,8 @@
       m_configuration(environment.time, m_operator_feed, m_store_path, m_queues,
                       settings.configuration_limit),
       m_layout(environment.time, m_store, settings.partitions),
-      m_jobs(environment.time, m_store, m_feed_store, environment.metrics),
+      m_jobs(environment.time, m_store, m_feed_store, environment.metrics,
+             row_limits_for(settings.store_row_bytes)),
       m_states(environment.time, m_call_numbers, environment.send_to_peer, m_partitions),
       m_gateway(environment.time, m_jobs, m_states, m_store_path, m_queues, m_configuration,
                 m_capacities, m_layout, m_partitions, environment.metrics),
--- a/Source/Core/Node/NodeCoreLayout.cpp
+++ b/Source/Core/Node/NodeCoreLayout.cpp
@@ -79,6 +79,7 @@
                                  { return spare_millis(partition); },
                                  [this] { return m_peers.strongest(); }};
   ownership_options options;
+  options.rows = m_jobs.limits();
   options.ended_job_retention = k_ended_retention_factor * m_status_retention;
   for (const std::string& name : layout.names())
     m_partitions.push_back(std::make_unique<partition_owner>(parts, m_self, name, options));
--- a/Source/Core/Node/NodeSettings.cpp
+++ b/Source/Core/Node/NodeSettings.cpp
@@ -15,6 +15,8 @@
 constexpr double k_millis_per_core = 1000.0;
 constexpr double k_max_cores = 1024.0;
 constexpr std::int64_t k_max_partitions = 64;
+constexpr std::int64_t k_min_row_bytes = 4096;
+constexpr std::int64_t k_max_row_bytes = 1 << 20;
 constexpr const char* k_address_format = "an address and a port, such as 10.1.0.13:8161";
 
 endpoint address_field(field_reader& fields, const char* name)
@@ -62,6 +64,8 @@
       std::chrono::milliseconds(fields.integer("configuration_limit_ms", {1000, 3600000}, 3000));
   settings.partitions =
       static_cast<std::size_t>(fields.integer("partitions", {0, k_max_partitions}, 0));
+  settings.store_row_bytes = static_cast<std::size_t>(
+      fields.integer("store_row_bytes", {k_min_row_bytes, k_max_row_bytes}, 65536));
   const double share = fields.number("processor_share", {0.001, k_max_cores}, 1.0);
   const double cores = fields.number("processor_cores", {0.001, k_max_cores}, 1.0);
   settings.processor_millis = static_cast<std::uint32_t>(share * cores * k_millis_per_core);
--- a/Source/Core/Node/NodeSettings.h
+++ b/Source/Core/Node/NodeSettings.h
@@ -33,6 +33,8 @@
   common::duration configuration_limit = std::chrono::seconds{3};
   // The number of partitions of a new cell; 0: derived from the cell's size.
   std::size_t partitions = 0;
+  // The longest value that the store takes in a row.
+  std::size_t store_row_bytes = 65536;
   // Processor time that this instance may use, in thousandths of a core.
   std::uint32_t processor_millis = 1000;
 };
--- a/Source/Core/Node/OwnershipOptions.h
+++ b/Source/Core/Node/OwnershipOptions.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 
 #include "Common/Time.h"
+#include "Jobs/ProgressRows.h"
 
 namespace yardhill::node
 {
@@ -49,6 +50,8 @@
   common::duration ended_job_retention = std::chrono::seconds{240};
   // Maximum number of rows in one commit; the platform accepts 100 entries.
   std::size_t max_commit_rows = 90;
+  // Limits of the rows that hold a job's progress.
+  jobs::row_limits rows;
 
   // When an owner whose renewal was observed at `renewed` has certainly sent its last request to a
   // worker: a commit that extends its authority comes less than a renewal period after its latest
--- a/Source/Core/Node/PartitionLoader.cpp
+++ b/Source/Core/Node/PartitionLoader.cpp
@@ -9,6 +9,7 @@
 
 #include "Common/Error.h"
 #include "Common/EventLog.h"
+#include "Jobs/ProgressRows.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
 
@@ -143,7 +144,10 @@
   {
     auto progress = common::parsed("read_progress", row.at.key,
                                    [&row] { return jobs::job_progress_from(row.value); });
-    if (progress)
+    const auto continued = jobs::continued_job(row.at.key);
+    if (progress && continued)
+      m_continuations[*continued].push_back(*std::move(progress));
+    else if (progress)
       m_loaded.progress[row.at.key] = *std::move(progress);
     else
       common::log_request("row_damaged", row.at.key, {{"error", to_text(progress.error())}});
@@ -160,8 +164,27 @@
   m_loaded.jobs.push_back({std::move(*job), row.version});
 }
 
+// A job that has ended, perhaps under an owner that does not know continuation rows, needs none.
+void partition_loader::join_continuations()
+{
+  for (const auto& [id, rows] : m_continuations)
+  {
+    const auto first = m_loaded.progress.find(id);
+    if (first == m_loaded.progress.end() || jobs::is_final(first->second.state))
+    {
+      for (std::size_t i = 1; i <= rows.size(); ++i)
+        m_loaded.unneeded_progress.push_back(jobs::continuation_key(id, i));
+      continue;
+    }
+    for (const jobs::job_progress& each : rows)
+      jobs::add_continuation(first->second, each);
+    first->second.continuation_rows = rows.size();
+  }
+}
+
 loaded_partition partition_loader::take_result()
 {
+  join_continuations();
   // Jobs of all partitions, whose rows other owners still need unless the job is cancelled.
   std::set<std::string> shared_jobs;
   for (const loaded_partition::stored_job& each : m_loaded.jobs)
--- a/Source/Core/Node/PartitionLoader.h
+++ b/Source/Core/Node/PartitionLoader.h
@@ -37,6 +37,8 @@
   // job may replace them.
   std::vector<std::string> ended;
   std::map<std::string, jobs::job_progress> progress;
+  // Keys of continuation rows that no job needs any more.
+  std::vector<std::string> unneeded_progress;
   std::vector<std::string> cancelled;
   std::map<common::worker_id, scheduling::worker_claim> claims;
   adapter::row_version commit_version = 0; // 0: nothing was ever committed
@@ -77,6 +79,7 @@
   void on_range_read();
   void add_row(const adapter::row& row);
   // What was read, without the jobs that have ended.
+  void join_continuations();
   loaded_partition take_result();
 
   common::timekeeper& m_time;
@@ -85,6 +88,7 @@
   std::string m_partition;
   loaded_handler m_done;
   loaded_partition m_loaded;
+  std::map<std::string, std::vector<jobs::job_progress>> m_continuations; // by job, in order
   std::vector<std::unique_ptr<range_reader>> m_readers; // the first is read before the others
   std::size_t m_unfinished = 0;                         // ranges that are not completely read
   bool m_abandoned = false;
--- a/Source/Core/Node/PartitionOwner.cpp
+++ b/Source/Core/Node/PartitionOwner.cpp
@@ -36,6 +36,7 @@
           dependencies.strongest_peer_millis),
       m_previous_requests(dependencies.time, m_partition, dependencies.send_to_peer),
       m_no_requests_since(dependencies.time.now()),
+      m_isolation(options.max_commit_rows),
       m_pass_timer(dependencies.time)
 {
 }
@@ -218,13 +219,16 @@
 void partition_owner::begin_owning(const loaded_partition& loaded)
 {
   m_state = state::owning;
+  m_isolation = commit_isolation(m_options.max_commit_rows);
   const common::time_point now = m_dependencies.time.now();
   start_commits(loaded);
   m_sweeper = std::make_unique<row_sweeper>(m_dependencies.time, m_dependencies.store, m_partition,
                                             m_options.ended_job_retention);
   m_sweeper->add_ended(loaded.ended);
+  m_sweeper->add_unneeded_progress(loaded.unneeded_progress);
   scheduling::scheduler_options options;
   options.share = m_dependencies.layout.share_of(m_partition);
+  options.rows = m_options.rows;
   const auto first_run = static_cast<scheduling::run_number>((m_row.epoch - 1) * k_runs_per_epoch);
   m_scheduler =
       std::make_unique<scheduling::job_scheduler>(options, first_run, m_dependencies.metrics);
--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -19,6 +19,7 @@
 #include "Jobs/QueueTable.h"
 #include "Node/AdvicePool.h"
 #include "Node/CellLayout.h"
+#include "Node/CommitIsolation.h"
 #include "Node/CommitWriter.h"
 #include "Node/HandoverPolicy.h"
 #include "Node/JobIntake.h"
@@ -151,6 +152,7 @@
   void start_commits(const loaded_partition& loaded);
   void commit_if_due(common::time_point now);
   void on_written(const written_commit& commit);
+  void on_refused(const scheduling::commit_batch& batch);
   void on_replaced(const adapter::row& owner);
   void end_ownership(const char* why);
 
@@ -178,6 +180,7 @@
   previous_owner_requests m_previous_requests;
   // Since when this process has sent no requests to workers; not valid while it is the owner.
   common::time_point m_no_requests_since;
+  commit_isolation m_isolation;
   bool m_stopping = false;
   bool m_releasing = false; // the partition is released once everything is committed
 
--- a/Source/Core/Node/PartitionOwnerCommits.cpp
+++ b/Source/Core/Node/PartitionOwnerCommits.cpp
@@ -42,7 +42,8 @@
       m_dependencies.time, m_dependencies.store, m_dependencies.clock, m_dependencies.metrics,
       m_partition, m_self.incarnation,
       commit_handlers{[this](const written_commit& commit) { on_written(commit); },
-                      [this](const adapter::row& owner) { on_replaced(owner); }});
+                      [this](const adapter::row& owner) { on_replaced(owner); },
+                      [this](const scheduling::commit_batch& batch) { on_refused(batch); }});
   m_commits->begin({m_token, loaded.commit_version, loaded.commit_number});
 }
 
@@ -57,8 +58,8 @@
     return;
   // The first renewal is due at once, since the owner sends no requests to workers before it is
   // written.
-  const bool renew =
-      m_row.renewal == 0 || job_counts_due() || now - m_last_renewal >= m_options.renew_period;
+  const bool renew = m_row.renewal == 0 || job_counts_due() || m_isolation.wants_renewal() ||
+                     now - m_last_renewal >= m_options.renew_period;
   const bool spacing_passed = now - m_last_commit >= m_options.commit_spacing;
   const bool stronger = m_handover_policy.stronger_peer_for_long(now);
   if (!m_releasing && (m_stopping || stronger ||
@@ -73,11 +74,16 @@
   if (!renew && !(spacing_passed && m_scheduler->has_changes(now)) && !m_releasing)
     return;
   m_last_commit = now;
-  scheduling::commit_batch batch = m_scheduler->take_commit(m_options.max_commit_rows, now);
+  scheduling::commit_batch batch;
+  if (!m_isolation.active())
+    batch = m_scheduler->take_commit(m_options.max_commit_rows, now);
+  else if (!renew)
+    batch = m_scheduler->take_commit(m_isolation.limit(), now);
   // A release does not wait for changes that arrive while its commit is in flight, because under
   // load there are always some. They are kept for the next owner: ends of runs by the workers, jobs
   // and cancellations by the store.
-  const bool release = m_releasing && batch.complete;
+  const bool release =
+      m_releasing && batch.complete && (!m_isolation.active() || batch.size() == 0);
   std::optional<owner_row> row;
   if (renew || release)
     row = next_row(release);
@@ -91,6 +97,7 @@
   // are fencing tokens of this owner as well.
   m_scheduler->token_given(commit.version);
   m_scheduler->commit_done(commit.batch, true);
+  m_isolation.written(commit.batch.parts());
   if (commit.owner)
   {
     m_last_renewal = commit.sent;
@@ -110,6 +117,13 @@
     schedule_pass();
 }
 
+void partition_owner::on_refused(const scheduling::commit_batch& batch)
+{
+  m_scheduler->commit_done(batch, false);
+  if (m_isolation.refused(batch.parts()))
+    m_scheduler->give_up_part(batch, m_dependencies.time.now());
+}
+
 void partition_owner::on_replaced(const adapter::row& owner)
 {
   if (!owner.value.empty())
--- a/Source/Core/Node/RowSweeper.cpp
+++ b/Source/Core/Node/RowSweeper.cpp
@@ -3,6 +3,8 @@
 
 #include "Node/RowSweeper.h"
 
+#include <algorithm>
+
 #include "Common/EventLog.h"
 #include "Node/JobStore.h"
 #include "Node/OwnerRow.h"
@@ -16,6 +18,7 @@
 constexpr std::chrono::seconds k_retry_interval{5};
 // Two rows per job, of the 100 entries that a transaction may have.
 constexpr std::size_t k_max_jobs = 45;
+constexpr std::size_t k_max_rows = 2 * k_max_jobs;
 } // namespace
 
 row_sweeper::row_sweeper(common::timekeeper& time, adapter::store_client& store,
@@ -36,12 +39,23 @@
     m_ended.emplace_back(m_time.now(), id);
 }
 
+void row_sweeper::add_unneeded_progress(const std::vector<std::string>& keys)
+{
+  m_unneeded.insert(m_unneeded.end(), keys.begin(), keys.end());
+}
+
 // Removes rows of one part together, since a transaction over several parts takes twice as long.
 void row_sweeper::tick()
 {
   const common::time_point now = m_time.now();
-  if (m_busy || now < m_next_attempt || m_ended.empty() ||
-      now - m_ended.front().first < m_retention)
+  if (m_busy || now < m_next_attempt)
+    return;
+  if (!m_unneeded.empty())
+  {
+    remove_unneeded_progress();
+    return;
+  }
+  if (m_ended.empty() || now - m_ended.front().first < m_retention)
     return;
   const std::string part = job_part(m_ended.front().second);
   std::vector<std::string> ids;
@@ -58,6 +72,30 @@
   remove_jobs(ids);
 }
 
+void row_sweeper::remove_unneeded_progress()
+{
+  const std::size_t count = std::min(m_unneeded.size(), k_max_rows);
+  const std::vector<std::string> keys(m_unneeded.begin(),
+                                      m_unneeded.begin() + static_cast<std::ptrdiff_t>(count));
+  adapter::transaction change;
+  for (const std::string& key : keys)
+    change.removals.push_back({k_progress_table, m_partition, key});
+  m_busy = true;
+  m_store.transact(
+      change, k_remove_timeout,
+      [this, count, alive = std::weak_ptr<int>(m_alive)](const adapter::transaction_result& result)
+      {
+        if (alive.expired())
+          return;
+        m_busy = false;
+        if (result.end == adapter::store_outcome::done)
+          m_unneeded.erase(m_unneeded.begin(),
+                           m_unneeded.begin() + static_cast<std::ptrdiff_t>(count));
+        else
+          m_next_attempt = m_time.now() + k_retry_interval;
+      });
+}
+
 void row_sweeper::remove_jobs(const std::vector<std::string>& ids)
 {
   adapter::transaction change;
--- a/Source/Core/Node/RowSweeper.h
+++ b/Source/Core/Node/RowSweeper.h
@@ -33,11 +33,14 @@
 
   // Adds jobs whose end is committed, or was found to be committed.
   void add_ended(const std::vector<std::string>& ids);
+  // Adds continuation rows of progress that no job needs.
+  void add_unneeded_progress(const std::vector<std::string>& keys);
   // Called often; at most one transaction is in flight.
   void tick();
 
 private:
   void remove_jobs(const std::vector<std::string>& ids);
+  void remove_unneeded_progress();
   void remove_progress(const std::vector<std::string>& ids);
   // Calls `next` once the transaction is carried out; otherwise all of `ids` are tried again later.
   void send(adapter::transaction change, const std::vector<std::string>& ids,
@@ -49,6 +52,7 @@
   std::string m_partition;
   common::duration m_retention;
   std::deque<std::pair<common::time_point, std::string>> m_ended; // oldest first
+  std::vector<std::string> m_unneeded;                            // keys of progress rows
   bool m_busy = false;
   common::time_point m_next_attempt{};
   std::shared_ptr<int> m_alive; // replies that arrive after the sweeper's destruction are dropped
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Common/EventLog.h"
+#include "Common/Hash.h"
 #include "Scheduling/Backlog.h"
 
 namespace yardhill::scheduling
@@ -14,8 +15,32 @@
 namespace
 {
 constexpr std::chrono::seconds k_report_period{1};
+// Bytes that a row takes in the call to the store beside its text, and at most the text of a claim
+// and of each task in it.
+constexpr std::size_t k_row_frame_bytes = 200;
+constexpr std::size_t k_claim_bytes = 500;
+constexpr std::size_t k_claimed_task_bytes = 60;
+
+// What a row of that many bytes takes in the call to the store, in base64.
+std::size_t encoded_size(std::size_t bytes)
+{
+  return (bytes + 2) / 3 * 4 + k_row_frame_bytes;
+}
 } // namespace
 
+std::size_t commit_batch::bytes() const
+{
+  std::size_t sum = 0;
+  for (const auto* const texts : {&rows, &continuations})
+  {
+    for (const auto& [key, text] : *texts)
+      sum += encoded_size(text.size());
+  }
+  for (const auto& [id, claim] : claims)
+    sum += encoded_size(k_claim_bytes + claim.tasks.size() * k_claimed_task_bytes);
+  return sum;
+}
+
 job_scheduler::job_scheduler(const scheduler_options& options, run_number first_run,
                              common::metrics& metrics)
     : m_state(options, metrics),
@@ -158,6 +183,8 @@
   add_job(job, now);
   job_record& record = *m_state.jobs.at(job.id);
   record.restore(progress.value_or(jobs::job_progress{}), m_state.first_run);
+  if (progress && progress->continuation_rows > 0)
+    m_stored_rows[job.id].resize(progress->continuation_rows + 1);
   if (record.ended())
     m_state.open.erase(job.id);
   else
@@ -250,7 +277,7 @@
 
 bool job_scheduler::claim_outdated(const worker_record& worker, time_point now) const
 {
-  if (worker.claim_in_flight)
+  if (worker.claim_in_flight || worker.claim_refused)
     return false;
   const bool state_end = wants_stated_end(worker, now);
   // A stated end that is ignored is replaced by a later one, once this owner knows one: nothing can
@@ -260,11 +287,17 @@
   const bool end_stated = worker.claim && worker.claim->over;
   if (!worker.claimed)
     return state_end && (!end_stated || worker.lease_end < *worker.claim->over);
-  const bool closed = worker.should_close_claim(m_state.options.close_claim_after, now);
+  const bool closed = closes_claim(worker, now);
   return !worker.claim || worker.claim->born != worker.born || worker.claim->closed != closed ||
          end_stated != state_end || (closed && worker.runs.size() < worker.claim->tasks.size());
 }
 
+bool job_scheduler::closes_claim(const worker_record& worker, time_point now) const
+{
+  return worker.should_close_claim(m_state.options.close_claim_after, now) &&
+         worker.runs.size() <= m_state.options.max_claimed_tasks;
+}
+
 worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
 {
   // The claim of a silent worker states by when all runs there will have ended. Otherwise each
@@ -282,7 +315,7 @@
   claim.born = worker.born;
   if (!worker.claimed)
     return claim;
-  claim.closed = worker.should_close_claim(m_state.options.close_claim_after, now);
+  claim.closed = closes_claim(worker, now);
   if (!claim.closed)
     return claim;
   for (const auto& [task, run] : worker.runs)
@@ -296,15 +329,57 @@
                      [](const auto& each) { return each.second->seen > each.second->durable; });
 }
 
+bool job_scheduler::add_progress(commit_batch& batch, job_record& job, std::size_t most_rows,
+                                 time_point now)
+{
+  const std::string& id = job.id();
+  jobs::progress_rows progress = jobs::to_rows(job.progress(), m_state.options.rows);
+  if (progress.texts.size() > m_state.options.rows.rows)
+  {
+    common::log_request("progress_too_long", id, {{"rows", progress.texts.size()}});
+    m_state.end_job(job, jobs::job_state::failed, now);
+    progress = jobs::to_rows(job.progress(), m_state.options.rows);
+  }
+  const auto known = m_stored_rows.find(id);
+  const std::vector<std::uint64_t> stored =
+      known == m_stored_rows.end() ? std::vector<std::uint64_t>{} : known->second;
+  commit_batch added;
+  added.rows[id] = progress.texts.front();
+  std::vector<std::uint64_t> hashes{common::stable_hash(progress.texts.front())};
+  for (std::size_t i = 1; i < progress.texts.size(); ++i)
+  {
+    hashes.push_back(common::stable_hash(progress.texts[i]));
+    if (i >= stored.size() || stored[i] != hashes[i])
+      added.continuations[jobs::continuation_key(id, i)] = std::move(progress.texts[i]);
+  }
+  for (std::size_t i = progress.texts.size(); i < stored.size(); ++i)
+    added.removed_continuations.insert(jobs::continuation_key(id, i));
+  const bool fits = batch.size() + added.size() <= most_rows &&
+                    batch.bytes() + added.bytes() <= m_state.options.max_commit_bytes;
+  if (!fits && batch.parts() > 0)
+    return false;
+  if (progress.omitted_checkpoints + progress.omitted_histories > 0)
+    common::log_request(
+        "progress_shortened", id,
+        {{"checkpoints", progress.omitted_checkpoints}, {"histories", progress.omitted_histories}});
+  if (hashes.size() > 1 || !stored.empty())
+    batch.stored_rows[id] = std::move(hashes);
+  batch.rows.merge(added.rows);
+  batch.continuations.merge(added.continuations);
+  batch.removed_continuations.merge(added.removed_continuations);
+  return true;
+}
+
 commit_batch job_scheduler::take_commit(std::size_t most_rows, time_point now)
 {
   commit_batch batch;
-  while (!m_state.dirty.empty() && batch.rows.size() < most_rows)
+  while (!m_state.dirty.empty() && batch.size() < most_rows)
   {
     const std::string id = *m_state.dirty.begin();
     job_record& job = *m_state.jobs.at(id);
+    if (!add_progress(batch, job, most_rows, now))
+      break;
     job.advance_begin_marks(begin_mark::wanted, begin_mark::in_flight);
-    batch.rows[id] = jobs::to_row_text(job.progress());
     if (job.ended())
       m_ending.insert(id);
     m_state.dirty.erase(id);
@@ -322,7 +397,8 @@
       continue;
     // A claim that is added again after its removal goes into a later batch, since the writes of
     // one transaction have no order.
-    if (batch.size() >= most_rows || batch.releases.contains(id))
+    if (batch.size() >= most_rows || batch.bytes() >= m_state.options.max_commit_bytes ||
+        batch.releases.contains(id))
     {
       batch.complete = false;
       continue;
@@ -343,8 +419,25 @@
         m_state.dirty.insert(id);
     }
     m_state.released.insert(batch.releases.begin(), batch.releases.end());
+    for (const auto& [id, claim] : batch.claims)
+    {
+      if (worker_record* const worker = m_state.find_worker(id))
+        worker->claim_in_flight.reset();
+    }
+    for (const auto& [id, text] : batch.rows)
+    {
+      if (job_record* const job = m_state.find_job(id))
+        job->advance_begin_marks(begin_mark::in_flight, begin_mark::wanted);
+    }
     return;
   }
+  for (const auto& [id, hashes] : batch.stored_rows)
+  {
+    if (hashes.size() > 1)
+      m_stored_rows[id] = hashes;
+    else
+      m_stored_rows.erase(id);
+  }
   for (const auto& [id, read] : batch.ends)
   {
     worker_record* const worker = m_state.find_worker(id);
@@ -372,6 +465,31 @@
   drop_ended_jobs();
 }
 
+void job_scheduler::give_up_part(const commit_batch& batch, time_point now)
+{
+  for (const auto& [id, text] : batch.rows)
+  {
+    job_record* const job = m_state.find_job(id);
+    if (job == nullptr)
+      continue;
+    common::log_request("progress_refused_by_store", id, {{"bytes", text.size()}});
+    if (job->ended())
+      m_state.dirty.erase(id);
+    m_state.end_job(*job, jobs::job_state::failed, now);
+  }
+  for (const auto& [id, claim] : batch.claims)
+  {
+    worker_record* const worker = m_state.find_worker(id);
+    if (worker == nullptr)
+      continue;
+    common::log_process("claim_refused_by_store",
+                        {{"worker", id.value}, {"tasks", claim.tasks.size()}});
+    worker->claim_refused = true;
+  }
+  for (const worker_id& id : batch.releases)
+    m_state.released.erase(id);
+}
+
 void job_scheduler::drop_old_ended_jobs()
 {
   while (!m_drop_times.empty() &&
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -33,7 +33,13 @@
 // their workers only after that.
 struct commit_batch
 {
-  std::map<std::string, std::string> rows; // progress by job
+  std::map<std::string, std::string> rows; // first row of the progress, by job
+  // Continuation rows that have changed, and those that are no longer needed, by key.
+  std::map<std::string, std::string> continuations;
+  std::set<std::string> removed_continuations;
+  // For jobs with continuation rows, before or after this commit: a hash of each row as it is
+  // stored then.
+  std::map<std::string, std::vector<std::uint64_t>> stored_rows;
   // The highest end whose effect is in the batch, for the given incarnation of the worker.
   struct read_ends
   {
@@ -49,7 +55,16 @@
   // Whether the batch has everything that there was to write when it was taken.
   bool complete = false;
 
-  std::size_t size() const { return rows.size() + claims.size() + releases.size(); }
+  // How many entries of the transaction the batch takes.
+  std::size_t size() const
+  {
+    return rows.size() + continuations.size() + removed_continuations.size() + claims.size() +
+           releases.size();
+  }
+  // What the rows take in the call to the store.
+  std::size_t bytes() const;
+  // How many parts it has that can be written independently of each other.
+  std::size_t parts() const { return rows.size() + claims.size() + releases.size(); }
 };
 
 class job_scheduler
@@ -123,6 +138,9 @@
   // a later batch.
   commit_batch take_commit(std::size_t most_rows, time_point now);
   void commit_done(const commit_batch& batch, bool written);
+  // The store refuses the only part of the batch for good, however often it is written. A job whose
+  // progress cannot be stored fails; a worker whose claim cannot be stored gets no more tasks.
+  void give_up_part(const commit_batch& batch, time_point now);
 
   void tick(time_point now);
   std::vector<command> take_commands();
@@ -156,6 +174,10 @@
 
 private:
   bool has_uncommitted_ends() const;
+  // Adds the job's rows to the batch, unless they make it too large.
+  bool add_progress(commit_batch& batch, job_record& job, std::size_t most_rows, time_point now);
+  // Whether a closed claim should be stored for the worker.
+  bool closes_claim(const worker_record& worker, time_point now) const;
   // Whether the worker's claim should state by when all runs there will have ended.
   bool wants_stated_end(const worker_record& worker, time_point now) const;
   // Whether another claim than the stored one has to be written.
@@ -204,6 +226,8 @@
   // Jobs that had ended under earlier owners, by id.
   std::map<std::string, charged_job> m_ended_before;
   std::set<std::string> m_ending; // ended jobs that are still in memory
+  // For jobs with continuation rows: a hash of each row as it is stored; 0: not known.
+  std::map<std::string, std::vector<std::uint64_t>> m_stored_rows;
   // The final states of jobs that ended under this owner and were dropped from memory not long ago.
   std::map<std::string, jobs::job_state> m_dropped_jobs;
   // When each of these was dropped, in order of time.
--- a/Source/Core/Scheduling/WorkerRecord.h
+++ b/Source/Core/Scheduling/WorkerRecord.h
@@ -170,6 +170,8 @@
   // The stored claim states an end of the worker's runs that is not trusted. Until another claim is
   // written, nothing may start there and no lease may be extended.
   bool claim_end_untrusted = false;
+  // The store refuses the row of its claim for good, so no claim is written and nothing starts.
+  bool claim_refused = false;
   // The fencing token of the calls to the worker. After an incarnation that this owner had claimed,
   // the next one gets a higher token, so that it ignores what was sent to the earlier one.
   fencing_token token = 0;
--- a/Source/UnitTests/Node/CommitWriterTest.cpp
+++ b/Source/UnitTests/Node/CommitWriterTest.cpp
@@ -39,6 +39,7 @@
   adapter::store_client client{wire, metrics};
   int written = 0;
   int replaced = 0;
+  int refused = 0;
   common::time_point latest_sent{}; // when the latest commit was sent
   node::store_clock clock{time};
   node::commit_writer writer{time,
@@ -52,7 +53,8 @@
                                 ++written;
                                 latest_sent = commit.sent;
                               },
-                              [this](const adapter::row&) { ++replaced; }}};
+                              [this](const adapter::row&) { ++replaced; },
+                              [this](const scheduling::commit_batch&) { ++refused; }}};
 
   writer_under_test()
   {
@@ -134,4 +136,34 @@
   BOOST_TEST(replaced == 1);
 }
 
+// Guards against repeating for ever a commit that the store refuses as invalid.
+BOOST_FIXTURE_TEST_CASE(a_commit_that_the_store_refuses_is_given_back, writer_under_test)
+{
+  wire.store.refuse_row({node::k_progress_table, "cell", "job"});
+  write();
+  BOOST_TEST(refused == 1);
+  BOOST_TEST(!writer.busy());
+  time.run_until(time.now() + std::chrono::seconds{1});
+  BOOST_TEST(wire.calls == 1);
+  BOOST_TEST(written == 0);
+}
+
+// Guards against taking an earlier commit, which was carried out without a reply and then refused,
+// for the next one.
+BOOST_FIXTURE_TEST_CASE(the_commit_after_a_refused_one_is_written_itself, writer_under_test)
+{
+  wire.lose_answers = true;
+  write();
+  wire.lose_answers = false;
+  wire.store.refuse_row({node::k_progress_table, "cell", "job"});
+  time.run_until(time.now() + std::chrono::seconds{1});
+  BOOST_TEST_REQUIRE(refused == 1);
+  scheduling::commit_batch batch;
+  batch.rows["other"] = "progress";
+  writer.write(std::move(batch), std::nullopt);
+  time.run_until(time.now() + std::chrono::seconds{1});
+  BOOST_TEST(written == 1);
+  BOOST_TEST(wire.store.value({node::k_progress_table, "cell", "other"}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Node/OwnerHarness.h
+++ b/Source/UnitTests/Node/OwnerHarness.h
@@ -29,9 +29,13 @@
   void send(http::request call, common::duration, http::reply_handler done) override
   {
     ++calls;
-    if (turn_away && call.verb == http::method::post)
+    if ((turn_away || refuse) && call.verb == http::method::post)
     {
-      time.schedule(milliseconds{1}, [done = std::move(done)] { done({503, {}, {}, false}); });
+      const unsigned status = turn_away ? 503 : 400;
+      time.schedule(milliseconds{1},
+                    [status, done = std::move(done)] {
+                      done({status, {}, {}, false});
+                    });
       return;
     }
     const bool lost = lose_answers && call.verb == http::method::post;
@@ -49,6 +53,7 @@
   model::store_model store;
   bool lose_answers = false;
   bool turn_away = false; // rejects writes without carrying them out
+  bool refuse = false;    // the same, as invalid
   unsigned calls = 0;
 };
 
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -184,4 +184,85 @@
   BOOST_TEST(owner.owns());
 }
 
+// Guards against a cell in which no job makes progress any more: the progress of one job was
+// refused by the store, and so every commit with it.
+BOOST_FIXTURE_TEST_CASE(a_row_that_the_store_refuses_does_not_stop_the_others, owner_under_test)
+{
+  pass(milliseconds{1000});
+  BOOST_TEST_REQUIRE(owner.owns());
+  const std::vector<std::string> ids{"00000000000000a1", "00000000000000a2", "00000000000000a3"};
+  wire.store.refuse_row({node::k_progress_table, node::k_partition, ids[1]});
+  for (const std::string& id : ids)
+  {
+    jobs::accepted_job job;
+    job.id = id;
+    job.home = node::k_partition;
+    job.spec.steps.emplace_back();
+    owner.job_accepted_here(job, 1000);
+    owner.job_cancelled_here(id);
+  }
+  pass(seconds{3});
+  BOOST_TEST(owner.owns());
+  for (const std::string& id : {ids[0], ids[2]})
+    BOOST_TEST(wire.store.value({node::k_progress_table, node::k_partition, id}).has_value());
+  const unsigned calls = wire.calls;
+  pass(seconds{2});
+  BOOST_TEST(wire.calls - calls < 20U); // the refused row is given up
+}
+
+// Guards against treating a store that refuses everything for a while as one that cannot store a
+// certain job.
+BOOST_FIXTURE_TEST_CASE(no_job_is_given_up_while_the_store_refuses_every_commit, owner_under_test)
+{
+  pass(milliseconds{1000});
+  const std::string id = "00000000000000a1";
+  wire.refuse = true;
+  jobs::accepted_job job;
+  job.id = id;
+  job.home = node::k_partition;
+  job.spec.steps.emplace_back();
+  owner.job_accepted_here(job, 1000);
+  owner.job_cancelled_here(id);
+  pass(milliseconds{2000});
+  wire.refuse = false;
+  pass(milliseconds{1000});
+  BOOST_TEST(owner.owns());
+  const auto row = wire.store.value({node::k_progress_table, node::k_partition, id});
+  BOOST_TEST_REQUIRE(row.has_value());
+  BOOST_TEST((jobs::job_progress_from(*row).state == jobs::job_state::cancelled));
+}
+
+// Guards against losing the part of a job's progress that is in continuation rows, and against
+// leaving such rows behind.
+BOOST_FIXTURE_TEST_CASE(a_new_owner_reads_continuation_rows_and_removes_unneeded_ones,
+                        owner_under_test)
+{
+  jobs::accepted_job job;
+  job.id = "00000000000000a1";
+  job.home = node::k_partition;
+  job.spec.steps.resize(2);
+  jobs::job_progress first;
+  first.state = jobs::job_state::active;
+  first.begun[{0, 0, 0}] = "";
+  jobs::job_progress second;
+  second.state = jobs::job_state::active;
+  second.done = {{{true}, {true}}};
+  const auto key = [](const std::string& id) {
+    return adapter::row_key{node::k_progress_table, node::k_partition, id};
+  };
+  const std::string continuation = jobs::continuation_key(job.id, 1);
+  const std::string orphan = jobs::continuation_key("00000000000000a0", 1);
+  wire.store.put(node::job_key(job.id), jobs::to_row_text(job));
+  wire.store.put(key(job.id), jobs::to_row_text(first));
+  wire.store.put(key(continuation), jobs::to_row_text(second));
+  wire.store.put(key(orphan), jobs::to_row_text(second));
+  pass(seconds{2});
+  BOOST_TEST_REQUIRE(owner.owns());
+  const auto row = wire.store.value(key(job.id));
+  BOOST_TEST_REQUIRE(row.has_value());
+  BOOST_TEST((jobs::job_progress_from(*row).state == jobs::job_state::completed));
+  BOOST_TEST(!wire.store.value(key(continuation)).has_value());
+  BOOST_TEST(!wire.store.value(key(orphan)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
