Jobs, Scheduling: Store with each job what it needs of the configuration

After their route was replaced and the owner was killed, accepted jobs never ran again.

Cause: the policy of a queue that is no longer configured was kept in the owner's memory only. The next owner knew neither the service nor the attempts of the job. The limit of a removed workspace was lost in the same way.

Change: the job's row has the terms of its acceptance: the queue's policy, and the workspace's limit and weight. A queue or workspace that the owner has seen configured goes before them. For jobs of earlier versions the last terms go into the progress row once their queue or workspace is removed.

--- a/Source/Core/Jobs/JobProgress.cpp
+++ b/Source/Core/Jobs/JobProgress.cpp
@@ -71,6 +71,8 @@
   // An ended job needs no details: none of its tasks will run again.
   if (is_final(progress.state))
     return out.dump();
+  if (progress.terms)
+    out["terms"] = to_json_value(*progress.terms);
   json cycles = json::array();
   for (const auto& steps : progress.done)
   {
@@ -117,6 +119,8 @@
         row.push_back(bits_from(bits.get<std::string>()));
     }
   }
+  if (in.contains("terms"))
+    progress.terms = acceptance_terms_from(in["terms"]);
   if (in.contains("begun"))
   {
     for (const json& step : in["begun"])
--- a/Source/Core/Jobs/JobProgress.h
+++ b/Source/Core/Jobs/JobProgress.h
@@ -8,10 +8,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "Jobs/JobSpec.h"
+
 namespace yardhill::jobs
 {
 enum class job_state
@@ -95,6 +98,8 @@
   // zone to which their starts are confined; empty: they may be on any worker. An entry is written
   // before the step's first start.
   std::map<task_place, std::string> begun;
+  // Of a job whose own row has none, once the configuration no longer has its queue or workspace.
+  std::optional<acceptance_terms> terms;
   // How many continuation rows the progress was read from (see ProgressRows.h).
   std::size_t continuation_rows = 0;
 };
--- a/Source/Core/Jobs/JobSpec.cpp
+++ b/Source/Core/Jobs/JobSpec.cpp
@@ -177,6 +177,52 @@
          std::chrono::duration_cast<milliseconds>(critical_path_length(steps) * policy.stretch);
 }
 
+json to_json_value(const acceptance_terms& terms)
+{
+  static const queue_policy defaults;
+  const queue_policy& policy = terms.policy;
+  json out{{"service", policy.service}};
+  put(out, "priority", policy.priority, defaults.priority);
+  put(out, "attempts", policy.max_attempts, defaults.max_attempts);
+  put(out, "stretch", policy.stretch, defaults.stretch);
+  put(out, "target", policy.latency_target.count(), defaults.latency_target.count());
+  if (policy.advice)
+    out["advice"] = {policy.advice->per_call.count(), policy.advice->per_worker.count(),
+                     policy.advice->valid.count()};
+  const resources& limit = terms.workspace_limit;
+  if (limit != resources{})
+    out["limit"] = {limit.cpu_millis, limit.memory_mib, limit.accelerators};
+  put(out, "weight", terms.workspace_weight, 0.0);
+  return out;
+}
+
+acceptance_terms acceptance_terms_from(const json& in)
+{
+  acceptance_terms terms;
+  queue_policy& policy = terms.policy;
+  policy.service = in.at("service").get<std::string>();
+  policy.priority = in.value("priority", policy.priority);
+  policy.max_attempts = in.value("attempts", policy.max_attempts);
+  policy.stretch = in.value("stretch", policy.stretch);
+  policy.latency_target = milliseconds(in.value("target", std::int64_t{0}));
+  if (in.contains("advice"))
+  {
+    const json& advice = in["advice"];
+    policy.advice = {milliseconds(advice.at(0).get<std::int64_t>()),
+                     std::chrono::microseconds(advice.at(1).get<std::int64_t>()),
+                     milliseconds(advice.at(2).get<std::int64_t>())};
+  }
+  if (in.contains("limit"))
+  {
+    const json& limit = in["limit"];
+    terms.workspace_limit.cpu_millis = limit.at(0).get<std::int64_t>();
+    terms.workspace_limit.memory_mib = limit.at(1).get<std::int64_t>();
+    terms.workspace_limit.accelerators = limit.at(2).get<std::int64_t>();
+  }
+  terms.workspace_weight = in.value("weight", 0.0);
+  return terms;
+}
+
 std::string to_row_text(const accepted_job& job)
 {
   json out;
@@ -184,6 +230,8 @@
   out["home"] = job.home;
   if (!job.workspace.empty())
     out["workspace"] = job.workspace;
+  if (job.terms)
+    out["terms"] = to_json_value(*job.terms);
   out["at"] = job.accepted_at.time_since_epoch().count();
   out["payload"] = job.spec.payload;
   out["steps"] = json::array();
@@ -206,6 +254,8 @@
   job.queue = in.at("queue").get<std::string>();
   job.home = in.at("home").get<std::string>();
   job.workspace = in.value("workspace", std::string());
+  if (in.contains("terms"))
+    job.terms = acceptance_terms_from(in["terms"]);
   job.accepted_at = wall_time(milliseconds(in.at("at").get<std::int64_t>()));
   job.spec.payload = in.at("payload").get<std::string>();
   for (const json& step : in.at("steps"))
--- a/Source/Core/Jobs/JobSpec.h
+++ b/Source/Core/Jobs/JobSpec.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "Common/Resources.h"
 
 namespace yardhill::jobs
@@ -81,6 +83,16 @@
   std::optional<advice_policy> advice;
 };
 
+// What the configuration said of a job's queue and of its workspace when the job was accepted. It
+// holds for the job once the configuration no longer has them, under whichever owner.
+struct acceptance_terms
+{
+  queue_policy policy;
+  // Of the job's workspace, if it has one; see workspace.
+  resources workspace_limit;
+  double workspace_weight = 0.0;
+};
+
 // The home of a job whose tasks are divided among all partitions.
 inline constexpr const char* k_every_partition = "*";
 
@@ -106,6 +118,7 @@
   std::string queue;     // the route's name
   std::string home;      // the partition that runs it, or k_every_partition
   std::string workspace; // of the caller who submitted it; empty: none, on a public queue
+  std::optional<acceptance_terms> terms; // none: accepted by an earlier version of the software
   wall_time accepted_at{};
   job_spec spec;
 };
@@ -131,6 +144,10 @@
 // A job that ends within this many times its latency objective still earns a part of its credit.
 inline constexpr int k_late_factor = 3;
 
+// Converts the terms to and from a JSON object.
+nlohmann::json to_json_value(const acceptance_terms& terms);
+acceptance_terms acceptance_terms_from(const nlohmann::json& in);
+
 // Converts a job to and from the text of its row, a JSON object. Reading throws
 // nlohmann::json::exception if the text is malformed.
 std::string to_row_text(const accepted_job& job);
--- a/Source/Core/Jobs/ProgressRows.cpp
+++ b/Source/Core/Jobs/ProgressRows.cpp
@@ -45,9 +45,13 @@
 class row_packer
 {
 public:
-  row_packer(job_state state, std::size_t row_bytes) : m_row_bytes(row_bytes)
+  // `progress`: what is not a list goes into the first row.
+  row_packer(const job_progress& progress, std::size_t row_bytes) : m_row_bytes(row_bytes)
   {
-    m_rows.emplace_back().state = state;
+    job_progress& first = m_rows.emplace_back();
+    first.state = progress.state;
+    first.terms = progress.terms;
+    m_used = size_of(first) + 2 * k_list_bytes;
   }
 
   // Returns whether the entry was added: not if that takes more than `most_rows`.
@@ -81,7 +85,7 @@
 private:
   std::size_t m_row_bytes;
   std::size_t m_empty_row = size_of(empty_part());
-  std::size_t m_used = m_empty_row + 2 * k_list_bytes; // in the last row
+  std::size_t m_used = 0; // in the last row
   std::vector<job_progress> m_rows;
 };
 
@@ -119,7 +123,7 @@
 // A mark without a zone means that tasks of the step may be on any worker, so it covers any other.
 row_packer essential_part(const job_progress& progress, const row_limits& limits)
 {
-  row_packer done(progress.state, limits.bytes);
+  row_packer done(progress, limits.bytes);
   add_done(done, progress);
   row_packer rows = done;
   add_marks(rows, progress, true);
--- a/Source/Core/Node/CallerGateway.cpp
+++ b/Source/Core/Node/CallerGateway.cpp
@@ -272,6 +272,7 @@
   job.id = call->id;
   job.queue = call->route->name;
   job.workspace = call->workspace ? call->workspace->name : std::string();
+  job.terms = terms_of(*call);
   job.spec = *std::move(spec);
   job.home = choose_home(job.id, job.spec);
   job.accepted_at = m_time.wall();
@@ -288,6 +289,18 @@
                  { on_accepted(call, job, result); });
 }
 
+jobs::acceptance_terms caller_gateway::terms_of(const caller_call& call)
+{
+  jobs::acceptance_terms terms;
+  terms.policy = call.route->policy;
+  if (call.workspace)
+  {
+    terms.workspace_limit = call.workspace->max_running;
+    terms.workspace_weight = call.workspace->weight;
+  }
+  return terms;
+}
+
 std::optional<std::string> caller_gateway::never_runs(const caller_call& call,
                                                       const jobs::job_spec& spec) const
 {
--- a/Source/Core/Node/CallerGateway.h
+++ b/Source/Core/Node/CallerGateway.h
@@ -89,6 +89,8 @@
   void refuse_unconfigured(const caller_call& call, http::method verb, const std::string& reason);
   void submit(const std::shared_ptr<caller_call>& call);
   // Why no task of some step could ever run; none if every step can.
+  // What the configuration says of the call's queue and workspace.
+  static jobs::acceptance_terms terms_of(const caller_call& call);
   std::optional<std::string> never_runs(const caller_call& call, const jobs::job_spec& spec) const;
   // Refuses the call by `deadline` if the job's owner is overloaded; returns whether it took the
   // call over. If the refusal finds the job stored already, the call is answered as accepted.
--- a/Source/Core/Scheduling/JobRecord.cpp
+++ b/Source/Core/Scheduling/JobRecord.cpp
@@ -42,6 +42,12 @@
   set_deadlines();
 }
 
+void job_record::keep_terms(const jobs::acceptance_terms& terms)
+{
+  m_job.terms = terms;
+  m_terms_in_progress = true;
+}
+
 void job_record::set_deadlines()
 {
   m_critical_paths = jobs::critical_paths_from(m_job.spec.steps);
@@ -166,6 +172,8 @@
   progress.state = active ? jobs::job_state::active : m_state;
   if (ended())
     return progress;
+  if (m_terms_in_progress)
+    progress.terms = m_job.terms;
   for (std::uint32_t c = 0; c < m_cycles.size(); ++c)
   {
     auto& row = progress.done.emplace_back();
--- a/Source/Core/Scheduling/JobRecord.h
+++ b/Source/Core/Scheduling/JobRecord.h
@@ -173,6 +173,8 @@
   const jobs::accepted_job& accepted() const { return m_job; }
   const jobs::queue_policy& policy() const { return m_policy; }
   void set_policy(const jobs::queue_policy& policy);
+  // Has the progress say what the configuration last said of the job's queue and workspace.
+  void keep_terms(const jobs::acceptance_terms& terms);
 
   // Of the job's workspace; null if it has none.
   workspace_account* account() const { return m_account; }
@@ -249,6 +251,7 @@
   jobs::queue_policy m_policy;
   workspace_account* m_account = nullptr;
   bool m_beyond_share = false;
+  bool m_terms_in_progress = false; // since the job's own row has none
   jobs::job_state m_state = jobs::job_state::queued;
   bool m_known_begun = false;
   bool m_start_sent = false;
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -64,13 +64,17 @@
 
 void job_scheduler::set_policies(std::map<std::string, jobs::queue_policy> policies)
 {
-  // The last policy of a queue that is no longer configured stays in force for its accepted jobs.
+  m_configured_queues.clear();
   for (auto& [queue, policy] : policies)
-    m_state.policies[queue] = policy;
+  {
+    m_configured_queues.insert(queue);
+    m_state.policies[queue] = std::move(policy);
+  }
   for (const std::string& id : m_state.open)
   {
     job_record& job = *m_state.jobs.at(id);
-    job.set_policy(policy_of(job.accepted().queue));
+    job.set_policy(policy_of(job.accepted()));
+    keep_terms_if_needed(job);
   }
   m_state.place_again = true;
 }
@@ -78,14 +82,41 @@
 void job_scheduler::set_workspaces(const std::map<std::string, jobs::workspace>& workspaces)
 {
   m_state.workspaces.configure(workspaces);
+  for (const std::string& id : m_state.open)
+    keep_terms_if_needed(*m_state.jobs.at(id));
   m_state.place_again = true;
 }
 
-const jobs::queue_policy& job_scheduler::policy_of(const std::string& queue) const
+// The last policy of a queue that is no longer configured stays in force for its accepted jobs. An
+// owner that has never seen that queue configured goes by what was stored with the job.
+const jobs::queue_policy& job_scheduler::policy_of(const jobs::accepted_job& job) const
 {
   static const jobs::queue_policy s_default_policy;
-  const auto found = m_state.policies.find(queue);
-  return found == m_state.policies.end() ? s_default_policy : found->second;
+  const auto found = m_state.policies.find(job.queue);
+  if (found != m_state.policies.end())
+    return found->second;
+  return job.terms ? job.terms->policy : s_default_policy;
+}
+
+// For jobs that were accepted by a version of the software that stored no terms.
+void job_scheduler::keep_terms_if_needed(job_record& job)
+{
+  const jobs::accepted_job& accepted = job.accepted();
+  if (accepted.terms || !m_state.policies.contains(accepted.queue))
+    return;
+  const bool needed = !m_configured_queues.contains(accepted.queue) ||
+                      (job.account() != nullptr && !job.account()->configured);
+  if (!needed)
+    return;
+  jobs::acceptance_terms terms;
+  terms.policy = job.policy();
+  if (job.account() != nullptr)
+  {
+    terms.workspace_limit = job.account()->whole_limit;
+    terms.workspace_weight = job.account()->whole_weight;
+  }
+  job.keep_terms(terms);
+  m_state.mark_dirty(job);
 }
 
 void job_scheduler::set_wall_clock(jobs::wall_time wall, time_point now)
@@ -160,12 +191,12 @@
     return;
   const time_point accepted = std::min(
       now, now - std::chrono::duration_cast<duration>(m_state.wall(now) - job.accepted_at));
-  auto record = std::make_unique<job_record>(job, policy_of(job.queue), accepted);
+  auto record = std::make_unique<job_record>(job, policy_of(job), accepted);
   if (record->shared())
     record->exclude_other_shares(m_state.options.share);
   if (!job.workspace.empty())
   {
-    workspace_account& account = m_state.workspaces.account(job.workspace);
+    workspace_account& account = m_state.workspaces.account_of(job);
     record->set_account(&account);
     record->set_beyond_share(account.count_job(accepted));
   }
@@ -180,8 +211,13 @@
 {
   if (m_state.jobs.contains(job.id))
     return;
-  add_job(job, now);
+  jobs::accepted_job with_terms = job;
+  if (progress && progress->terms)
+    with_terms.terms = progress->terms;
+  add_job(with_terms, now);
   job_record& record = *m_state.jobs.at(job.id);
+  if (progress && progress->terms)
+    record.keep_terms(*progress->terms);
   record.restore(progress.value_or(jobs::job_progress{}), m_state.first_run);
   if (progress && progress->continuation_rows > 0)
     m_stored_rows[job.id].resize(progress->continuation_rows + 1);
@@ -199,7 +235,7 @@
   if (job.workspace.empty())
     return;
   charged_job& charged = m_ended_before[job.id];
-  charged = {&m_state.workspaces.account(job.workspace), {}};
+  charged = {&m_state.workspaces.account_of(job), {}};
   for (const jobs::step_spec& step : job.spec.steps)
     charged.demands.push_back(step.demand);
 }
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -200,7 +200,10 @@
   void report_if_due(time_point now);
   // Whether this pass also looks for runs that have become late or silent by the passing of time.
   bool survey_due();
-  const jobs::queue_policy& policy_of(const std::string& queue) const;
+  const jobs::queue_policy& policy_of(const jobs::accepted_job& job) const;
+  // Has the store keep what the configuration last said of the job's queue and workspace, if only
+  // this owner's memory has it.
+  void keep_terms_if_needed(job_record& job);
 
   scheduler_state m_state;
   crash_watch m_crashes;
@@ -225,7 +228,8 @@
   };
   // Jobs that had ended under earlier owners, by id.
   std::map<std::string, charged_job> m_ended_before;
-  std::set<std::string> m_ending; // ended jobs that are still in memory
+  std::set<std::string> m_configured_queues; // of the configuration in force
+  std::set<std::string> m_ending;            // ended jobs that are still in memory
   // For jobs with continuation rows: a hash of each row as it is stored; 0: not known.
   std::map<std::string, std::vector<std::uint64_t>> m_stored_rows;
   // The final states of jobs that ended under this owner and were dropped from memory not long ago.
--- a/Source/Core/Scheduling/WorkspaceUsage.cpp
+++ b/Source/Core/Scheduling/WorkspaceUsage.cpp
@@ -57,21 +57,43 @@
   return found;
 }
 
+workspace_account& workspace_usage::account_of(const jobs::accepted_job& job)
+{
+  workspace_account& found = account(job.workspace);
+  if (found.ever_configured || !job.terms || job.accepted_at < found.limit_of_job_at)
+    return found;
+  found.limit_of_job_at = job.accepted_at;
+  set_limit(found, job.terms->workspace_limit, job.terms->workspace_weight);
+  return found;
+}
+
+void workspace_usage::set_limit(workspace_account& account, const resources& limit,
+                                double weight) const
+{
+  const resources part = part_of(limit);
+  if (part != account.limit)
+    common::log_process("workspace_limit", {{"workspace", account.name},
+                                            {"cpu_millis", part.cpu_millis},
+                                            {"memory_mib", part.memory_mib},
+                                            {"accelerators", part.accelerators},
+                                            {"cpu_millis_used", account.running.cpu_millis},
+                                            {"memory_mib_used", account.running.memory_mib}});
+  account.limit = part;
+  account.share = weight / m_share.partitions;
+  account.whole_limit = limit;
+  account.whole_weight = weight;
+}
+
 void workspace_usage::configure(const std::map<std::string, jobs::workspace>& workspaces)
 {
+  for (auto& [name, each] : m_accounts)
+    each.configured = false;
   for (const auto& [name, configured] : workspaces)
   {
     workspace_account& changed = account(name);
-    const resources limit = part_of(configured.max_running);
-    if (limit != changed.limit)
-      common::log_process("workspace_limit", {{"workspace", name},
-                                              {"cpu_millis", limit.cpu_millis},
-                                              {"memory_mib", limit.memory_mib},
-                                              {"accelerators", limit.accelerators},
-                                              {"cpu_millis_used", changed.running.cpu_millis},
-                                              {"memory_mib_used", changed.running.memory_mib}});
-    changed.limit = limit;
-    changed.share = configured.weight / m_share.partitions;
+    changed.configured = true;
+    changed.ever_configured = true;
+    set_limit(changed, configured.max_running, configured.weight);
   }
 }
 
--- a/Source/Core/Scheduling/WorkspaceUsage.h
+++ b/Source/Core/Scheduling/WorkspaceUsage.h
@@ -31,6 +31,14 @@
   resources running;  // of all runs that the owner has a record of
   resources unaccounted; // of what may be running without such a record, after a takeover
 
+  bool configured = false; // by the configuration in force
+  // Set by any configuration that this owner has seen; until then by the job accepted latest.
+  bool ever_configured = false;
+  jobs::wall_time limit_of_job_at{}; // when that job was accepted
+  // The workspace's limit and weight in all partitions together.
+  resources whole_limit;
+  double whole_weight = 0.0;
+
   std::map<std::chrono::seconds, std::uint32_t> jobs_by_second; // of the latest seconds
   // Whether tasks larger than the limit may start here one at a time. The limit may have been
   // lowered below their demand after they were accepted. In one partition only, since several would
@@ -56,6 +64,9 @@
 
   // The account of a workspace. The reference stays valid.
   workspace_account& account(const std::string& name);
+  // The account of the job's workspace. If this owner has seen no configuration of the workspace,
+  // the limit is the one that was stored with the job.
+  workspace_account& account_of(const jobs::accepted_job& job);
   // Sets the limits and weights of the configuration in force. A workspace that the configuration
   // no longer has keeps its last ones for its accepted jobs.
   void configure(const std::map<std::string, jobs::workspace>& workspaces);
@@ -63,6 +74,7 @@
   const std::map<std::string, workspace_account>& accounts() const { return m_accounts; }
 
 private:
+  void set_limit(workspace_account& account, const resources& limit, double weight) const;
   resources part_of(const resources& limit) const;
 
   jobs::task_share m_share;
--- a/Source/UnitTests/Jobs/RowsTest.cpp
+++ b/Source/UnitTests/Jobs/RowsTest.cpp
@@ -85,4 +85,43 @@
   BOOST_TEST((critical_path_length(steps) == milliseconds{110}));
 }
 
+BOOST_AUTO_TEST_CASE(the_terms_of_a_job_are_read_back_unchanged)
+{
+  acceptance_terms terms;
+  terms.policy.priority = 2;
+  terms.policy.max_attempts = 3;
+  terms.policy.stretch = 2.5;
+  terms.policy.latency_target = milliseconds{1200};
+  terms.policy.service = "service";
+  terms.policy.advice = {milliseconds{450}, std::chrono::microseconds{6500}, milliseconds{2500}};
+  terms.workspace_limit = {4000, 8192, 1, 0, 0};
+  terms.workspace_weight = 0.5;
+  accepted_job job;
+  job.terms = terms;
+  const accepted_job read = accepted_job_from("5c0e7a21d94b36f8", to_row_text(job));
+  BOOST_TEST_REQUIRE(read.terms.has_value());
+  BOOST_TEST(read.terms->policy.priority == 2U);
+  BOOST_TEST(read.terms->policy.max_attempts == 3U);
+  BOOST_TEST(read.terms->policy.stretch == 2.5);
+  BOOST_TEST((read.terms->policy.latency_target == milliseconds{1200}));
+  BOOST_TEST(read.terms->policy.service == "service");
+  BOOST_TEST_REQUIRE(read.terms->policy.advice.has_value());
+  BOOST_TEST((read.terms->policy.advice->per_call == milliseconds{450}));
+  BOOST_TEST((read.terms->policy.advice->per_worker == std::chrono::microseconds{6500}));
+  BOOST_TEST((read.terms->policy.advice->valid == milliseconds{2500}));
+  BOOST_TEST((read.terms->workspace_limit == terms.workspace_limit));
+  BOOST_TEST(read.terms->workspace_weight == 0.5);
+  job_progress progress;
+  progress.state = job_state::active;
+  progress.terms = terms;
+  BOOST_TEST(to_row_text(job_progress_from(to_row_text(progress))) == to_row_text(progress));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_without_terms_is_read_and_written_without)
+{
+  accepted_job job;
+  BOOST_TEST(to_row_text(job).find("terms") == std::string::npos);
+  BOOST_TEST(!accepted_job_from("5c0e7a21d94b36f8", to_row_text(job)).terms.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
