Scheduling: Let steps of suspected tasks out of a zone that has no worker for them

After a crash of its worker, which came back as one of another kind, a job had nothing running for good, beside an idle worker of its kind in another zone.

Cause: a step is let out of its zone when no worker there takes a task, but tasks that were lost with a worker were passed over before that.

Two new cases of ZoneTest fail without the change.

Change: the zone is asked about for every task without a worker. For a task that waits for a trial it is too small only if no worker there could take it even without regard to the trial.

--- a/Source/Core/Scheduling/Placer.cpp
+++ b/Source/Core/Scheduling/Placer.cpp
@@ -328,6 +328,15 @@
   return step.begun.written_for(worker.info.zone);
 }
 
+bool placer::zone_too_small(job_record& job, const task_place& place, time_point now) const
+{
+  if (job.step(place).begun.anywhere())
+    return false;
+  // A suspected task may only wait for a worker that is fit for its trial.
+  return !suspected(job.task(place).crashes) ||
+         best_worker(job, place, now, isolation::ignored) == nullptr;
+}
+
 void placer::widen_small_zone(job_record& job, step_record& step)
 {
   if (!job.policy().advice || (!step.permits.asking && !step.permits.permitted.empty()))
@@ -381,16 +390,16 @@
       break;
     const task_place place{each.cycle, each.step, index};
     worker_record* const worker = worker_for(job, place, now);
-    if (worker == nullptr && suspected(task.crashes))
+    if (worker == nullptr)
     {
+      if (zone_too_small(job, place, now))
+        widen_small_zone(job, step);
+      if (!suspected(task.crashes))
+        break;
       // Other tasks of the step are not suspected and may still find a worker.
       prepare_trial(job, place, now);
       continue;
     }
-    if (worker == nullptr)
-      widen_small_zone(job, step);
-    if (worker == nullptr)
-      break;
     // Asked for before the mark is written, so that both arrive at about the same time.
     const bool confirmed = confirm_incarnation(job, place, *worker, now);
     if (!begin_mark_written(each, *worker, now) || !confirmed)
--- a/Source/Core/Scheduling/Placer.h
+++ b/Source/Core/Scheduling/Placer.h
@@ -84,6 +84,9 @@
   // member, which also requests the announcement of a member that needs one.
   bool gang_may_start(const std::vector<run_record*>& members);
   bool incarnations_confirmed(const std::vector<run_record*>& members, time_point now);
+  // Whether the task, for which no worker was found, is confined to a zone without a worker that
+  // could take it, now or once that is fit for its trial.
+  bool zone_too_small(job_record& job, const task_place& place, time_point now) const;
   // Requests that the step may use all zones, because its own zone has no free capacity for it.
   // With advice, only once there was a reply and no request is in flight.
   void widen_small_zone(job_record& job, step_record& step);
--- a/Source/UnitTests/Scheduling/ZoneTest.cpp
+++ b/Source/UnitTests/Scheduling/ZoneTest.cpp
@@ -48,6 +48,29 @@
     step();
   }
 
+  void lose(const std::string& id)
+  {
+    fail_hold(id, call_end::other_incarnation);
+    scheduler->worker_entry_gone(worker_id(id), now);
+  }
+
+  // Lets time pass in which that worker answers its holds and what there is to write is written.
+  void pass_with(const std::string& id, milliseconds span)
+  {
+    for (const time_point end = now + span; now < end;)
+    {
+      pass(milliseconds{100});
+      commit_and_step();
+      std::vector<listed_run> runs;
+      for (const start_command& each : starts)
+      {
+        if (each.worker.value == id)
+          runs.push_back(running(each));
+      }
+      answer_hold(id, runs);
+    }
+  }
+
   std::set<std::string> used() const
   {
     std::set<std::string> ids;
@@ -183,4 +206,70 @@
   BOOST_TEST(used().count("w1") + used().count("w3") > 0U);
 }
 
+// Guards against jobs that never run again: all waiting tasks of a step were lost with a worker,
+// and its zone has no other worker with the label that they require.
+BOOST_FIXTURE_TEST_CASE(a_step_of_suspected_tasks_leaves_a_zone_without_suitable_workers, two_zones)
+{
+  worker_info here = worker_in("w1", "a", 8000);
+  worker_info there = worker_in("w2", "b", 7000);
+  here.labels = there.labels = {"kind"};
+  add_worker(here);
+  add_worker(there);
+  yardhill::jobs::step_spec step_spec = step_of(2);
+  step_spec.required_label = "kind";
+  place(step_spec);
+  BOOST_TEST_REQUIRE(starts.size() == 2U);
+  BOOST_TEST_REQUIRE(used().count("w1") == 1U);
+  for (const start_command& each : starts)
+    answer_start(each, call_end::done);
+  starts.clear();
+  pass(milliseconds{100});
+  lose("w1");
+  add_worker(worker_in("w3", "a", 8000)); // at the lost worker's place, of another kind
+  pass_with("w2", seconds{20});
+  BOOST_TEST(used().count("w2") == 1U);
+}
+
+// The same once the trial of the tasks waits for a worker that is lost meanwhile.
+BOOST_FIXTURE_TEST_CASE(a_zone_is_left_although_a_trial_waited_there, two_zones)
+{
+  for (const char* const id : {"w1", "w3"})
+  {
+    worker_info info = worker_in(id, "a", 4000);
+    info.labels = {"kind"};
+    add_worker(info);
+  }
+  worker_info there = worker_in("w2", "b", 7000);
+  there.labels = {"kind"};
+  add_worker(there);
+  yardhill::jobs::step_spec step_spec = step_of(4);
+  step_spec.required_label = "kind";
+  place(step_spec);
+  BOOST_TEST_REQUIRE(used().count("w2") == 0U);
+  for (const start_command& each : starts)
+    answer_start(each, call_end::done);
+  starts.clear();
+  pass(milliseconds{100});
+  lose("w1");
+  step(); // a trial may be prepared on w3
+  lose("w3");
+  pass_with("w2", seconds{20});
+  BOOST_TEST(used().count("w2") == 1U);
+}
+
+// A zone with a worker that only has to become fit for the trial is kept.
+BOOST_FIXTURE_TEST_CASE(a_step_whose_trial_waits_for_a_fit_worker_keeps_its_zone, two_zones)
+{
+  add_workers();
+  place(step_of(7));
+  BOOST_TEST_REQUIRE(used().count("w2") + used().count("w4") == 0U);
+  for (const start_command& each : starts)
+    answer_start(each, call_end::done);
+  starts.clear();
+  pass(milliseconds{100});
+  lose("w1");
+  pass_with("w3", milliseconds{500});
+  BOOST_TEST(used().count("w2") + used().count("w4") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
