--- a/Source/UnitTests/Node/StoreClientTest.cpp
+++ b/Source/UnitTests/Node/StoreClientTest.cpp
@@ -92,4 +92,22 @@
   BOOST_TEST((client.patience(milliseconds{1500}) == milliseconds{1500}));
 }
 
+// Guards against a feed that no longer follows a table: one of its rows is not in base64.
+BOOST_FIXTURE_TEST_CASE(a_row_that_is_not_base64_does_not_hide_the_others, client_under_test)
+{
+  std::optional<adapter::rows_result> result;
+  client.read({"servers", "", {}, {}, 500}, seconds{1},
+              [&result](adapter::rows_result each) { result = std::move(each); });
+  store.calls.front().done({200,
+                            R"({"rows":[{"private_key":"a","value":"***","ver":3},)"
+                            R"({"private_key":"b","value":"e30=","ver":4}],"ver":5})",
+                            {},
+                            false});
+  BOOST_TEST_REQUIRE(result.has_value());
+  BOOST_TEST((result->end == adapter::store_outcome::done));
+  BOOST_TEST_REQUIRE(result->rows.size() == 2U);
+  BOOST_TEST(result->rows[0].value == "");
+  BOOST_TEST(result->rows[1].value == "{}");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
