Node: Pause commits that the store refuses with nothing but the renewal; claims by row size

After a refusal renewals are written at once; while the store refused these too, they were sent again in every pass. They now wait for the pause between retries, as the test of a store that refuses everything checks (fewer than 25 calls in 2 s).

--- a/Source/Core/Node/PartitionOwner.h
+++ b/Source/Core/Node/PartitionOwner.h
@@ -181,6 +181,7 @@
   // Since when this process has sent no requests to workers; not valid while it is the owner.
   common::time_point m_no_requests_since;
   commit_isolation m_isolation;
+  common::time_point m_commits_paused_until{};
   bool m_stopping = false;
   bool m_releasing = false; // the partition is released once everything is committed
 
--- a/Source/Core/Node/PartitionOwnerCommits.cpp
+++ b/Source/Core/Node/PartitionOwnerCommits.cpp
@@ -54,7 +54,7 @@
 
 void partition_owner::commit_if_due(common::time_point now)
 {
-  if (m_commits->busy())
+  if (m_commits->busy() || now < m_commits_paused_until)
     return;
   // The first renewal is due at once, since the owner sends no requests to workers before it is
   // written.
@@ -119,9 +119,13 @@
 
 void partition_owner::on_refused(const scheduling::commit_batch& batch)
 {
+  const common::time_point now = m_dependencies.time.now();
   m_scheduler->commit_done(batch, false);
   if (m_isolation.refused(batch.parts()))
-    m_scheduler->give_up_part(batch, m_dependencies.time.now());
+    m_scheduler->give_up_part(batch, now);
+  // The store refuses even the renewal of the owner's row.
+  if (batch.parts() == 0)
+    m_commits_paused_until = now + m_options.retry_pause;
 }
 
 void partition_owner::on_replaced(const adapter::row& owner)
--- a/Source/Core/Scheduling/JobScheduler.cpp
+++ b/Source/Core/Scheduling/JobScheduler.cpp
@@ -15,11 +15,14 @@
 namespace
 {
 constexpr std::chrono::seconds k_report_period{1};
-// Bytes that a row takes in the call to the store beside its text, and at most the text of a claim
-// and of each task in it.
+// Bytes that a row takes in the call to the store beside its text.
 constexpr std::size_t k_row_frame_bytes = 200;
-constexpr std::size_t k_claim_bytes = 500;
-constexpr std::size_t k_claimed_task_bytes = 60;
+
+// The most that the text of a closed claim takes: an address and a zone, and each task.
+std::size_t max_claim_bytes(std::size_t tasks)
+{
+  return 500 + 60 * tasks;
+}
 
 // What a row of that many bytes takes in the call to the store, in base64.
 std::size_t encoded_size(std::size_t bytes)
@@ -37,7 +40,7 @@
       sum += encoded_size(text.size());
   }
   for (const auto& [id, claim] : claims)
-    sum += encoded_size(k_claim_bytes + claim.tasks.size() * k_claimed_task_bytes);
+    sum += encoded_size(max_claim_bytes(claim.tasks.size()));
   return sum;
 }
 
@@ -331,7 +334,7 @@
 bool job_scheduler::closes_claim(const worker_record& worker, time_point now) const
 {
   return worker.should_close_claim(m_state.options.close_claim_after, now) &&
-         worker.runs.size() <= m_state.options.max_claimed_tasks;
+         max_claim_bytes(worker.runs.size()) <= m_state.options.rows.bytes;
 }
 
 worker_claim job_scheduler::claim_of(const worker_record& worker, time_point now) const
--- a/Source/Core/Scheduling/JobScheduler.h
+++ b/Source/Core/Scheduling/JobScheduler.h
@@ -176,7 +176,8 @@
   bool has_uncommitted_ends() const;
   // Adds the job's rows to the batch, unless they make it too large.
   bool add_progress(commit_batch& batch, job_record& job, std::size_t most_rows, time_point now);
-  // Whether a closed claim should be stored for the worker.
+  // Whether a closed claim should be stored for the worker. One of very many tasks stays open,
+  // since its row would be too long.
   bool closes_claim(const worker_record& worker, time_point now) const;
   // Whether the worker's claim should state by when all runs there will have ended.
   bool wants_stated_end(const worker_record& worker, time_point now) const;
--- a/Source/Core/Scheduling/SchedulerOptions.h
+++ b/Source/Core/Scheduling/SchedulerOptions.h
@@ -25,9 +25,6 @@
   // How many bytes the rows of one commit may take in the call to the store, unless a single entry
   // takes more. The platform accepts 1 MB, of which the owner's row takes a part.
   std::size_t max_commit_bytes = 800'000;
-  // A claim with more tasks stays open, since its row would be too long; a task takes up to 60
-  // bytes.
-  std::size_t max_claimed_tasks = 750;
   // A run ends by itself this long after its worker last heard from the owner. The lease has to
   // cover a takeover (3 s of silence and half a second of work), and a task that was lost with its
   // worker waits for its end. The platform's bound is 10 s.
--- a/Source/UnitTests/Node/PartitionOwnerTest.cpp
+++ b/Source/UnitTests/Node/PartitionOwnerTest.cpp
@@ -223,7 +223,9 @@
   job.spec.steps.emplace_back();
   owner.job_accepted_here(job, 1000);
   owner.job_cancelled_here(id);
+  const unsigned calls = wire.calls;
   pass(milliseconds{2000});
+  BOOST_TEST(wire.calls - calls < 25U);
   wire.refuse = false;
   pass(milliseconds{1000});
   BOOST_TEST(owner.owns());
