Jobs, Model, UnitTests: Comments of the fixes state the reason alone

Regression tests name the failure in the present tense, the store model's check names the refused rows too, and the sizes of progress rows are explained in order.

--- a/Source/Core/Jobs/ProgressRows.cpp
+++ b/Source/Core/Jobs/ProgressRows.cpp
@@ -14,8 +14,8 @@
 // The part of a job's rows that the tasks done and the begin marks may take; the rest is for
 // histories.
 constexpr std::size_t k_essential_share_percent = 40;
-// Of one entry, beside the digits of a step's tasks and a zone's name: the JSON around a step's
-// digits, around a cycle, and a whole begin mark without a zone.
+// The JSON around the digits of a step's tasks, around a cycle's steps, and the most that a begin
+// mark without a zone takes.
 constexpr std::size_t k_step_bytes = 3;
 constexpr std::size_t k_cycle_bytes = 3;
 constexpr std::size_t k_mark_bytes = 16;
--- a/Source/Core/Model/StoreModel.h
+++ b/Source/Core/Model/StoreModel.h
@@ -74,7 +74,7 @@
     common::timekeeper::entry timeout = 0;
   };
 
-  // Whether the transaction is within the store's limits.
+  // Whether the transaction is within the store's limits and writes no row of refuse_row().
   bool accepts(const std::string& body) const;
   http::reply transact(const std::string& body);
   // Runs the action after `wait`, or at once if that is zero.
--- a/Source/UnitTests/Jobs/ProgressRowsTest.cpp
+++ b/Source/UnitTests/Jobs/ProgressRowsTest.cpp
@@ -69,7 +69,7 @@
 }
 
 // Guards against commits that the store refuses since a job's progress outgrows a row: many tasks
-// were lost with their worker.
+// are lost with their worker.
 BOOST_AUTO_TEST_CASE(histories_of_many_tasks_go_into_continuation_rows)
 {
   job_progress progress = progress_of(1, 1, 1600);
--- a/Source/UnitTests/Scheduling/AcceptanceTermsTest.cpp
+++ b/Source/UnitTests/Scheduling/AcceptanceTermsTest.cpp
@@ -55,7 +55,7 @@
 
 BOOST_AUTO_TEST_SUITE(AcceptanceTermsTest)
 
-// Guards against accepted jobs that never run: their route was replaced, and the next owner knew
+// Guards against accepted jobs that never run: their route is replaced, and the next owner knows
 // neither their service nor their attempts.
 BOOST_FIXTURE_TEST_CASE(a_job_of_a_removed_queue_runs_under_the_next_owner, owner_without_the_queue)
 {
@@ -118,8 +118,8 @@
   BOOST_TEST(!jobs::job_progress_from(batch.rows.at(k_job)).terms.has_value());
 }
 
-// Guards against a workspace beyond its limit: it was removed from the configuration, and the next
-// owner knew no limit for its accepted jobs.
+// Guards against a workspace beyond its limit: it is removed from the configuration, and the next
+// owner knows no limit for its accepted jobs.
 BOOST_FIXTURE_TEST_CASE(a_removed_workspace_keeps_its_limit_under_the_next_owner,
                         owner_without_the_queue)
 {
--- a/Source/UnitTests/Scheduling/CutOffListsTest.cpp
+++ b/Source/UnitTests/Scheduling/CutOffListsTest.cpp
@@ -66,8 +66,8 @@
 
 BOOST_AUTO_TEST_SUITE(CutOffListsTest)
 
-// Guards against starting tasks twice that have ended as done: a run was taken for missing because
-// its end did not fit into the worker's list of ends.
+// Guards against starting tasks twice that have ended as done: a run is taken for missing because
+// its end does not fit into the worker's list of ends.
 BOOST_FIXTURE_TEST_CASE(a_run_absent_from_a_cut_off_list_is_not_started_again, two_runs)
 {
   answer_hold_cut_off("w1", {}, {ended(1, first, run_outcome::done)});
--- a/Source/UnitTests/Scheduling/LongProgressTest.cpp
+++ b/Source/UnitTests/Scheduling/LongProgressTest.cpp
@@ -58,7 +58,7 @@
 BOOST_AUTO_TEST_SUITE(LongProgressTest)
 
 // Guards against a commit that the store refuses for good, after which nothing starts in the cell:
-// a worker was lost with 1,600 tasks of one job.
+// a worker is lost with 1,600 tasks of one job.
 BOOST_FIXTURE_TEST_CASE(the_progress_of_many_lost_tasks_fits_into_rows, wide_job)
 {
   const commit_batch batch = lose_worker();
@@ -94,7 +94,7 @@
   BOOST_TEST(next.continuations.size() <= 1U);
 }
 
-// Guards against leaving rows behind that a later owner would read: the progress was longer under
+// Guards against leaving rows behind that a later owner would read: the progress is longer under
 // the earlier owner.
 BOOST_FIXTURE_TEST_CASE(rows_of_an_earlier_owner_that_are_not_needed_are_removed, takeover_harness)
 {
--- a/Source/UnitTests/Scheduling/ZoneTest.cpp
+++ b/Source/UnitTests/Scheduling/ZoneTest.cpp
@@ -206,7 +206,7 @@
   BOOST_TEST(used().count("w1") + used().count("w3") > 0U);
 }
 
-// Guards against jobs that never run again: all waiting tasks of a step were lost with a worker,
+// Guards against jobs that never run again: all waiting tasks of a step are lost with a worker,
 // and its zone has no other worker with the label that they require.
 BOOST_FIXTURE_TEST_CASE(a_step_of_suspected_tasks_leaves_a_zone_without_suitable_workers, two_zones)
 {
